Request path, peer protocol and telemetry

Cause: the thin path needs the decision of where a request runs, the calls between entry hosts, and something to be seen by. The request path is a state machine without I/O; a try that may have run never ends as 'not run'.

--- /dev/null
+++ b/request/router.go
@@ -0,0 +1,228 @@
+package request
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+)
+
+// Limits accounts for units of teams' upper limits held by this host.
+type Limits interface {
+	// TryUse takes units for a task about to start and reports whether the
+	// host held that many free.
+	TryUse(team ident.TeamID, units int64) bool
+	// Done gives back units of a task that ended.
+	Done(team ident.TeamID, units int64)
+}
+
+// Options configure a router. The zero value of a bound takes its default.
+type Options struct {
+	Zone       ident.Zone
+	Limits     Limits
+	Rand       *rand.Rand    // draws candidates; seeded by the caller
+	MaxWaiting int           // requests that may wait; default 512
+	MaxTries   int           // sends of one request; default 3
+	MaxHops    int           // forwards of one request; default 2
+	PeerTTL    time.Duration // how long a peer's room is believed; default 3 s
+}
+
+// Defaults of Options.
+const (
+	defaultMaxWaiting = 512
+	defaultMaxTries   = 3
+	defaultMaxHops    = 2
+	defaultPeerTTL    = 3 * time.Second
+)
+
+// unitsOfRequest is what one request uses of its team's limit.
+const unitsOfRequest = 1
+
+// Router is the request path of one entry host. It is not safe for concurrent
+// use.
+type Router struct {
+	opts     Options
+	workers  []*worker // sorted by id
+	byID     map[ident.WorkerID]*worker
+	calls    map[ident.TaskID]*call
+	teams    map[ident.TeamID]*teamQueue
+	order    []*teamQueue // sorted by team
+	peers    map[ident.HostID]*peer
+	budgets  map[ident.ServiceID]*budget
+	waiting  int
+	draining bool
+	service  float64 // moving average of service time in seconds
+	out      []Command
+	counters Counters
+}
+
+// Counters count decisions since start.
+type Counters struct {
+	Dispatched, Forwarded, Completed, Retried int64
+	Rejected                                  map[Cause]int64
+}
+
+// New returns a router.
+func New(opts Options) *Router {
+	if opts.MaxWaiting <= 0 {
+		opts.MaxWaiting = defaultMaxWaiting
+	}
+	if opts.MaxTries <= 0 {
+		opts.MaxTries = defaultMaxTries
+	}
+	if opts.MaxHops <= 0 {
+		opts.MaxHops = defaultMaxHops
+	}
+	if opts.PeerTTL <= 0 {
+		opts.PeerTTL = defaultPeerTTL
+	}
+	return &Router{
+		opts:     opts,
+		byID:     map[ident.WorkerID]*worker{},
+		calls:    map[ident.TaskID]*call{},
+		teams:    map[ident.TeamID]*teamQueue{},
+		peers:    map[ident.HostID]*peer{},
+		budgets:  map[ident.ServiceID]*budget{},
+		counters: Counters{Rejected: map[Cause]int64{}},
+	}
+}
+
+// Step takes one event at now and returns the commands that follow from it.
+// The slice is valid until the next Step.
+func (r *Router) Step(now time.Duration, ev Event) []Command {
+	r.out = r.out[:0]
+	switch ev := ev.(type) {
+	case Admitted:
+		r.admit(now, ev)
+	case Finished:
+		r.finished(now, ev)
+	case Cancelled:
+		r.cancel(ev.ID)
+	case WorkerReady:
+		r.workerReady(ev)
+	case WorkerFreed:
+		r.workerFreed(ev)
+	case WorkerGone:
+		r.workerGone(ev.Worker)
+	case WorkerLeaving:
+		r.workerLeaving(ev)
+	case PeerSeen:
+		r.peers[ev.Host] = &peer{PeerSeen: ev, at: now}
+	case PeerGone:
+		delete(r.peers, ev.Host)
+	case TeamShare:
+		r.team(ev.Team).weight = ev.Weight
+	case DrainStarted:
+		r.draining = true
+	case Tick:
+		r.expire(now)
+	}
+	r.drain(now)
+	return r.out
+}
+
+// Free returns the slots open for new requests on workers in good health, less
+// the requests that wait for them.
+func (r *Router) Free() int64 {
+	var n int64
+	for _, w := range r.workers {
+		if !w.leaving && !w.quarantined {
+			n += max(w.free(), 0)
+		}
+	}
+	return max(n-int64(r.waiting), 0)
+}
+
+// Waiting returns the number of requests that wait.
+func (r *Router) Waiting() int { return r.waiting }
+
+// InFlight returns the number of requests that this host has admitted and not
+// ended, on the given worker, or on all for an empty name.
+func (r *Router) InFlight(id ident.WorkerID) int64 {
+	if id == "" {
+		return int64(len(r.calls))
+	}
+	if w, ok := r.byID[id]; ok {
+		return w.inFlight
+	}
+	return 0
+}
+
+// Counters returns the counters.
+func (r *Router) Counters() Counters { return r.counters }
+
+// Quarantined lists workers out of choice because they failed too much.
+func (r *Router) Quarantined() []ident.WorkerID {
+	var ids []ident.WorkerID
+	for _, w := range r.workers {
+		if w.quarantined {
+			ids = append(ids, w.id)
+		}
+	}
+	return ids
+}
+
+// Services lists the services that this host's workers answer for.
+func (r *Router) Services() []ident.ServiceID {
+	seen := map[ident.ServiceID]bool{}
+	var list []ident.ServiceID
+	for _, w := range r.workers {
+		for _, s := range w.services {
+			if !seen[s] && !w.leaving {
+				seen[s] = true
+				list = append(list, s)
+			}
+		}
+	}
+	return list
+}
+
+func (r *Router) team(id ident.TeamID) *teamQueue {
+	if q, ok := r.teams[id]; ok {
+		return q
+	}
+	q := &teamQueue{team: id, weight: 1}
+	r.teams[id] = q
+	at := sort.Search(len(r.order), func(i int) bool { return r.order[i].team >= id })
+	r.order = append(r.order, nil)
+	copy(r.order[at+1:], r.order[at:])
+	r.order[at] = q
+	return q
+}
+
+func (r *Router) budget(s ident.ServiceID) *budget {
+	if b, ok := r.budgets[s]; ok {
+		return b
+	}
+	b := newBudget()
+	r.budgets[s] = b
+	return b
+}
+
+func (r *Router) emit(c Command) { r.out = append(r.out, c) }
+
+// reject ends a call with a cause and frees all it holds.
+func (r *Router) reject(c *call, cause Cause, after time.Duration) {
+	r.counters.Rejected[cause]++
+	r.forget(c)
+	r.emit(Reject{ID: c.ID, Cause: &RejectedError{Cause: cause, RetryAfter: after, MayHaveRun: c.mayRun}})
+}
+
+func (r *Router) forget(c *call) {
+	if c.waiting {
+		r.waiting--
+		r.team(c.Team).leave(c)
+	}
+	r.releaseUnits(c)
+	delete(r.calls, c.ID)
+}
+
+func (r *Router) releaseUnits(c *call) {
+	if !c.units {
+		return
+	}
+	c.units = false
+	r.team(c.Team).inFlight--
+	r.opts.Limits.Done(c.Team, unitsOfRequest)
+}
