Settings checked whole, and the problem document of every refusal

Cause: an entry host needs its settings before anything else, and callers need one form for every refusal that says whether the work ran. Ruled out: ini.v1's MapTo, which stops at the first bad field, ignores unknown keys and takes the last of two values without a word. A table of documented fields reads each key once instead. Before: no settings. After: every bad field of a file is reported at once with section, key, value and what is allowed; secrets and unknown keys hide their value.

--- /dev/null
+++ b/problem/classes.go
@@ -0,0 +1,28 @@
+package problem
+
+import "net/http"
+
+// class is what all problems of one type share.
+type class struct {
+	status int
+	title  string
+}
+
+var classes = map[Type]class{
+	TypeMalformed:    {http.StatusBadRequest, "The request is malformed"},
+	TypeTooLarge:     {http.StatusRequestEntityTooLarge, "The request is too large"},
+	TypeUnauthorized: {http.StatusUnauthorized, "The key is missing or not valid"},
+	TypeForbidden:    {http.StatusForbidden, "The key does not allow this"},
+	TypeNotFound:     {http.StatusNotFound, "There is no such thing here"},
+	TypeConflict:     {http.StatusConflict, "The idempotency key belongs to other work"},
+	TypeStalePlan:    {http.StatusConflict, "The plan is stale"},
+	TypeNoFit:        {http.StatusUnprocessableEntity, "The work can never fit"},
+	TypeOverLimit:    {http.StatusTooManyRequests, "The team is at its upper limit"},
+	TypeBusy:         {http.StatusServiceUnavailable, "There is no room now"},
+	TypeLogDown:      {http.StatusServiceUnavailable, "The platform's log cannot be reached"},
+	TypeNotReady:     {http.StatusServiceUnavailable, "The host is not ready"},
+	TypeStopping:     {http.StatusServiceUnavailable, "The host is stopping"},
+	TypeDeadline:     {http.StatusGatewayTimeout, "The deadline passed"},
+	TypeUpstream:     {http.StatusBadGateway, "The upstream failed"},
+	TypeInternal:     {http.StatusInternalServerError, "The host failed"},
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"os"
+
+	"gopkg.in/ini.v1"
+)
+
+// Load reads and checks the file at path. It returns an *UnreadableError or an
+// *InvalidError.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &UnreadableError{File: path, Cause: err}
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the text of a settings file; name stands for the file in
+// errors. It returns an *UnreadableError or an *InvalidError.
+func Parse(name string, data []byte) (Settings, error) {
+	file, err := ini.LoadSources(loadOptions, data)
+	if err != nil {
+		return Settings{}, &UnreadableError{File: name, Cause: err}
+	}
+	p := &parser{file: file}
+	p.run()
+	if len(p.bad) > 0 {
+		return Settings{}, &InvalidError{File: name, Fields: p.bad}
+	}
+	return p.out, nil
+}
+
+// loadOptions keep every value of a key that is given twice, so that the
+// parser can refuse it, and leave values as they are written.
+var loadOptions = ini.LoadOptions{
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	PreserveEmptyShadowValues:  true,
+	KeyValueDelimiters:         "=",
+	IgnoreContinuation:         true,
+	SpaceBeforeInlineComment:   true,
+	UnescapeValueDoubleQuotes:  false,
+	PreserveSurroundedQuote:    true,
+}
+
+// parser collects settings and bad fields of one file.
+type parser struct {
+	file *ini.File
+	out  Settings
+	bad  []*FieldError
+}
+
+// run reads every documented field, the two open sections, what must hold
+// between fields, and last what is not documented.
+func (p *parser) run() {
+	for i := range fields {
+		p.field(&fields[i])
+	}
+	p.operators()
+	p.across()
+	p.unknown()
+}
+
+// fail records a bad field.
+func (p *parser) fail(section, key, value, allowed string) {
+	p.bad = append(p.bad, &FieldError{Section: section, Key: key, Value: value, Allowed: allowed})
+}
+
+// field reads one documented field, or its default.
+func (p *parser) field(f *field) {
+	value, count := p.lookup(f.section, f.key)
+	shown := value
+	if f.secret {
+		shown = hidden
+	}
+	if count > 1 {
+		p.fail(f.section, f.key, shown, "the key once")
+		return
+	}
+	if value == "" {
+		value = f.standard
+	}
+	if value == "" {
+		if f.required {
+			p.fail(f.section, f.key, "", f.allowed)
+		}
+		return
+	}
+	if !f.set(&p.out, value) {
+		p.fail(f.section, f.key, shown, f.allowed)
+	}
+}
+
+// hidden stands for the value of a secret in errors.
+const hidden = "(hidden)"
+
+// lookup returns the last value of a key and how often the key is given.
+func (p *parser) lookup(section, key string) (value string, count int) {
+	if !p.file.HasSection(section) {
+		return "", 0
+	}
+	s := p.file.Section(section)
+	if !s.HasKey(key) {
+		return "", 0
+	}
+	values := s.Key(key).ValueWithShadows()
+	if len(values) == 0 {
+		return "", 1
+	}
+	return values[len(values)-1], len(values)
+}
