Control leases of one entry host as a state machine

Cause: workers are owned by leases with epochs; the host that holds one needs to know at each moment whether a start may still be sent. Ruled out: counting from the grant's arrival, since a slow answer would make the holder believe longer than the worker. Before: no package. After: lease.Manager acquires, renews, hands over, drains.

--- /dev/null
+++ b/lease/manager.go
@@ -0,0 +1,172 @@
+package lease
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// Manager holds the control leases of one host. It is not safe for concurrent
+// use.
+type Manager struct {
+	opts     Options
+	span     time.Duration
+	rng      *rand.Rand
+	controls map[Key]*control
+	wakes    wakeHeap
+	draining bool
+	out      []Command
+}
+
+// New returns a Manager without leases.
+func New(opts Options) *Manager {
+	opts = opts.withDefaults()
+	return &Manager{
+		opts:     opts,
+		span:     opts.Span(),
+		rng:      rand.New(rand.NewPCG(opts.Seed, uint64(opts.Self.Incarnation))),
+		controls: make(map[Key]*control),
+	}
+}
+
+// Step takes in one event and returns what is to be done, in order. now must
+// not decrease from step to step.
+func (m *Manager) Step(now time.Duration, ev Event) []Command {
+	m.out = nil
+	switch ev := ev.(type) {
+	case Want:
+		m.want(now, ev)
+	case Granted:
+		m.with(now, ev.Key, func(c *control) { m.granted(now, c, ev) })
+	case Refused:
+		m.with(now, ev.Key, func(c *control) { m.refused(now, c, ev) })
+	case Failed:
+		m.with(now, ev.Key, func(c *control) { m.failed(now, c, ev) })
+	case EpochRefused:
+		m.with(now, ev.Key, func(c *control) { m.epochRefused(now, c, ev) })
+	case Acked:
+		m.with(now, ev.Key, func(c *control) { c.acks = append(c.acks, ev.IDs...) })
+	case Idle:
+		m.with(now, ev.Key, func(c *control) { m.idle(now, c) })
+	case ReleaseDone:
+		m.with(now, ev.Key, func(c *control) { m.releaseDone(now, c, ev) })
+	case Drain:
+		m.drain(now)
+	case Tick:
+		m.tick(now)
+	}
+	return m.out
+}
+
+// Epoch returns the epoch under which a start may be sent at now. It reports
+// false when the lease is not held, is being handed over, or may have run out
+// on the worker.
+//
+// It guards against a holder that was paused past its lease: such a holder
+// wakes with a later now, finds the lease used up by its own clock and starts
+// nothing, although no event told it so.
+func (m *Manager) Epoch(key Key, now time.Duration) (platform.Epoch, bool) {
+	c, ok := m.controls[key]
+	if !ok || c.phase != phaseHeld || now >= c.until {
+		return 0, false
+	}
+	return c.epoch, true
+}
+
+// Left returns how long the lease may still be used for starts: zero if not
+// at all.
+func (m *Manager) Left(key Key, now time.Duration) time.Duration {
+	if _, ok := m.Epoch(key, now); !ok {
+		return 0
+	}
+	return m.controls[key].until - now
+}
+
+// Held returns the number of leases held at now, those under handover
+// included.
+func (m *Manager) Held(now time.Duration) int {
+	n := 0
+	for _, c := range m.controls {
+		if c.holding() && now < c.until {
+			n++
+		}
+	}
+	return n
+}
+
+// Drained reports whether a Drain has given back every lease.
+func (m *Manager) Drained(now time.Duration) bool {
+	return m.draining && m.Held(now) == 0
+}
+
+// Next returns when the next Tick has something to do, and false if never.
+func (m *Manager) Next() (time.Duration, bool) {
+	if len(m.wakes) == 0 {
+		return 0, false
+	}
+	return m.wakes[0].wake, true
+}
+
+func (m *Manager) emit(c Command) { m.out = append(m.out, c) }
+
+// with runs a handler on the control of a key, between two looks at the clock:
+// the first lets a lease end that ran out before the event, the second sends
+// what the event made due. An event for an unknown key is of a lease that was
+// given up long ago.
+func (m *Manager) with(now time.Duration, key Key, handle func(*control)) {
+	c, ok := m.controls[key]
+	if !ok {
+		return
+	}
+	m.lapse(now, c)
+	handle(c)
+	m.advance(now, c)
+}
+
+func (m *Manager) want(now time.Duration, ev Want) {
+	c, ok := m.controls[ev.Key]
+	if !ok {
+		if !ev.Wanted || m.draining {
+			return
+		}
+		c = &control{key: ev.Key, next: now, index: unscheduled}
+		m.controls[ev.Key] = c
+	}
+	m.lapse(now, c)
+	c.wanted = ev.Wanted && !m.draining
+	if !c.wanted {
+		m.handOver(now, c)
+	}
+	m.advance(now, c)
+}
+
+func (m *Manager) drain(now time.Duration) {
+	m.draining = true
+	for _, key := range m.sortedKeys() {
+		m.want(now, Want{Key: key, Wanted: false})
+	}
+}
+
+func (m *Manager) tick(now time.Duration) {
+	for len(m.wakes) > 0 && m.wakes[0].wake <= now {
+		c := m.wakes[0]
+		m.lapse(now, c)
+		m.advance(now, c)
+	}
+}
+
+func (m *Manager) sortedKeys() []Key {
+	keys := make([]Key, 0, len(m.controls))
+	for key := range m.controls {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Class, b.Class))
+}
