--- /dev/null
+++ b/engine/event.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/request"
+	"github.com/fireflyfold/fireflyfold/work"
+)
+
+// Event is an input of the engine.
+type Event interface{ isEvent() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Listed is an answer of the host list.
+type Listed struct {
+	Listing platform.Listing
+}
+
+// ListFailed reports that the host list did not answer.
+type ListFailed struct{}
+
+// DigestReceived is what a peer told of itself.
+type DigestReceived struct {
+	Digest member.Digest
+}
+
+// PeerFailed reports that a peer did not answer.
+type PeerFailed struct {
+	Host ident.HostID
+}
+
+// LeaseAnswered is the answer to a SendLease. Err is nil, or as the errors of
+// platform.Workers.
+type LeaseAnswered struct {
+	Key    lease.Key
+	SentAt time.Duration
+	Epoch  platform.Epoch // of the request; zero for an acquire
+	Grant  platform.LeaseGrant
+	Err    error
+}
+
+// ReleaseAnswered is the answer to a SendRelease.
+type ReleaseAnswered struct {
+	Key   lease.Key
+	Epoch platform.Epoch
+	Err   error
+}
+
+// RequestAdmitted hands in an authenticated request.
+type RequestAdmitted struct {
+	Request request.Admitted
+	// Key is the caller's idempotency key if the request is to be claimed in
+	// the log before it runs; empty otherwise.
+	Key         string
+	Fingerprint string // digest of the request, to tell a repeat from other work under one key
+}
+
+// RequestFinished reports how a CallWorker or ForwardCall ended.
+type RequestFinished struct {
+	Finished request.Finished
+	// Refusal is the worker's refusal, if that is what ended the call.
+	Refusal platform.Refusal
+	Worker  ident.WorkerID
+	Epoch   platform.Epoch
+}
+
+// RequestCancelled withdraws a request whose caller went away.
+type RequestCancelled struct {
+	ID ident.TaskID
+}
+
+// StreamRead answers a ReadStream or ReadPeer with the same After.
+type StreamRead struct {
+	Stream platform.Stream
+	After  platform.Offset
+	Page   platform.Page
+	// SentAt is when the read was sent; the page shows the log as it was at
+	// that moment or later.
+	SentAt   time.Duration
+	FromPeer bool // handed out by a peer: no proof of how new the log is
+}
+
+// StreamFailed reports that the ReadStream or ReadPeer with the same After
+// brought nothing.
+type StreamFailed struct {
+	Stream   platform.Stream
+	After    platform.Offset
+	FromPeer bool
+}
+
+// Appended is the answer to an Append. Err is nil, or as the errors of
+// platform.Log.
+type Appended struct {
+	Stream platform.Stream
+	Tag    uint64
+	Offset platform.Offset
+	Err    error
+}
+
+// StartAnswered is the answer to a StartTask.
+type StartAnswered struct {
+	ID     ident.AttemptID
+	Worker ident.WorkerID
+	Epoch  platform.Epoch
+	Err    error
+}
+
+// JobSubmitted hands in a durable job. The specification is checked.
+type JobSubmitted struct {
+	Call        uint64 // names the answer
+	ID          ident.JobID
+	Key         string // the caller's idempotency key; empty for none
+	Fingerprint string
+	Spec        work.Spec
+	Deadline    time.Duration // of the answer
+}
+
+// JobQueried asks how a durable job of a team stands.
+type JobQueried struct {
+	Call    uint64
+	Job     ident.JobID
+	Team    ident.TeamID
+	Explain bool // also say why it waits or where it was placed
+}
+
+// JobCancelRequested withdraws a durable job of a team.
+type JobCancelRequested struct {
+	Call     uint64
+	Job      ident.JobID
+	Team     ident.TeamID
+	Deadline time.Duration
+}
+
+// UnitsAsked is a peer's wish for units of a team's limit.
+type UnitsAsked struct {
+	From  ident.Holder
+	Team  ident.TeamID
+	Units int64
+	Seq   uint64 // rises with every wish of this peer
+}
+
+// DrainRequested starts the planned stop of this host.
+type DrainRequested struct{}
+
+func (Tick) isEvent()               {}
+func (Listed) isEvent()             {}
+func (ListFailed) isEvent()         {}
+func (DigestReceived) isEvent()     {}
+func (PeerFailed) isEvent()         {}
+func (LeaseAnswered) isEvent()      {}
+func (ReleaseAnswered) isEvent()    {}
+func (RequestAdmitted) isEvent()    {}
+func (RequestFinished) isEvent()    {}
+func (RequestCancelled) isEvent()   {}
+func (StreamRead) isEvent()         {}
+func (StreamFailed) isEvent()       {}
+func (Appended) isEvent()           {}
+func (StartAnswered) isEvent()      {}
+func (JobSubmitted) isEvent()       {}
+func (JobCancelRequested) isEvent() {}
+func (JobQueried) isEvent()         {}
+func (UnitsAsked) isEvent()         {}
+func (DrainRequested) isEvent()     {}
--- /dev/null
+++ b/entry/duties.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/fireflyfold/fireflyfold/engine"
+	"github.com/fireflyfold/fireflyfold/peer/peerv1"
+)
+
+// Timeouts of calls outside the request path.
+const (
+	workerTimeout = 1500 * time.Millisecond
+	logTimeout    = 5 * time.Second
+	listTimeout   = 2 * time.Second
+	peerTimeout   = time.Second
+)
+
+// Pauses between polls.
+const (
+	tickEvery = 20 * time.Millisecond
+	listEvery = time.Second
+)
+
+// drainRing carries out the items of a ring until ctx ends: the loop of one
+// duty.
+func drainRing[T any](ctx context.Context, items <-chan T, do func(context.Context, T)) {
+	for {
+		select {
+		case item := <-items:
+			do(ctx, item)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) sendLease(ctx context.Context, cmd engine.SendLease) {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	grant, err := h.opts.Workers.Lease(ctx, cmd.Addr, cmd.Request)
+	h.push(engine.LeaseAnswered{Key: cmd.Key, SentAt: cmd.SentAt, Epoch: cmd.Request.Epoch, Grant: grant, Err: err})
+}
+
+func (h *Host) sendRelease(ctx context.Context, cmd engine.SendRelease) {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	err := h.opts.Workers.Release(ctx, cmd.Addr, cmd.Key.Class, cmd.Epoch)
+	h.push(engine.ReleaseAnswered{Key: cmd.Key, Epoch: cmd.Epoch, Err: err})
+}
+
+// sendLeaseCommand serves the ring that leases and releases share, so that a
+// release is never overtaken by the acquire that follows it.
+func (h *Host) sendLeaseCommand(ctx context.Context, cmd engine.Command) {
+	switch cmd := cmd.(type) {
+	case engine.SendLease:
+		h.sendLease(ctx, cmd)
+	case engine.SendRelease:
+		h.sendRelease(ctx, cmd)
+	}
+}
+
+func (h *Host) sendTaskCommand(ctx context.Context, cmd engine.Command) {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	switch cmd := cmd.(type) {
+	case engine.StartTask:
+		err := h.opts.Workers.Start(ctx, cmd.Addr, cmd.Request)
+		h.push(engine.StartAnswered{ID: cmd.ID, Worker: cmd.Worker, Epoch: cmd.Request.Epoch, Err: err})
+	case engine.ControlTask:
+		if err := h.opts.Workers.Control(ctx, cmd.Addr, cmd.Request); err != nil {
+			h.metrics.controlFailed.Inc(1)
+		}
+	}
+}
+
+func (h *Host) appendGroup(ctx context.Context, cmd engine.Append) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	h.metrics.appends.Inc(1)
+	offset, err := h.opts.Log.Append(ctx, cmd.Stream, cmd.Group)
+	h.push(engine.Appended{Stream: cmd.Stream, Tag: cmd.Tag, Offset: offset, Err: err})
+}
+
+// readStream reads one page from the log.
+func (h *Host) readStream(ctx context.Context, cmd engine.ReadStream) {
+	sentAt := h.now()
+	ctx, cancel := context.WithTimeout(ctx, logTimeout+cmd.Wait)
+	defer cancel()
+	page, err := h.opts.Log.Read(ctx, cmd.Stream, cmd.After, cmd.Limit, cmd.Wait)
+	if err != nil {
+		h.metrics.readFailed.Inc(1)
+		h.push(engine.StreamFailed{Stream: cmd.Stream, After: cmd.After})
+		return
+	}
+	h.push(engine.StreamRead{Stream: cmd.Stream, After: cmd.After, Page: page, SentAt: sentAt})
+}
+
+// readPeer reads one page of the configuration from a peer.
+func (h *Host) readPeer(ctx context.Context, cmd engine.ReadPeer) {
+	sentAt := h.now()
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	res, err := h.peers.At(cmd.Addr).ReadStream(ctx, connect.NewRequest(&peerv1.ReadStreamRequest{
+		Stream: string(cmd.Stream),
+		After:  uint64(cmd.After),
+		Limit:  int32(cmd.Limit),
+	}))
+	if err != nil {
+		h.push(engine.StreamFailed{Stream: cmd.Stream, After: cmd.After, FromPeer: true})
+		return
+	}
+	h.push(engine.StreamRead{
+		Stream:   cmd.Stream,
+		After:    cmd.After,
+		Page:     fromWirePage(res.Msg),
+		SentAt:   sentAt,
+		FromPeer: true,
+	})
+}
+
+// sendReadCommand serves the ring of reads.
+func (h *Host) sendReadCommand(ctx context.Context, cmd engine.Command) {
+	switch cmd := cmd.(type) {
+	case engine.ReadStream:
+		h.readStream(ctx, cmd)
+	case engine.ReadPeer:
+		h.readPeer(ctx, cmd)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// pollList asks for the host list until ctx ends.
+func (h *Host) pollList(ctx context.Context) {
+	for ctx.Err() == nil {
+		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		listing, err := h.opts.HostList.List(listCtx)
+		cancel()
+		if err != nil {
+			h.push(engine.ListFailed{})
+		} else {
+			h.push(engine.Listed{Listing: listing})
+		}
+		pause(ctx, listEvery)
+	}
+}
+
+func (h *Host) sendDigest(ctx context.Context, cmd engine.SendDigest) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	res, err := h.peers.At(cmd.Addr).Exchange(ctx, connect.NewRequest(exchangeRequest(cmd.Digest)))
+	if err != nil {
+		h.push(engine.PeerFailed{Host: cmd.Host})
+		return
+	}
+	if digest, ok := fromWireDigest(res.Msg.GetDigest()); ok {
+		h.push(engine.DigestReceived{Digest: digest})
+	}
+}
--- a/request/message.go
+++ b/request/message.go
@@ -94,6 +94,7 @@
 	// that no second try can be made.
 	Committed  bool
 	ServerFail bool          // the upstream answered with a server error
+	Refused    bool          // the worker or peer decided against it; no sign of bad health
 	RetryAfter time.Duration // of a peer's refusal; zero if none
 }
 
--- a/request/step.go
+++ b/request/step.go
@@ -210,8 +210,7 @@
 func (r *Router) settle(now time.Duration, c *call, ev Finished) {
 	took := now - c.sentAt
 	if w, ok := r.byID[c.worker]; ok {
-		failed := ev.ServerFail || ev.Result == ResultFailed || ev.Result == ResultUncertain || ev.Result == ResultNotRun
-		w.finish(now, took, failed)
+		w.finish(now, took, unhealthy(ev))
 	}
 	if ev.Result == ResultAnswered && c.worker != "" {
 		r.service += serviceGain * (took.Seconds() - r.service)
@@ -225,6 +224,17 @@
 	r.releaseUnits(c)
 }
 
+// unhealthy reports whether a try speaks against its worker.
+func unhealthy(ev Finished) bool {
+	switch ev.Result {
+	case ResultFailed, ResultUncertain:
+		return true
+	case ResultNotRun:
+		return !ev.Refused
+	}
+	return ev.ServerFail
+}
+
 func (r *Router) complete(c *call, ev Finished) {
 	r.counters.Completed++
 	if !ev.ServerFail {
