--- /dev/null
+++ b/standin/hostlist.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// HostChange changes the host list. Entries replace those with the same name.
+type HostChange struct {
+	Hosts       []platform.HostEntry   `json:"hosts,omitempty"`
+	Workers     []platform.WorkerEntry `json:"workers,omitempty"`
+	GoneHosts   []ident.HostID         `json:"gone_hosts,omitempty"`
+	GoneWorkers []ident.WorkerID       `json:"gone_workers,omitempty"`
+}
+
+// pendingChange is a change that the list does not show yet.
+type pendingChange struct {
+	shown  time.Duration
+	change HostChange
+}
+
+// HostListState is the state machine of the host list. It shows every change
+// after its lag. It observes nothing by itself and reads no clock.
+type HostListState struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	pending []pendingChange
+	hosts   map[ident.HostID]platform.HostEntry
+	workers map[ident.WorkerID]platform.WorkerEntry
+}
+
+// NewHostListState returns an empty list.
+func NewHostListState(lag time.Duration) *HostListState {
+	return &HostListState{
+		lag:     lag,
+		hosts:   make(map[ident.HostID]platform.HostEntry),
+		workers: make(map[ident.WorkerID]platform.WorkerEntry),
+	}
+}
+
+// Change takes a change that shows after the lag.
+func (h *HostListState) Change(now time.Duration, change HostChange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pending = append(h.pending, pendingChange{shown: now + h.lag, change: change})
+}
+
+// SetLag replaces the lag of the changes to come.
+func (h *HostListState) SetLag(lag time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lag = lag
+}
+
+// SetDown switches an outage of the list on or off.
+func (h *HostListState) SetDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = down
+}
+
+// List returns what the list shows, in order of names. It returns a *DownError
+// during an outage.
+func (h *HostListState) List(now time.Duration) (platform.Listing, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return platform.Listing{}, &DownError{Op: "list"}
+	}
+	h.show(now)
+	var out platform.Listing
+	for _, entry := range h.hosts {
+		out.Hosts = append(out.Hosts, entry)
+	}
+	for _, entry := range h.workers {
+		out.Workers = append(out.Workers, entry)
+	}
+	slices.SortFunc(out.Hosts, func(a, b platform.HostEntry) int { return cmp.Compare(a.Host, b.Host) })
+	slices.SortFunc(out.Workers, func(a, b platform.WorkerEntry) int { return cmp.Compare(a.Worker, b.Worker) })
+	return out, nil
+}
+
+// show applies the changes whose lag has passed, in the order of their making.
+func (h *HostListState) show(now time.Duration) {
+	for len(h.pending) > 0 && h.pending[0].shown <= now {
+		h.apply(h.pending[0].change)
+		h.pending = h.pending[1:]
+	}
+}
+
+func (h *HostListState) apply(change HostChange) {
+	for _, entry := range change.Hosts {
+		h.hosts[entry.Host] = entry
+	}
+	for _, entry := range change.Workers {
+		h.workers[entry.Worker] = entry
+	}
+	for _, host := range change.GoneHosts {
+		delete(h.hosts, host)
+	}
+	for _, worker := range change.GoneWorkers {
+		delete(h.workers, worker)
+	}
+}
