--- /dev/null
+++ b/jobs/events.go
@@ -0,0 +1,158 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// ProposalID names one proposal of this process; the process chooses it and
+// never reuses it.
+type ProposalID uint64
+
+// Tag names one append of this process.
+type Tag uint64
+
+// Event is something that happened to the owner.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// WantOwnership says whether this host is to own the stream. It is a wish: the
+// log decides.
+type WantOwnership struct{ Want bool }
+
+// PageRead answers the Read command with the same After.
+type PageRead struct {
+	After platform.Offset
+	Page  platform.Page
+}
+
+// ReadFailed reports that the Read command with the same After brought nothing.
+type ReadFailed struct{ After platform.Offset }
+
+// AppendDone reports that the group was appended.
+type AppendDone struct{ Tag Tag }
+
+// AppendFailed reports that the group got no answer, or a refusal. Certain
+// means that the group was not and will not be appended; it is false for a
+// *platform.UncertainError and only for that.
+type AppendFailed struct {
+	Tag     Tag
+	Certain bool
+}
+
+// Propose asks to write a record. Exactly one body is set, none of them a
+// fence, a state or a mark; epoch and number are filled in by the owner.
+type Propose struct {
+	ID   ProposalID
+	Body Record
+	// Deadline is the time after which the proposal must not become effective;
+	// zero for none.
+	Deadline time.Duration
+}
+
+// Withdraw takes back a proposal. It is honoured as long as the proposal was
+// never sent; afterwards it counts as a deadline that has passed.
+type Withdraw struct{ ID ProposalID }
+
+func (Tick) event()          {}
+func (WantOwnership) event() {}
+func (PageRead) event()      {}
+func (ReadFailed) event()    {}
+func (AppendDone) event()    {}
+func (AppendFailed) event()  {}
+func (Propose) event()       {}
+func (Withdraw) event()      {}
+
+// Command is something that the owner wants done or known.
+type Command interface{ command() }
+
+// Append asks to append the group to the stream; the answer is AppendDone or
+// AppendFailed with the same tag. At most one is open.
+type Append struct {
+	Stream platform.Stream
+	Tag    Tag
+	Group  [][]byte
+}
+
+// Read asks for a page; the answer is PageRead or ReadFailed. At most one is
+// open.
+type Read struct {
+	Stream platform.Stream
+	After  platform.Offset
+	Limit  int
+	Wait   time.Duration
+}
+
+// Effective reports that the proposal's record is in the stream, in force. A
+// Late proposal became effective after its deadline: the caller may have been
+// told "unknown".
+type Effective struct {
+	ID     ProposalID
+	Offset platform.Offset
+	Epoch  Epoch
+	Late   bool
+}
+
+// Existing answers a proposed acceptance whose idempotency key already has a
+// job with the same fingerprint. Nothing new was accepted.
+type Existing struct {
+	ID  ProposalID
+	Job ident.JobID
+}
+
+// Void reports that the proposal had no effect and never will.
+type Void struct {
+	ID     ProposalID
+	Reason VoidReason
+	Job    ident.JobID // for VoidKeyConflict: the job that has the key
+	// RetryAfter is when another try may succeed; zero if that is not known.
+	RetryAfter time.Duration
+}
+
+// Undecided reports, once, that a proposal's deadline has passed while it may
+// or may not be in the stream. A caller that cannot wait longer must be told
+// "unknown". Effective, Existing or Void follows when the stream can be read.
+type Undecided struct{ ID ProposalID }
+
+// BecameOwner reports that the host's fence is in force. Whole is false if
+// records had expired before they were written again, so that jobs may be
+// missing.
+type BecameOwner struct {
+	Epoch Epoch
+	Whole bool
+}
+
+// LostOwnership reports that the epoch is over: all proposals were settled
+// before it. Owner is who took over, zero if the host gave up ownership.
+type LostOwnership struct {
+	Epoch Epoch
+	Owner ident.Holder
+}
+
+func (Append) command()        {}
+func (Read) command()          {}
+func (Effective) command()     {}
+func (Existing) command()      {}
+func (Void) command()          {}
+func (Undecided) command()     {}
+func (BecameOwner) command()   {}
+func (LostOwnership) command() {}
+
+// VoidReason says why a proposal had no effect.
+type VoidReason string
+
+// The reasons of Void.
+const (
+	VoidNotOwner    VoidReason = "not-owner"    // this host does not own the stream
+	VoidLost        VoidReason = "lost"         // another owner's fence came first
+	VoidFull        VoidReason = "full"         // too many proposals wait already
+	VoidTooLarge    VoidReason = "too-large"    // one record over the size of a group
+	VoidExpired     VoidReason = "expired"      // the deadline passed
+	VoidKeyConflict VoidReason = "key-conflict" // the key was used for another request
+	VoidRejected    VoidReason = "rejected"     // the state of the job forbids the record
+	VoidMalformed   VoidReason = "malformed"    // not exactly one allowed body
+)
