--- /dev/null
+++ b/entry/peerserver.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/fireflyfold/fireflyfold/engine"
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/peer/peerv1"
+	"github.com/fireflyfold/fireflyfold/problem"
+)
+
+// peerServer answers other entry hosts.
+type peerServer struct {
+	h *Host
+}
+
+// Exchange implements peerv1.PeerServiceHandler.
+func (s *peerServer) Exchange(_ context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	if digest, ok := fromWireDigest(req.Msg.GetDigest()); ok {
+		s.h.tryPush(engine.DigestReceived{Digest: digest})
+	}
+	res := &peerv1.ExchangeResponse{Digest: toWireDigest(s.h.ownDigest())}
+	return connect.NewResponse(res), nil
+}
+
+// Forward implements peerv1.PeerServiceHandler.
+func (s *peerServer) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	h := s.h
+	h.metrics.forwardedIn.Inc(1)
+	c, p := h.forwardedCall(req.Msg)
+	if p == nil && !h.bodies.reserve(int64(len(c.body))) {
+		p = problem.NotRun(problem.TypeBusy, "this host holds too many request bodies").After(time.Second)
+	}
+	if p != nil {
+		return stream.Send(problemPart(p))
+	}
+	defer h.bodies.release(int64(len(c.body)))
+	ctx, span := h.tel.Tracer.Start(ctx, "forwarded")
+	defer span.End()
+	p, cut := h.runCall(ctx, c, &streamSink{stream: stream})
+	if cut != nil {
+		return connect.NewError(connect.CodeAborted, cut)
+	}
+	if p != nil {
+		return stream.Send(problemPart(p))
+	}
+	return nil
+}
+
+// forwardedCall checks what a peer sent. The team was authenticated by the
+// peer; a key that was withdrawn meanwhile is refused by the next request.
+func (h *Host) forwardedCall(msg *peerv1.ForwardRequest) (*call, *problem.Problem) {
+	id, err := ident.ParseTaskID(msg.GetId())
+	if err != nil {
+		return nil, malformed("id", msg.GetId(), "a task identifier")
+	}
+	if int64(len(msg.GetBody())) > h.opts.Settings.Limits.MaxBody {
+		return nil, tooLarge(h.opts.Settings.Limits.MaxBody)
+	}
+	left := time.Duration(msg.GetDeadlineLeftMs()) * time.Millisecond
+	return &call{
+		id:            id,
+		team:          ident.TeamID(msg.GetTeam()),
+		service:       ident.ServiceID(msg.GetService()),
+		method:        msg.GetMethod(),
+		path:          msg.GetPath(),
+		header:        fromWireHeader(msg.GetHeaders()),
+		body:          msg.GetBody(),
+		deadline:      h.now() + min(left, h.opts.Settings.Limits.RequestTimeout),
+		nonIdempotent: msg.GetNonIdempotent(),
+		key:           msg.GetIdempotencyKey(),
+		hops:          int(msg.GetHops()),
+	}, nil
+}
+
+// CallJob implements peerv1.PeerServiceHandler.
+func (s *peerServer) CallJob(ctx context.Context, req *connect.Request[peerv1.CallJobRequest]) (*connect.Response[peerv1.CallJobResponse], error) {
+	body, p := s.h.runJobCall(ctx, fromWireJobCall(req.Msg, s.h.now()))
+	res := &peerv1.CallJobResponse{Body: body}
+	if p != nil {
+		res.Problem = toWireProblem(p)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// AskUnits implements peerv1.PeerServiceHandler.
+func (s *peerServer) AskUnits(_ context.Context, req *connect.Request[peerv1.AskUnitsRequest]) (*connect.Response[peerv1.AskUnitsResponse], error) {
+	s.h.tryPush(engine.UnitsAsked{
+		From:  fromWireHolder(req.Msg.GetHolder()),
+		Team:  ident.TeamID(req.Msg.GetTeam()),
+		Units: req.Msg.GetUnits(),
+		Seq:   req.Msg.GetSeq(),
+	})
+	return connect.NewResponse(&peerv1.AskUnitsResponse{}), nil
+}
+
+// ReadStream implements peerv1.PeerServiceHandler.
+func (s *peerServer) ReadStream(_ context.Context, req *connect.Request[peerv1.ReadStreamRequest]) (*connect.Response[peerv1.ReadStreamResponse], error) {
+	page, ok := s.h.configPage(req.Msg)
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, &PeerProtocolError{Detail: "no such stream here"})
+	}
+	return connect.NewResponse(toWirePage(page)), nil
+}
+
+// Snapshot implements peerv1.PeerServiceHandler.
+func (s *peerServer) Snapshot(context.Context, *connect.Request[peerv1.SnapshotRequest]) (*connect.Response[peerv1.SnapshotResponse], error) {
+	offset, data, ok := s.h.configSnapshot()
+	if !ok {
+		return nil, connect.NewError(connect.CodeUnavailable, &PeerProtocolError{Detail: "no configuration yet"})
+	}
+	return connect.NewResponse(&peerv1.SnapshotResponse{Offset: uint64(offset), Data: data}), nil
+}
+
+func problemPart(p *problem.Problem) *peerv1.ForwardResponse {
+	return &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Problem{Problem: toWireProblem(p)}}
+}
+
+// streamSink answers a peer that forwarded a call.
+type streamSink struct {
+	stream *connect.ServerStream[peerv1.ForwardResponse]
+}
+
+func (s *streamSink) head(status int, header http.Header, _ int64) error {
+	head := &peerv1.AnswerHead{Status: int32(status), Headers: toWireHeader(header)}
+	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}})
+}
+
+func (s *streamSink) chunk(p []byte) error {
+	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Chunk{Chunk: p}})
+}
+
+func (s *streamSink) end(length int64) error {
+	end := &peerv1.AnswerEnd{Length: length}
+	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
+}
