Members: who is alive, who should ask for which worker

Cause: the host list lags, freezes and errs; somebody must still ask for each worker's lease, soon after its owner died and without needless moves. Ruled out: trusting the list alone (a dead host stays listed), all-to-all digests between zones, moving a worker as soon as the ranking changes. Before: no package. After: member.Members; rendezvous hashing over hosts that are heard, handovers damped and at a bounded pace. Conclusion: ten guards broken by hand, each seen red in member's tests: heard before handover, damping, pace, own pause, digest sequence, silence, unlisted but heard, answering worker kept, drain, ring of zones.

--- /dev/null
+++ b/member/host.go
@@ -0,0 +1,159 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// life is one incarnation of a host that was heard of.
+type life struct {
+	holder  ident.Holder
+	seq     uint64
+	heardAt time.Duration
+}
+
+// maxLives bounds how many incarnations of one host are remembered.
+const maxLives = 4
+
+// host is what is known of one other host.
+type host struct {
+	id      ident.HostID
+	zone    ident.Zone
+	addr    string
+	listed  bool          // in the last listing
+	leaving bool          // by the last listing
+	sinceAt time.Duration // when it became known
+	graceAt time.Duration // silence counts from here at the earliest
+	heard   bool          // a digest came in this process's life
+	heardAt time.Duration // the last one
+	digest  Digest        // the last one
+	lives   []life        // most recently heard last
+	fails   int           // calls in a row without an answer
+
+	nextDigest time.Duration
+}
+
+// silence returns how long nothing was heard of the host.
+func (h *host) silence(now time.Duration) time.Duration {
+	return now - max(h.sinceAt, h.heardAt, h.graceAt)
+}
+
+// dead reports whether the host should be counted as dead: it is silent, or
+// its calls fail. A host that the list still shows as live is dead all the
+// same, and one that the list has dropped is alive as long as it is heard.
+func (h *host) dead(now time.Duration, opts Options) bool {
+	if h.fails >= opts.FailuresToDead {
+		return true
+	}
+	return h.silence(now) >= opts.PeerTTL || (!h.listed && !h.heard)
+}
+
+// leaves reports whether the host gives up its workers. Its own word is newer
+// than the list: a host that restarted at the same address may still be listed
+// as leaving from its former life.
+func (h *host) leaves() bool {
+	if h.heard {
+		return h.digest.Draining
+	}
+	return h.leaving
+}
+
+func (m *Members) readList(now time.Duration, listing platform.Listing) {
+	m.listed = true
+	m.selfLeaves = false
+	for _, h := range m.hosts {
+		h.listed = false
+	}
+	for _, entry := range listing.Hosts {
+		if entry.Host == m.opts.Self.Host {
+			m.selfLeaves = entry.State == platform.StateLeaving
+			continue
+		}
+		m.listHost(now, entry)
+	}
+	m.listWorkers(now, listing.Workers)
+	m.forgetHosts(now)
+	m.stale = true
+}
+
+func (m *Members) listHost(now time.Duration, entry platform.HostEntry) {
+	h, ok := m.hosts[entry.Host]
+	if !ok {
+		h = &host{id: entry.Host, sinceAt: now, graceAt: now, nextDigest: now}
+		m.hosts[entry.Host] = h
+	}
+	h.listed = true
+	h.leaving = entry.State == platform.StateLeaving
+	h.zone = entry.Zone
+	if !h.heard {
+		h.addr = entry.Addr
+	}
+}
+
+// forgetHosts drops hosts that are neither listed nor heard of, in bounded
+// memory however often hosts are replaced.
+func (m *Members) forgetHosts(now time.Duration) {
+	for id, h := range m.hosts {
+		if !h.listed && h.silence(now) >= m.opts.ForgetAfter {
+			delete(m.hosts, id)
+		}
+	}
+}
+
+// hear takes in a digest. A digest that comes late or twice has a sequence
+// number that was seen and shows nothing new. A digest of this host's own name
+// comes from a former or a second life of it and is left to the leases.
+func (m *Members) hear(now time.Duration, d Digest) {
+	if d.Holder.Host == m.opts.Self.Host {
+		return
+	}
+	h, ok := m.hosts[d.Holder.Host]
+	if !ok {
+		h = &host{id: d.Holder.Host, sinceAt: now, graceAt: now, nextDigest: now}
+		m.hosts[d.Holder.Host] = h
+	}
+	if !h.hearLife(now, d) {
+		return
+	}
+	h.heard = true
+	h.heardAt = now
+	h.digest = d
+	h.zone = d.Zone
+	h.addr = d.Addr
+	h.fails = 0
+}
+
+// hearLife notes a digest of one incarnation and reports whether it is new.
+func (h *host) hearLife(now time.Duration, d Digest) bool {
+	at := slices.IndexFunc(h.lives, func(l life) bool { return l.holder == d.Holder })
+	if at >= 0 {
+		if d.Seq <= h.lives[at].seq {
+			return false
+		}
+		h.lives = slices.Delete(h.lives, at, at+1)
+	}
+	h.lives = append(h.lives, life{holder: d.Holder, seq: d.Seq, heardAt: now})
+	if len(h.lives) > maxLives {
+		h.lives = slices.Delete(h.lives, 0, 1)
+	}
+	return true
+}
+
+func (m *Members) peerFailed(id ident.HostID) {
+	if h, ok := m.hosts[id]; ok {
+		h.fails++
+	}
+}
+
+func (m *Members) sortedHosts() []*host {
+	hosts := make([]*host, 0, len(m.hosts))
+	for _, h := range m.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
+	return hosts
+}
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,88 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// Peer is another host as this one sees it.
+type Peer struct {
+	Host   ident.HostID
+	Zone   ident.Zone
+	Addr   string
+	Heard  bool   // Digest is valid
+	Digest Digest // the last one received
+}
+
+// Hosts returns the hosts of a zone that count as live at now, this one left
+// out, ordered by name.
+func (m *Members) Hosts(zone ident.Zone, now time.Duration) []Peer {
+	var peers []Peer
+	for _, h := range m.sortedHosts() {
+		if h.zone == zone && !h.leaves() && !m.unreachable(now, h) {
+			peers = append(peers, Peer{Host: h.id, Zone: h.zone, Addr: h.addr, Heard: h.heard, Digest: h.digest})
+		}
+	}
+	return peers
+}
+
+// unreachable reports whether calls to the host are hopeless. Hosts elsewhere
+// are heard of at a slower pace, if at all.
+func (m *Members) unreachable(now time.Duration, h *host) bool {
+	if h.zone == m.opts.Zone {
+		return h.dead(now, m.opts)
+	}
+	return h.fails >= m.opts.FailuresToDead || !h.listed && h.silence(now) >= m.opts.ForgetAfter
+}
+
+// Known returns the zones of all known hosts and the own zone, sorted.
+func (m *Members) Known() []ident.Zone {
+	zones := []ident.Zone{m.opts.Zone}
+	for _, h := range m.hosts {
+		zones = append(zones, h.zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// Worker returns a worker of the own zone as last listed.
+func (m *Members) Worker(id ident.WorkerID) (platform.WorkerEntry, bool) {
+	w, ok := m.workers[id]
+	if !ok {
+		return platform.WorkerEntry{}, false
+	}
+	return w.entry, true
+}
+
+// Workers returns the workers of the own zone, ordered by name.
+func (m *Members) Workers() []platform.WorkerEntry {
+	entries := make([]platform.WorkerEntry, len(m.order))
+	for i, id := range m.order {
+		entries[i] = m.workers[id].entry
+	}
+	return entries
+}
+
+// Scheduler reports whether this host wants to be the zone's scheduler.
+func (m *Members) Scheduler() bool { return m.scheduler.wanted }
+
+// Silence returns how long a holder has shown no sign of life, and false if it
+// was never heard of. It is a hint: a holder that was paused is silent, too.
+func (m *Members) Silence(holder ident.Holder, now time.Duration) (time.Duration, bool) {
+	if holder == m.opts.Self {
+		return 0, true
+	}
+	h, ok := m.hosts[holder.Host]
+	if !ok {
+		return 0, false
+	}
+	for _, l := range h.lives {
+		if l.holder == holder {
+			return now - max(l.heardAt, h.graceAt), true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/member/worker.go
@@ -0,0 +1,77 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// wish is whether this host wants a thing, and since when it should not.
+type wish struct {
+	wanted    bool
+	elsewhere bool          // it belongs to another host
+	since     time.Duration // of elsewhere
+}
+
+// worker is what is known of one worker of the own zone.
+type worker struct {
+	entry  platform.WorkerEntry
+	listed bool
+	seenAt time.Duration // listed or answered
+	winner ident.HostID  // of the slots class
+	slots  wish
+	comp   wish
+}
+
+func (m *Members) listWorkers(now time.Duration, entries []platform.WorkerEntry) {
+	for _, w := range m.workers {
+		w.listed = false
+	}
+	for _, entry := range entries {
+		if entry.Zone != m.opts.Zone {
+			continue
+		}
+		w, ok := m.workers[entry.Worker]
+		if !ok {
+			w = &worker{}
+			m.workers[entry.Worker] = w
+			at, _ := slices.BinarySearch(m.order, entry.Worker)
+			m.order = slices.Insert(m.order, at, entry.Worker)
+		}
+		w.entry = entry
+		w.listed = true
+		w.seenAt = now
+	}
+}
+
+func (m *Members) workerAnswered(now time.Duration, id ident.WorkerID) {
+	if w, ok := m.workers[id]; ok {
+		w.seenAt = now
+	}
+}
+
+// dropWorkers gives up workers that are gone. A worker that the list has
+// dropped is kept while it answers: its tasks run on, and without a lease it
+// would stop them all.
+func (m *Members) dropWorkers(now time.Duration) {
+	m.order = slices.DeleteFunc(m.order, func(id ident.WorkerID) bool {
+		w := m.workers[id]
+		if w.listed || now-w.seenAt < m.opts.DropAfter {
+			return false
+		}
+		m.unwant(id, platform.ClassSlots, &w.slots)
+		m.unwant(id, platform.ClassCompute, &w.comp)
+		delete(m.workers, id)
+		return true
+	})
+}
+
+func (m *Members) unwant(id ident.WorkerID, class platform.LeaseClass, w *wish) {
+	if !w.wanted {
+		return
+	}
+	w.wanted = false
+	m.emit(Want{Worker: id, Class: class, Wanted: false})
+}
