--- /dev/null
+++ b/fleet/snapshot.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// The stream's records expire, so its state is written into it again, as a
+// snapshot: one group of records, each with a part of an encoded State. A
+// State that is whole ignores the content and goes on; a reader that starts at
+// the oldest record that is left begins with the first whole snapshot that it
+// finds (see Follower).
+//
+// Any host may write a snapshot at any time. Two that are written at once are
+// both right, because each names the offset that it describes and the reader
+// goes on with the records after that offset. A snapshot with a missing part
+// is never used.
+
+const (
+	// SnapshotRecords is the number of records after which a snapshot is due.
+	SnapshotRecords = 1024
+
+	// partSize is the size of the State's bytes in one part, in bytes.
+	partSize = 128 << 10
+
+	// maxParts bounds what a reader collects for one snapshot.
+	maxParts = 1024
+)
+
+// snapshotPart is one record of a snapshot.
+type snapshotPart struct {
+	Of     platform.Offset `json:"of"` // offset of the State that the snapshot holds
+	Digest Digest          `json:"digest"`
+	Part   int             `json:"part"` // counted from zero
+	Parts  int             `json:"parts"`
+	At     time.Time       `json:"at"` // wall clock of the writer
+	Data   []byte          `json:"data"`
+}
+
+// sane reports whether the numbers of a part can belong to a snapshot.
+func (p *snapshotPart) sane() bool {
+	return p.Parts >= 1 && p.Parts <= maxParts && p.Part >= 0 && p.Part < p.Parts && len(p.Data) <= partSize
+}
+
+// SnapshotInfo tells which snapshot in the stream is the newest whole one.
+type SnapshotInfo struct {
+	Of platform.Offset `json:"of,omitempty"` // offset that it describes
+	At time.Time       `json:"at,omitzero"`  // when it was written, by the writer's wall clock
+
+	// Parts of a snapshot seen so far.
+	Digest Digest `json:"digest,omitzero"`
+	Next   int    `json:"next,omitempty"`
+}
+
+// noteSnapshot follows the parts of a snapshot, so that every host knows when
+// the next one is due.
+func (d *draft) noteSnapshot(p *snapshotPart) {
+	info := &d.state.snap
+	follows := info.Next > 0 && info.Digest == p.Digest && info.Next == p.Part
+	if !p.sane() || (p.Part != 0 && !follows) {
+		info.Next = 0
+		return
+	}
+	info.Digest = p.Digest
+	info.Next = p.Part + 1
+	if info.Next == p.Parts && p.Of >= info.Of && p.Of < d.at {
+		info.Of = p.Of
+		info.At = p.At.UTC()
+		info.Next = 0
+	}
+}
+
+// SnapshotDue reports whether a snapshot should be written: SnapshotRecords
+// records after the last one, or when the last one is older than every by the
+// wall clock and there is anything to keep. every must be well below the
+// retention of the log. A wrong clock gives snapshots too often or lets the
+// number of records decide.
+func SnapshotDue(s *State, now time.Time, every time.Duration) bool {
+	if s.offset == 0 {
+		return false
+	}
+	return s.offset-s.snap.Of >= SnapshotRecords || now.Sub(s.snap.At) >= every
+}
+
+// SnapshotGroup renders s as a group of records that are to be appended in one
+// call. now is the wall clock.
+func SnapshotGroup(s *State, now time.Time) ([][]byte, error) {
+	whole := Encode(s)
+	digest := Digest(whole[:len(Digest{})])
+	parts := (len(whole) + partSize - 1) / partSize
+	group := make([][]byte, 0, parts)
+	for i := range parts {
+		part := &snapshotPart{
+			Of: s.offset, Digest: digest, Part: i, Parts: parts, At: now.UTC().Truncate(time.Second),
+			Data: whole[i*partSize : min((i+1)*partSize, len(whole))],
+		}
+		data, err := json.Marshal(record{Version: formatVersion, Snapshot: part})
+		if err != nil {
+			return nil, &MalformedError{Detail: err.Error()}
+		}
+		group = append(group, data)
+	}
+	return group, nil
+}
+
+// collector puts the parts of one snapshot together.
+type collector struct {
+	parts [][]byte
+	have  int
+}
+
+// add takes one part and returns the State once all parts are there, or nil.
+func (c *collector) add(p *snapshotPart) *State {
+	if c.parts == nil {
+		c.parts = make([][]byte, p.Parts)
+	}
+	if len(c.parts) != p.Parts || c.parts[p.Part] != nil {
+		return nil
+	}
+	c.parts[p.Part] = p.Data
+	c.have++
+	if c.have < p.Parts {
+		return nil
+	}
+	s, err := Decode(bytes.Join(c.parts, nil))
+	if err != nil || s.offset != p.Of {
+		return nil // damaged, or of a newer format: another snapshot will follow
+	}
+	return s
+}
