Share the events of reading and appending between jobs and ledger

Cause: duplicates showed the same events, commands and error in both packages. Before: each package had its own. Conclusion: both packages alias the types, callers need not import stream.

--- a/jobs/events.go
+++ b/jobs/events.go
@@ -5,45 +5,29 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
 )
 
 // ProposalID names one proposal of this process; the process chooses it and
 // never reuses it.
 type ProposalID uint64
 
-// Tag names one append of this process.
-type Tag uint64
-
 // Event is something that happened to the owner.
-type Event interface{ event() }
-
-// Tick lets time pass.
-type Tick struct{}
+type Event = stream.Event
+
+// The events that every machine on a stream takes.
+type (
+	Tick         = stream.Tick
+	PageRead     = stream.PageRead
+	ReadFailed   = stream.ReadFailed
+	AppendDone   = stream.AppendDone
+	AppendFailed = stream.AppendFailed
+)
 
 // WantOwnership says whether this host is to own the stream. It is a wish: the
 // log decides.
 type WantOwnership struct{ Want bool }
 
-// PageRead answers the Read command with the same After.
-type PageRead struct {
-	After platform.Offset
-	Page  platform.Page
-}
-
-// ReadFailed reports that the Read command with the same After brought nothing.
-type ReadFailed struct{ After platform.Offset }
-
-// AppendDone reports that the group was appended.
-type AppendDone struct{ Tag Tag }
-
-// AppendFailed reports that the group got no answer, or a refusal. Certain
-// means that the group was not and will not be appended; it is false for a
-// *platform.UncertainError and only for that.
-type AppendFailed struct {
-	Tag     Tag
-	Certain bool
-}
-
 // Propose asks to write a record. Exactly one body is set, none of them a
 // fence, a state or a mark; epoch and number are filled in by the owner.
 type Propose struct {
@@ -58,34 +42,23 @@
 // never sent; afterwards it counts as a deadline that has passed.
 type Withdraw struct{ ID ProposalID }
 
-func (Tick) event()          {}
-func (WantOwnership) event() {}
-func (PageRead) event()      {}
-func (ReadFailed) event()    {}
-func (AppendDone) event()    {}
-func (AppendFailed) event()  {}
-func (Propose) event()       {}
-func (Withdraw) event()      {}
+// StreamEvent marks an event.
+func (WantOwnership) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (Propose) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (Withdraw) StreamEvent() {}
 
 // Command is something that the owner wants done or known.
-type Command interface{ command() }
-
-// Append asks to append the group to the stream; the answer is AppendDone or
-// AppendFailed with the same tag. At most one is open.
-type Append struct {
-	Stream platform.Stream
-	Tag    Tag
-	Group  [][]byte
-}
+type Command = stream.Command
 
-// Read asks for a page; the answer is PageRead or ReadFailed. At most one is
-// open.
-type Read struct {
-	Stream platform.Stream
-	After  platform.Offset
-	Limit  int
-	Wait   time.Duration
-}
+// The commands that every machine on a stream gives.
+type (
+	Append = stream.Append
+	Read   = stream.Read
+)
 
 // Effective reports that the proposal's record is in the stream, in force. A
 // Late proposal became effective after its deadline: the caller may have been
@@ -108,7 +81,8 @@
 type Void struct {
 	ID     ProposalID
 	Reason VoidReason
-	Job    ident.JobID // for VoidKeyConflict: the job that has the key
+	Job    ident.JobID  // for VoidKeyConflict: the job that has the key
+	Reject RejectReason // for VoidRejected
 	// RetryAfter is when another try may succeed; zero if that is not known.
 	RetryAfter time.Duration
 }
@@ -116,7 +90,13 @@
 // Undecided reports, once, that a proposal's deadline has passed while it may
 // or may not be in the stream. A caller that cannot wait longer must be told
 // "unknown". Effective, Existing or Void follows when the stream can be read.
-type Undecided struct{ ID ProposalID }
+//
+// Final means that nothing follows: the records that would tell have expired
+// before this host could read them.
+type Undecided struct {
+	ID    ProposalID
+	Final bool
+}
 
 // BecameOwner reports that the host's fence is in force. Whole is false if
 // records had expired before they were written again, so that jobs may be
@@ -133,14 +113,23 @@
 	Owner ident.Holder
 }
 
-func (Append) command()        {}
-func (Read) command()          {}
-func (Effective) command()     {}
-func (Existing) command()      {}
-func (Void) command()          {}
-func (Undecided) command()     {}
-func (BecameOwner) command()   {}
-func (LostOwnership) command() {}
+// StreamCommand marks a command.
+func (Effective) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Existing) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Void) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Undecided) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (BecameOwner) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (LostOwnership) StreamCommand() {}
 
 // VoidReason says why a proposal had no effect.
 type VoidReason string
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -127,29 +127,15 @@
 	Keep   int64       `json:"keep,omitempty"` // as in JobEnded
 }
 
-// MalformedRecordError reports a record that cannot be read. It has no effect,
-// alike on every host.
-type MalformedRecordError struct {
-	Cause error
-}
-
-// Error implements error.
-func (e *MalformedRecordError) Error() string {
-	return fmt.Sprintf("malformed job record: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *MalformedRecordError) Unwrap() error { return e.Cause }
-
 // Encode renders a record for the log.
 func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
 
-// Decode reads a record. It returns a *MalformedRecordError for anything that
+// Decode reads a record. It returns a *stream.MalformedRecordError for anything that
 // Encode did not write.
 func Decode(data []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, &MalformedRecordError{Cause: err}
+		return Record{}, &stream.MalformedRecordError{Cause: err}
 	}
 	return r, nil
 }
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -1,40 +1,21 @@
 package ledger
 
 import (
-	"time"
-
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
 )
 
-// Tag names one append of this process.
-type Tag uint64
-
 // Event is something that happened to the holder.
-type Event interface{ event() }
-
-// Tick lets time pass.
-type Tick struct{}
-
-// PageRead answers the Read command with the same After.
-type PageRead struct {
-	After platform.Offset
-	Page  platform.Page
-}
-
-// ReadFailed reports that the Read command with the same After brought nothing.
-type ReadFailed struct{ After platform.Offset }
-
-// AppendDone reports that the group was appended.
-type AppendDone struct{ Tag Tag }
-
-// AppendFailed reports that the group got no answer, or a refusal. Certain
-// means that the group was not and will not be appended; it is false for a
-// *platform.UncertainError and only for that.
-type AppendFailed struct {
-	Tag     Tag
-	Certain bool
-}
+type Event = stream.Event
+
+// The events that every machine on a stream takes.
+type (
+	Tick         = stream.Tick
+	PageRead     = stream.PageRead
+	ReadFailed   = stream.ReadFailed
+	AppendDone   = stream.AppendDone
+	AppendFailed = stream.AppendFailed
+)
 
 // Configured tells the limits of the configuration in force.
 type Configured struct{ Teams []TeamLimit }
@@ -68,35 +49,32 @@
 // the membership once nothing is used. No further use is allowed.
 type Leaving struct{}
 
-func (Tick) event()          {}
-func (PageRead) event()      {}
-func (ReadFailed) event()    {}
-func (AppendDone) event()    {}
-func (AppendFailed) event()  {}
-func (Configured) event()    {}
-func (Waiting) event()       {}
-func (Asked) event()         {}
-func (LeasesHeld) event()    {}
-func (ReclaimProved) event() {}
-func (Leaving) event()       {}
+// StreamEvent marks an event.
+func (Configured) StreamEvent() {}
 
-// Command is something that the holder wants done or known.
-type Command interface{ command() }
+// StreamEvent marks an event.
+func (Waiting) StreamEvent() {}
 
-// Append asks to append the group to the ledger's stream; the answer is
-// AppendDone or AppendFailed with the same tag. At most one is open.
-type Append struct {
-	Tag   Tag
-	Group [][]byte
-}
+// StreamEvent marks an event.
+func (Asked) StreamEvent() {}
 
-// Read asks for a page; the answer is PageRead or ReadFailed. At most one is
-// open.
-type Read struct {
-	After platform.Offset
-	Limit int
-	Wait  time.Duration
-}
+// StreamEvent marks an event.
+func (LeasesHeld) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (ReclaimProved) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (Leaving) StreamEvent() {}
+
+// Command is something that the holder wants done or known.
+type Command = stream.Command
+
+// The commands that every machine on a stream gives.
+type (
+	Append = stream.Append
+	Read   = stream.Read
+)
 
 // Ask asks a peer for units; no answer is expected but units. It is sent once
 // and may be lost.
@@ -131,12 +109,23 @@
 // Left reports that the membership ended as asked.
 type Left struct{}
 
-func (Append) command()      {}
-func (Read) command()        {}
-func (Ask) command()         {}
-func (Joined) command()      {}
-func (Changed) command()     {}
-func (Reclaimed) command()   {}
-func (ReclaimVoid) command() {}
-func (Dethroned) command()   {}
-func (Left) command()        {}
+// StreamCommand marks a command.
+func (Ask) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Joined) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Changed) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Reclaimed) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (ReclaimVoid) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Dethroned) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Left) StreamCommand() {}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -2,14 +2,14 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
 )
 
-// Stream names the ledger's stream.
-const Stream platform.Stream = "limits"
+// StreamName names the ledger's stream.
+const StreamName platform.Stream = "limits"
 
 // Record is the envelope of everything in the stream. Exactly one of the
 // bodies is set.
@@ -81,29 +81,15 @@
 	To ident.Holder `json:"to"`
 }
 
-// MalformedRecordError reports a record that cannot be read. It has no effect,
-// alike on every host.
-type MalformedRecordError struct {
-	Cause error
-}
-
-// Error implements error.
-func (e *MalformedRecordError) Error() string {
-	return fmt.Sprintf("malformed ledger record: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *MalformedRecordError) Unwrap() error { return e.Cause }
-
 // Encode renders a record for the log.
 func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
 
-// Decode reads a record. It returns a *MalformedRecordError for anything that
+// Decode reads a record. It returns a *stream.MalformedRecordError for anything that
 // Encode did not write.
 func Decode(data []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, &MalformedRecordError{Cause: err}
+		return Record{}, &stream.MalformedRecordError{Cause: err}
 	}
 	return r, nil
 }
--- /dev/null
+++ b/stream/appender.go
@@ -0,0 +1,58 @@
+package stream
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// Appender keeps at most one append open and spaces them.
+type Appender struct {
+	Stream platform.Stream
+	Retry  time.Duration // before the next append after a failure
+
+	tag    Tag
+	open   bool
+	sentAt time.Duration
+	sent   bool // any append so far
+	holdTo time.Duration
+}
+
+// Ready reports whether a group may be sent now, at least interval after the
+// one before.
+func (a *Appender) Ready(now, interval time.Duration) bool {
+	if a.open || now < a.holdTo {
+		return false
+	}
+	return !a.sent || now >= a.sentAt+interval
+}
+
+// Send opens an append.
+func (a *Appender) Send(now time.Duration, group [][]byte) Append {
+	a.tag++
+	a.open = true
+	a.sent = true
+	a.sentAt = now
+	return Append{Stream: a.Stream, Tag: a.tag, Group: group}
+}
+
+// Open reports whether an append is open.
+func (a *Appender) Open() bool { return a.open }
+
+// Done takes the success of an append and reports whether it was the open one.
+func (a *Appender) Done(tag Tag) bool {
+	if !a.open || tag != a.tag {
+		return false
+	}
+	a.open = false
+	return true
+}
+
+// Failed takes the failure of an append and reports whether it was the open one.
+func (a *Appender) Failed(now time.Duration, tag Tag) bool {
+	if !a.Done(tag) {
+		return false
+	}
+	a.holdTo = now + a.Retry
+	return true
+}
