--- a/engine/command.go
+++ b/engine/command.go
@@ -10,6 +10,7 @@
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/sched"
+	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -64,30 +65,29 @@
 	Digest member.Digest
 }
 
-// Append adds a group of records to a stream. The answer is an Appended with
-// the same Stream and Tag.
-type Append struct {
-	Stream platform.Stream
-	Tag    uint64
-	Group  [][]byte
+// AppendGroup adds a group of records to a stream. The answer is an Appended.
+type AppendGroup struct {
+	stream.Append
 }
 
-// ReadStream asks the log for the records after an offset. At most one is open
-// for each stream.
+// ReadStream asks the log for the records after an offset. The answer is a
+// StreamRead or a StreamFailed. At most one is open for each stream.
 type ReadStream struct {
-	Stream platform.Stream
-	After  platform.Offset
-	Limit  int
-	Wait   time.Duration // for a first record
+	stream.Read
 }
 
-// ReadPeer asks a peer for records of the configuration.
+// ReadPeer asks a peer for the configuration after an offset. The answer is a
+// PeerConfig.
 type ReadPeer struct {
-	Host   ident.HostID
-	Addr   string
-	Stream platform.Stream
-	After  platform.Offset
-	Limit  int
+	Host  ident.HostID
+	Addr  string
+	After platform.Offset
+	Limit int
+}
+
+// ViewChanged publishes what the edges need to know of the other hosts.
+type ViewChanged struct {
+	View *View
 }
 
 // StartTask starts an attempt on a worker. The answer is a StartAnswered.
@@ -189,7 +189,8 @@
 func (ForwardCall) isCommand()   {}
 func (RequestDone) isCommand()   {}
 func (SendDigest) isCommand()    {}
-func (Append) isCommand()        {}
+func (AppendGroup) isCommand()   {}
+func (ViewChanged) isCommand()   {}
 func (ReadStream) isCommand()    {}
 func (ReadPeer) isCommand()      {}
 func (StartTask) isCommand()     {}
--- a/engine/event.go
+++ b/engine/event.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
+	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -15,7 +17,11 @@
 type Event interface{ isEvent() }
 
 // Tick lets time pass.
-type Tick struct{}
+type Tick struct {
+	// Wall is the wall clock, in UTC. It is written into records for people
+	// and decides when a snapshot is due, nothing else.
+	Wall time.Time
+}
 
 // Listed is an answer of the host list.
 type Listed struct {
@@ -75,31 +81,36 @@
 	ID ident.TaskID
 }
 
-// StreamRead answers a ReadStream or ReadPeer with the same After.
+// StreamRead answers the ReadStream of the same stream and tag.
 type StreamRead struct {
 	Stream platform.Stream
-	After  platform.Offset
+	Tag    stream.Tag
 	Page   platform.Page
-	// SentAt is when the read was sent; the page shows the log as it was at
-	// that moment or later.
-	SentAt   time.Duration
-	FromPeer bool // handed out by a peer: no proof of how new the log is
 }
 
-// StreamFailed reports that the ReadStream or ReadPeer with the same After
-// brought nothing.
+// StreamFailed reports that the ReadStream of the same stream and tag brought
+// nothing.
 type StreamFailed struct {
-	Stream   platform.Stream
-	After    platform.Offset
-	FromPeer bool
+	Stream platform.Stream
+	Tag    stream.Tag
+}
+
+// PeerConfig answers a ReadPeer. At most one of Page and State is set; none is
+// if the peer did not answer.
+type PeerConfig struct {
+	Host  ident.HostID
+	Page  *platform.Page
+	State *fleet.State // the whole configuration
+	// Age is how long ago the peer knew its configuration to be the newest, as
+	// of now.
+	Age time.Duration
 }
 
-// Appended is the answer to an Append. Err is nil, or as the errors of
-// platform.Log.
+// Appended answers the AppendGroup of the same stream and tag. Err is nil, or
+// as the errors of platform.Log.
 type Appended struct {
 	Stream platform.Stream
-	Tag    uint64
-	Offset platform.Offset
+	Tag    stream.Tag
 	Err    error
 }
 
@@ -160,6 +171,7 @@
 func (RequestCancelled) isEvent()   {}
 func (StreamRead) isEvent()         {}
 func (StreamFailed) isEvent()       {}
+func (PeerConfig) isEvent()         {}
 func (Appended) isEvent()           {}
 func (StartAnswered) isEvent()      {}
 func (JobSubmitted) isEvent()       {}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -33,6 +33,7 @@
 		Leases:         int64(d.Leases),
 		Draining:       d.Draining,
 		SchedulerEpoch: d.Scheduler,
+		ConfigAgeMs:    d.ConfigAge.Milliseconds(),
 	}
 	for _, s := range d.Services {
 		res.Services = append(res.Services, string(s))
@@ -58,6 +59,7 @@
 		Leases:    int(d.GetLeases()),
 		Draining:  d.GetDraining(),
 		Scheduler: d.GetSchedulerEpoch(),
+		ConfigAge: time.Duration(d.GetConfigAgeMs()) * time.Millisecond,
 	}
 	for _, s := range d.GetServices() {
 		res.Services = append(res.Services, ident.ServiceID(s))
--- a/member/event.go
+++ b/member/event.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"time"
+
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
 )
@@ -17,14 +19,25 @@
 	Waiting   int             // requests and tasks in its queues
 	Leases    int             // held
 	Draining  bool            // it is being stopped
+	Scheduler uint64          // epoch of the job stream that it owns, or zero
+	ConfigAge time.Duration   // since it knew its configuration to be the newest
+	// Services are the upstreams that it can reach on its workers, at most
+	// MaxServices of them.
+	Services []ident.ServiceID
 }
 
+// MaxServices bounds the services in a digest.
+const MaxServices = 32
+
 // Load is the part of the own digest that other packages know.
 type Load struct {
 	Config    platform.Offset
 	FreeSlots int
 	Waiting   int
 	Leases    int
+	Scheduler uint64
+	ConfigAge time.Duration
+	Services  []ident.ServiceID
 }
 
 // Event is something that Members is told.
--- a/member/members.go
+++ b/member/members.go
@@ -109,6 +109,9 @@
 		Waiting:   m.load.Waiting,
 		Leases:    m.load.Leases,
 		Draining:  m.outgoing(),
+		Scheduler: m.load.Scheduler,
+		ConfigAge: m.load.ConfigAge,
+		Services:  m.load.Services[:min(len(m.load.Services), MaxServices)],
 	}
 }
 
