--- /dev/null
+++ b/engine/attempts.go
@@ -0,0 +1,292 @@
+package engine
+
+import (
+	"errors"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/resource"
+	"github.com/fireflyfold/fireflyfold/sched"
+)
+
+// phase says how far an attempt is.
+type phase uint8
+
+const (
+	phaseAssigning phase = iota + 1 // its record is not read back yet
+	phaseStarting                   // the start was sent and not answered
+	phaseRunning
+	phaseEnding // its end is known and its record not read back yet
+)
+
+const (
+	startRetry = 400 * time.Millisecond // before an unanswered start is sent again
+	// maxUnsent is how many starts in a row may fail before anything was sent
+	// until the attempt is given back as never started.
+	maxUnsent = 3
+)
+
+// attempt is one attempt that this host assigned or adopted.
+type attempt struct {
+	sched.Assign
+	phase     phase
+	lease     platform.Epoch // under which it was or is to be started
+	maybeSent bool           // a start was sent and not answered
+	unsent    int            // starts in a row that were not sent
+	retryAt   time.Duration
+	startedAt time.Duration // when the start was known to have taken effect
+	// borrowed means that the units it uses are still held by the dead holder
+	// that started it.
+	borrowed bool
+	by       ident.Holder
+}
+
+// servicePrefix marks the task identifiers of service replicas on workers,
+// which need no record in the log.
+const servicePrefix = "service:"
+
+// taskName is how an attempt is named on its worker.
+func taskName(service ident.ServiceID, id ident.AttemptID) string {
+	if service == "" {
+		return id.String()
+	}
+	return servicePrefix + string(service) + ":" + id.String()
+}
+
+// parseTaskName reads what taskName wrote.
+func parseTaskName(text string) (ident.ServiceID, ident.AttemptID, bool) {
+	var service string
+	if rest, ok := strings.CutPrefix(text, servicePrefix); ok {
+		service, text, ok = strings.Cut(rest, ":")
+		if !ok {
+			return "", ident.AttemptID{}, false
+		}
+	}
+	id, err := ident.ParseAttemptID(text)
+	return ident.ServiceID(service), id, err == nil
+}
+
+// serviceSeq numbers a service by its name.
+func serviceSeq(id ident.ServiceID) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(id)) // a hash never fails
+	return sum.Sum64()
+}
+
+// assign begins an attempt. A replica is started at once; a job's attempt
+// after its record has been read back.
+func (e *Engine) assign(cmd sched.Assign) {
+	key := lease.Key{Worker: cmd.Worker, Class: platform.ClassCompute}
+	epoch, held := e.leases.Epoch(key, e.now)
+	w := e.zone.workers[cmd.Worker]
+	if !held || w == nil || w.quiet {
+		e.stepSched(sched.StartRefused{ID: cmd.ID})
+		return
+	}
+	a := &attempt{Assign: cmd, phase: phaseAssigning, lease: epoch, by: e.opts.Self}
+	e.zone.attempts[cmd.ID] = a
+	if cmd.Service != "" {
+		e.start(a)
+		return
+	}
+	e.propose(&assignment{a: a}, jobs.Record{Assigned: &jobs.Assigned{Attempt: cmd.ID, Worker: cmd.Worker, Lease: epoch}}, 0)
+}
+
+// start sends the start under the epoch that the record names. With another
+// epoch the worker may have been another host's meanwhile, and a recovery that
+// trusted the record would look for the attempt under the wrong lease.
+func (e *Engine) start(a *attempt) {
+	epoch, held := e.leases.Epoch(lease.Key{Worker: a.Worker, Class: platform.ClassCompute}, e.now)
+	entry, listed := e.members.Worker(a.Worker)
+	if !held || !listed || epoch != a.lease {
+		if a.maybeSent {
+			return // the next report of the worker decides
+		}
+		e.endNever(a, "")
+		return
+	}
+	a.phase = phaseStarting
+	a.retryAt = e.now + startRetry
+	e.emit(StartTask{
+		ID:     a.ID,
+		Worker: a.Worker,
+		Addr:   entry.Addr,
+		Request: platform.StartRequest{
+			Class:   platform.ClassCompute,
+			Epoch:   epoch,
+			Holder:  e.opts.Self,
+			ID:      taskName(a.Service, a.ID),
+			Team:    a.Team,
+			Need:    a.Need,
+			Run:     a.Run,
+			Limit:   a.Limit,
+			Payload: a.Payload,
+		},
+	})
+}
+
+// startAnswered settles a start. A start that got no answer is sent again
+// under the same name and epoch: the worker takes a name once, so a duplicate
+// refusal means that an earlier one arrived.
+func (e *Engine) startAnswered(ev StartAnswered) {
+	if e.zone == nil {
+		return
+	}
+	a, ok := e.zone.attempts[ev.ID]
+	if !ok || a.phase != phaseStarting || a.lease != ev.Epoch {
+		return
+	}
+	var notSent *platform.NotSentError
+	switch refusal := refusalOf(ev.Err); {
+	case ev.Err == nil || refusal == platform.RefusedDuplicate:
+		e.started(a)
+	case refusal != "":
+		e.startRefused(a, refusal)
+	case errors.As(ev.Err, &notSent):
+		a.unsent++
+		if a.unsent >= maxUnsent && !a.maybeSent {
+			e.endNever(a, "")
+		}
+	default:
+		a.maybeSent = true
+	}
+	e.idleComputeIfQuiet(a.Worker)
+}
+
+func (e *Engine) started(a *attempt) {
+	a.phase = phaseRunning
+	a.startedAt = e.now
+	e.stepSched(sched.AttemptStarted{ID: a.ID})
+}
+
+// startRefused takes a worker's refusal. After an unanswered start a refusal
+// for the lease says nothing about that earlier one, so the worker's next
+// report decides.
+func (e *Engine) startRefused(a *attempt, refusal platform.Refusal) {
+	leaseGone := refusal == platform.RefusedEpoch || refusal == platform.RefusedLapsed
+	if leaseGone {
+		key := lease.Key{Worker: a.Worker, Class: platform.ClassCompute}
+		e.stepLeases(lease.EpochRefused{Key: key, Epoch: a.lease})
+	}
+	if leaseGone && a.maybeSent {
+		return
+	}
+	e.endNever(a, refusal)
+}
+
+// endNever closes an attempt that truly did not run.
+func (e *Engine) endNever(a *attempt, refusal platform.Refusal) {
+	if a.Service != "" {
+		delete(e.zone.attempts, a.ID)
+		e.stepSched(sched.StartRefused{ID: a.ID, Reason: refusal})
+		return
+	}
+	a.phase = phaseEnding
+	e.propose(&ending{
+		a:    a,
+		then: sched.StartRefused{ID: a.ID, Reason: refusal},
+	}, endedRecord(a.ID, jobs.ResultNeverStarted, string(refusal)), 0)
+}
+
+func endedRecord(id ident.AttemptID, result jobs.Result, reason string) jobs.Record {
+	return jobs.Record{Ended: &jobs.Ended{Attempt: id, Result: result, Reason: reason}}
+}
+
+// endReported closes an attempt that its worker reports as ended. The worker
+// keeps the report until the record of it is in the log.
+func (e *Engine) endReported(a *attempt, t platform.TaskReport) {
+	if a.phase == phaseEnding {
+		return
+	}
+	ended := sched.AttemptEnded{ID: a.ID, Failed: t.Failed, Stopped: t.Stopped, Reason: t.Reason, Ran: t.Ran, Usage: t.Usage}
+	if a.Service != "" {
+		e.closeAttempt(a, ended)
+		e.ackTask(a.Worker, t.ID)
+		return
+	}
+	a.phase = phaseEnding
+	e.propose(&ending{a: a, then: ended, ack: t.ID}, endedRecord(a.ID, resultOfReport(t), t.Reason), 0)
+}
+
+// endLost closes an attempt that may have run and cannot be running any more.
+func (e *Engine) endLost(a *attempt, reason string) {
+	if a.phase == phaseEnding {
+		return
+	}
+	ended := sched.AttemptEnded{ID: a.ID, Unknown: true, Reason: reason}
+	if a.Service != "" {
+		e.closeAttempt(a, ended)
+		return
+	}
+	a.phase = phaseEnding
+	e.propose(&ending{a: a, then: ended}, endedRecord(a.ID, jobs.ResultLost, reason), 0)
+}
+
+func resultOfReport(t platform.TaskReport) jobs.Result {
+	switch {
+	case t.Stopped:
+		return jobs.ResultStopped
+	case t.Failed:
+		return jobs.ResultFailed
+	}
+	return jobs.ResultSucceeded
+}
+
+// closeAttempt tells the scheduler of the end and returns borrowed units to
+// nobody: the dead holder's units come with the reclaim.
+func (e *Engine) closeAttempt(a *attempt, ev sched.Event) {
+	delete(e.zone.attempts, a.ID)
+	if a.borrowed {
+		e.zone.limits.borrowed[a.Team] += resource.LimitUnits(a.Need)
+	}
+	e.stepSched(ev)
+}
+
+func (e *Engine) ackTask(worker ident.WorkerID, name string) {
+	key := lease.Key{Worker: worker, Class: platform.ClassCompute}
+	e.stepLeases(lease.Acked{Key: key, IDs: []string{name}})
+}
+
+func (e *Engine) control(cmd sched.Control) {
+	a, ok := e.zone.attempts[cmd.ID]
+	if !ok {
+		return
+	}
+	e.controlTask(cmd.Worker, taskName(a.Service, cmd.ID), cmd.Control)
+}
+
+func (e *Engine) controlTask(worker ident.WorkerID, name string, control platform.Control) {
+	epoch, held := e.leases.Epoch(lease.Key{Worker: worker, Class: platform.ClassCompute}, e.now)
+	entry, listed := e.members.Worker(worker)
+	if !held || !listed {
+		return
+	}
+	e.emit(ControlTask{Worker: worker, Addr: entry.Addr, Request: platform.ControlRequest{
+		Class:   platform.ClassCompute,
+		Epoch:   epoch,
+		ID:      name,
+		Control: control,
+	}})
+}
+
+// retryStarts sends starts again that got no answer.
+func (e *Engine) retryStarts() {
+	var due []*attempt
+	for _, a := range e.zone.attempts {
+		if a.phase == phaseStarting && e.now >= a.retryAt {
+			due = append(due, a)
+		}
+	}
+	slices.SortFunc(due, func(a, b *attempt) int { return strings.Compare(a.ID.String(), b.ID.String()) })
+	for _, a := range due {
+		if e.zone.attempts[a.ID] == a && a.phase == phaseStarting {
+			e.start(a)
+		}
+	}
+}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
+	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/request"
+	"github.com/fireflyfold/fireflyfold/sched"
+	"github.com/fireflyfold/fireflyfold/stream"
+)
+
+// Engine is all state of one entry host. It is not safe for concurrent use.
+type Engine struct {
+	opts Options
+	now  time.Duration
+	wall time.Time
+
+	members *member.Members
+	leases  *lease.Manager
+	router  *request.Router
+	units   *ledger.Holder
+	owner   *jobs.Owner
+
+	config  configFollower
+	calls   requestBook
+	demand  demand
+	zone    *zoneScheduler // nil unless this host is the zone's scheduler
+	claims  claimBook
+	reclaim *reclaimWatch
+
+	draining  bool
+	dethroned bool
+	view      View
+	viewSent  bool
+	out       []Command
+
+	proposals  map[jobs.ProposalID]proposal
+	proposalID jobs.ProposalID
+
+	routerPump pump[request.Command]
+	schedPump  pump[sched.Command]
+	ownerPump  pump[stream.Command]
+	unitsPump  pump[stream.Command]
+}
+
+// New returns the engine of a host that knows nothing yet.
+func New(opts Options) *Engine {
+	opts = opts.withDefaults()
+	e := &Engine{
+		opts:    opts,
+		members: member.New(opts.Member),
+		leases:  lease.New(opts.Lease),
+		units:   ledger.NewHolder(opts.Ledger),
+		owner:   jobs.NewOwner(opts.Jobs),
+		config:  newConfigFollower(opts),
+		calls:   newRequestBook(),
+		demand:  newDemand(),
+		claims:  newClaimBook(),
+		reclaim: newReclaimWatch(opts),
+
+		proposals: map[jobs.ProposalID]proposal{},
+	}
+	opts.Request.Limits = e.units
+	opts.Request.Rand = rand.New(rand.NewPCG(opts.Seed, uint64(opts.Self.Incarnation)))
+	e.router = request.New(opts.Request)
+	return e
+}
+
+// Step takes one event at now and returns the commands that follow from it, in
+// order. now must not decrease. The slice is valid until the next Step.
+func (e *Engine) Step(now time.Duration, ev Event) []Command {
+	e.now = max(e.now, now)
+	e.out = e.out[:0]
+	if e.dethroned {
+		return nil
+	}
+	switch ev := ev.(type) {
+	case Tick:
+		e.tick(ev)
+	case Listed:
+		e.listed(ev)
+	case ListFailed:
+		e.stepMembers(member.ListFailed{})
+	case DigestReceived:
+		e.digestReceived(ev.Digest)
+	case PeerFailed:
+		e.peerFailed(ev.Host)
+	case LeaseAnswered:
+		e.leaseAnswered(ev)
+	case ReleaseAnswered:
+		e.stepLeases(lease.ReleaseDone{Key: ev.Key, Epoch: ev.Epoch, Done: ev.Err == nil || refusalOf(ev.Err) != ""})
+	case StreamRead, StreamFailed, Appended:
+		e.stepStream(ev)
+	case PeerConfig:
+		e.peerConfig(ev)
+	default:
+		e.stepWork(ev)
+	}
+	return e.out
+}
+
+// stepWork takes the events of callers' and operators' work.
+func (e *Engine) stepWork(ev Event) {
+	switch ev := ev.(type) {
+	case RequestAdmitted:
+		e.requestAdmitted(ev)
+	case RequestFinished:
+		e.requestFinished(ev)
+	case RequestCancelled:
+		e.stepRouter(request.Cancelled{ID: ev.ID})
+	case JobSubmitted:
+		e.jobSubmitted(ev)
+	case JobCancelRequested:
+		e.jobCancelRequested(ev)
+	case JobQueried:
+		e.jobQueried(ev)
+	case StartAnswered:
+		e.startAnswered(ev)
+	case UnitsAsked:
+		e.stepUnits(ledger.Asked{From: ev.From, Team: ev.Team, Units: ev.Units, Seq: ev.Seq})
+	case PromiseAsked:
+		e.promiseAsked(ev)
+	case PromiseAnswered:
+		e.promiseAnswered(ev)
+	case LeasesAsked:
+		e.leasesAsked(ev)
+	case LeasesAnswered:
+		e.leasesAnswered(ev)
+	case DrainRequested:
+		e.drain()
+	}
+}
+
+func (e *Engine) emit(cmd Command) { e.out = append(e.out, cmd) }
+
+func (e *Engine) note(kind NoteKind, detail string) { e.emit(Noted{Kind: kind, Detail: detail}) }
+
+// tick lets time pass in every part, in the order that news flows: leases
+// lapse before anything is started under them.
+func (e *Engine) tick(ev Tick) {
+	e.wall = ev.Wall
+	e.stepLeases(lease.Tick{})
+	e.stepUnits(ledger.LeasesHeld{Any: e.leases.Held(e.now) > 0})
+	e.reportLoad()
+	e.stepMembers(member.Tick{})
+	e.tickConfig()
+	e.tickDemand()
+	e.stepUnits(ledger.Tick{})
+	e.stepOwner(jobs.Tick{})
+	e.stepRouter(request.Tick{})
+	e.tickZone()
+	e.tickReclaim()
+	e.tickDrain()
+	e.publishView()
+}
+
+// Self returns the holder that this engine is.
+func (e *Engine) Self() ident.Holder { return e.opts.Self }
+
+// Schedules reports whether this host owns its zone's job stream.
+func (e *Engine) Schedules() bool { return e.zone != nil && e.zone.epoch != 0 }
--- /dev/null
+++ b/engine/leases.go
@@ -0,0 +1,148 @@
+package engine
+
+import (
+	"errors"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/request"
+)
+
+func (e *Engine) stepLeases(ev lease.Event) {
+	for _, cmd := range e.leases.Step(e.now, ev) {
+		e.leaseCommand(cmd)
+	}
+}
+
+func (e *Engine) leaseCommand(cmd lease.Command) {
+	switch cmd := cmd.(type) {
+	case lease.Acquire:
+		e.sendLease(cmd.Key, cmd.SentAt, cmd.Request)
+	case lease.Renew:
+		e.sendLease(cmd.Key, cmd.SentAt, cmd.Request)
+	case lease.Release:
+		if entry, ok := e.members.Worker(cmd.Worker); ok {
+			e.emit(SendRelease{Key: cmd.Key, Addr: entry.Addr, Epoch: cmd.Epoch})
+		}
+	case lease.Gained:
+		e.gained(cmd)
+	case lease.Reported:
+		e.reported(cmd)
+	case lease.Quiesce:
+		e.quiesce(cmd.Key)
+	case lease.Lost:
+		e.lost(cmd)
+	}
+}
+
+func (e *Engine) sendLease(key lease.Key, sentAt time.Duration, req platform.LeaseRequest) {
+	entry, ok := e.members.Worker(key.Worker)
+	if !ok {
+		return // dropped from the list; the request times out in the manager
+	}
+	e.emit(SendLease{Key: key, Addr: entry.Addr, SentAt: sentAt, Request: req})
+}
+
+// leaseAnswered hands a worker's answer to the lease manager.
+func (e *Engine) leaseAnswered(ev LeaseAnswered) {
+	var refused *platform.RefusedError
+	switch {
+	case ev.Err == nil:
+		e.stepMembers(member.WorkerAnswered{Worker: ev.Key.Worker})
+		e.stepLeases(lease.Granted{Key: ev.Key, SentAt: ev.SentAt, Grant: ev.Grant})
+	case errors.As(ev.Err, &refused):
+		e.stepMembers(member.WorkerAnswered{Worker: ev.Key.Worker})
+		e.stepLeases(lease.Refused{Key: ev.Key, SentAt: ev.SentAt, Epoch: ev.Epoch, Refusal: refused.Refusal, Left: refused.Left})
+	default:
+		e.stepLeases(lease.Failed{Key: ev.Key, SentAt: ev.SentAt})
+	}
+}
+
+func refusalOf(err error) platform.Refusal {
+	var refused *platform.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Refusal
+	}
+	return ""
+}
+
+func (e *Engine) gained(ev lease.Gained) {
+	e.note(NoteLease, "holds the "+string(ev.Class)+" lease of worker "+string(ev.Worker))
+	if ev.Class == platform.ClassCompute {
+		e.computeGained(ev)
+		return
+	}
+	entry, _ := e.members.Worker(ev.Worker)
+	e.stepRouter(request.WorkerReady{
+		Worker:      ev.Worker,
+		Rack:        entry.Rack,
+		Services:    entry.Service,
+		Slots:       ev.Size.Slots,
+		Connections: ev.Size.Connections,
+		Occupied:    e.foreignCalls(ev.Worker, ev.SentAt, ev.Tasks),
+	})
+	e.applyMarks()
+	e.ackCalls(ev.Key, ev.Tasks)
+}
+
+func (e *Engine) reported(ev lease.Reported) {
+	if ev.Class == platform.ClassCompute {
+		e.computeReported(ev)
+		return
+	}
+	e.stepRouter(request.WorkerFreed{Worker: ev.Worker, Occupied: e.foreignCalls(ev.Worker, ev.SentAt, ev.Tasks)})
+	e.ackCalls(ev.Key, ev.Tasks)
+}
+
+// foreignCalls counts the calls that run on a worker and that the request path
+// does not count as in flight: those of earlier holders of the lease, and own
+// ones that were given up and have not stopped yet. A call that ended here
+// after the report was asked for may be in it and is not counted.
+func (e *Engine) foreignCalls(worker ident.WorkerID, sentAt time.Duration, tasks []platform.TaskReport) int64 {
+	var n int64
+	for _, t := range tasks {
+		if !t.Ended && !e.calls.accounted(worker, t.ID, sentAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// ackCalls lets the worker forget calls that ended: their answers went to the
+// callers themselves.
+func (e *Engine) ackCalls(key lease.Key, tasks []platform.TaskReport) {
+	var ids []string
+	for _, t := range tasks {
+		if t.Ended {
+			ids = append(ids, t.ID)
+		}
+	}
+	if len(ids) > 0 {
+		e.stepLeases(lease.Acked{Key: key, IDs: ids})
+	}
+}
+
+// quiesce stops starts on a worker that moves to another host, and reports
+// idle once none is on its way.
+func (e *Engine) quiesce(key lease.Key) {
+	if key.Class == platform.ClassCompute {
+		e.computeQuiesced(key)
+		return
+	}
+	e.stepRouter(request.WorkerLeaving{Worker: key.Worker, Leaving: true})
+	if e.router.InFlight(key.Worker) == 0 {
+		e.stepLeases(lease.Idle{Key: key})
+	}
+}
+
+func (e *Engine) lost(ev lease.Lost) {
+	e.note(NoteLease, "no longer holds the "+string(ev.Class)+" lease of worker "+string(ev.Worker))
+	if ev.Class == platform.ClassCompute {
+		e.computeLost(ev)
+		return
+	}
+	e.stepRouter(request.WorkerGone{Worker: ev.Worker})
+}
--- /dev/null
+++ b/engine/membership.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"slices"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/request"
+)
+
+func (e *Engine) stepMembers(ev member.Event) {
+	for _, cmd := range e.members.Step(e.now, ev) {
+		switch cmd := cmd.(type) {
+		case member.SendDigest:
+			e.emit(SendDigest{Host: cmd.Host, Addr: cmd.Addr, Digest: cmd.Digest})
+		case member.Want:
+			e.want(lease.Key{Worker: cmd.Worker, Class: cmd.Class}, cmd.Wanted)
+		case member.SchedulerWanted:
+			e.schedulerWanted(cmd.Wanted)
+		}
+	}
+}
+
+// want passes a wish for a lease on, unless a promise to another host forbids
+// to hold it.
+func (e *Engine) want(key lease.Key, wanted bool) {
+	if key.Class == platform.ClassCompute && e.reclaim.promised(key.Worker) {
+		e.reclaim.wishes[key.Worker] = wanted
+		wanted = false
+	}
+	e.stepLeases(lease.Want{Key: key, Wanted: wanted})
+}
+
+func (e *Engine) listed(ev Listed) {
+	e.stepMembers(member.ListRead{Listing: ev.Listing})
+	e.applyMarks()
+	e.listedHosts(ev.Listing)
+}
+
+func (e *Engine) digestReceived(d member.Digest) {
+	e.stepMembers(member.DigestReceived{Digest: d})
+	if d.Holder.Host == e.opts.Self.Host {
+		return
+	}
+	e.stepRouter(request.PeerSeen{
+		Host:     d.Holder.Host,
+		Zone:     d.Zone,
+		Free:     int64(d.FreeSlots),
+		Waiting:  int64(d.Waiting),
+		Services: d.Services,
+		Draining: d.Draining,
+	})
+	e.config.peerSeen(e.now, d)
+	e.stepRecovery(jobs.HostHeard{Host: d.Holder.Host})
+}
+
+func (e *Engine) peerFailed(host ident.HostID) {
+	e.stepMembers(member.PeerFailed{Host: host})
+	e.stepRouter(request.PeerGone{Host: host})
+}
+
+// reportLoad tells membership what digests are to carry.
+func (e *Engine) reportLoad() {
+	load := member.Load{
+		FreeSlots: int(e.router.Free()),
+		Waiting:   e.router.Waiting(),
+		Leases:    e.leases.Held(e.now),
+		Services:  e.router.Services(),
+		ConfigAge: e.config.age(e.now),
+	}
+	if state := e.config.state(); state != nil {
+		load.Config = state.Offset()
+	}
+	if e.zone != nil {
+		load.Scheduler = uint64(e.zone.epoch)
+	}
+	e.stepMembers(member.LoadChanged{Load: load})
+}
+
+// Digest returns a digest of this host, to answer a peer's with.
+func (e *Engine) Digest() member.Digest { return e.members.Digest() }
+
+// applyMarks tells the request path and the scheduler which workers take
+// nothing new, by the host list or by an operator's mark.
+func (e *Engine) applyMarks() {
+	for _, entry := range e.members.Workers() {
+		leaving := entry.State == platform.StateLeaving
+		e.stepRouter(request.WorkerLeaving{Worker: entry.Worker, Leaving: leaving || e.config.upstreamMarked(entry.Worker)})
+		e.markCompute(entry.Worker, leaving)
+	}
+}
+
+// View is what the edges know of the other hosts. It is immutable.
+type View struct {
+	Schedules bool // this host owns its zone's job stream
+	Hosts     []ViewHost
+}
+
+// ViewHost is one other host that counts as live.
+type ViewHost struct {
+	Host      ident.HostID
+	Zone      ident.Zone
+	Addr      string
+	Scheduler bool // by its last digest
+	Heard     bool
+	Config    platform.Offset
+	Waiting   int
+	Leases    int
+	Free      int
+	Holder    ident.Holder
+}
+
+// publishView gives the edges a new view when it has changed.
+func (e *Engine) publishView() {
+	view := View{Schedules: e.Schedules()}
+	for _, zone := range e.members.Known() {
+		for _, p := range e.members.Hosts(zone, e.now) {
+			view.Hosts = append(view.Hosts, viewHost(p))
+		}
+	}
+	if e.viewSent && e.view.Schedules == view.Schedules && slices.Equal(e.view.Hosts, view.Hosts) {
+		return
+	}
+	e.view = view
+	e.viewSent = true
+	e.emit(ViewChanged{View: &view})
+}
+
+func viewHost(p member.Peer) ViewHost {
+	return ViewHost{
+		Host:      p.Host,
+		Zone:      p.Zone,
+		Addr:      p.Addr,
+		Scheduler: p.Heard && p.Digest.Scheduler != 0,
+		Heard:     p.Heard,
+		Config:    p.Digest.Config,
+		Waiting:   p.Digest.Waiting,
+		Leases:    p.Digest.Leases,
+		Free:      p.Digest.FreeSlots,
+		Holder:    p.Digest.Holder,
+	}
+}
--- /dev/null
+++ b/engine/options.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
+	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/request"
+	"github.com/fireflyfold/fireflyfold/sched"
+)
+
+// Options configure an engine. Self, Zone and Zones are required; what is zero
+// in the options of the parts takes their defaults, and their identities are
+// filled in.
+type Options struct {
+	Self  ident.Holder
+	Zone  ident.Zone
+	Zones []ident.Zone // configured, the same on every host
+	Addr  string       // IP and port of the peer endpoint
+	Seed  uint64       // of every random choice
+
+	Lease   lease.Options
+	Member  member.Options
+	Request request.Options
+	Sched   sched.Options
+	Jobs    jobs.Config   // zero for jobs.DefaultConfig
+	Ledger  ledger.Config // zero for ledger.DefaultConfig
+
+	ConfigPoll     time.Duration // longest wait of one read of the configuration; default 1 s
+	SnapshotEvery  time.Duration // between snapshots of the configuration; default 1 h
+	KeepJobs       time.Duration // how long ended jobs and their keys are remembered; default 24 h
+	MaxRequestTime time.Duration // longest life of a request; default 60 s
+}
+
+// Defaults of Options.
+const (
+	defaultConfigPoll     = time.Second
+	defaultSnapshotEvery  = time.Hour
+	defaultKeepJobs       = 24 * time.Hour
+	defaultMaxRequestTime = time.Minute
+)
+
+func (o Options) withDefaults() Options {
+	if o.ConfigPoll == 0 {
+		o.ConfigPoll = defaultConfigPoll
+	}
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	if o.KeepJobs == 0 {
+		o.KeepJobs = defaultKeepJobs
+	}
+	if o.MaxRequestTime == 0 {
+		o.MaxRequestTime = defaultMaxRequestTime
+	}
+	if o.Jobs.AppendInterval == 0 {
+		o.Jobs = jobs.DefaultConfig(o.Zone, o.Self)
+	}
+	if o.Ledger.AppendInterval == 0 {
+		o.Ledger = ledger.DefaultConfig(o.Self, o.Zone)
+	}
+	o.Lease.Self = o.Self
+	o.Lease.Seed = o.Seed
+	o.Member.Self = o.Self
+	o.Member.Zone = o.Zone
+	o.Member.Addr = o.Addr
+	o.Member.Seed = o.Seed
+	o.Request.Zone = o.Zone
+	return o
+}
--- /dev/null
+++ b/engine/requests.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/request"
+)
+
+// sentCall is a call in flight on a worker.
+type sentCall struct {
+	worker ident.WorkerID
+	epoch  platform.Epoch
+}
+
+// requestBook remembers which calls are in flight where, and which ended
+// lately, to tell a worker's report of them from calls of other hosts.
+type requestBook struct {
+	sent  map[ident.TaskID]sentCall
+	ended map[ident.TaskID]time.Duration
+}
+
+func newRequestBook() requestBook {
+	return requestBook{sent: map[ident.TaskID]sentCall{}, ended: map[ident.TaskID]time.Duration{}}
+}
+
+// rememberEnded is how long an ended call is remembered: longer than a
+// worker's answer to a renewal can take.
+const rememberEnded = 10 * time.Second
+
+// accounted reports whether the running call in a report, asked for at sentAt,
+// is one that the request path counts itself.
+func (b *requestBook) accounted(worker ident.WorkerID, text string, sentAt time.Duration) bool {
+	id, err := ident.ParseTaskID(text)
+	if err != nil {
+		return false
+	}
+	if sent, ok := b.sent[id]; ok {
+		return sent.worker == worker
+	}
+	endedAt, ok := b.ended[id]
+	return ok && endedAt >= sentAt
+}
+
+func (b *requestBook) expire(now time.Duration) {
+	for id, at := range b.ended {
+		if now-at > rememberEnded {
+			delete(b.ended, id)
+		}
+	}
+}
+
+func (e *Engine) stepRouter(ev request.Event) {
+	e.routerPump.run(e.router.Step(e.now, ev), e.routerCommand)
+}
+
+func (e *Engine) routerCommand(cmd request.Command) {
+	switch cmd := cmd.(type) {
+	case request.Dispatch:
+		e.dispatch(cmd)
+	case request.Forward:
+		e.forward(cmd)
+	case request.Complete:
+		e.emit(RequestDone{ID: cmd.ID})
+	case request.Reject:
+		e.emit(RequestDone{ID: cmd.ID, Cause: cmd.Cause})
+		e.claimEnded(cmd.ID, cmd.Cause.Outcome())
+	case request.Want:
+		e.demand.request(cmd.Team, cmd.Units)
+	}
+}
+
+// dispatch sends a call under the epoch of the slots lease. A lease that ran
+// out while its holder was paused has no epoch to send under, so the call goes
+// back to the router as not run.
+func (e *Engine) dispatch(cmd request.Dispatch) {
+	key := lease.Key{Worker: cmd.Worker, Class: platform.ClassSlots}
+	epoch, held := e.leases.Epoch(key, e.now)
+	entry, listed := e.members.Worker(cmd.Worker)
+	if !held || !listed {
+		e.stepRouter(request.Finished{ID: cmd.ID, Result: request.ResultNotRun, Refused: true})
+		return
+	}
+	e.calls.sent[cmd.ID] = sentCall{worker: cmd.Worker, epoch: epoch}
+	e.emit(CallWorker{ID: cmd.ID, Worker: cmd.Worker, Addr: entry.Addr, Epoch: epoch, Try: cmd.Try})
+}
+
+func (e *Engine) forward(cmd request.Forward) {
+	for _, p := range e.view.Hosts {
+		if p.Host == cmd.Peer {
+			e.emit(ForwardCall{ID: cmd.ID, Peer: cmd.Peer, Addr: p.Addr, Try: cmd.Try})
+			return
+		}
+	}
+	e.stepRouter(request.Finished{ID: cmd.ID, Result: request.ResultNotRun, Refused: true})
+}
+
+func (e *Engine) requestAdmitted(ev RequestAdmitted) {
+	if e.config.state() == nil {
+		e.emit(RequestDone{ID: ev.Request.ID, Cause: &request.RejectedError{Cause: request.CauseNoWorker, RetryAfter: time.Second}})
+		return
+	}
+	if ev.Key == "" {
+		e.stepRouter(ev.Request)
+		return
+	}
+	e.claim(ev)
+}
+
+// requestFinished settles a call. A refusal for a stale epoch or a lapsed
+// lease is news for the lease manager as well.
+func (e *Engine) requestFinished(ev RequestFinished) {
+	id := ev.Finished.ID
+	if _, ok := e.calls.sent[id]; ok {
+		delete(e.calls.sent, id)
+		e.calls.ended[id] = e.now
+	}
+	switch ev.Refusal {
+	case platform.RefusedEpoch, platform.RefusedLapsed:
+		key := lease.Key{Worker: ev.Worker, Class: platform.ClassSlots}
+		e.stepLeases(lease.EpochRefused{Key: key, Epoch: ev.Epoch})
+		ev.Finished.Refused = true
+	case "":
+	default:
+		ev.Finished.Refused = true
+	}
+	if ev.Finished.Result == request.ResultAnswered {
+		e.claimAnswered(id)
+	}
+	e.stepRouter(ev.Finished)
+	e.idleIfQuiet(ev.Worker)
+}
+
+// idleIfQuiet lets a handover of a worker go on once no call is on its way.
+func (e *Engine) idleIfQuiet(worker ident.WorkerID) {
+	if worker != "" && e.router.InFlight(worker) == 0 {
+		e.stepLeases(lease.Idle{Key: lease.Key{Worker: worker, Class: platform.ClassSlots}})
+	}
+}
--- /dev/null
+++ b/engine/units.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"maps"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/ledger"
+	"github.com/fireflyfold/fireflyfold/request"
+	"github.com/fireflyfold/fireflyfold/sched"
+	"github.com/fireflyfold/fireflyfold/stream"
+)
+
+// demandFor is how long a wish for units counts without being repeated.
+const demandFor = 2 * time.Second
+
+// demand collects the units that waiting work lacks, by team.
+type demand struct {
+	requests map[ident.TeamID]wish
+	tasks    map[ident.TeamID]wish
+	told     map[ident.TeamID]int64
+}
+
+// wish is a number of units lacked at a time.
+type wish struct {
+	units int64
+	at    time.Duration
+	fresh bool // since the last tick
+}
+
+func newDemand() demand {
+	return demand{requests: map[ident.TeamID]wish{}, tasks: map[ident.TeamID]wish{}}
+}
+
+func (d *demand) request(team ident.TeamID, units int64) { note(d.requests, team, units) }
+
+func (d *demand) task(team ident.TeamID, units int64) { note(d.tasks, team, units) }
+
+// note keeps the largest wish since the last tick.
+func note(wishes map[ident.TeamID]wish, team ident.TeamID, units int64) {
+	w := wishes[team]
+	if w.fresh {
+		units = max(units, w.units)
+	}
+	wishes[team] = wish{units: units, fresh: true}
+}
+
+// settle stamps fresh wishes, forgets old ones and sums up the rest.
+func (d *demand) settle(now time.Duration) map[ident.TeamID]int64 {
+	sum := map[ident.TeamID]int64{}
+	for _, wishes := range []map[ident.TeamID]wish{d.requests, d.tasks} {
+		for team, w := range wishes {
+			if w.fresh {
+				w = wish{units: w.units, at: now}
+				wishes[team] = w
+			}
+			if now-w.at > demandFor {
+				delete(wishes, team)
+				continue
+			}
+			sum[team] += w.units
+		}
+	}
+	return sum
+}
+
+// tickDemand tells the ledger what waits, when that has changed.
+func (e *Engine) tickDemand() {
+	e.calls.expire(e.now)
+	sum := e.demand.settle(e.now)
+	if maps.Equal(sum, e.demand.told) {
+		return
+	}
+	e.demand.told = sum
+	e.stepUnits(ledger.Waiting{Units: sum})
+}
+
+func (e *Engine) stepUnits(ev stream.Event) {
+	e.unitsPump.run(e.units.Step(e.now, ev), e.unitsCommand)
+}
+
+func (e *Engine) unitsCommand(cmd stream.Command) {
+	switch cmd := cmd.(type) {
+	case ledger.Append:
+		e.emit(AppendGroup{Append: cmd})
+	case ledger.Read:
+		e.emit(ReadStream{Read: cmd})
+	case ledger.Ask:
+		e.askUnits(cmd)
+	case ledger.Joined:
+		e.note(NoteUnits, "joined the ledger of limit units")
+	case ledger.Changed:
+		e.unitsChanged(cmd.Teams)
+	case ledger.Reclaimed:
+		e.reclaimed(cmd.Dead)
+	case ledger.ReclaimVoid:
+		e.reclaimVoid(cmd.Dead)
+	case ledger.Dethroned:
+		e.dethrone(cmd.By)
+	case ledger.Left:
+		e.reclaim.left = true
+	}
+}
+
+func (e *Engine) askUnits(cmd ledger.Ask) {
+	for _, p := range e.view.Hosts {
+		if p.Host == cmd.Peer.Host {
+			e.emit(AskUnits{Peer: cmd.Peer, Addr: p.Addr, Team: cmd.Team, Units: cmd.Units, Seq: cmd.Seq})
+			return
+		}
+	}
+}
+
+// unitsChanged lets work start that waited for units.
+func (e *Engine) unitsChanged(teams []ident.TeamID) {
+	e.stepRouter(request.Tick{})
+	for _, team := range teams {
+		e.stepSched(sched.LimitChanged{Team: team})
+	}
+}
+
+// dethrone stops this life of the host. Its units are others' now, so it must
+// start nothing; what it runs was counted by those who took them over.
+func (e *Engine) dethrone(by ident.Holder) {
+	e.dethroned = true
+	reason := "its limit units were taken over"
+	if !by.IsZero() {
+		reason += " by " + by.String()
+	}
+	e.emit(Reincarnate{Reason: reason})
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -46,7 +46,6 @@
 		Path:           c.path,
 		Headers:        toWireHeader(c.header),
 		Body:           c.body,
-		IdempotencyKey: c.key,
 	}
 }
 
--- a/entry/problems.go
+++ b/entry/problems.go
@@ -18,6 +18,7 @@
 	request.CauseLost:      problem.TypeUpstream,
 	request.CauseTimedOut:  problem.TypeDeadline,
 	request.CauseFailed:    problem.TypeUpstream,
+	request.CauseClaim:     problem.TypeLogDown,
 }
 
 // causeDetails says in words what each cause means for the caller.
@@ -32,6 +33,7 @@
 	request.CauseLost:      "sent to a worker, and no whole answer came back",
 	request.CauseTimedOut:  "stopped at its deadline after it had been sent",
 	request.CauseFailed:    "it failed on every worker that was tried",
+	request.CauseClaim:     "the idempotency key could not be claimed in the platform's log in time",
 }
 
 // doneProblem turns the end of a request into the problem to report, or nil
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -128,3 +128,28 @@
 func (a AttemptID) String() string {
 	return a.Job.String() + "/" + strconv.Itoa(a.Index) + "/" + strconv.Itoa(a.Attempt)
 }
+
+// attemptParts is the number of slash-separated parts of a rendered AttemptID.
+const attemptParts = 3
+
+// ParseAttemptID parses the form that AttemptID.String renders. It returns a
+// *MalformedIDError for anything else.
+func ParseAttemptID(text string) (AttemptID, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != attemptParts {
+		return AttemptID{}, &MalformedIDError{Text: text}
+	}
+	job, err := ParseTaskID(parts[0])
+	if err != nil {
+		return AttemptID{}, err
+	}
+	index, err := strconv.Atoi(parts[1])
+	if err != nil || index < 0 {
+		return AttemptID{}, &MalformedIDError{Text: text}
+	}
+	attempt, err := strconv.Atoi(parts[2])
+	if err != nil || attempt < 0 {
+		return AttemptID{}, &MalformedIDError{Text: text}
+	}
+	return AttemptID{Job: job, Index: index, Attempt: attempt}, nil
+}
--- a/request/errors.go
+++ b/request/errors.go
@@ -22,6 +22,7 @@
 	CauseLost      Cause = "answer-lost"    // sent to a worker and no whole answer came
 	CauseTimedOut  Cause = "timed-out"      // stopped at its deadline after it was sent
 	CauseFailed    Cause = "upstream-error" // failed on every try
+	CauseClaim     Cause = "claim"          // its idempotency key could not be claimed in the log
 )
 
 // outcomes maps each cause to the one outcome a caller may conclude from it.
@@ -36,6 +37,7 @@
 	CauseLost:      work.OutcomeUnknown,
 	CauseTimedOut:  work.OutcomeUnknown,
 	CauseFailed:    work.OutcomeUnknown,
+	CauseClaim:     work.OutcomeNotRun,
 }
 
 // RejectedError ends a request without an answer.
