--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -1,14 +1,26 @@
 package jobs
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/work"
 )
 
 // Fold is the state that the records of a job stream give.
 type Fold struct {
-	jobs map[ident.JobID]*Job
-	keys map[KeyHash]ident.JobID
+	jobs  map[ident.JobID]*Job
+	keys  map[KeyHash]ident.JobID
+	at    Anchor
+	owner ident.Holder
+	// adrift is set while the epoch in force is not known, because the fence and
+	// every mark have expired. A record with a higher epoch then proves its fence.
+	adrift bool
+
+	bases baseQueue
+	ended forgetHeap
 }
 
 // NewFold returns the state of an empty stream.
@@ -16,21 +28,20 @@
 	return &Fold{jobs: map[ident.JobID]*Job{}, keys: map[KeyHash]ident.JobID{}}
 }
 
-// Apply folds the next record of the stream.
-func (f *Fold) Apply(at platform.Offset, data []byte) Verdict { return Verdict{} }
-
-// Job returns a job, or nil if the stream has none of this name (any more).
-func (f *Fold) Job(id ident.JobID) *Job { return f.jobs[id] }
-
-// Jobs returns all jobs in order of their identifiers.
-func (f *Fold) Jobs() []*Job { return nil }
-
-// ByKey returns the job of an idempotency key, or nil. A job that ended as not
-// run has given up its key.
-func (f *Fold) ByKey(key KeyHash) *Job { return f.jobs[f.keys[key]] }
+// newFoldAt returns the state of a reader that starts at a marked position.
+func newFoldAt(start Anchor) *Fold {
+	f := NewFold()
+	f.at = start
+	return f
+}
 
-// Open returns all open attempts in order of job and index.
-func (f *Fold) Open() []OpenAttempt { return nil }
+// newFoldAdrift returns the state of a reader that must start after the given
+// offset without a mark.
+func newFoldAdrift(after platform.Offset) *Fold {
+	f := newFoldAt(Anchor{After: after})
+	f.adrift = true
+	return f
+}
 
 // Verdict says what a record did.
 type Verdict struct {
@@ -54,3 +65,293 @@
 	RejectAttempt   RejectReason = "wrong-attempt" // not the next, or another is open
 	RejectOpen      RejectReason = "attempts-open" // the job's end while it runs
 )
+
+// accepted is the reason of a record that is not rejected.
+const accepted RejectReason = ""
+
+// Apply folds the next record of the stream. The same records in the same
+// order give the same state everywhere.
+func (f *Fold) Apply(at platform.Offset, data []byte) Verdict {
+	rec, err := Decode(data)
+	if err != nil {
+		f.at.After = at
+		return Verdict{Reason: RejectMalformed}
+	}
+	before := f.at
+	reason := f.admit(at, rec)
+	if reason == accepted {
+		reason = f.applyBody(rec, before)
+	}
+	f.at.After = at
+	return Verdict{Record: rec, Applied: reason == accepted, Reason: reason}
+}
+
+// admit judges the envelope and moves epoch, number and clock.
+//
+// It guards against two failures. An owner that was paused and wakes behind its
+// successor's fence still appends: its records carry the old epoch and are void.
+// An append that was given up arrives late, or twice: its numbers are not above
+// those that its writer used since, and it is void. Neither needs a clock.
+func (f *Fold) admit(at platform.Offset, rec Record) RejectReason {
+	if rec.Fence != nil {
+		f.fence(at, rec.Fence.Owner)
+		return accepted
+	}
+	if f.adrift && rec.Epoch > f.at.Epoch {
+		f.fence(platform.Offset(rec.Epoch), ident.Holder{})
+		f.adrift = true
+	}
+	if rec.Epoch != f.at.Epoch || rec.Epoch == 0 {
+		return RejectEpoch
+	}
+	if rec.Num <= f.at.Num {
+		return RejectNumber
+	}
+	f.at.Num = rec.Num
+	f.at.Clock = max(f.at.Clock, f.at.FenceClock+rec.Elapsed)
+	f.forget()
+	return accepted
+}
+
+// fence starts an epoch. The stream's clock stands still between owners.
+func (f *Fold) fence(at platform.Offset, owner ident.Holder) {
+	f.adrift = false
+	f.owner = owner
+	f.at.Epoch = Epoch(at)
+	f.at.Num = 0
+	f.at.FenceClock = f.at.Clock
+}
+
+// applyBody folds a record whose envelope is in force.
+func (f *Fold) applyBody(rec Record, before Anchor) RejectReason {
+	switch {
+	case rec.Fence != nil, rec.Mark != nil:
+		return accepted
+	case rec.Accepted != nil:
+		return f.accept(rec.Accepted, before)
+	case rec.Assigned != nil:
+		return f.assign(rec.Assigned)
+	case rec.Ended != nil:
+		return f.end(rec.Ended)
+	case rec.JobEnded != nil:
+		return f.endJob(rec.JobEnded)
+	case rec.Cancelled != nil:
+		return f.cancel(rec.Cancelled)
+	case rec.State != nil:
+		return f.restore(rec.State, before)
+	}
+	return RejectMalformed
+}
+
+func (f *Fold) accept(a *Accepted, before Anchor) RejectReason {
+	if f.jobs[a.Job] != nil {
+		return RejectKnown
+	}
+	if f.ByKey(a.Key) != nil {
+		return RejectKeyTaken
+	}
+	f.insert(&Job{Accepted: *a, Tasks: map[int]Task{}}, before)
+	return accepted
+}
+
+// insert adds a job that a reader finds whole from base on.
+func (f *Fold) insert(j *Job, base Anchor) {
+	f.jobs[j.Job] = j
+	if j.Key != "" && !j.gaveUpKey() {
+		f.keys[j.Key] = j.Job
+	}
+	f.setBase(j, base)
+}
+
+func (f *Fold) setBase(j *Job, base Anchor) {
+	j.base = base
+	f.bases.push(baseEntry{job: j.Job, after: base.After})
+	if len(f.bases) > basesPerJob*len(f.jobs)+basesSpare {
+		f.compactBases()
+	}
+}
+
+// assign opens an attempt.
+//
+// It guards against a job that runs twice at a time: the next attempt is void
+// while one is open, and attempts are counted, so that two assignments of the
+// same number cannot both count. A non-idempotent task gets another attempt only
+// if the one before truly never started.
+func (f *Fold) assign(a *Assigned) RejectReason {
+	j := f.jobs[a.Attempt.Job]
+	if j == nil {
+		return RejectNoJob
+	}
+	if j.Ended || j.Cancelled {
+		return RejectClosed
+	}
+	t := j.Tasks[a.Attempt.Index]
+	if t.Open && t.Attempts == a.Attempt.Attempt && t.Worker == a.Worker {
+		return RejectKnown
+	}
+	if t.Open || t.Done() || a.Attempt.Attempt != t.Attempts+1 {
+		return RejectAttempt
+	}
+	if a.Attempt.Index < 0 || a.Attempt.Index >= j.Spec.Tasks {
+		return RejectAttempt
+	}
+	if j.Spec.NonIdempotent && t.Attempts > 0 && t.Result != ResultNeverStarted {
+		return RejectAttempt
+	}
+	j.Tasks[a.Attempt.Index] = Task{
+		Attempts: a.Attempt.Attempt,
+		Open:     true,
+		Worker:   a.Worker,
+		Epoch:    f.at.Epoch,
+		Lease:    a.Lease,
+	}
+	j.OpenTasks++
+	return accepted
+}
+
+func (f *Fold) end(e *Ended) RejectReason {
+	j := f.jobs[e.Attempt.Job]
+	if j == nil {
+		return RejectNoJob
+	}
+	t := j.Tasks[e.Attempt.Index]
+	if t.Attempts != e.Attempt.Attempt {
+		return RejectAttempt
+	}
+	if !t.Open {
+		return RejectKnown
+	}
+	if !e.Result.Valid() {
+		return RejectMalformed
+	}
+	j.Tasks[e.Attempt.Index] = Task{Attempts: t.Attempts, Result: e.Result}
+	j.OpenTasks--
+	return accepted
+}
+
+func (f *Fold) endJob(e *JobEnded) RejectReason {
+	j := f.jobs[e.Job]
+	if j == nil {
+		return RejectNoJob
+	}
+	if j.Ended {
+		return RejectKnown
+	}
+	if j.OpenTasks > 0 {
+		return RejectOpen
+	}
+	if !e.Outcome.Valid() {
+		return RejectMalformed
+	}
+	f.close(j, e.Outcome, e.Reason, e.Keep)
+	return accepted
+}
+
+// cancel forbids further attempts. A job that never had one ends at once.
+func (f *Fold) cancel(c *Cancelled) RejectReason {
+	j := f.jobs[c.Job]
+	if j == nil {
+		return RejectNoJob
+	}
+	if j.Ended {
+		return RejectClosed
+	}
+	if j.Cancelled {
+		return RejectKnown
+	}
+	j.Cancelled = true
+	j.Reason = c.Reason
+	if len(j.Tasks) == 0 {
+		f.close(j, work.OutcomeNotRun, c.Reason, c.Keep)
+	}
+	return accepted
+}
+
+// close ends a job and keeps what a repeat of its key and a question for its
+// outcome need. "Not run" tells the caller that a repeat is safe, so such a job
+// gives up its key for the repeat.
+func (f *Fold) close(j *Job, out work.Outcome, why string, keep int64) {
+	j.Ended = true
+	j.Outcome = out
+	j.Reason = why
+	j.ForgetAt = f.at.Clock + max(0, keep)
+	j.Spec.Payload = ""
+	j.Tasks = map[int]Task{}
+	if j.gaveUpKey() {
+		f.dropKey(j)
+	}
+	f.ended.push(forgetEntry{at: j.ForgetAt, job: j.Job})
+}
+
+func (f *Fold) dropKey(j *Job) {
+	if f.keys[j.Key] == j.Job {
+		delete(f.keys, j.Key)
+	}
+}
+
+// forget drops ended jobs whose time has come.
+func (f *Fold) forget() {
+	for f.ended.due(f.at.Clock) {
+		id := f.ended.pop().job
+		j := f.jobs[id]
+		if j == nil || !j.Ended || j.ForgetAt > f.at.Clock {
+			continue
+		}
+		f.dropKey(j)
+		delete(f.jobs, id)
+	}
+}
+
+// Job returns a job, or nil if the stream has none of this name, or no longer.
+func (f *Fold) Job(id ident.JobID) *Job { return f.jobs[id] }
+
+// Len returns the number of jobs, ended ones that are remembered included.
+func (f *Fold) Len() int { return len(f.jobs) }
+
+// Jobs returns all jobs in order of their identifiers.
+func (f *Fold) Jobs() []*Job {
+	out := make([]*Job, 0, len(f.jobs))
+	for _, j := range f.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *Job) int { return compareJobs(a.Job, b.Job) })
+	return out
+}
+
+// ByKey returns the job of an idempotency key, or nil. A job that ended as not
+// run has given up its key.
+func (f *Fold) ByKey(key KeyHash) *Job {
+	id, ok := f.keys[key]
+	if !ok {
+		return nil
+	}
+	return f.jobs[id]
+}
+
+// Open returns all open attempts in order of job and index.
+func (f *Fold) Open() []OpenAttempt {
+	var out []OpenAttempt
+	for _, j := range f.Jobs() {
+		if j.OpenTasks > 0 {
+			out = append(out, j.openAttempts()...)
+		}
+	}
+	return out
+}
+
+// Epoch returns the epoch in force and its owner. The owner is zero if its
+// fence has expired.
+func (f *Fold) Epoch() (Epoch, ident.Holder) { return f.at.Epoch, f.owner }
+
+// Position returns the offset of the last record folded.
+func (f *Fold) Position() platform.Offset { return f.at.After }
+
+// compareJobs orders identifiers by zone, host, incarnation and number.
+func compareJobs(a, b ident.JobID) int {
+	return cmp.Or(
+		cmp.Compare(a.Zone, b.Zone),
+		cmp.Compare(a.Host, b.Host),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Seq, b.Seq),
+	)
+}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
@@ -38,18 +40,40 @@
 	base Anchor // from where a reader finds the job whole
 }
 
-// Anchor is a position in the stream with all that a reader needs to judge the
-// records behind it.
-type Anchor struct {
-	After      platform.Offset `json:"after"`           // the next record read is After+1
-	Epoch      Epoch           `json:"epoch,omitempty"` // in force there
-	Num        uint64          `json:"num,omitempty"`   // highest number of the epoch so far
-	FenceClock int64           `json:"fc,omitempty"`    // stream's time at the epoch's fence, ms
-	Clock      int64           `json:"clock,omitempty"` // stream's time, ms
+// AcceptedTime returns the wall clock of acceptance, for people only.
+func (j *Job) AcceptedTime() time.Time { return time.UnixMilli(j.AcceptedAt) }
+
+// gaveUpKey reports whether a repeat of the job's key is a new job.
+func (j *Job) gaveUpKey() bool { return j.Ended && j.Outcome == work.OutcomeNotRun }
+
+// openAttempts lists the open attempts in order of index.
+func (j *Job) openAttempts() []OpenAttempt {
+	var out []OpenAttempt
+	for _, i := range slices.Sorted(maps.Keys(j.Tasks)) {
+		t := j.Tasks[i]
+		if !t.Open {
+			continue
+		}
+		out = append(out, OpenAttempt{
+			Attempt: ident.AttemptID{Job: j.Job, Index: i, Attempt: t.Attempts},
+			Worker:  t.Worker,
+			Epoch:   t.Epoch,
+			Lease:   t.Lease,
+		})
+	}
+	return out
+}
+
+// OpenAttempt is an attempt that has not been closed.
+type OpenAttempt struct {
+	Attempt ident.AttemptID
+	Worker  ident.WorkerID
+	Epoch   Epoch
+	Lease   platform.Epoch
 }
 
 // JobState writes a job again, whole, before its older records expire. A
-// reader that knows the job learns nothing from it.
+// reader that knows the job learns only that it is found here as well.
 type JobState struct {
 	Accepted
 	Tasks     map[int]Task `json:"tasks,omitempty"`
@@ -60,20 +84,50 @@
 	ForgetAt  int64        `json:"until,omitempty"`
 }
 
-// Mark states a fact about the stream before it: a reader that starts at Start
-// finds everything that lives. The fact stays true whoever wrote it and
-// whatever follows, so a mark is believed even when its writer's epoch is over.
-type Mark struct {
-	Start Anchor `json:"start"`
+// stateOf returns the record that writes the job again.
+func stateOf(j *Job) *JobState {
+	return &JobState{
+		Accepted:  j.Accepted,
+		Tasks:     j.Tasks,
+		Cancelled: j.Cancelled,
+		Ended:     j.Ended,
+		Outcome:   j.Outcome,
+		Reason:    j.Reason,
+		ForgetAt:  j.ForgetAt,
+	}
 }
 
-// OpenAttempt is an attempt that has not been closed.
-type OpenAttempt struct {
-	Attempt ident.AttemptID
-	Worker  ident.WorkerID
-	Epoch   Epoch
-	Lease   platform.Epoch
+// restore folds a job that is written again. Its writer formed the record from
+// the state right before it, so a reader that has the job finds it unchanged.
+//
+// A reader that started behind the job's earlier records may meanwhile have
+// taken an acceptance of the same job or key, which the writer's own state
+// rejected: what the record says replaces it.
+func (f *Fold) restore(st *JobState, before Anchor) RejectReason {
+	j := &Job{
+		Accepted:  st.Accepted,
+		Tasks:     maps.Clone(st.Tasks),
+		Cancelled: st.Cancelled,
+		Ended:     st.Ended,
+		Outcome:   st.Outcome,
+		Reason:    st.Reason,
+		ForgetAt:  st.ForgetAt,
+	}
+	if j.Tasks == nil {
+		j.Tasks = map[int]Task{}
+	}
+	for _, t := range j.Tasks {
+		if t.Open {
+			j.OpenTasks++
+		}
+	}
+	rival := f.ByKey(j.Key)
+	if rival != nil && rival.Job != j.Job && !j.gaveUpKey() {
+		delete(f.jobs, rival.Job)
+	}
+	f.insert(j, before)
+	if j.Ended {
+		f.ended.push(forgetEntry{at: j.ForgetAt, job: j.Job})
+	}
+	return accepted
 }
-
-// AcceptedTime returns the wall clock of acceptance, for people only.
-func (j *Job) AcceptedTime() time.Time { return time.UnixMilli(j.AcceptedAt) }
--- /dev/null
+++ b/stream/fakelog/fakelog.go
@@ -0,0 +1,126 @@
+// Package fakelog is a stream in memory for tests: it answers the read and
+// append commands of one machine's Step with the fate that the test chooses,
+// and can let an append land late or twice.
+package fakelog
+
+import (
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
+)
+
+// Fate is what becomes of a call.
+type Fate uint8
+
+// The fates of a call.
+const (
+	Fine        Fate = iota // takes effect and is answered
+	Refused                 // no effect, and the answer says so
+	AnswerLost              // takes effect, the answer is lost
+	RequestLost             // no effect, the caller cannot know
+	Late                    // no effect yet, the caller cannot know; lands with LandLate
+	Doubled                 // takes effect and is answered; lands once more with LandLate
+	fates
+)
+
+// Fates is the number of fates, for drawing one.
+const Fates = int(fates)
+
+// Log is one stream.
+type Log struct {
+	groups  [][][]byte // that wait for LandLate
+	records []platform.Record
+	last    platform.Offset
+	// Appends counts the groups that landed, Bytes what they carried.
+	Appends int
+	Bytes   int
+}
+
+// Append lands a group and returns the offset of its last record.
+func (l *Log) Append(group [][]byte) platform.Offset {
+	for _, data := range group {
+		l.last++
+		l.Bytes += len(data)
+		l.records = append(l.records, platform.Record{Offset: l.last, Data: data})
+	}
+	l.Appends++
+	return l.last
+}
+
+// Last returns the offset of the newest record.
+func (l *Log) Last() platform.Offset { return l.last }
+
+// Records returns what is retained.
+func (l *Log) Records() []platform.Record { return l.records }
+
+// Expire drops all records before the offset.
+func (l *Log) Expire(before platform.Offset) {
+	n := 0
+	for n < len(l.records) && l.records[n].Offset < before {
+		n++
+	}
+	l.records = l.records[n:]
+}
+
+// First returns the offset of the oldest record that is retained.
+func (l *Log) First() platform.Offset {
+	if len(l.records) == 0 {
+		return l.last + 1
+	}
+	return l.records[0].Offset
+}
+
+// Read returns at most limit records after the offset.
+func (l *Log) Read(after platform.Offset, limit int) platform.Page {
+	page := platform.Page{First: l.First(), Last: l.last}
+	skip := 0
+	if after+1 > page.First {
+		skip = min(int(after+1-page.First), len(l.records))
+	}
+	end := min(len(l.records), skip+limit)
+	page.Records = append(page.Records, l.records[skip:end]...)
+	return page
+}
+
+// LateGroups returns the number of groups that wait for LandLate.
+func (l *Log) LateGroups() int { return len(l.groups) }
+
+// LandLate lands the i-th of the groups that wait.
+func (l *Log) LandLate(i int) {
+	group := l.groups[i]
+	l.groups = append(l.groups[:i:i], l.groups[i+1:]...)
+	l.Append(group)
+}
+
+// Answer gives the event that answers a read or an append. It returns nil for
+// any other command.
+func (l *Log) Answer(cmd stream.Command, fate Fate) stream.Event {
+	switch cmd := cmd.(type) {
+	case stream.Append:
+		return l.answerAppend(cmd, fate)
+	case stream.Read:
+		if fate == Fine || fate == Doubled {
+			return stream.PageRead{Tag: cmd.Tag, Page: l.Read(cmd.After, cmd.Limit)}
+		}
+		return stream.ReadFailed{Tag: cmd.Tag}
+	}
+	return nil
+}
+
+func (l *Log) answerAppend(cmd stream.Append, fate Fate) stream.Event {
+	switch fate {
+	case Refused:
+		return stream.AppendFailed{Tag: cmd.Tag, Certain: true}
+	case AnswerLost:
+		l.Append(cmd.Group)
+		return stream.AppendFailed{Tag: cmd.Tag}
+	case RequestLost:
+		return stream.AppendFailed{Tag: cmd.Tag}
+	case Late:
+		l.groups = append(l.groups, cmd.Group)
+		return stream.AppendFailed{Tag: cmd.Tag}
+	case Doubled:
+		l.groups = append(l.groups, cmd.Group)
+	}
+	l.Append(cmd.Group)
+	return stream.AppendDone{Tag: cmd.Tag}
+}
