--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -129,7 +129,10 @@
 	case c.Base+PlanWindow < d.at:
 		return &ExpiredError{Base: c.Base, Offset: d.at}
 	}
-	if computed := planID(c.Planner, c.Base, c.Ops); computed != c.Plan {
+	if !encodable(c.At) {
+		return &MalformedError{Detail: "the time of the change is out of range"}
+	}
+	if computed := planID(c.Planner, c.Base, c.Ops); computed != c.Plan || computed == "" {
 		return &EditedError{Plan: c.Plan, Computed: computed}
 	}
 	return nil
--- a/fleet/opapply.go
+++ b/fleet/opapply.go
@@ -92,7 +92,7 @@
 	if !exists {
 		return &MissingError{Object: o.Object()}
 	}
-	if o.Until.IsZero() || !o.Until.Equal(o.Until.Truncate(time.Second)) {
+	if o.Until.IsZero() || !encodable(o.Until) || !o.Until.Equal(o.Until.Truncate(time.Second)) {
 		return &ValueError{Object: o.Object(), Field: "until", Value: o.Until.String(), Allowed: "a time in whole seconds"}
 	}
 	key.Until = o.Until.UTC()
@@ -120,8 +120,8 @@
 		return numberError(ref, "replicas", int64(o.Replicas), 0, MaxReplicas)
 	case o.RequestTimeout < 0 || o.RequestTimeout > MaxTimeout:
 		return &ValueError{Object: ref, Field: "request timeout", Value: o.RequestTimeout.String(), Allowed: "0s to 24h"}
-	case len(o.Payload) > MaxPayload:
-		return &ValueError{Object: ref, Field: "payload", Value: "(too long)", Allowed: "at most 4096 bytes"}
+	case len(o.Payload) > MaxPayload || !utf8.ValidString(o.Payload):
+		return &ValueError{Object: ref, Field: "payload", Value: "(not shown)", Allowed: "at most 4096 bytes of UTF-8 text"}
 	case !exists && len(d.state.svcs) >= maxServices:
 		return fullError(ref, maxServices)
 	}
@@ -216,6 +216,17 @@
 	return true
 }
 
+// encodable reports whether a time can be rendered as JSON in UTC. A record can
+// hold one that cannot: the first hour of the year 0 of a zone east of UTC. A
+// State with such a time could not be encoded for peers.
+func encodable(t time.Time) bool {
+	year := t.UTC().Year()
+	return year >= 0 && year <= maxYear
+}
+
+// maxYear is the last year that RFC 3339 can hold.
+const maxYear = 9999
+
 func numberError(ref Ref, field string, value, least, most int64) *ValueError {
 	return &ValueError{Object: ref, Field: field, Value: strconv.FormatInt(value, 10), Allowed: fmt.Sprintf("%d to %d", least, most)}
 }
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -80,10 +80,3 @@
 	}
 	return nil
 }
-
-// MakePlan computes the plan of an intent against a State. planner is the
-// operator's name, now the wall clock. It returns a Rejection if the intent
-// cannot be met, a *NothingError among them.
-func MakePlan(s *State, intent Intent, planner string, now time.Time, impact Impact) (Plan, error) {
-	return Plan{}, &NothingError{}
-}
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -42,7 +42,8 @@
 
 // sane reports whether the numbers of a part can belong to a snapshot.
 func (p *snapshotPart) sane() bool {
-	return p.Parts >= 1 && p.Parts <= maxParts && p.Part >= 0 && p.Part < p.Parts && len(p.Data) <= partSize
+	numbered := p.Parts >= 1 && p.Parts <= maxParts && p.Part >= 0 && p.Part < p.Parts
+	return numbered && len(p.Data) <= partSize && encodable(p.At)
 }
 
 // SnapshotInfo tells which snapshot in the stream is the newest whole one.
