Relays between zones, admin calls for faults, and a watch on entry hosts

Cause: faults between real processes need a place to happen, and the host list needs to follow real hosts. Before: faults only by calls in one process. After: each zone has its own relay to log and host list and sees other zones' hosts at relays; PUT /faults/... switches faults; the daemon lists hosts while they take connections.

--- a/cmd/fireflyfold-platform/main.go
+++ b/cmd/fireflyfold-platform/main.go
@@ -6,14 +6,21 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
 
+// watchEvery is how often the entry hosts are looked at.
+const watchEvery = 500 * time.Millisecond
+
 func main() {
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "fireflyfold-platform:", err)
@@ -28,6 +35,8 @@
 	listen := flags.String("listen", "127.0.0.1:7400", "address (IP and port) of the log and the host list")
 	service := flags.Duration("service-time", 0, "service time of the demo upstream; 0 for the layout's")
 	lag := flags.Duration("host-lag", 0, "lag of the host list; 0 for the layout's")
+	var hosts hostFlag
+	flags.Var(&hosts, "host", "entry host to list while it takes connections, as zone/id=IP:port of its peer endpoint; may be repeated")
 	rate := flags.Float64("append-rate", 0, "appends a second that the log takes; 0 for the layout's")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -46,11 +55,47 @@
 		return err
 	}
 	defer p.Close()
-	fmt.Printf("platform %s: log and host list on %s, %d workers\n", layout.Name, p.Addr(), len(p.Workers))
-	<-ctx.Done()
+	printAddresses(p)
+	p.Watch(ctx, hosts, watchEvery)
+	return nil
+}
+
+// printAddresses tells where everything is.
+func printAddresses(p *standin.Platform) {
+	fmt.Printf("platform %s: log, host list and faults on %s, %d workers\n", p.Layout.Name, p.Addr(), len(p.Workers))
+	for _, zone := range p.Layout.Zones {
+		fmt.Printf("zone %s reaches the log and the host list on %s\n", zone.Zone, p.ZoneAddr(zone.Zone))
+	}
+}
+
+// hostFlag collects entry hosts.
+type hostFlag []platform.HostEntry
+
+// String implements flag.Value.
+func (h *hostFlag) String() string { return fmt.Sprintf("%d hosts", len(*h)) }
+
+// Set implements flag.Value.
+func (h *hostFlag) Set(text string) error {
+	name, addr, okAddr := strings.Cut(text, "=")
+	zone, id, okZone := strings.Cut(name, "/")
+	if !okAddr || !okZone || zone == "" || id == "" {
+		return &hostFlagError{text: text}
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return &hostFlagError{text: text}
+	}
+	*h = append(*h, platform.HostEntry{Host: ident.HostID(id), Zone: ident.Zone(zone), Addr: addr})
 	return nil
 }
 
+// hostFlagError reports a malformed host flag.
+type hostFlagError struct{ text string }
+
+// Error implements error.
+func (e *hostFlagError) Error() string {
+	return fmt.Sprintf("%q: want zone/id=IP:port, for example oberbayern-1/oberbayern-1-h1=127.0.0.1:7501", e.text)
+}
+
 // or returns v, or otherwise if v is zero.
 func or[T time.Duration | float64](v, otherwise T) T {
 	if v == 0 {
--- a/standin/hostlist_http.go
+++ b/standin/hostlist_http.go
@@ -10,6 +10,7 @@
 type HostList struct {
 	State *HostListState
 	clock Clock
+	view  func(platform.Listing) platform.Listing // what a zone sees of it; nil for all
 }
 
 // NewHostList returns the server of a host list.
@@ -27,6 +28,9 @@
 			replyError(w, r, err)
 			return
 		}
+		if h.view != nil {
+			listing = h.view(listing)
+		}
 		reply(w, listing)
 	case http.MethodPost:
 		var change HostChange
--- a/standin/layout.go
+++ b/standin/layout.go
@@ -31,6 +31,7 @@
 	UsageLag     time.Duration
 	UsagePercent int64
 	HostLag      time.Duration // of the host list
+	ZoneDelay    time.Duration // one way between two zones
 	Log          LogConfig
 }
 
@@ -48,6 +49,7 @@
 // nine entry hosts and 48 workers of 32 cores that answer for grants.
 func Rosenau() Layout {
 	l := deployment("rosenau", "oberbayern", 32)
+	l.ZoneDelay = 500 * time.Microsecond
 	l.Services = []ident.ServiceID{"grants"}
 	l.Teams = []ident.TeamID{"citizens", "advisors", "crafts", "assessment", "payments", "reports"}
 	return l
@@ -57,6 +59,7 @@
 // zones, nine entry hosts and 48 workers of 16 cores that answer for invoices.
 func Sabzkhata() Layout {
 	l := deployment("sabzkhata", "punjab", 16)
+	l.ZoneDelay = 1500 * time.Microsecond
 	l.Services = []ident.ServiceID{"invoicing"}
 	l.Teams = []ident.TeamID{"lahore", "multan", "faisalabad", "statements", "reminders", "archive"}
 	return l
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -31,6 +31,7 @@
 	Hosts   *HostListState
 	Audit   *Audit
 	Workers []*Worker // in order of zones
+	Network *Network  // between the zones, and between them and the platform
 
 	listen  string
 	clock   Clock
@@ -51,9 +52,10 @@
 	}
 	p := &Platform{
 		Layout: layout, Audit: NewAudit(), clock: NewClock(), listen: listen,
-		Log:   NewLogState(layout.Log),
-		Hosts: NewHostListState(layout.HostLag),
-		addrs: make(map[ident.WorkerID]string),
+		Log:     NewLogState(layout.Log),
+		Hosts:   NewHostListState(layout.HostLag),
+		Network: newNetwork(layout.ZoneDelay),
+		addrs:   make(map[ident.WorkerID]string),
 	}
 	upstream := Echo(layout.ServiceTime, layout.AnswerSize)
 	for _, cfg := range layout.workerConfigs() {
@@ -77,12 +79,10 @@
 		p.addrs[cfg.Worker] = addr
 		entries = append(entries, cfg.Entry(addr))
 	}
-	addr, err := p.serve(p.listen, p.front())
-	if err != nil {
+	if err := p.serveFronts(); err != nil {
 		p.Close()
 		return err
 	}
-	p.addr = addr
 	p.Hosts.Change(p.clock()-p.Layout.HostLag, HostChange{Workers: entries})
 	p.wg.Go(func() { p.tick(ctx) })
 	p.wg.Go(func() {
@@ -92,11 +92,53 @@
 	return nil
 }
 
+// serveFronts serves the log and the host list: at the platform's own address
+// with the admin calls, and for each zone at its relay.
+func (p *Platform) serveFronts() error {
+	admin := p.Admin()
+	own := p.front(nil)
+	own.Handle("/faults/", admin)
+	own.Handle("/leaving/", admin)
+	own.Handle("/audit", admin)
+	own.Handle("/audit/", admin)
+	addr, err := p.serve(p.listen, own)
+	if err != nil {
+		return err
+	}
+	p.addr = addr
+	for i, zone := range p.Layout.Zones {
+		if err := p.serveZone(zone.Zone, i+1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveZone serves what one zone sees of the platform, on the n-th port after
+// the platform's own.
+func (p *Platform) serveZone(zone ident.Zone, n int) error {
+	listen, err := nextPort(p.listen, n)
+	if err != nil {
+		return err
+	}
+	view := func(listing platform.Listing) platform.Listing { return p.Network.view(zone, listing) }
+	hidden, err := p.serve(loopback, p.front(view))
+	if err != nil {
+		return err
+	}
+	relay, err := newRelayAt(listen, hidden)
+	if err != nil {
+		return err
+	}
+	p.Network.platform[zone] = relay
+	return nil
+}
+
 // front routes the address that the log and the host list share.
-func (p *Platform) front() http.Handler {
+func (p *Platform) front(view func(platform.Listing) platform.Listing) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle(platform.PathLog, NewLog(p.Log, p.clock))
-	mux.Handle(platform.PathHosts, NewHostList(p.Hosts, p.clock))
+	mux.Handle(platform.PathHosts, &HostList{State: p.Hosts, clock: p.clock, view: view})
 	return mux
 }
 
@@ -144,12 +186,24 @@
 		for _, server := range p.servers {
 			_ = server.Close() // nothing is left to save
 		}
+		p.Network.close()
 	})
 }
 
-// Addr returns the address of the log and the host list.
+// Addr returns the address of the log and the host list, which no fault
+// between zones touches, and of the admin calls.
 func (p *Platform) Addr() string { return p.addr }
 
+// ZoneAddr returns the address at which a zone reaches the log and the host
+// list, or "" for an unknown zone.
+func (p *Platform) ZoneAddr(zone ident.Zone) string {
+	relay, ok := p.Network.platform[zone]
+	if !ok {
+		return ""
+	}
+	return relay.Addr()
+}
+
 // WorkerAddr returns the address of a worker, or "" for an unknown one.
 func (p *Platform) WorkerAddr(worker ident.WorkerID) string { return p.addrs[worker] }
 
@@ -169,6 +223,20 @@
 // ChangeHosts changes the host list; the change shows after the list's lag.
 func (p *Platform) ChangeHosts(change HostChange) { p.Hosts.Change(p.clock(), change) }
 
+// MarkLeaving lists a worker as leaving; it goes on running what it has and
+// starting what it is told to. It returns an *UnknownNameError for a worker
+// that does not exist.
+func (p *Platform) MarkLeaving(id ident.WorkerID) error {
+	worker := p.Worker(id)
+	if worker == nil {
+		return &UnknownNameError{Kind: "worker", Name: string(id)}
+	}
+	entry := worker.State.Config().Entry(p.addrs[id])
+	entry.State = platform.StateLeaving
+	p.ChangeHosts(HostChange{Workers: []platform.WorkerEntry{entry}})
+	return nil
+}
+
 // ListenError reports an address that could not be listened on.
 type ListenError struct {
 	Addr  string
--- /dev/null
+++ b/standin/relay_test.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// A zone loses its way to the platform for a while. A write during a reset
+// fails, a write whose answer vanishes is open, and a write that was held
+// back arrives late and is still answered.
+func TestRelayFaultsAsAWriterSeesThem(t *testing.T) {
+	p := startPlatform(t)
+	zone := ident.Zone("oberbayern-1")
+	log := platform.NewHTTPLog(p.ZoneAddr(zone), platform.NewHTTPClient())
+	ctx := context.Background()
+	write := func(ctx context.Context, data string) error {
+		_, err := log.Append(ctx, "s", [][]byte{[]byte(data)})
+		return err
+	}
+	set := func(f RelayFaults) {
+		t.Helper()
+		if err := p.Network.SetPlatform(zone, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := write(ctx, "through"); err != nil {
+		t.Fatal(err)
+	}
+	set(RelayFaults{Cut: true})
+	if err := write(ctx, "cut"); err == nil {
+		t.Error("a write went through a cut relay")
+	}
+	set(RelayFaults{DropAnswers: true})
+	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	wantAs[*platform.UncertainError](t, write(short, "unanswered"))
+	set(RelayFaults{Hang: true})
+	done := make(chan error, 1)
+	go func() { done <- write(ctx, "late") }()
+	select {
+	case err := <-done:
+		t.Errorf("a hanging relay answered %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	set(RelayFaults{})
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	page, _, err := p.Log.Read(p.Now(), "s", 0, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, r := range page.Records {
+		got = append(got, string(r.Data))
+	}
+	if len(got) != 3 || got[0] != "through" || got[1] != "unanswered" || got[2] != "late" {
+		t.Errorf("the log holds %q", got)
+	}
+}
+
+// Two zones are cut off from each other and both still reach the platform. A
+// host must see its peer of the other zone at an address that can be cut, and
+// its peers at home at their own.
+func TestZonesSeeEachOtherThroughRelays(t *testing.T) {
+	layout := smallLayout()
+	layout.HostLag = 0
+	layout.Zones = append(layout.Zones, ZoneLayout{Zone: "oberbayern-2", Workers: 1, Hosts: 1})
+	p := NewPlatform(layout, "")
+	if err := p.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	// The peer endpoint of the host is played by a worker of the other zone.
+	peer := p.WorkerAddr("oberbayern-2-w01")
+	p.ChangeHosts(HostChange{Hosts: []platform.HostEntry{{Host: "h2", Zone: "oberbayern-2", Addr: peer, State: platform.StateLive}}})
+	seenFrom := func(zone ident.Zone) string {
+		t.Helper()
+		listing, err := platform.NewHTTPHostList(p.ZoneAddr(zone), platform.NewHTTPClient()).List(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return listing.Hosts[0].Addr
+	}
+	if got := seenFrom("oberbayern-2"); got != peer {
+		t.Errorf("at home the host is listed at %s, want %s", got, peer)
+	}
+	relayed := seenFrom("oberbayern-1")
+	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	ask := func() error {
+		return workers.Release(context.Background(), relayed, platform.ClassSlots, 0)
+	}
+	wantRefused(t, ask(), platform.RefusedEpoch)
+	p.Network.SetBetween("oberbayern-1", "oberbayern-2", RelayFaults{Cut: true})
+	var answered *platform.RefusedError
+	if err := ask(); err == nil || errors.As(err, &answered) {
+		t.Errorf("a cut zone answered %v", err)
+	}
+	if got := seenFrom("oberbayern-1"); got != relayed {
+		t.Errorf("the address moved from %s to %s", relayed, got)
+	}
+	p.Network.SetBetween("oberbayern-1", "oberbayern-2", RelayFaults{})
+	wantRefused(t, ask(), platform.RefusedEpoch)
+}
