sched, queue, place: the decisions of a zone, first whole version

Placement searches an index of free room, waiting work is ordered by weighted dominant share between teams and by due time within one, gangs reserve all or nothing in one step.

--- /dev/null
+++ b/sched/dispatch.go
@@ -0,0 +1,142 @@
+package sched
+
+import (
+	"github.com/fireflyfold/fireflyfold/place"
+	"github.com/fireflyfold/fireflyfold/queue"
+)
+
+// dispatch starts waiting work in its order until nothing that waits can
+// start. Work that does not fit is passed over, so that no room stays free
+// that other work could use, except what a hold keeps.
+func (s *Scheduler) dispatch() {
+	for {
+		s.startHeld()
+		s.startWaiting()
+		if !s.endDisplacements() {
+			break
+		}
+	}
+	if s.opts.FirstFit {
+		return
+	}
+	s.displace()
+	s.planHolds()
+}
+
+func (s *Scheduler) startWaiting() {
+	for {
+		item := s.first()
+		if item == nil {
+			return
+		}
+		s.start(item.Owner)
+	}
+}
+
+func (s *Scheduler) first() *queue.Item[*job] {
+	if s.opts.FirstFit {
+		return s.queue.Oldest(s.openFunc)
+	}
+	return s.queue.First(s.openFunc)
+}
+
+// open reports whether the head of a class might start: its team's units were
+// not refused, and room came free since it last failed to fit.
+func (s *Scheduler) open(class *queue.Class[*job]) bool {
+	if s.limited(class.Head().Owner) {
+		return false
+	}
+	if class.Mark == 0 {
+		return true
+	}
+	position := s.cell.Freed()
+	if class.Mark == position {
+		return false
+	}
+	if s.cell.MayFitSince(class.Mark, &class.Shape.Need) {
+		return true
+	}
+	class.Mark = position
+	return false
+}
+
+// limited reports whether the upper limit of its team stops a job.
+func (s *Scheduler) limited(j *job) bool { return j.startUnits() >= j.team.refused }
+
+// startUnits returns the units that the job needs to start anything.
+func (j *job) startUnits() int64 {
+	if j.gang() {
+		return j.units * int64(j.spec.Tasks)
+	}
+	return j.units
+}
+
+// start starts one task of a job, or all of a gang. If there is no room it
+// marks the class of the job.
+func (s *Scheduler) start(j *job) {
+	if j.gang() {
+		if !s.placeGang(j) && !s.limited(j) {
+			j.item.Class().Mark = s.cell.Freed()
+		}
+		return
+	}
+	ref := s.look(j, j.peekLast())
+	if ref == place.None {
+		ref = s.lookHeld(j)
+	}
+	if ref == place.None {
+		j.item.Class().Mark = s.cell.Freed()
+		return
+	}
+	if !s.tryUse(j.team, j.units, j.item.Due) {
+		return
+	}
+	s.cell.Reserve(ref, j.need)
+	s.assign(j, ref)
+	s.started(j)
+}
+
+// look returns a worker that takes one task of the job now, or place.None.
+func (s *Scheduler) look(j *job, avoid place.Ref) place.Ref {
+	if s.opts.FirstFit {
+		return s.placer.FirstFit(j.need)
+	}
+	return s.placer.Pack(j.need, avoid)
+}
+
+// assign starts the next task of a job on a worker where its room and units
+// are taken.
+func (s *Scheduler) assign(j *job, ref place.Ref) {
+	index := j.take()
+	j.tasks[index].attempts++
+	a := s.newAttempt(j, index)
+	s.begin(a, ref)
+	s.trial(ref)
+	s.emit(Assign{
+		ID:      a.id,
+		Worker:  s.cell.Worker(ref).ID,
+		Team:    j.spec.Team,
+		Need:    j.need,
+		Run:     j.spec.Run,
+		Limit:   j.spec.Limit,
+		Payload: j.spec.Payload,
+	})
+}
+
+// trial bars a worker that comes back from a quarantine until the task that
+// was just placed on it has ended.
+func (s *Scheduler) trial(ref place.Ref) {
+	if s.host(ref).onTrial() {
+		s.cell.Bar(ref, place.BarProbing)
+	}
+}
+
+// started updates the order of waiting after tasks of the job were assigned.
+func (s *Scheduler) started(j *job) {
+	s.predictionDue(j)
+	s.weigh(j)
+	if j.waiting() == 0 {
+		s.queue.Remove(&j.item)
+		s.endHold(j.hold)
+	}
+}
--- a/sched/event.go
+++ b/sched/event.go
@@ -56,9 +56,11 @@
 type RestoredTask struct {
 	Index     int
 	Attempts  int            // attempts assigned so far, the running one included
-	Displaced int            // how often it was displaced
+	Refused   int            // of these, attempts that truly did not run
+	Displaced int            // of these, attempts that were displaced
 	Done      bool           // it ended without failure
 	Failed    bool           // its last attempt failed and no further one may follow
+	Reason    string         // with Failed
 	Running   bool           // the last attempt runs, or may run, on Worker
 	Started   bool           // with Running: the worker has reported it as running
 	Worker    ident.WorkerID // with Running
--- /dev/null
+++ b/sched/learn.go
@@ -0,0 +1,117 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+)
+
+// family is what was learned from the jobs of one team with one name. It is
+// used to predict and to rank, never to admit more than is declared.
+type family struct {
+	runs      int
+	mean      float64 // run time in seconds, moving average
+	deviation float64 // mean absolute deviation from it
+	failing   float64 // failure rate, moving average
+}
+
+const (
+	familiesMost = 4096             // kept at once; the oldest goes first
+	learnRate    = 0.125            // weight of the newest run
+	learnedRuns  = 3                // runs after which the mean is preferred to the declared time
+	defaultRun   = 10 * time.Minute // assumed if nothing is declared or learned
+	cautiousBy   = 2                // deviations added where an end must not come late
+)
+
+type familyKey struct {
+	team ident.TeamID
+	name string
+}
+
+// families holds a bounded number of families, the oldest of which make room.
+type families struct {
+	byKey map[familyKey]*family
+	ring  []familyKey
+	next  int
+}
+
+func newFamilies() families { return families{byKey: map[familyKey]*family{}} }
+
+func (f *families) of(team ident.TeamID, name string) *family {
+	key := familyKey{team, name}
+	if known, ok := f.byKey[key]; ok {
+		return known
+	}
+	if len(f.ring) < familiesMost {
+		f.ring = append(f.ring, key)
+	} else {
+		delete(f.byKey, f.ring[f.next])
+		f.ring[f.next] = key
+		f.next = (f.next + 1) % familiesMost
+	}
+	made := &family{}
+	f.byKey[key] = made
+	return made
+}
+
+// learnRun takes the end of an attempt into account.
+func (s *Scheduler) learnRun(j *job, e ending) {
+	if e.refused || e.stopped || e.lost {
+		return
+	}
+	f := j.family
+	if e.failed {
+		f.failing += (1 - f.failing) * learnRate
+		return
+	}
+	f.failing -= f.failing * learnRate
+	ran := e.ran.Seconds()
+	f.runs++
+	if f.runs == 1 {
+		f.mean = ran
+		return
+	}
+	rate := max(learnRate, 1/float64(f.runs))
+	f.deviation += (math.Abs(ran-f.mean) - f.deviation) * rate
+	f.mean += (ran - f.mean) * rate
+}
+
+// estimate returns the expected run time of a task of the job.
+func (s *Scheduler) estimate(j *job) time.Duration {
+	if j.family.runs >= learnedRuns {
+		return seconds(j.family.mean)
+	}
+	if j.spec.Run > 0 {
+		return j.spec.Run
+	}
+	return defaultRun
+}
+
+// cautious returns a run time that few tasks of the job exceed.
+func (s *Scheduler) cautious(j *job) time.Duration {
+	if j.family.runs >= learnedRuns {
+		return seconds(j.family.mean + cautiousBy*j.family.deviation)
+	}
+	return s.estimate(j)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// weigh keeps the sums of waiting work of a team up to date with a job.
+func (s *Scheduler) weigh(j *job) {
+	load := 0.0
+	if waiting := j.waiting(); waiting > 0 {
+		share := j.need.Dominant(s.cell.Total())
+		load = float64(waiting) * share * s.estimate(j).Seconds()
+	}
+	change := load - j.load
+	j.load = load
+	j.team.load += change
+	if j.pressing() {
+		j.team.deadlines += change
+	}
+}
+
+// pressing reports whether the job comes before the plain work of its team.
+func (j *job) pressing() bool { return j.spec.Deadline > 0 || j.spec.Urgent }
