--- a/engine/command.go
+++ b/engine/command.go
@@ -6,6 +6,7 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
@@ -152,6 +153,51 @@
 	Seq   uint64
 }
 
+// AskPromise asks a peer not to hold the compute lease of a worker, or frees it
+// from that promise. The answer is a PromiseAnswered, except to a release.
+type AskPromise struct {
+	Host    ident.HostID
+	Addr    string
+	Worker  ident.WorkerID
+	Release bool
+}
+
+// PromiseReply answers a PromiseAsked.
+type PromiseReply struct {
+	Call  uint64
+	Given bool
+}
+
+// AskLeases asks a peer which leases it holds. The answer is a LeasesAnswered.
+type AskLeases struct {
+	Host ident.HostID
+	Addr string
+}
+
+// LeasesReply answers a LeasesAsked.
+type LeasesReply struct {
+	Call   uint64
+	Leases []ledger.LeaseSeen
+}
+
+// ConfigReply answers a ConfigAsked with the records that follow, or with the
+// whole configuration, or with neither if there is none.
+type ConfigReply struct {
+	Call  uint64
+	Page  *platform.Page
+	State *fleet.State
+	Age   time.Duration
+}
+
+// ConfigFolded tells what became of a record of the configuration, for
+// operators that wait for it.
+type ConfigFolded struct {
+	Result fleet.Result
+}
+
+// Drained tells that the planned stop is complete.
+type Drained struct{}
+
 // ConfigChanged publishes a newer configuration.
 type ConfigChanged struct {
 	State *fleet.State
@@ -201,3 +247,10 @@
 func (ConfigChanged) isCommand() {}
 func (Noted) isCommand()         {}
 func (Reincarnate) isCommand()   {}
+func (AskPromise) isCommand()    {}
+func (PromiseReply) isCommand()  {}
+func (AskLeases) isCommand()     {}
+func (LeasesReply) isCommand()   {}
+func (ConfigFolded) isCommand()  {}
+func (Drained) isCommand()       {}
+func (ConfigReply) isCommand()   {}
--- a/engine/config.go
+++ b/engine/config.go
@@ -29,17 +29,15 @@
 	appender stream.Appender
 	poll     time.Duration
 
-	sentAt    time.Duration // of the open read of the log
-	knownAt   time.Duration // when the configuration was last known to be the newest
-	known     bool
-	logFails  bool          // the last read of the log failed
-	peerOpen  bool          // a ReadPeer is under way
-	peerNext  time.Duration // when the next may be sent
-	newest    platform.Offset
-	newestAt  ident.HostID // peer that told of newest
-	freshPeer ident.HostID // peer whose configuration was current last
-	freshAt   time.Duration
-	noState   bool // the log's records hold no whole configuration
+	sentAt   time.Duration // of the open read of the log
+	knownAt  time.Duration // when the configuration was last known to be the newest
+	known    bool
+	logFails bool          // the last read of the log failed
+	peerOpen bool          // a ReadPeer is under way
+	peerNext time.Duration // when the next may be sent
+	newest   platform.Offset
+	newestAt ident.HostID // peer that told of newest
+	noState  bool         // the log's records hold no whole configuration
 }
 
 func newConfigFollower(opts Options) configFollower {
@@ -88,6 +86,19 @@
 	}
 }
 
+// vouchedBy notes how new a peer's answer is, if it left this host level with
+// the peer.
+func (c *configFollower) vouchedBy(now time.Duration, ev PeerConfig) {
+	s := c.state()
+	switch {
+	case s == nil:
+	case ev.State != nil && s.Offset() >= ev.State.Offset():
+		c.vouched(now, ev.Age)
+	case ev.Page != nil && s.Offset() >= ev.Page.Last:
+		c.vouched(now, ev.Age)
+	}
+}
+
 // tickConfig keeps a read of the log open, and asks a peer when the log fails
 // or holds no whole configuration any more.
 func (e *Engine) tickConfig() {
@@ -145,6 +156,7 @@
 	c := &e.config
 	c.peerOpen = false
 	c.peerNext = e.now + peerRetry
+	defer c.vouchedBy(e.now, ev)
 	switch {
 	case ev.State != nil:
 		if c.follower.Adopt(ev.State) {
@@ -199,13 +211,16 @@
 	e.emit(ConfigChanged{State: state})
 }
 
-// ConfigSince serves a peer that is behind: the records after an offset, or
-// the whole configuration if they are not kept any more.
-func (e *Engine) ConfigSince(after platform.Offset) (page *platform.Page, state *fleet.State) {
-	if p, ok := e.config.follower.Since(after); ok {
-		return &p, nil
+// configAsked serves a peer that is behind: the records after an offset, or the
+// whole configuration if they are not kept any more.
+func (e *Engine) configAsked(ev ConfigAsked) {
+	reply := ConfigReply{Call: ev.Call, Age: e.config.age(e.now)}
+	if page, ok := e.config.follower.Since(ev.After); ok {
+		reply.Page = &page
+	} else {
+		reply.State = e.config.state()
 	}
-	return nil, e.config.state()
+	e.emit(reply)
 }
 
 // ConfigAge returns how long ago the configuration was known to be the newest.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -9,6 +9,7 @@
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/sched"
 	"github.com/fireflyfold/fireflyfold/stream"
@@ -33,7 +34,11 @@
 	claims  claimBook
 	reclaim *reclaimWatch
 
+	reports   map[lease.Key][]platform.TaskReport // of held leases, the last
 	draining  bool
+	leaving   bool          // the units are being given away
+	leaveBy   time.Duration // when to stop all the same
+	drained   bool
 	dethroned bool
 	view      View
 	viewSent  bool
@@ -62,6 +67,7 @@
 		demand:  newDemand(),
 		claims:  newClaimBook(),
 		reclaim: newReclaimWatch(opts),
+		reports: map[lease.Key][]platform.TaskReport{},
 
 		proposals: map[jobs.ProposalID]proposal{},
 	}
@@ -131,6 +137,8 @@
 		e.leasesAsked(ev)
 	case LeasesAnswered:
 		e.leasesAnswered(ev)
+	case ConfigAsked:
+		e.configAsked(ev)
 	case DrainRequested:
 		e.drain()
 	}
@@ -145,7 +153,6 @@
 func (e *Engine) tick(ev Tick) {
 	e.wall = ev.Wall
 	e.stepLeases(lease.Tick{})
-	e.stepUnits(ledger.LeasesHeld{Any: e.leases.Held(e.now) > 0})
 	e.reportLoad()
 	e.stepMembers(member.Tick{})
 	e.tickConfig()
--- a/engine/event.go
+++ b/engine/event.go
@@ -6,6 +6,7 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
@@ -156,6 +157,39 @@
 	Seq   uint64 // rises with every wish of this peer
 }
 
+// PromiseAsked asks this host not to hold the compute lease of a worker, or
+// frees it from that promise. The answer is a PromiseReply.
+type PromiseAsked struct {
+	Call    uint64
+	Worker  ident.WorkerID
+	Release bool
+}
+
+// PromiseAnswered answers an AskPromise.
+type PromiseAnswered struct {
+	Host   ident.HostID
+	Worker ident.WorkerID
+	Given  bool
+}
+
+// LeasesAsked asks which leases this host holds. The answer is a LeasesReply.
+type LeasesAsked struct {
+	Call uint64
+}
+
+// LeasesAnswered answers an AskLeases.
+type LeasesAnswered struct {
+	Host   ident.HostID
+	Leases []ledger.LeaseSeen
+}
+
+// ConfigAsked asks for the configuration after an offset, for a peer that
+// cannot reach the log. The answer is a ConfigReply.
+type ConfigAsked struct {
+	Call  uint64
+	After platform.Offset
+}
+
 // DrainRequested starts the planned stop of this host.
 type DrainRequested struct{}
 
@@ -179,3 +213,8 @@
 func (JobQueried) isEvent()         {}
 func (UnitsAsked) isEvent()         {}
 func (DrainRequested) isEvent()     {}
+func (ConfigAsked) isEvent()        {}
+func (PromiseAsked) isEvent()       {}
+func (PromiseAnswered) isEvent()    {}
+func (LeasesAsked) isEvent()        {}
+func (LeasesAnswered) isEvent()     {}
--- a/engine/leases.go
+++ b/engine/leases.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
@@ -57,6 +58,9 @@
 		e.stepMembers(member.WorkerAnswered{Worker: ev.Key.Worker})
 		e.stepLeases(lease.Refused{Key: ev.Key, SentAt: ev.SentAt, Epoch: ev.Epoch, Refusal: refused.Refusal, Left: refused.Left})
 	default:
+		if e.zone != nil && ev.Key.Class == platform.ClassCompute {
+			e.zone.failed[ev.Key.Worker] = true
+		}
 		e.stepLeases(lease.Failed{Key: ev.Key, SentAt: ev.SentAt})
 	}
 }
@@ -71,6 +75,8 @@
 
 func (e *Engine) gained(ev lease.Gained) {
 	e.note(NoteLease, "holds the "+string(ev.Class)+" lease of worker "+string(ev.Worker))
+	e.reports[ev.Key] = ev.Tasks
+	e.stepUnits(ledger.LeasesHeld{Any: true})
 	if ev.Class == platform.ClassCompute {
 		e.computeGained(ev)
 		return
@@ -89,6 +95,7 @@
 }
 
 func (e *Engine) reported(ev lease.Reported) {
+	e.reports[ev.Key] = ev.Tasks
 	if ev.Class == platform.ClassCompute {
 		e.computeReported(ev)
 		return
@@ -138,8 +145,15 @@
 	}
 }
 
+// lost takes a worker out of use. The ledger is told at once when it was the
+// last lease, even if another is gained at the same moment: in between, others
+// may have proved that this host can start nothing.
 func (e *Engine) lost(ev lease.Lost) {
 	e.note(NoteLease, "no longer holds the "+string(ev.Class)+" lease of worker "+string(ev.Worker))
+	delete(e.reports, ev.Key)
+	if len(e.reports) == 0 {
+		e.stepUnits(ledger.LeasesHeld{Any: false})
+	}
 	if ev.Class == platform.ClassCompute {
 		e.computeLost(ev)
 		return
--- a/engine/options.go
+++ b/engine/options.go
@@ -62,6 +62,12 @@
 	if o.Ledger.AppendInterval == 0 {
 		o.Ledger = ledger.DefaultConfig(o.Self, o.Zone)
 	}
+	if o.Lease.TaskTTL == 0 {
+		o.Lease.TaskTTL = lease.DefaultTaskTTL
+	}
+	if o.Lease.Drift == 0 {
+		o.Lease.Drift = lease.DefaultDrift
+	}
 	o.Lease.Self = o.Self
 	o.Lease.Seed = o.Seed
 	o.Member.Self = o.Self
--- /dev/null
+++ b/engine/reclaim.go
@@ -0,0 +1,272 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/resource"
+)
+
+const (
+	// promiseFor is how long a promise not to take a lease holds when the host
+	// that asked for it goes silent.
+	promiseFor = 2 * time.Minute
+	// reclaimEvery is the time between looks at dead holders.
+	reclaimEvery = time.Second
+	// suspectAfter is how long a holder of the zone must be silent to be
+	// suspected. Suspicion alone does nothing; the proof decides.
+	suspectAfter = 8 * time.Second
+)
+
+// reclaimWatch keeps what this host promised to others and what it knows of
+// dead holders' units.
+type reclaimWatch struct {
+	promises  map[ident.WorkerID]time.Duration // until when
+	wishes    map[ident.WorkerID]bool          // what membership wants of promised workers
+	zoneHosts []ident.HostID                   // of the own zone, as listed
+	listed    map[ident.HostID]bool            // all hosts, as listed
+
+	proof  *ledger.Reclaimer
+	nextAt time.Duration
+	left   bool // the ledger membership has ended as asked
+}
+
+func newReclaimWatch(opts Options) *reclaimWatch {
+	return &reclaimWatch{
+		promises: map[ident.WorkerID]time.Duration{},
+		wishes:   map[ident.WorkerID]bool{},
+		listed:   map[ident.HostID]bool{},
+		proof:    ledger.NewReclaimer(reclaimerConfig(opts)),
+	}
+}
+
+func (r *reclaimWatch) promised(worker ident.WorkerID) bool {
+	_, ok := r.promises[worker]
+	return ok
+}
+
+func (e *Engine) listedHosts(l platform.Listing) {
+	r := e.reclaim
+	r.zoneHosts = r.zoneHosts[:0]
+	clear(r.listed)
+	for _, h := range l.Hosts {
+		r.listed[h.Host] = true
+		if h.Zone == e.opts.Zone {
+			r.zoneHosts = append(r.zoneHosts, h.Host)
+		}
+	}
+	slices.Sort(r.zoneHosts)
+	e.stepRecovery(e.zoneHosts())
+}
+
+// emitPromise asks a peer for a promise, or frees it from one.
+func (e *Engine) emitPromise(host ident.HostID, worker ident.WorkerID, release bool) {
+	for _, p := range e.view.Hosts {
+		if p.Host == host {
+			e.emit(AskPromise{Host: host, Addr: p.Addr, Worker: worker, Release: release})
+			return
+		}
+	}
+}
+
+// promiseAsked gives up the compute lease of a worker for a peer that settles
+// what ran there, and promises not to take it again until it is released. The
+// promise is given only once the lease is not held.
+func (e *Engine) promiseAsked(ev PromiseAsked) {
+	key := lease.Key{Worker: ev.Worker, Class: platform.ClassCompute}
+	if ev.Release {
+		e.endPromise(ev.Worker)
+		e.emit(PromiseReply{Call: ev.Call})
+		return
+	}
+	if !e.reclaim.promised(ev.Worker) {
+		e.reclaim.wishes[ev.Worker] = e.members.Scheduler()
+	}
+	e.reclaim.promises[ev.Worker] = e.now + promiseFor
+	e.stepLeases(lease.Want{Key: key, Wanted: false})
+	e.emit(PromiseReply{Call: ev.Call, Given: e.leases.Left(key, e.now) == 0})
+}
+
+func (e *Engine) endPromise(worker ident.WorkerID) {
+	if !e.reclaim.promised(worker) {
+		return
+	}
+	delete(e.reclaim.promises, worker)
+	wanted := e.reclaim.wishes[worker]
+	delete(e.reclaim.wishes, worker)
+	e.want(lease.Key{Worker: worker, Class: platform.ClassCompute}, wanted)
+}
+
+func (e *Engine) promiseAnswered(ev PromiseAnswered) {
+	if ev.Given {
+		e.stepRecovery(jobs.PeerPromise{Host: ev.Host, Worker: ev.Worker})
+	}
+}
+
+// tickReclaim ends old promises, and on the zone's scheduler looks after the
+// units of dead holders of the zone.
+func (e *Engine) tickReclaim() {
+	for _, worker := range e.duePromises() {
+		e.endPromise(worker)
+	}
+	if e.now < e.reclaim.nextAt {
+		return
+	}
+	e.reclaim.nextAt = e.now + reclaimEvery
+	if !e.Schedules() {
+		return
+	}
+	e.watchHolders()
+}
+
+func (e *Engine) duePromises() []ident.WorkerID {
+	var due []ident.WorkerID
+	for worker, until := range e.reclaim.promises {
+		if e.now >= until {
+			due = append(due, worker)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// watchHolders names silent holders of the zone as suspects and gathers the
+// proof that they can start nothing: who leases each worker now.
+func (e *Engine) watchHolders() {
+	suspects := e.suspects()
+	if len(suspects) == 0 {
+		return
+	}
+	e.stepReclaimer(ledger.Workers{Workers: e.zoneWorkerIDs()})
+	for _, s := range suspects {
+		e.stepReclaimer(ledger.Suspect{Holder: s})
+	}
+	for _, seen := range e.heldLeases() {
+		e.stepReclaimer(seen)
+	}
+	for _, p := range e.members.Hosts(e.opts.Zone, e.now) {
+		e.emit(AskLeases{Host: p.Host, Addr: p.Addr})
+	}
+	e.stepReclaimer(ledger.ReclaimTick{})
+}
+
+// suspects lists the holders of the zone that have been silent for long, and
+// those that are known to have a younger life.
+func (e *Engine) suspects() []ident.Holder {
+	var list []ident.Holder
+	for _, holder := range e.units.State().Members() {
+		if holder == e.opts.Self || e.units.State().Zone(holder) != e.opts.Zone {
+			continue
+		}
+		silence, heard := e.members.Silence(holder, e.now)
+		switch {
+		case holder.Host == e.opts.Self.Host:
+			list = append(list, holder) // an earlier life of this host
+		case heard && silence < suspectAfter:
+			e.stepReclaimer(ledger.Alive{Holder: holder})
+		case e.now >= suspectAfter:
+			list = append(list, holder)
+		}
+	}
+	return list
+}
+
+func (e *Engine) zoneWorkerIDs() []ident.WorkerID {
+	entries := e.members.Workers()
+	ids := make([]ident.WorkerID, len(entries))
+	for i, entry := range entries {
+		ids[i] = entry.Worker
+	}
+	return ids
+}
+
+// heldLeases lists the leases that this host holds, with what runs under them.
+func (e *Engine) heldLeases() []ledger.LeaseSeen {
+	var seen []ledger.LeaseSeen
+	for _, entry := range e.members.Workers() {
+		for _, class := range []platform.LeaseClass{platform.ClassSlots, platform.ClassCompute} {
+			key := lease.Key{Worker: entry.Worker, Class: class}
+			left := e.leases.Left(key, e.now)
+			if left == 0 {
+				continue
+			}
+			seen = append(seen, ledger.LeaseSeen{
+				Worker: entry.Worker,
+				Class:  class,
+				Holder: e.opts.Self,
+				Left:   left,
+				Tasks:  runningTasks(e.reports[key]),
+			})
+		}
+	}
+	return seen
+}
+
+func runningTasks(tasks []platform.TaskReport) []ledger.RunningTask {
+	var list []ledger.RunningTask
+	for _, t := range tasks {
+		if !t.Ended {
+			list = append(list, ledger.RunningTask{ID: t.ID, By: t.Holder, Team: t.Team, Units: resource.LimitUnits(t.Need)})
+		}
+	}
+	return list
+}
+
+func (e *Engine) leasesAsked(ev LeasesAsked) {
+	e.emit(LeasesReply{Call: ev.Call, Leases: e.heldLeases()})
+}
+
+func (e *Engine) leasesAnswered(ev LeasesAnswered) {
+	if !e.Schedules() {
+		return
+	}
+	for _, seen := range ev.Leases {
+		e.stepReclaimer(seen)
+	}
+}
+
+func (e *Engine) stepReclaimer(ev ledger.ReclaimEvent) {
+	for _, cmd := range e.reclaim.proof.Step(e.now, ev) {
+		if proved, ok := cmd.(ledger.Proved); ok {
+			e.reclaimProved(proved)
+		}
+	}
+}
+
+// reclaimProved takes over the units of a dead holder. The tasks of it that
+// run on under this host use them from now on.
+func (e *Engine) reclaimProved(ev ledger.Proved) {
+	e.note(NoteUnits, "takes over the limit units of "+ev.Dead.String())
+	adopted := map[ident.TeamID]int64{}
+	if e.zone != nil {
+		for _, a := range e.zone.attempts {
+			if a.borrowed && a.by == ev.Dead {
+				a.borrowed = false
+				adopted[a.Team] += resource.LimitUnits(a.Need)
+			}
+		}
+	}
+	e.stepUnits(ledger.ReclaimProved{Dead: ev.Dead, Adopted: adopted})
+}
+
+func (e *Engine) reclaimed(dead ident.Holder) {
+	e.note(NoteUnits, "has the limit units of "+dead.String())
+}
+
+// reclaimVoid takes back what reclaimProved counted: another host has the
+// units, and what still runs of the dead holder's uses them there.
+func (e *Engine) reclaimVoid(dead ident.Holder) {
+	if e.zone == nil {
+		return
+	}
+	for _, a := range e.zone.attempts {
+		if a.by == dead {
+			a.borrowed = true
+		}
+	}
+}
--- /dev/null
+++ b/engine/recovery.go
@@ -0,0 +1,297 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/sched"
+	"github.com/fireflyfold/fireflyfold/work"
+)
+
+// Waits of a recovery.
+const (
+	callInFlight = 2 * time.Second // longest time from sending a call to its arrival
+	askPromises  = time.Second     // between requests for one peer's promise
+)
+
+func (e *Engine) recoveryConfig() jobs.RecoveryConfig {
+	ttl := e.opts.Lease.TaskTTL
+	return jobs.RecoveryConfig{
+		TaskTTL:  ttl,
+		Drift:    time.Duration(float64(ttl) * e.opts.Lease.Drift),
+		InFlight: callInFlight,
+		AskEvery: askPromises,
+	}
+}
+
+// becameOwner takes over the zone's jobs. A job without open attempts goes to
+// the scheduler at once, one with open attempts when all of them are settled.
+func (e *Engine) becameOwner(ev jobs.BecameOwner) {
+	if e.zone == nil {
+		return // gave up meanwhile; the wish has been withdrawn
+	}
+	e.note(NoteScheduler, "schedules zone "+string(e.opts.Zone))
+	if !ev.Whole {
+		e.note(NoteScheduler, "records of the zone's jobs had expired before they were written again: jobs may be missing")
+	}
+	e.zone.epoch = ev.Epoch
+	open := e.owner.State().Open()
+	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), ev.Epoch, open)
+	for _, o := range open {
+		e.zone.recovering[o.Attempt.Job]++
+		e.cycleLease(o)
+	}
+	e.restoreJobs()
+	e.stepRecovery(e.zoneHosts())
+	for _, w := range e.heldWorkers() {
+		e.stepRecovery(jobs.WorkerReport{Worker: w.id, Epoch: w.epoch, Tasks: w.tasks})
+	}
+	e.stepRecovery(jobs.RecoveryTick{})
+}
+
+// cycleLease takes a worker's lease anew if this host holds it under the epoch
+// that an open attempt was to be started under. A start sent before ownership
+// was lost could otherwise still arrive after the worker was found not to have
+// it, and the task would run twice.
+func (e *Engine) cycleLease(o jobs.OpenAttempt) {
+	w := e.zone.workers[o.Worker]
+	if w == nil || !w.held || w.epoch > o.Lease {
+		return
+	}
+	key := lease.Key{Worker: o.Worker, Class: platform.ClassCompute}
+	e.stepLeases(lease.Want{Key: key, Wanted: false})
+	e.stepLeases(lease.Idle{Key: key})
+	e.stepLeases(lease.Want{Key: key, Wanted: true})
+}
+
+// restoreJobs hands over what needs no recovery.
+func (e *Engine) restoreJobs() {
+	for _, job := range e.owner.State().Jobs() {
+		switch {
+		case job.Ended:
+		case job.Spec.Kind == work.KindRequest:
+			e.endOrphanRequest(job)
+		case e.zone.recovering[job.Job] == 0:
+			e.restoreJob(job.Job)
+		}
+	}
+}
+
+// endOrphanRequest closes a request that an earlier owner claimed and whose
+// outcome it did not record. It may have run, so its key stays used.
+func (e *Engine) endOrphanRequest(job *jobs.Job) {
+	if e.claims.running[job.Job] {
+		return
+	}
+	e.propose(&jobEnding{done: JobDone{Job: job.Job, Outcome: work.OutcomeUnknown}}, jobs.Record{JobEnded: &jobs.JobEnded{
+		Job:     job.Job,
+		Outcome: work.OutcomeUnknown,
+		Reason:  "the host that ran it stopped before it recorded the outcome",
+		Keep:    e.opts.KeepJobs.Milliseconds(),
+	}}, 0)
+}
+
+func (e *Engine) restoreJob(id ident.JobID) {
+	job := e.owner.State().Job(id)
+	if job == nil || job.Ended {
+		return
+	}
+	ev := sched.JobRestored{Job: id, Spec: job.Spec, Age: e.ageOf(job)}
+	for index := range job.Spec.Tasks {
+		task, ok := job.Tasks[index]
+		if !ok {
+			continue
+		}
+		ev.Tasks = append(ev.Tasks, e.restoredTask(job, index, task))
+	}
+	e.stepSched(ev)
+	if job.Cancelled {
+		e.stepSched(sched.JobCancelled{Job: id})
+	}
+}
+
+// ageOf is how long ago a job was accepted by the wall clock. It orders the
+// queue and counts against the deadline; a wrong clock shifts both and breaks
+// no promise.
+func (e *Engine) ageOf(job *jobs.Job) time.Duration {
+	return max(e.wall.Sub(job.AcceptedTime()), 0)
+}
+
+func (e *Engine) restoredTask(job *jobs.Job, index int, task jobs.Task) sched.RestoredTask {
+	res := sched.RestoredTask{Index: index, Attempts: task.Attempts, Done: task.Done()}
+	id := ident.AttemptID{Job: job.Job, Index: index, Attempt: task.Attempts}
+	if a := e.zone.attempts[id]; a != nil && task.Open {
+		res.Running = true
+		res.Started = a.phase == phaseRunning
+		res.Worker = a.Worker
+		return res
+	}
+	res.Failed = !task.Done() && exhausted(job, task)
+	return res
+}
+
+// exhausted reports whether a task may not be tried again.
+func exhausted(job *jobs.Job, task jobs.Task) bool {
+	if task.Result == jobs.ResultNeverStarted || task.Result == "" {
+		return false
+	}
+	return job.Spec.NonIdempotent || task.Attempts >= max(job.Spec.MaxAttempts, 1)
+}
+
+func (e *Engine) zoneHosts() jobs.ZoneHosts {
+	var hosts []ident.HostID
+	for _, h := range e.reclaim.zoneHosts {
+		if h != e.opts.Self.Host {
+			hosts = append(hosts, h)
+		}
+	}
+	return jobs.ZoneHosts{Hosts: hosts}
+}
+
+func (e *Engine) heldWorkers() []*zoneWorker {
+	var held []*zoneWorker
+	for _, entry := range e.members.Workers() {
+		if w := e.zone.workers[entry.Worker]; w != nil && w.held {
+			held = append(held, w)
+		}
+	}
+	return held
+}
+
+func (e *Engine) stepRecovery(ev jobs.RecoveryEvent) {
+	if e.zone == nil || e.zone.recovery == nil {
+		return
+	}
+	for _, cmd := range e.zone.recovery.Step(e.now, ev) {
+		e.recoveryCommand(cmd)
+	}
+}
+
+func (e *Engine) recoveryCommand(cmd jobs.RecoveryCommand) {
+	switch cmd := cmd.(type) {
+	case jobs.AskPromise:
+		e.emitPromise(cmd.Host, cmd.Worker, false)
+	case jobs.ReleasePromise:
+		e.emitPromise(cmd.Host, cmd.Worker, true)
+	case jobs.Adopt:
+		e.adoptAttempt(cmd)
+	case jobs.Resolve:
+		e.resolveAttempt(cmd)
+	case jobs.Recovered:
+		e.zone.recovery = nil
+	}
+}
+
+// adoptAttempt takes over an attempt that runs on.
+func (e *Engine) adoptAttempt(cmd jobs.Adopt) {
+	id := cmd.Attempt.Attempt
+	if e.zone.attempts[id] != nil {
+		return
+	}
+	w := e.zone.workers[cmd.Attempt.Worker]
+	job := e.owner.State().Job(id.Job)
+	if w == nil || job == nil {
+		return
+	}
+	e.adopt(&attempt{
+		Assign: sched.Assign{ID: id, Worker: w.id, Team: job.Spec.Team, Need: job.Spec.Need, Run: job.Spec.Run},
+		phase:  phaseRunning,
+		lease:  w.epoch, startedAt: w.sentAt,
+		by: cmd.Report.Holder,
+	})
+	e.countForeign(w)
+	if !w.marked {
+		e.addWorker(w)
+	}
+	e.settled(id.Job)
+}
+
+// resolveAttempt records the end of an attempt that does not run any more.
+func (e *Engine) resolveAttempt(cmd jobs.Resolve) {
+	id := cmd.Attempt.Attempt
+	if a := e.zone.attempts[id]; a != nil {
+		e.resolveOwn(a, cmd)
+		return
+	}
+	e.propose(&resolution{zone: e.zone, cmd: cmd}, endedRecord(id, cmd.Result, cmd.Reason), 0)
+}
+
+// resolveOwn closes an attempt of this life whose worker could not be reached.
+func (e *Engine) resolveOwn(a *attempt, cmd jobs.Resolve) {
+	if cmd.Result == jobs.ResultNeverStarted {
+		e.endNever(a, "")
+		return
+	}
+	e.endLost(a, cmd.Reason)
+}
+
+// resolution is the record of how an earlier owner's attempt ended.
+type resolution struct {
+	zone *zoneScheduler
+	cmd  jobs.Resolve
+}
+
+func (p *resolution) effective(e *Engine, _ bool) {
+	if e.zone != p.zone {
+		return
+	}
+	if p.cmd.Result != jobs.ResultNeverStarted && p.cmd.Result != jobs.ResultLost {
+		e.ackTask(p.cmd.Attempt.Worker, taskName("", p.cmd.Attempt.Attempt))
+	}
+	e.settled(p.cmd.Attempt.Attempt.Job)
+}
+
+func (p *resolution) void(e *Engine, ev jobs.Void) {
+	if ev.Reason == jobs.VoidRejected {
+		p.effective(e, false)
+	}
+}
+
+func (p *resolution) undecided(*Engine) {}
+
+// settled counts a settled attempt and hands the job over after the last.
+func (e *Engine) settled(job ident.JobID) {
+	e.zone.recovering[job]--
+	if e.zone.recovering[job] > 0 {
+		return
+	}
+	delete(e.zone.recovering, job)
+	e.restoreJob(job)
+}
+
+// recoverAttempts settles the attempts of a worker that cannot be reached.
+func (e *Engine) recoverAttempts(w *zoneWorker, open []jobs.OpenAttempt) {
+	if e.zone.recovery != nil || e.zone.epoch == 0 {
+		return // one recovery at a time; the next tick asks again
+	}
+	e.note(NoteScheduler, "worker "+string(w.id)+" cannot be reached; settling what ran there")
+	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), e.zone.epoch+1, open)
+	e.stepRecovery(e.zoneHosts())
+	e.stepRecovery(jobs.RecoveryTick{})
+}
+
+// lostOwnership starts the zone's work anew without its jobs, which are the
+// next owner's now. Services stay with whoever holds the compute leases.
+func (e *Engine) lostOwnership(ev jobs.LostOwnership) {
+	if e.zone == nil || e.zone.epoch != ev.Epoch {
+		return
+	}
+	e.note(NoteScheduler, "no longer schedules zone "+string(e.opts.Zone)+", "+ev.Owner.String()+" does")
+	old := e.zone
+	e.zone = e.newZone()
+	e.zone.failed = old.failed
+	for id, w := range old.workers {
+		if w.held {
+			e.zone.workers[id] = w
+		}
+	}
+	e.configureZone()
+	for _, w := range e.heldWorkers() {
+		e.countForeign(w)
+		e.addWorker(w) // not opened yet: without room
+		e.applyReport(w)
+	}
+}
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -7,6 +7,7 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
+	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/resource"
@@ -24,6 +25,14 @@
 	attempts map[ident.AttemptID]*attempt
 	services map[ident.ServiceID]fleet.Service
 
+	// opened is set once every listed worker was gained or failed to answer, or
+	// openBy has passed. Before, the scheduler sees workers without room: with
+	// room on the first worker gained, it would start replicas there that run
+	// on the others already.
+	opened bool
+	openBy time.Duration
+	failed map[ident.WorkerID]bool // did not answer since the start
+
 	recovery   *jobs.Recovery
 	recovering map[ident.JobID]int // open attempts of earlier owners to settle
 }
@@ -75,7 +84,47 @@
 		attempts:   map[ident.AttemptID]*attempt{},
 		services:   map[ident.ServiceID]fleet.Service{},
 		recovering: map[ident.JobID]int{},
+		failed:     map[ident.WorkerID]bool{},
+		openBy:     e.now + openTTLs*e.leaseTTL(),
+	}
+}
+
+// openTTLs is how many lease TTLs a new scheduler waits for the workers of its
+// zone: one for the earlier holder's leases to run out, and one to ask again.
+const openTTLs = 2
+
+// leaseTTL is the control lease's length in force.
+func (e *Engine) leaseTTL() time.Duration {
+	if e.opts.Lease.TTL > 0 {
+		return e.opts.Lease.TTL
 	}
+	return lease.DefaultTTL
+}
+
+// tryOpen gives the workers' room to the scheduler once their replicas are
+// known.
+func (e *Engine) tryOpen() {
+	z := e.zone
+	if z.opened || e.config.state() == nil {
+		return
+	}
+	if e.now < z.openBy {
+		entries := e.members.Workers()
+		if len(entries) == 0 {
+			return
+		}
+		for _, entry := range entries {
+			w := z.workers[entry.Worker]
+			if (w == nil || !w.held) && !z.failed[entry.Worker] {
+				return
+			}
+		}
+	}
+	z.opened = true
+	for _, w := range e.heldWorkers() {
+		e.addWorker(w)
+	}
+	e.applyMarks()
 }
 
 // schedulerWanted starts or ends this host's work as the zone's scheduler.
@@ -214,5 +263,12 @@
 // addWorker tells the scheduler of a worker and of the room it has for what
 // the scheduler knows.
 func (e *Engine) addWorker(w *zoneWorker) {
+	if !e.zone.opened {
+		e.stepSched(sched.WorkerAdded{Worker: w.id, Rack: w.rack})
+		return
+	}
+	if w.marked || w.quiet {
+		return
+	}
 	e.stepSched(sched.WorkerAdded{Worker: w.id, Rack: w.rack, Size: w.size.Sub(w.foreign)})
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -22,6 +22,7 @@
 const (
 	tickEvery = 20 * time.Millisecond
 	listEvery = time.Second
+	readPause = 100 * time.Millisecond // after a failed read
 )
 
 // drainRing carries out the items of a ring until ctx ends: the loop of one
@@ -76,59 +77,100 @@
 	}
 }
 
-func (h *Host) appendGroup(ctx context.Context, cmd engine.Append) {
+func (h *Host) appendGroup(ctx context.Context, cmd engine.AppendGroup) {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	h.metrics.appends.Inc(1)
-	offset, err := h.opts.Log.Append(ctx, cmd.Stream, cmd.Group)
-	h.push(engine.Appended{Stream: cmd.Stream, Tag: cmd.Tag, Offset: offset, Err: err})
+	_, err := h.opts.Log.Append(ctx, cmd.Stream, cmd.Group)
+	h.push(engine.Appended{Stream: cmd.Stream, Tag: cmd.Tag, Err: err})
 }
 
 // readStream reads one page from the log.
 func (h *Host) readStream(ctx context.Context, cmd engine.ReadStream) {
-	sentAt := h.now()
 	ctx, cancel := context.WithTimeout(ctx, logTimeout+cmd.Wait)
 	defer cancel()
 	page, err := h.opts.Log.Read(ctx, cmd.Stream, cmd.After, cmd.Limit, cmd.Wait)
 	if err != nil {
 		h.metrics.readFailed.Inc(1)
-		h.push(engine.StreamFailed{Stream: cmd.Stream, After: cmd.After})
+		pause(ctx, readPause) // a log that refuses at once must not be asked in a tight loop
+		h.push(engine.StreamFailed{Stream: cmd.Stream, Tag: cmd.Tag})
 		return
 	}
-	h.push(engine.StreamRead{Stream: cmd.Stream, After: cmd.After, Page: page, SentAt: sentAt})
+	h.push(engine.StreamRead{Stream: cmd.Stream, Tag: cmd.Tag, Page: page})
 }
 
-// readPeer reads one page of the configuration from a peer.
-func (h *Host) readPeer(ctx context.Context, cmd engine.ReadPeer) {
-	sentAt := h.now()
+// sendPeerCommand serves the ring of calls to peers outside the request path.
+func (h *Host) sendPeerCommand(ctx context.Context, cmd engine.Command) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	res, err := h.peers.At(cmd.Addr).ReadStream(ctx, connect.NewRequest(&peerv1.ReadStreamRequest{
-		Stream: string(cmd.Stream),
-		After:  uint64(cmd.After),
-		Limit:  int32(cmd.Limit),
+	switch cmd := cmd.(type) {
+	case engine.SendDigest:
+		h.sendDigest(ctx, cmd)
+	case engine.ReadPeer:
+		h.readPeer(ctx, cmd)
+	case engine.AskUnits:
+		h.askUnits(ctx, cmd)
+	case engine.AskPromise:
+		h.askPromise(ctx, cmd)
+	case engine.AskLeases:
+		h.askLeases(ctx, cmd)
+	}
+}
+
+func (h *Host) sendDigest(ctx context.Context, cmd engine.SendDigest) {
+	res, err := h.peers.At(cmd.Addr).Exchange(ctx, connect.NewRequest(exchangeRequest(cmd.Digest)))
+	if err != nil {
+		h.push(engine.PeerFailed{Host: cmd.Host})
+		return
+	}
+	if digest, ok := fromWireDigest(res.Msg.GetDigest()); ok {
+		h.push(engine.DigestReceived{Digest: digest})
+	}
+}
+
+// readPeer reads the configuration from a peer.
+func (h *Host) readPeer(ctx context.Context, cmd engine.ReadPeer) {
+	res, err := h.peers.At(cmd.Addr).ReadConfig(ctx, connect.NewRequest(&peerv1.ReadConfigRequest{After: uint64(cmd.After)}))
+	if err != nil {
+		h.push(engine.PeerConfig{Host: cmd.Host})
+		return
+	}
+	h.push(fromWireConfig(cmd.Host, res.Msg))
+}
+
+// askUnits sends a wish for units. Nothing comes of a wish that is lost; it is
+// repeated while work waits.
+func (h *Host) askUnits(ctx context.Context, cmd engine.AskUnits) {
+	_, err := h.peers.At(cmd.Addr).AskUnits(ctx, connect.NewRequest(&peerv1.AskUnitsRequest{
+		Holder: toWireHolder(h.self),
+		Team:   string(cmd.Team),
+		Units:  cmd.Units,
+		Seq:    cmd.Seq,
 	}))
 	if err != nil {
-		h.push(engine.StreamFailed{Stream: cmd.Stream, After: cmd.After, FromPeer: true})
+		h.metrics.peerFailed.Inc(1)
+	}
+}
+
+func (h *Host) askPromise(ctx context.Context, cmd engine.AskPromise) {
+	res, err := h.peers.At(cmd.Addr).Promise(ctx, connect.NewRequest(&peerv1.PromiseRequest{
+		Worker:  string(cmd.Worker),
+		Release: cmd.Release,
+	}))
+	if err != nil {
+		h.metrics.peerFailed.Inc(1)
 		return
 	}
-	h.push(engine.StreamRead{
-		Stream:   cmd.Stream,
-		After:    cmd.After,
-		Page:     fromWirePage(res.Msg),
-		SentAt:   sentAt,
-		FromPeer: true,
-	})
+	h.push(engine.PromiseAnswered{Host: cmd.Host, Worker: cmd.Worker, Given: res.Msg.GetGiven() && !cmd.Release})
 }
 
-// sendReadCommand serves the ring of reads.
-func (h *Host) sendReadCommand(ctx context.Context, cmd engine.Command) {
-	switch cmd := cmd.(type) {
-	case engine.ReadStream:
-		h.readStream(ctx, cmd)
-	case engine.ReadPeer:
-		h.readPeer(ctx, cmd)
+func (h *Host) askLeases(ctx context.Context, cmd engine.AskLeases) {
+	res, err := h.peers.At(cmd.Addr).ListLeases(ctx, connect.NewRequest(&peerv1.ListLeasesRequest{}))
+	if err != nil {
+		h.metrics.peerFailed.Inc(1)
+		return
 	}
+	h.push(engine.LeasesAnswered{Host: cmd.Host, Leases: fromWireLeases(res.Msg)})
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -154,16 +196,3 @@
 		pause(ctx, listEvery)
 	}
 }
-
-func (h *Host) sendDigest(ctx context.Context, cmd engine.SendDigest) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	res, err := h.peers.At(cmd.Addr).Exchange(ctx, connect.NewRequest(exchangeRequest(cmd.Digest)))
-	if err != nil {
-		h.push(engine.PeerFailed{Host: cmd.Host})
-		return
-	}
-	if digest, ok := fromWireDigest(res.Msg.GetDigest()); ok {
-		h.push(engine.DigestReceived{Digest: digest})
-	}
-}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -34,3 +34,21 @@
 
 // Error implements error.
 func (e *PeerProtocolError) Error() string { return "peer protocol: " + e.Detail }
+
+// RingFullError reports that an event was not taken because too many wait.
+type RingFullError struct{}
+
+// Error implements error.
+func (e *RingFullError) Error() string { return "this host has too many events to deal with" }
+
+// NoReplyError reports that the engine did not reply in time. What was asked
+// may have taken effect.
+type NoReplyError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *NoReplyError) Error() string { return "no reply: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NoReplyError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,294 @@
+// Package entry is one entry host: it drives the engine, and joins it to
+// callers, operators, peers, workers and the platform.
+//
+// A goroutine stands for each duty, and bounded rings join them. The core
+// goroutine alone touches the engine; it takes events from one ring and puts
+// commands into the rings of the duties that carry them out. A duty whose ring
+// is full costs an unanswered command, which the engine survives: every
+// command has a timeout.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflyfold/fireflyfold/engine"
+	"github.com/fireflyfold/fireflyfold/fleet"
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/member"
+	"github.com/fireflyfold/fireflyfold/peer"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ring"
+	"github.com/fireflyfold/fireflyfold/settings"
+	"github.com/fireflyfold/fireflyfold/telemetry"
+)
+
+// Capacities of the rings, in items, and the goroutines that drain them.
+const (
+	eventRing    = 8192
+	commandRing  = 2048
+	leaseWorkers = 16
+	taskWorkers  = 16
+	peerWorkers  = 8
+	readWorkers  = 4 // one for each stream that may be read at a time, and one for a peer
+	logWorkers   = 3 // one for each stream that may be appended to
+)
+
+// Options are what a host is built from.
+type Options struct {
+	Settings  *settings.Settings
+	Telemetry *telemetry.Telemetry
+	Log       platform.Log
+	HostList  platform.HostList
+	Workers   platform.Workers
+	// Engine is the base of the engine's options, for tests that need other
+	// timings. Identity and leases are filled in from the settings.
+	Engine engine.Options
+}
+
+// Host is one entry host.
+type Host struct {
+	opts    Options
+	tel     *telemetry.Telemetry
+	self    ident.Holder
+	zone    ident.Zone
+	started time.Time
+	seq     atomic.Uint64
+
+	engine  *engine.Engine
+	calls   *registry
+	waiters *waiters
+	bodies  *byteBudget
+	peers   *peer.Clients
+	metrics *metrics
+	history *history
+
+	events  *ring.Ring[engine.Event]
+	leasing *ring.Ring[engine.Command]
+	tasking *ring.Ring[engine.Command]
+	peering *ring.Ring[engine.Command]
+	reading *ring.Ring[engine.Command]
+	logging *ring.Ring[engine.AppendGroup]
+
+	// Published by the core for the other goroutines.
+	config atomic.Pointer[fleet.State]
+	view   atomic.Pointer[engine.View]
+	digest atomic.Pointer[member.Digest]
+	facts  atomic.Pointer[engine.Facts]
+	end    chan end // how the core ended the host
+
+	api, peerAPI net.Listener
+}
+
+// end says why a host stopped by itself.
+type end struct {
+	reincarnate bool
+	reason      string
+}
+
+// New builds a host and listens on its addresses. Run makes it serve.
+func New(opts Options) (*Host, error) {
+	s := opts.Settings
+	h := &Host{
+		opts:    opts,
+		tel:     opts.Telemetry,
+		self:    ident.Holder{Host: s.Host.Name, Incarnation: newIncarnation()},
+		zone:    s.Host.Zone,
+		started: time.Now(),
+		calls:   newRegistry(),
+		waiters: newWaiters(),
+		bodies:  newByteBudget(s.Limits.BodyMemory),
+		peers:   peer.NewClients(peer.Secret(s.Peers.Secret)),
+		metrics: newMetrics(opts.Telemetry.Metrics),
+		history: newHistory(),
+		events:  ring.New[engine.Event](eventRing),
+		leasing: ring.New[engine.Command](commandRing),
+		tasking: ring.New[engine.Command](commandRing),
+		peering: ring.New[engine.Command](commandRing),
+		reading: ring.New[engine.Command](commandRing),
+		logging: ring.New[engine.AppendGroup](commandRing),
+		end:     make(chan end, 1),
+	}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	h.engine = engine.New(h.engineOptions())
+	return h, nil
+}
+
+// newIncarnation draws a number that no former life of the host has had.
+func newIncarnation() ident.Incarnation {
+	for {
+		if n := rand.Uint64() >> 1; n != 0 { // positive as a signed number, for JSON readers
+			return ident.Incarnation(n)
+		}
+	}
+}
+
+func (h *Host) engineOptions() engine.Options {
+	s := h.opts.Settings
+	opts := h.opts.Engine
+	opts.Self = h.self
+	opts.Zone = h.zone
+	opts.Zones = nil
+	for _, z := range s.Zones {
+		opts.Zones = append(opts.Zones, z.Name)
+	}
+	opts.Addr = h.peerAPI.Addr().String()
+	opts.Seed = rand.Uint64()
+	opts.Lease.TTL = s.Lease.TTL
+	opts.Lease.TaskTTL = s.Lease.TaskTTL
+	opts.Lease.Drift = s.Lease.Drift
+	opts.Request.MaxWaiting = s.Limits.MaxWaiting
+	opts.ConfigPoll = s.Config.Poll
+	opts.MaxRequestTime = s.Limits.RequestTimeout
+	return opts
+}
+
+func (h *Host) listen() error {
+	s := h.opts.Settings
+	var err error
+	if h.api, err = net.Listen("tcp", s.Host.API.String()); err != nil {
+		return &ListenError{Role: "callers", Addr: s.Host.API.String(), Cause: err}
+	}
+	if h.peerAPI, err = net.Listen("tcp", s.Host.Peer.String()); err != nil {
+		_ = h.api.Close()
+		return &ListenError{Role: "peers", Addr: s.Host.Peer.String(), Cause: err}
+	}
+	h.api = limitConnections(h.api, s.Limits.MaxConnections)
+	return nil
+}
+
+// now is the host's monotonic clock.
+func (h *Host) now() time.Duration { return time.Since(h.started) }
+
+// mint draws an identifier for work whose home is the given zone.
+func (h *Host) mint(zone ident.Zone) ident.TaskID {
+	return ident.TaskID{Zone: zone, Host: h.self.Host, Incarnation: h.self.Incarnation, Seq: h.seq.Add(1)}
+}
+
+// push hands an event that must not be lost to the core, waiting for room.
+func (h *Host) push(ev engine.Event) {
+	h.events.Push(context.Background(), ev)
+}
+
+// tryPush hands over an event that may be dropped under load.
+func (h *Host) tryPush(ev engine.Event) {
+	if !h.events.TryPush(ev) {
+		h.metrics.ringFull.Inc(1)
+	}
+}
+
+// APIAddr returns the address that callers reach the host at.
+func (h *Host) APIAddr() string { return h.api.Addr().String() }
+
+// PeerAddr returns the address that other hosts reach it at.
+func (h *Host) PeerAddr() string { return h.peerAPI.Addr().String() }
+
+// Self returns the holder that this life of the host is.
+func (h *Host) Self() ident.Holder { return h.self }
+
+// ReincarnateError ends a life whose limit units were taken over while it was
+// paused or cut off. The host is to be started anew.
+type ReincarnateError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *ReincarnateError) Error() string { return "this life of the host is over: " + e.Reason }
+
+// Run serves until ctx ends, and then stops at once, or until a drain that
+// Drain began is complete. It returns a *ReincarnateError if the host has to
+// be started anew.
+func (h *Host) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	api := h.server(h.routes())
+	peers := &http.Server{
+		Handler:           peer.NewHandler(&peerServer{h: h}, peer.Secret(h.opts.Settings.Peers.Secret)),
+		ReadHeaderTimeout: h.opts.Settings.Limits.HeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	api.BaseContext = peers.BaseContext
+	var duties conc.WaitGroup
+	h.startDuties(ctx, &duties)
+	duties.Go(func() { h.serveAPI(api) })
+	duties.Go(func() { _ = peers.Serve(h.peerAPI) }) // returns when closed below
+	err := h.wait(ctx)
+	_ = api.Close()
+	_ = peers.Close()
+	cancel()
+	duties.Wait()
+	h.peers.Close()
+	return err
+}
+
+// wait blocks until the host is told to stop or stops by itself.
+func (h *Host) wait(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case e := <-h.end:
+		if e.reincarnate {
+			return &ReincarnateError{Reason: e.reason}
+		}
+		return nil
+	}
+}
+
+// Drain begins the planned stop. Run returns when it is complete.
+func (h *Host) Drain() { h.push(engine.DrainRequested{}) }
+
+// server bounds what a slow or malicious caller can hold.
+func (h *Host) server(handler http.Handler) *http.Server {
+	l := h.opts.Settings.Limits
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		ReadTimeout:       l.HeaderTimeout + l.BodyTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    int(l.MaxHeader),
+		ErrorLog:          discardLog(),
+	}
+}
+
+// serveAPI serves callers, with TLS if the settings name a certificate.
+func (h *Host) serveAPI(server *http.Server) {
+	t := h.opts.Settings.TLS
+	if t.Enabled() {
+		if err := server.ServeTLS(h.api, t.Certificate, t.Key); err != http.ErrServerClosed {
+			h.stop(end{reason: err.Error()})
+		}
+		return
+	}
+	_ = server.Serve(h.api) // returns when closed by Run
+}
+
+func (h *Host) stop(e end) {
+	select {
+	case h.end <- e:
+	default:
+	}
+}
+
+// startDuties starts a goroutine for each duty.
+func (h *Host) startDuties(ctx context.Context, duties *conc.WaitGroup) {
+	spawn := func(n int, duty func()) {
+		for range n {
+			duties.Go(duty)
+		}
+	}
+	spawn(1, func() { h.runCore(ctx) })
+	spawn(1, func() { h.pollList(ctx) })
+	spawn(leaseWorkers, func() { drainRing(ctx, h.leasing.Items(), h.sendLeaseCommand) })
+	spawn(taskWorkers, func() { drainRing(ctx, h.tasking.Items(), h.sendTaskCommand) })
+	spawn(peerWorkers, func() { drainRing(ctx, h.peering.Items(), h.sendPeerCommand) })
+	spawn(readWorkers, func() { drainRing(ctx, h.reading.Items(), h.sendReadCommand) })
+	spawn(logWorkers, func() { drainRing(ctx, h.logging.Items(), h.appendGroup) })
+}
--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -44,26 +44,27 @@
 	hops     int
 }
 
-// waiters holds the goroutines that wait for answers and ends of jobs.
+// waiters holds the goroutines that wait for replies of the engine and for ends
+// of jobs.
 type waiters struct {
 	next  atomic.Uint64
 	mu    sync.Mutex
-	calls map[uint64]chan engine.JobAnswered
+	calls map[uint64]chan engine.Command
 	ends  map[ident.JobID]map[uint64]chan struct{}
 }
 
 func newWaiters() *waiters {
-	return &waiters{calls: map[uint64]chan engine.JobAnswered{}, ends: map[ident.JobID]map[uint64]chan struct{}{}}
+	return &waiters{calls: map[uint64]chan engine.Command{}, ends: map[ident.JobID]map[uint64]chan struct{}{}}
 }
 
-// call registers a call and returns its number and where its answer comes.
-func (w *waiters) call() (uint64, chan engine.JobAnswered) {
+// call registers a call and returns its number and where its reply comes.
+func (w *waiters) call() (uint64, chan engine.Command) {
 	id := w.next.Add(1)
-	answer := make(chan engine.JobAnswered, 1)
+	reply := make(chan engine.Command, 1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.calls[id] = answer
-	return id, answer
+	w.calls[id] = reply
+	return id, reply
 }
 
 func (w *waiters) drop(id uint64) {
@@ -72,13 +73,14 @@
 	delete(w.calls, id)
 }
 
-func (w *waiters) answer(cmd engine.JobAnswered) {
+// reply hands a command to the goroutine that waits under the number.
+func (w *waiters) reply(id uint64, cmd engine.Command) {
 	w.mu.Lock()
-	answer, ok := w.calls[cmd.Call]
-	delete(w.calls, cmd.Call)
+	reply, ok := w.calls[id]
+	delete(w.calls, id)
 	w.mu.Unlock()
 	if ok {
-		answer <- cmd
+		reply <- cmd
 	}
 }
 
@@ -235,26 +237,40 @@
 	return h.askEngine(ctx, c, h.query(c, job))
 }
 
-// askEngine pushes an event and waits for its answer.
+// askEngine puts a job call to the engine and renders its answer.
 func (h *Host) askEngine(ctx context.Context, c jobCall, event func(call uint64) engine.Event) ([]byte, *problem.Problem) {
-	id, answer := h.waiters.call()
+	ctx, cancel := context.WithTimeout(ctx, max(c.deadline-h.now(), 0)+endGrace)
+	defer cancel()
+	cmd, err := h.ask(ctx, event)
+	var full *RingFullError
+	if errors.As(err, &full) {
+		return nil, problem.NotRun(problem.TypeBusy, err.Error()).After(time.Second)
+	}
+	answer, ok := cmd.(engine.JobAnswered)
+	switch {
+	case err == nil && ok:
+		return jobReply(answer)
+	case c.verb == verbSubmit || c.verb == verbCancel:
+		return nil, problem.Unknown(problem.TypeInternal, "no decision by the deadline; ask for job "+c.jobText)
+	}
+	return nil, problem.NotRun(problem.TypeInternal, "no decision by the deadline")
+}
+
+// ask puts a question to the engine and waits for its reply. It returns a
+// *RingFullError if the question was not taken, or a *NoReplyError.
+func (h *Host) ask(ctx context.Context, event func(call uint64) engine.Event) (engine.Command, error) {
+	id, reply := h.waiters.call()
 	defer h.waiters.drop(id)
 	if !h.events.TryPush(event(id)) {
 		h.metrics.ringFull.Inc(1)
-		return nil, problem.NotRun(problem.TypeBusy, "this host has too many events to deal with").After(time.Second)
+		return nil, &RingFullError{}
 	}
-	timeout := time.NewTimer(max(c.deadline-h.now(), 0) + endGrace)
-	defer timeout.Stop()
 	select {
-	case cmd := <-answer:
-		return jobReply(cmd)
-	case <-timeout.C:
+	case cmd := <-reply:
+		return cmd, nil
 	case <-ctx.Done():
+		return nil, &NoReplyError{Cause: ctx.Err()}
 	}
-	if c.verb == verbSubmit || c.verb == verbCancel {
-		return nil, problem.Unknown(problem.TypeInternal, "no decision by the deadline; ask for job "+c.jobText)
-	}
-	return nil, problem.NotRun(problem.TypeInternal, "no decision by the deadline")
 }
 
 func jobReply(cmd engine.JobAnswered) ([]byte, *problem.Problem) {
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -10,6 +10,7 @@
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/peer/peerv1"
+	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/problem"
 )
 
@@ -98,22 +99,49 @@
 	return connect.NewResponse(&peerv1.AskUnitsResponse{}), nil
 }
 
-// ReadStream implements peerv1.PeerServiceHandler.
-func (s *peerServer) ReadStream(_ context.Context, req *connect.Request[peerv1.ReadStreamRequest]) (*connect.Response[peerv1.ReadStreamResponse], error) {
-	page, ok := s.h.configPage(req.Msg)
-	if !ok {
-		return nil, connect.NewError(connect.CodeNotFound, &PeerProtocolError{Detail: "no such stream here"})
+// ReadConfig implements peerv1.PeerServiceHandler.
+func (s *peerServer) ReadConfig(ctx context.Context, req *connect.Request[peerv1.ReadConfigRequest]) (*connect.Response[peerv1.ReadConfigResponse], error) {
+	cmd, err := s.ask(ctx, func(call uint64) engine.Event {
+		return engine.ConfigAsked{Call: call, After: platform.Offset(req.Msg.GetAfter())}
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply, _ := cmd.(engine.ConfigReply)
+	return connect.NewResponse(toWireConfig(reply)), nil
+}
+
+// Promise implements peerv1.PeerServiceHandler.
+func (s *peerServer) Promise(ctx context.Context, req *connect.Request[peerv1.PromiseRequest]) (*connect.Response[peerv1.PromiseResponse], error) {
+	cmd, err := s.ask(ctx, func(call uint64) engine.Event {
+		return engine.PromiseAsked{Call: call, Worker: ident.WorkerID(req.Msg.GetWorker()), Release: req.Msg.GetRelease()}
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply, _ := cmd.(engine.PromiseReply)
+	return connect.NewResponse(&peerv1.PromiseResponse{Given: reply.Given}), nil
+}
+
+// ListLeases implements peerv1.PeerServiceHandler.
+func (s *peerServer) ListLeases(ctx context.Context, _ *connect.Request[peerv1.ListLeasesRequest]) (*connect.Response[peerv1.ListLeasesResponse], error) {
+	cmd, err := s.ask(ctx, func(call uint64) engine.Event { return engine.LeasesAsked{Call: call} })
+	if err != nil {
+		return nil, err
 	}
-	return connect.NewResponse(toWirePage(page)), nil
+	reply, _ := cmd.(engine.LeasesReply)
+	return connect.NewResponse(toWireLeases(reply.Leases)), nil
 }
 
-// Snapshot implements peerv1.PeerServiceHandler.
-func (s *peerServer) Snapshot(context.Context, *connect.Request[peerv1.SnapshotRequest]) (*connect.Response[peerv1.SnapshotResponse], error) {
-	offset, data, ok := s.h.configSnapshot()
-	if !ok {
-		return nil, connect.NewError(connect.CodeUnavailable, &PeerProtocolError{Detail: "no configuration yet"})
+// ask puts a question to the engine and waits for its reply.
+func (s *peerServer) ask(ctx context.Context, event func(call uint64) engine.Event) (engine.Command, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	cmd, err := s.h.ask(ctx, event)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&peerv1.SnapshotResponse{Offset: uint64(offset), Data: data}), nil
+	return cmd, nil
 }
 
 func problemPart(p *problem.Problem) *peerv1.ForwardResponse {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/fireflyfold/fireflyfold/engine"
+	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/peer/peerv1"
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -67,20 +70,80 @@
 	return res, true
 }
 
-func toWirePage(p platform.Page) *peerv1.ReadStreamResponse {
-	res := &peerv1.ReadStreamResponse{First: uint64(p.First), Last: uint64(p.Last)}
-	for _, r := range p.Records {
+func toWireConfig(cmd engine.ConfigReply) *peerv1.ReadConfigResponse {
+	res := &peerv1.ReadConfigResponse{AgeMs: cmd.Age.Milliseconds()}
+	if cmd.State != nil {
+		res.State = fleet.Encode(cmd.State)
+	}
+	if cmd.Page == nil {
+		return res
+	}
+	res.First = uint64(cmd.Page.First)
+	res.Last = uint64(cmd.Page.Last)
+	for _, r := range cmd.Page.Records {
 		res.Records = append(res.Records, &peerv1.StreamRecord{Offset: uint64(r.Offset), Data: r.Data})
 	}
 	return res
 }
 
-func fromWirePage(res *peerv1.ReadStreamResponse) platform.Page {
+// fromWireConfig reads a peer's answer. A state that cannot be decoded, from a
+// peer of a newer version, counts as no answer.
+func fromWireConfig(host ident.HostID, res *peerv1.ReadConfigResponse) engine.PeerConfig {
+	ev := engine.PeerConfig{Host: host, Age: time.Duration(res.GetAgeMs()) * time.Millisecond}
+	if len(res.GetState()) > 0 {
+		if state, err := fleet.Decode(res.GetState()); err == nil {
+			ev.State = state
+		}
+		return ev
+	}
+	if res.GetLast() == 0 {
+		return ev
+	}
 	page := platform.Page{First: platform.Offset(res.GetFirst()), Last: platform.Offset(res.GetLast())}
 	for _, r := range res.GetRecords() {
 		page.Records = append(page.Records, platform.Record{Offset: platform.Offset(r.GetOffset()), Data: r.GetData()})
 	}
-	return page
+	ev.Page = &page
+	return ev
+}
+
+func toWireLeases(leases []ledger.LeaseSeen) *peerv1.ListLeasesResponse {
+	res := &peerv1.ListLeasesResponse{}
+	for _, l := range leases {
+		info := &peerv1.LeaseInfo{
+			Worker: string(l.Worker),
+			Class:  string(l.Class),
+			Holder: toWireHolder(l.Holder),
+			LeftMs: l.Left.Milliseconds(),
+		}
+		for _, t := range l.Tasks {
+			info.Tasks = append(info.Tasks, &peerv1.RunningTask{Id: t.ID, By: toWireHolder(t.By), Team: string(t.Team), Units: t.Units})
+		}
+		res.Leases = append(res.Leases, info)
+	}
+	return res
+}
+
+func fromWireLeases(res *peerv1.ListLeasesResponse) []ledger.LeaseSeen {
+	var leases []ledger.LeaseSeen
+	for _, info := range res.GetLeases() {
+		seen := ledger.LeaseSeen{
+			Worker: ident.WorkerID(info.GetWorker()),
+			Class:  platform.LeaseClass(info.GetClass()),
+			Holder: fromWireHolder(info.GetHolder()),
+			Left:   time.Duration(info.GetLeftMs()) * time.Millisecond,
+		}
+		for _, t := range info.GetTasks() {
+			seen.Tasks = append(seen.Tasks, ledger.RunningTask{
+				ID:    t.GetId(),
+				By:    fromWireHolder(t.GetBy()),
+				Team:  ident.TeamID(t.GetTeam()),
+				Units: t.GetUnits(),
+			})
+		}
+		leases = append(leases, seen)
+	}
+	return leases
 }
 
 func fromWireJobCall(msg *peerv1.CallJobRequest, now time.Duration) jobCall {
--- a/lease/options.go
+++ b/lease/options.go
@@ -27,9 +27,9 @@
 
 // Defaults of Options.
 const (
-	defaultTTL           = 6 * time.Second
-	defaultTaskTTL       = 30 * time.Second
-	defaultDrift         = 0.02
+	DefaultTTL           = 6 * time.Second
+	DefaultTaskTTL       = 30 * time.Second
+	DefaultDrift         = 0.02
 	defaultRetryMin      = 100 * time.Millisecond
 	defaultHandoverLimit = 3 * time.Second
 
@@ -44,10 +44,10 @@
 
 // withDefaults fills in what is zero.
 func (o Options) withDefaults() Options {
-	o.TTL = orDefault(o.TTL, defaultTTL)
-	o.TaskTTL = orDefault(o.TaskTTL, defaultTaskTTL)
+	o.TTL = orDefault(o.TTL, DefaultTTL)
+	o.TaskTTL = orDefault(o.TaskTTL, DefaultTaskTTL)
 	if o.Drift == 0 {
-		o.Drift = defaultDrift
+		o.Drift = DefaultDrift
 	}
 	o.RenewEvery = orDefault(o.RenewEvery, o.TTL/renewalsPerTTL)
 	o.RequestTimeout = orDefault(o.RequestTimeout, o.TTL/renewalsPerTTL)
--- a/peer/peerv1/peer.connect.go
+++ b/peer/peerv1/peer.connect.go
@@ -43,10 +43,12 @@
 	PeerServiceCallJobProcedure = "/fireflyfold.peer.v1.PeerService/CallJob"
 	// PeerServiceAskUnitsProcedure is the fully-qualified name of the PeerService's AskUnits RPC.
 	PeerServiceAskUnitsProcedure = "/fireflyfold.peer.v1.PeerService/AskUnits"
-	// PeerServiceReadStreamProcedure is the fully-qualified name of the PeerService's ReadStream RPC.
-	PeerServiceReadStreamProcedure = "/fireflyfold.peer.v1.PeerService/ReadStream"
-	// PeerServiceSnapshotProcedure is the fully-qualified name of the PeerService's Snapshot RPC.
-	PeerServiceSnapshotProcedure = "/fireflyfold.peer.v1.PeerService/Snapshot"
+	// PeerServiceReadConfigProcedure is the fully-qualified name of the PeerService's ReadConfig RPC.
+	PeerServiceReadConfigProcedure = "/fireflyfold.peer.v1.PeerService/ReadConfig"
+	// PeerServicePromiseProcedure is the fully-qualified name of the PeerService's Promise RPC.
+	PeerServicePromiseProcedure = "/fireflyfold.peer.v1.PeerService/Promise"
+	// PeerServiceListLeasesProcedure is the fully-qualified name of the PeerService's ListLeases RPC.
+	PeerServiceListLeasesProcedure = "/fireflyfold.peer.v1.PeerService/ListLeases"
 )
 
 // PeerServiceClient is a client for the fireflyfold.peer.v1.PeerService service.
@@ -60,11 +62,12 @@
 	CallJob(context.Context, *connect.Request[CallJobRequest]) (*connect.Response[CallJobResponse], error)
 	// AskUnits asks the called host to give away units of a team's limit.
 	AskUnits(context.Context, *connect.Request[AskUnitsRequest]) (*connect.Response[AskUnitsResponse], error)
-	// ReadStream hands out records of a stream that the caller cannot read from
-	// the log.
-	ReadStream(context.Context, *connect.Request[ReadStreamRequest]) (*connect.Response[ReadStreamResponse], error)
-	// Snapshot hands out the called host's configuration with its offset.
-	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
+	// ReadConfig hands out the configuration to a host that cannot read the log.
+	ReadConfig(context.Context, *connect.Request[ReadConfigRequest]) (*connect.Response[ReadConfigResponse], error)
+	// Promise asks the called host not to hold the compute lease of a worker.
+	Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error)
+	// ListLeases tells which control leases the called host holds.
+	ListLeases(context.Context, *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the fireflyfold.peer.v1.PeerService service. By
@@ -102,16 +105,22 @@
 			connect.WithSchema(peerServiceMethods.ByName("AskUnits")),
 			connect.WithClientOptions(opts...),
 		),
-		readStream: connect.NewClient[ReadStreamRequest, ReadStreamResponse](
+		readConfig: connect.NewClient[ReadConfigRequest, ReadConfigResponse](
 			httpClient,
-			baseURL+PeerServiceReadStreamProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("ReadStream")),
+			baseURL+PeerServiceReadConfigProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ReadConfig")),
 			connect.WithClientOptions(opts...),
 		),
-		snapshot: connect.NewClient[SnapshotRequest, SnapshotResponse](
+		promise: connect.NewClient[PromiseRequest, PromiseResponse](
 			httpClient,
-			baseURL+PeerServiceSnapshotProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Snapshot")),
+			baseURL+PeerServicePromiseProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Promise")),
+			connect.WithClientOptions(opts...),
+		),
+		listLeases: connect.NewClient[ListLeasesRequest, ListLeasesResponse](
+			httpClient,
+			baseURL+PeerServiceListLeasesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ListLeases")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -123,8 +132,9 @@
 	forward    *connect.Client[ForwardRequest, ForwardResponse]
 	callJob    *connect.Client[CallJobRequest, CallJobResponse]
 	askUnits   *connect.Client[AskUnitsRequest, AskUnitsResponse]
-	readStream *connect.Client[ReadStreamRequest, ReadStreamResponse]
-	snapshot   *connect.Client[SnapshotRequest, SnapshotResponse]
+	readConfig *connect.Client[ReadConfigRequest, ReadConfigResponse]
+	promise    *connect.Client[PromiseRequest, PromiseResponse]
+	listLeases *connect.Client[ListLeasesRequest, ListLeasesResponse]
 }
 
 // Exchange calls fireflyfold.peer.v1.PeerService.Exchange.
@@ -147,14 +157,19 @@
 	return c.askUnits.CallUnary(ctx, req)
 }
 
-// ReadStream calls fireflyfold.peer.v1.PeerService.ReadStream.
-func (c *peerServiceClient) ReadStream(ctx context.Context, req *connect.Request[ReadStreamRequest]) (*connect.Response[ReadStreamResponse], error) {
-	return c.readStream.CallUnary(ctx, req)
+// ReadConfig calls fireflyfold.peer.v1.PeerService.ReadConfig.
+func (c *peerServiceClient) ReadConfig(ctx context.Context, req *connect.Request[ReadConfigRequest]) (*connect.Response[ReadConfigResponse], error) {
+	return c.readConfig.CallUnary(ctx, req)
+}
+
+// Promise calls fireflyfold.peer.v1.PeerService.Promise.
+func (c *peerServiceClient) Promise(ctx context.Context, req *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error) {
+	return c.promise.CallUnary(ctx, req)
 }
 
-// Snapshot calls fireflyfold.peer.v1.PeerService.Snapshot.
-func (c *peerServiceClient) Snapshot(ctx context.Context, req *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error) {
-	return c.snapshot.CallUnary(ctx, req)
+// ListLeases calls fireflyfold.peer.v1.PeerService.ListLeases.
+func (c *peerServiceClient) ListLeases(ctx context.Context, req *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error) {
+	return c.listLeases.CallUnary(ctx, req)
 }
 
 // PeerServiceHandler is an implementation of the fireflyfold.peer.v1.PeerService service.
@@ -168,11 +183,12 @@
 	CallJob(context.Context, *connect.Request[CallJobRequest]) (*connect.Response[CallJobResponse], error)
 	// AskUnits asks the called host to give away units of a team's limit.
 	AskUnits(context.Context, *connect.Request[AskUnitsRequest]) (*connect.Response[AskUnitsResponse], error)
-	// ReadStream hands out records of a stream that the caller cannot read from
-	// the log.
-	ReadStream(context.Context, *connect.Request[ReadStreamRequest]) (*connect.Response[ReadStreamResponse], error)
-	// Snapshot hands out the called host's configuration with its offset.
-	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
+	// ReadConfig hands out the configuration to a host that cannot read the log.
+	ReadConfig(context.Context, *connect.Request[ReadConfigRequest]) (*connect.Response[ReadConfigResponse], error)
+	// Promise asks the called host not to hold the compute lease of a worker.
+	Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error)
+	// ListLeases tells which control leases the called host holds.
+	ListLeases(context.Context, *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -206,16 +222,22 @@
 		connect.WithSchema(peerServiceMethods.ByName("AskUnits")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServiceReadStreamHandler := connect.NewUnaryHandler(
-		PeerServiceReadStreamProcedure,
-		svc.ReadStream,
-		connect.WithSchema(peerServiceMethods.ByName("ReadStream")),
+	peerServiceReadConfigHandler := connect.NewUnaryHandler(
+		PeerServiceReadConfigProcedure,
+		svc.ReadConfig,
+		connect.WithSchema(peerServiceMethods.ByName("ReadConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServiceSnapshotHandler := connect.NewUnaryHandler(
-		PeerServiceSnapshotProcedure,
-		svc.Snapshot,
-		connect.WithSchema(peerServiceMethods.ByName("Snapshot")),
+	peerServicePromiseHandler := connect.NewUnaryHandler(
+		PeerServicePromiseProcedure,
+		svc.Promise,
+		connect.WithSchema(peerServiceMethods.ByName("Promise")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceListLeasesHandler := connect.NewUnaryHandler(
+		PeerServiceListLeasesProcedure,
+		svc.ListLeases,
+		connect.WithSchema(peerServiceMethods.ByName("ListLeases")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/fireflyfold.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -228,10 +250,12 @@
 			peerServiceCallJobHandler.ServeHTTP(w, r)
 		case PeerServiceAskUnitsProcedure:
 			peerServiceAskUnitsHandler.ServeHTTP(w, r)
-		case PeerServiceReadStreamProcedure:
-			peerServiceReadStreamHandler.ServeHTTP(w, r)
-		case PeerServiceSnapshotProcedure:
-			peerServiceSnapshotHandler.ServeHTTP(w, r)
+		case PeerServiceReadConfigProcedure:
+			peerServiceReadConfigHandler.ServeHTTP(w, r)
+		case PeerServicePromiseProcedure:
+			peerServicePromiseHandler.ServeHTTP(w, r)
+		case PeerServiceListLeasesProcedure:
+			peerServiceListLeasesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -257,10 +281,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.AskUnits is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) ReadStream(context.Context, *connect.Request[ReadStreamRequest]) (*connect.Response[ReadStreamResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.ReadStream is not implemented"))
+func (UnimplementedPeerServiceHandler) ReadConfig(context.Context, *connect.Request[ReadConfigRequest]) (*connect.Response[ReadConfigResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.ReadConfig is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.Promise is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.Snapshot is not implemented"))
+func (UnimplementedPeerServiceHandler) ListLeases(context.Context, *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.ListLeases is not implemented"))
 }
