--- a/fleet/fold_test.go
+++ b/fleet/fold_test.go
@@ -191,6 +191,30 @@
 	}
 }
 
+// Story: a plan comes from a host of another deployment, whose stream is
+// longer. It names an offset that this stream has not reached.
+func TestPlanFromAnotherStream(t *testing.T) {
+	s := newStream(t)
+	ops := Ops{&PutTeam{Team: "grants", Share: 1, Limit: 5, Create: true}}
+	p := Plan{Planner: "asha", Base: 7, Ops: ops, ID: planID("asha", 7, ops)}
+	var future *FutureError
+	if got := s.confirm("asha", p); !errors.As(got.Reason, &future) {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Story: a page of the stream is lost on the way. The record after the gap may
+// not be folded: the host would miss the changes between for ever.
+func TestGap(t *testing.T) {
+	s := newStream(t)
+	s.must(team("grants", 10))
+	next, _, err := Apply(s.state, platform.Record{Offset: 3, Data: []byte("noise")})
+	var gap *GapError
+	if !errors.As(err, &gap) || next != s.state {
+		t.Errorf("got %v", err)
+	}
+}
+
 // Story: one change creates a team and, by a mistake, a service with an
 // impossible need. Neither may take effect.
 func TestRejectedWhole(t *testing.T) {
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
@@ -109,6 +110,55 @@
 	}
 }
 
+// Story: a host is paused between making a snapshot and appending it, and by
+// then the records after the one it describes have expired. Its content is
+// older than the oldest record; a new host that used it would miss changes.
+func TestLateSnapshot(t *testing.T) {
+	s := newStream(t)
+	s.must(team("grants", 10))
+	group, err := SnapshotGroup(s.state, wall) // describes offset 1
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.must(team("grants", 20))
+	s.must(team("audit", 20))
+	s.add(group[0])
+	var none *NoSnapshotError
+	f := NewFollower()
+	if err := s.follow(f, 3, 10); !errors.As(err, &none) || f.State() != nil {
+		t.Errorf("got %v, State %v", err, f.State() != nil)
+	}
+}
+
+// Story: the parts of two snapshots stand mixed in the stream, because two
+// hosts wrote at once. Neither may count as written, or the next one that is
+// due would be left out and a new host would find none that is whole.
+func TestMixedSnapshotsDoNotCount(t *testing.T) {
+	s := newStream(t)
+	part := func(digest byte, n int) []byte {
+		data, err := json.Marshal(record{Version: formatVersion, Snapshot: &snapshotPart{
+			Of: 1, Digest: Digest{digest}, Part: n, Parts: 3, At: wall,
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	s.must(team("grants", 10))
+	for _, data := range [][]byte{part(1, 0), part(2, 0), part(1, 1), part(1, 2), part(2, 2), part(3, 0), part(3, 2)} {
+		s.add(data)
+		if s.state.Snapshot().Of != 0 {
+			t.Fatalf("counted after offset %d", s.state.Offset())
+		}
+	}
+	for n := range 3 {
+		s.add(part(4, n))
+	}
+	if s.state.Snapshot().Of != 1 {
+		t.Error("a whole one does not count")
+	}
+}
+
 // Story: a peer's answer with its State is cut short on the way. Damaged by a
 // single byte or cut anywhere, it is refused whole.
 func TestTornState(t *testing.T) {
@@ -305,6 +355,15 @@
 		f.Fatal(err)
 	}
 	f.Add(group[0])
+	ops := Ops{&PutTeam{Team: "b", Share: 1, Create: true}}
+	early, err := EncodeChange(&Change{
+		Plan: planID("asha", 1, ops), Planner: "asha", Operator: "asha", Base: 1, Ops: ops,
+		At: time.Date(0, 1, 1, 0, 0, 0, 0, time.FixedZone("", 23*3600)),
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(early) // its time cannot be rendered in UTC
 	f.Add([]byte(`{"v":2}`))
 	f.Add([]byte(`{"v":1,"change":{"base":1,"ops":null}}`))
 	f.Add([]byte(`{"v":1,"snapshot":{"of":1,"part":-1,"parts":1}}`))
