--- a/settings/check.go
+++ b/settings/check.go
@@ -18,7 +18,7 @@
 	}
 	const allowed = "a name, then the SHA-256 of the operator's token as 64 hexadecimal digits, once"
 	for _, key := range p.file.Section(sectionOperators).KeyStrings() {
-		value, count := p.lookup(sectionOperators, key)
+		value, count := Value(p.file, sectionOperators, key)
 		hash, err := hex.DecodeString(value)
 		if count != 1 || err != nil || len(hash) != 32 || !ident.ValidName(key) {
 			p.fail(sectionOperators, key, hidden, allowed)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -19,9 +19,9 @@
 // Parse checks the text of a settings file; name stands for the file in
 // errors. It returns an *UnreadableError or an *InvalidError.
 func Parse(name string, data []byte) (Settings, error) {
-	file, err := ini.LoadSources(loadOptions, data)
+	file, err := ReadINI(name, data)
 	if err != nil {
-		return Settings{}, &UnreadableError{File: name, Cause: err}
+		return Settings{}, err
 	}
 	p := &parser{file: file}
 	p.run()
@@ -31,19 +31,44 @@
 	return p.out, nil
 }
 
-// loadOptions keep every value of a key that is given twice, so that the
-// parser can refuse it, and leave values as they are written.
+// ReadINI reads INI text the way every file of this project is read: a key
+// that is given twice keeps all its values (see Value), and sections inherit
+// nothing from each other. It returns an *UnreadableError.
+func ReadINI(name string, data []byte) (*ini.File, error) {
+	file, err := ini.LoadSources(loadOptions, data)
+	if err != nil {
+		return nil, &UnreadableError{File: name, Cause: err}
+	}
+	return file, nil
+}
+
 var loadOptions = ini.LoadOptions{
 	AllowShadows:               true,
 	AllowDuplicateShadowValues: true,
 	PreserveEmptyShadowValues:  true,
 	KeyValueDelimiters:         "=",
+	ChildSectionDelimiter:      "\x00", // a "." in a section's name means nothing
 	IgnoreContinuation:         true,
 	SpaceBeforeInlineComment:   true,
-	UnescapeValueDoubleQuotes:  false,
 	PreserveSurroundedQuote:    true,
 }
 
+// Value returns the last value of a key and how often the key is given.
+func Value(file *ini.File, section, key string) (value string, count int) {
+	if !file.HasSection(section) {
+		return "", 0
+	}
+	s := file.Section(section)
+	if !s.HasKey(key) {
+		return "", 0
+	}
+	values := s.Key(key).ValueWithShadows()
+	if len(values) == 0 {
+		return "", 1
+	}
+	return values[len(values)-1], len(values)
+}
+
 // parser collects settings and bad fields of one file.
 type parser struct {
 	file *ini.File
@@ -69,7 +94,7 @@
 
 // field reads one documented field, or its default.
 func (p *parser) field(f *field) {
-	value, count := p.lookup(f.section, f.key)
+	value, count := Value(p.file, f.section, f.key)
 	shown := value
 	if f.secret {
 		shown = hidden
@@ -94,19 +119,3 @@
 
 // hidden stands for the value of a secret in errors.
 const hidden = "(hidden)"
-
-// lookup returns the last value of a key and how often the key is given.
-func (p *parser) lookup(section, key string) (value string, count int) {
-	if !p.file.HasSection(section) {
-		return "", 0
-	}
-	s := p.file.Section(section)
-	if !s.HasKey(key) {
-		return "", 0
-	}
-	values := s.Key(key).ValueWithShadows()
-	if len(values) == 0 {
-		return "", 1
-	}
-	return values[len(values)-1], len(values)
-}
--- a/settings/values.go
+++ b/settings/values.go
@@ -112,7 +112,7 @@
 // size sets a whole number of bytes with its unit, between two bounds.
 func size(least, most int64, at func(*Settings) *int64) setter {
 	return func(s *Settings, value string) bool {
-		parsed, ok := parseSize(value)
+		parsed, ok := ParseSize(value)
 		if !ok || parsed < least || parsed > most {
 			return false
 		}
@@ -121,8 +121,8 @@
 	}
 }
 
-// parseSize parses a whole number followed by B, KiB, MiB or GiB.
-func parseSize(value string) (int64, bool) {
+// ParseSize parses a whole number of bytes, followed by B, KiB, MiB or GiB.
+func ParseSize(value string) (int64, bool) {
 	for _, unit := range sizeUnits {
 		digits, found := strings.CutSuffix(value, unit.suffix)
 		if !found {
