--- a/problem/classes.go
+++ b/problem/classes.go
@@ -16,6 +16,7 @@
 	TypeNotFound:     {http.StatusNotFound, "There is no such thing here"},
 	TypeConflict:     {http.StatusConflict, "The idempotency key belongs to other work"},
 	TypeStalePlan:    {http.StatusConflict, "The plan is stale"},
+	TypeRefused:      {http.StatusUnprocessableEntity, "The change cannot be made"},
 	TypeNoFit:        {http.StatusUnprocessableEntity, "The work can never fit"},
 	TypeOverLimit:    {http.StatusTooManyRequests, "The team is at its upper limit"},
 	TypeBusy:         {http.StatusServiceUnavailable, "There is no room now"},
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -26,6 +26,7 @@
 	TypeNotFound     Type = "urn:fireflyfold:not-found"       // no such job, service or path
 	TypeConflict     Type = "urn:fireflyfold:conflict"        // the idempotency key was used for other work
 	TypeStalePlan    Type = "urn:fireflyfold:stale-plan"      // what the plan touches has changed since
+	TypeRefused      Type = "urn:fireflyfold:refused"         // a change that cannot be made
 	TypeNoFit        Type = "urn:fireflyfold:no-fit"          // can never fit any worker
 	TypeOverLimit    Type = "urn:fireflyfold:over-limit"      // the team is at its upper limit
 	TypeBusy         Type = "urn:fireflyfold:busy"            // no room now; try again later
