--- a/sched/admit.go
+++ b/sched/admit.go
@@ -43,6 +43,9 @@
 	if len(lacks) == 0 && s.cell.Len() > 0 {
 		lacks = s.lacks(spec)
 	}
+	if len(lacks) == 0 {
+		lacks = s.overLimit(spec)
+	}
 	if len(lacks) > 0 {
 		return &RefusedError{Lacks: lacks}
 	}
@@ -85,6 +88,18 @@
 	return tooLarge(spec.Need, s.cell.Largest())
 }
 
+// overLimit names the upper limit if it keeps a job from ever starting.
+func (s *Scheduler) overLimit(spec work.Spec) []string {
+	units := resource.LimitUnits(spec.Need)
+	if spec.Kind == work.KindGang {
+		units *= int64(spec.Tasks)
+	}
+	if t, ok := s.teams[spec.Team]; ok && t.overLimit(units) {
+		return []string{fmt.Sprintf("it needs %d units to start and the upper limit of the team is %d", units, t.limit)}
+	}
+	return nil
+}
+
 // tooLarge compares a need that fits no worker with the largest amounts.
 func tooLarge(need, largest resource.Vector) []string {
 	var lacks []string
--- a/sched/dispatch.go
+++ b/sched/dispatch.go
@@ -61,7 +61,7 @@
 }
 
 // limited reports whether the upper limit of its team stops a job.
-func (s *Scheduler) limited(j *job) bool { return j.startUnits() >= j.team.refused }
+func (s *Scheduler) limited(j *job) bool { return s.blocked(j.team, j.startUnits()) }
 
 // startUnits returns the units that the job needs to start anything.
 func (j *job) startUnits() int64 {
--- a/sched/event.go
+++ b/sched/event.go
@@ -142,14 +142,16 @@
 	Service ident.ServiceID
 }
 
-// Team is the share of a team. Upper limits are kept behind Limits.
+// Team is the share of a team and its upper limit. The limit is kept behind
+// Limits; here it only serves to refuse work that is over it.
 type Team struct {
 	ID     ident.TeamID
 	Weight int64 // of its share, at least one
+	Limit  int64 // units over the fleet; zero for none
 }
 
 // TeamsChanged replaces the teams and their weights. Teams that are not listed
-// count with weight one.
+// count with weight one and without limit.
 type TeamsChanged struct {
 	Teams []Team
 }
--- a/sched/service.go
+++ b/sched/service.go
@@ -203,7 +203,7 @@
 }
 
 func (s *Scheduler) startReplica(svc *service) bool {
-	if s.now < svc.notUntil || svc.units >= svc.team.refused {
+	if s.now < svc.notUntil || s.blocked(svc.team, svc.units) {
 		return false
 	}
 	if svc.mark != 0 && !s.cell.MayFitSince(svc.mark, &svc.need) {
@@ -214,7 +214,7 @@
 		svc.mark = s.cell.Freed()
 		return false
 	}
-	if !s.tryUse(svc.team, svc.units, 0) {
+	if !s.tryUse(svc.team, svc.units, s.now) {
 		return false
 	}
 	s.cell.Reserve(ref, svc.need)
--- a/sched/team.go
+++ b/sched/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/queue"
@@ -10,7 +11,9 @@
 // team is what the scheduler keeps of a team.
 type team struct {
 	*queue.Team[*job]
+	limit      int64   // upper limit over the fleet; zero if there is none
 	refused    int64   // units that were refused last; math.MaxInt64 if none were
+	refusedTil timeOf  // after this the refusal counts no longer
 	load       float64 // share of the zone times seconds that waiting tasks need
 	deadlines  float64 // the same, of jobs with a deadline or urgent ones only
 	headJob    *job    // the job that is due first, when last looked at
@@ -31,7 +34,14 @@
 	listed := make(map[ident.TeamID]bool, len(teams))
 	for _, t := range teams {
 		listed[t.ID] = true
-		s.queue.SetWeight(s.team(t.ID).Team, t.Weight)
+		known := s.team(t.ID)
+		known.limit = t.Limit
+		s.queue.SetWeight(known.Team, t.Weight)
+	}
+	for id, t := range s.teams {
+		if !listed[id] {
+			t.limit = 0
+		}
 	}
 	s.queue.ResetWeights(func(id ident.TeamID) bool { return listed[id] })
 	s.dirty = true
@@ -44,23 +54,38 @@
 	}
 }
 
+// refusalFor is how long a refusal of units counts before they are tried again,
+// in case the word that more units came was lost.
+const refusalFor = time.Second
+
 // tryUse takes limit units for tasks that start. If they are refused, work of
-// the team that needs as many is passed over until units come back; once the
-// refused job is due, all work of the team waits, so that smaller work does
-// not use up every unit that comes back.
+// the team that needs as many is passed over until units come back. Once the
+// refused work is due, all work of the team waits, so that smaller work does
+// not use up every unit that comes back; but only for as long again, so that
+// work over the limit never stops its team for good.
 func (s *Scheduler) tryUse(t *team, units int64, due timeOf) bool {
 	if s.opts.Limits.TryUse(t.ID, units) {
 		t.unitsInUse += units
 		return true
 	}
 	t.refused = units
-	if s.now >= due {
+	if s.now >= due && s.now < due+s.opts.Patience && !t.overLimit(units) {
 		t.refused = 1
 	}
+	t.refusedTil = s.now + refusalFor
+	s.after(timer{at: t.refusedTil, kind: timerWake})
 	s.emit(Want{Team: t.ID, Units: units})
 	return false
 }
 
+// overLimit reports whether so many units are never granted at once.
+func (t *team) overLimit(units int64) bool { return t.limit > 0 && units > t.limit }
+
+// blocked reports whether the upper limit stops work that needs the units.
+func (s *Scheduler) blocked(t *team, units int64) bool {
+	return units >= t.refused && s.now < t.refusedTil
+}
+
 // doneUnits gives limit units back.
 func (s *Scheduler) doneUnits(t *team, units int64) {
 	s.opts.Limits.Done(t.ID, units)
