--- /dev/null
+++ b/engine/facts.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/request"
+	"github.com/fireflyfold/fireflyfold/resource"
+)
+
+// Facts is a picture of the engine for operators. It is immutable.
+type Facts struct {
+	ConfigAge    time.Duration
+	LogReachable bool
+	Draining     bool
+	Scheduler    bool // owns the zone's job stream
+	Epoch        uint64
+	WaitingReqs  int
+	InFlight     int64
+	Counters     request.Counters
+	Workers      []WorkerFacts // of the own zone
+	Units        []UnitFacts
+	JobsWaiting  int // jobs of the zone, if this host is its scheduler
+	JobsRunning  int
+	Recovering   bool // settles attempts of an earlier scheduler
+}
+
+// WorkerFacts is what this host knows of one worker.
+type WorkerFacts struct {
+	Entry       platform.WorkerEntry
+	SlotsHeld   bool
+	ComputeHeld bool
+	Quarantined bool // requests fail there
+	Requests    int64
+	Tasks       int
+	Used        resource.Vector // by running tasks, as last reported
+}
+
+// UnitFacts is what this host holds of one team's limit.
+type UnitFacts struct {
+	Team ident.TeamID
+	Held int64
+	Used int64
+}
+
+// Facts returns a picture of the engine.
+func (e *Engine) Facts() Facts {
+	f := Facts{
+		ConfigAge:    e.config.age(e.now),
+		LogReachable: !e.config.logFails,
+		Draining:     e.draining,
+		Scheduler:    e.Schedules(),
+		WaitingReqs:  e.router.Waiting(),
+		InFlight:     e.router.InFlight(""),
+		Counters:     e.router.Counters(),
+	}
+	f.Workers = e.workerFacts()
+	if state := e.config.state(); state != nil {
+		for _, t := range state.Teams() {
+			f.Units = append(f.Units, UnitFacts{Team: t.ID, Held: e.units.Held(t.ID), Used: e.units.Used(t.ID)})
+		}
+	}
+	if e.Schedules() {
+		f.Epoch = uint64(e.zone.epoch)
+		f.Recovering = e.zone.recovery != nil
+		f.JobsWaiting, f.JobsRunning = e.countJobs()
+	}
+	return f
+}
+
+func (e *Engine) countJobs() (waiting, running int) {
+	for _, job := range e.owner.State().Jobs() {
+		switch {
+		case job.Ended:
+		case job.OpenTasks > 0:
+			running++
+		default:
+			waiting++
+		}
+	}
+	return waiting, running
+}
+
+func (e *Engine) workerFacts() []WorkerFacts {
+	quarantined := map[ident.WorkerID]bool{}
+	for _, id := range e.router.Quarantined() {
+		quarantined[id] = true
+	}
+	entries := e.members.Workers()
+	list := make([]WorkerFacts, 0, len(entries))
+	for _, entry := range entries {
+		slots := lease.Key{Worker: entry.Worker, Class: platform.ClassSlots}
+		compute := lease.Key{Worker: entry.Worker, Class: platform.ClassCompute}
+		w := WorkerFacts{
+			Entry:       entry,
+			SlotsHeld:   e.leases.Left(slots, e.now) > 0,
+			ComputeHeld: e.leases.Left(compute, e.now) > 0,
+			Quarantined: quarantined[entry.Worker],
+			Requests:    e.router.InFlight(entry.Worker),
+		}
+		for _, t := range e.reports[compute] {
+			if !t.Ended {
+				w.Tasks++
+				w.Used = w.Used.Add(t.Need)
+			}
+		}
+		list = append(list, w)
+	}
+	return list
+}
--- a/entry/api.go
+++ b/entry/api.go
@@ -75,7 +75,7 @@
 	if !ok || key == "" {
 		return "", problem.NotRun(problem.TypeUnauthorized, "present the team's key as \"Authorization: Bearer KEY\"")
 	}
-	team, err := state.Authenticate(key)
+	team, err := state.Authenticate(key, time.Now())
 	if err != nil {
 		h.metrics.unauthorized.Inc(1)
 		return "", problem.NotRun(problem.TypeUnauthorized, "the key is unknown or was withdrawn; ask an operator for a new one")
--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -250,6 +250,7 @@
 	StatusURL string          `json:"status_url"`
 	Kind      work.Kind       `json:"kind"`
 	Name      string          `json:"name,omitempty"`
+	Team      ident.TeamID    `json:"team"`
 	State     engine.JobState `json:"state"`
 	Outcome   string          `json:"outcome,omitempty"`
 	Failed    bool            `json:"failed,omitempty"`
@@ -263,6 +264,7 @@
 		StatusURL: "/v1/jobs/" + info.Job.String(),
 		Kind:      info.Spec.Kind,
 		Name:      info.Spec.Name,
+		Team:      info.Spec.Team,
 		State:     info.State,
 		Failed:    info.Failed,
 		Reason:    info.Reason,
--- a/entry/host.go
+++ b/entry/host.go
@@ -106,7 +106,7 @@
 		bodies:  newByteBudget(s.Limits.BodyMemory),
 		peers:   peer.NewClients(peer.Secret(s.Peers.Secret)),
 		metrics: newMetrics(opts.Telemetry.Metrics),
-		history: newHistory(),
+		history: newHistory(s.Host.Name),
 		events:  ring.New[engine.Event](eventRing),
 		leasing: ring.New[engine.Command](commandRing),
 		tasking: ring.New[engine.Command](commandRing),
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -42,7 +42,7 @@
 	defer h.bodies.release(int64(len(c.body)))
 	ctx, span := h.tel.Tracer.Start(ctx, "forwarded")
 	defer span.End()
-	p, cut := h.runCall(ctx, c, &streamSink{stream: stream})
+	p, cut := h.route(ctx, c, &streamSink{stream: stream})
 	if cut != nil {
 		return connect.NewError(connect.CodeAborted, cut)
 	}
