--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -152,7 +152,7 @@
 
 func (o *Owner) startLoading() {
 	o.phase = phaseLoading
-	o.load = loader{}
+	o.load = loader{probe: stream.Probe{Records: o.cfg.ProbeRecords}}
 	o.reader.Seek(0)
 }
 
--- a/jobs/reading.go
+++ b/jobs/reading.go
@@ -31,12 +31,12 @@
 
 // loading lets the loader find the start of reading.
 func (o *Owner) loading(ans stream.Answer) {
-	start, ok := o.load.page(&o.reader, ans, o.cfg.ProbeRecords)
+	fold, whole, ok := o.load.page(&o.reader, ans)
 	if !ok {
 		return
 	}
-	o.fold = start.fold
-	o.whole = start.whole
+	o.fold = fold
+	o.whole = whole
 	o.marked = 0
 	o.phase = phaseReading
 }
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -24,17 +24,20 @@
 // a team that is absent needs none. It replaces what was told before.
 type Waiting struct{ Units map[ident.TeamID]int64 }
 
-// Asked is another member's request for units. Seq rises with every request of
-// that member; a request that is not newer than the last one is dropped.
+// Asked is another member's request, as its Ask command said.
 type Asked struct {
 	From  ident.Holder
 	Team  ident.TeamID
 	Units int64
+	Lack  int64
 	Seq   uint64
 }
 
-// LeasesHeld tells whether this process holds any control lease of a worker,
-// of any class, by its own clock. See Holder.TryUse.
+// LeasesHeld tells whether this process holds any control lease of a worker, of
+// any class, by its own clock. It is told at every change, also when the last
+// lease lapses and another is acquired at one moment: first false, then true.
+// After a change to true no unit is used before the ledger has shown that
+// nobody took them over meanwhile.
 type LeasesHeld struct{ Any bool }
 
 // ReclaimProved asks to take over the units of a dead holder, on the proof of
@@ -46,8 +49,13 @@
 }
 
 // Leaving asks to give everything away, as the units become free, and to end
-// the membership once nothing is used. No further use is allowed.
-type Leaving struct{}
+// the membership once nothing is used. No further use is allowed. Avoid names
+// hosts that are leaving as well, which get nothing.
+type Leaving struct{ Avoid []ident.HostID }
+
+// ResetOrdered asks to empty the ledger. It is an operator's last resort after
+// Incomplete, when nothing of any team runs.
+type ResetOrdered struct{}
 
 // StreamEvent marks an event.
 func (Configured) StreamEvent() {}
@@ -64,6 +72,9 @@
 // StreamEvent marks an event.
 func (ReclaimProved) StreamEvent() {}
 
+// StreamEvent marks an event.
+func (ResetOrdered) StreamEvent() {}
+
 // StreamEvent marks an event.
 func (Leaving) StreamEvent() {}
 
@@ -81,8 +92,9 @@
 type Ask struct {
 	Peer  ident.Holder
 	Team  ident.TeamID
-	Units int64
-	Seq   uint64
+	Units int64  // wanted from this peer
+	Lack  int64  // wanted altogether: how short this holder is
+	Seq   uint64 // rises with every request; an older one is dropped
 }
 
 // Joined reports that this holder is a member.
@@ -106,6 +118,11 @@
 	By ident.Holder // zero if unknown
 }
 
+// Incomplete reports that records have expired that were not written again, so
+// that nobody can tell who holds what. No unit can be used until another host
+// writes a snapshot or an operator orders a reset.
+type Incomplete struct{}
+
 // Left reports that the membership ended as asked.
 type Left struct{}
 
@@ -127,5 +144,8 @@
 // StreamCommand marks a command.
 func (Dethroned) StreamCommand() {}
 
+// StreamCommand marks a command.
+func (Incomplete) StreamCommand() {}
+
 // StreamCommand marks a command.
 func (Left) StreamCommand() {}
--- /dev/null
+++ b/ledger/holder_test.go
@@ -0,0 +1,311 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/stream/fakelog"
+)
+
+const acme ident.TeamID = "acme"
+
+// use starts tasks of one unit until none is given, at most n.
+func (w *world) use(h *host, n int) int {
+	started := 0
+	for started < n && w.start(h, acme, 1) {
+		started++
+	}
+	w.check()
+	return started
+}
+
+func (w *world) mustUse(h *host, n int) {
+	w.t.Helper()
+	if got := w.use(h, n); got != n {
+		w.t.Fatalf("%v started %d of %d", h.name, got, n)
+	}
+}
+
+// endAll ends the tasks of a host, at most n.
+func (w *world) endAll(h *host, n int) {
+	for i := len(w.tasks) - 1; i >= 0 && n > 0; i-- {
+		if w.tasks[i].owner == h {
+			w.end(i)
+			n--
+		}
+	}
+}
+
+func heard[C any](h *host) bool {
+	for _, cmd := range h.heard {
+		if _, ok := cmd.(C); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// A team with a limit of 100 runs 60 tasks in one zone although its units were
+// minted evenly: the host in demand asks, the others give what they do not use.
+func TestUnitsFollowDemand(t *testing.T) {
+	w := newWorld(t, "a", "a", "b", "b")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	for _, h := range w.hosts {
+		if got := h.holder.Held(acme); got != 25 {
+			t.Fatalf("%v holds %d, want 25", h.name, got)
+		}
+	}
+	h := w.hosts[0]
+	w.mustUse(h, 25)
+	w.step(h, Waiting{Units: map[ident.TeamID]int64{acme: 35}})
+	w.run(3 * time.Second)
+	w.mustUse(h, 35)
+	if held := w.hosts[1].holder.Held(acme); held != 0 {
+		t.Fatalf("the peer of the own zone still holds %d", held)
+	}
+}
+
+// A team runs 101 tasks on a limit of 100 because a gift was on its way while
+// the giver went on using it. Order: the giver appends a transfer, its answer is
+// lost, the units must stay out of use until the stream tells; if the append
+// never took effect they come back.
+func TestUnitsBeingGivenAreNotUsed(t *testing.T) {
+	for _, fate := range []fakelog.Fate{fakelog.AnswerLost, fakelog.RequestLost, fakelog.Late, fakelog.Doubled} {
+		w := newWorld(t, "a", "a")
+		w.run(2 * time.Second)
+		w.configure(acme, 100)
+		w.run(2 * time.Second)
+		giver, taker := w.hosts[0], w.hosts[1]
+		w.run(time.Second)
+		w.step(giver, Asked{From: taker.name, Team: acme, Units: 30, Seq: 1})
+		for range 20 {
+			w.step(giver, Tick{})
+			if w.answerAppend(giver, fate) {
+				break
+			}
+			w.now += 50 * time.Millisecond
+		}
+		if fate != fakelog.Doubled {
+			if free := giver.holder.Free(acme); free != 20 {
+				t.Fatalf("fate %d: %d free while 30 of 50 are on their way", fate, free)
+			}
+		}
+		w.use(giver, 50)
+		w.run(3 * time.Second)
+		for w.log.LateGroups() > 0 {
+			w.log.LandLate(0)
+		}
+		w.run(time.Second)
+		w.use(giver, 100)
+		w.use(taker, 100)
+		if running := w.running(acme); running != 100 {
+			t.Fatalf("fate %d: %d run, want 100", fate, running)
+		}
+	}
+}
+
+// After an operator lowers a limit from 100 to 50 new tasks still start on top
+// of the 60 that run, because a host whose zone is cut off has not given its
+// part. Order: both use 30 of their 50; the limit falls; one host cannot reach
+// the log. The other must start nothing until it knows the sum to fit.
+func TestLoweredLimitStartsNothingAbove(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	near, cut := w.hosts[0], w.hosts[1]
+	w.mustUse(near, 30)
+	w.mustUse(cut, 30)
+	cut.dead = true
+	w.configure(acme, 50, near)
+	w.run(3 * time.Second)
+	if n := w.use(near, 100); n != 0 {
+		t.Fatalf("%d started above the lowered limit", n)
+	}
+	if held := near.holder.Held(acme); held != 30 {
+		t.Fatalf("holds %d, want the 30 in use", held)
+	}
+	w.endAll(near, 30)
+	w.run(3 * time.Second)
+	if held := near.holder.Held(acme); held != 0 {
+		t.Fatalf("holds %d while the cut-off host may use all 50", held)
+	}
+	cut.dead = false
+	w.run(3 * time.Second)
+	if sum, _ := w.truth.Sum(acme); sum != 50 {
+		t.Fatalf("%d units, want 50", sum)
+	}
+}
+
+// Two operators set a limit to 50 and then to 80 within a second, and a host
+// that hears of 50 last puts it in force again. The higher configuration must
+// win in whatever order hosts state them.
+func TestRaisedAndLoweredInQuickSuccession(t *testing.T) {
+	w := newWorld(t, "a", "a", "b")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	w.configure(acme, 50, w.hosts[1])
+	w.configure(acme, 80, w.hosts[0])
+	w.run(5 * time.Second)
+	if sum, limit := w.truth.Sum(acme); sum != 80 || limit != 80 {
+		t.Fatalf("sum %d, limit %d, want 80", sum, limit)
+	}
+}
+
+// One host runs a long batch and fills a team's whole limit; work of the same
+// team on another host starves, since every unit that becomes free is used again
+// on the first. Units that a short peer has a claim to go to it first.
+func TestShortHostsShare(t *testing.T) {
+	w := newWorld(t, "a", "a")
+	w.run(2 * time.Second)
+	w.configure(acme, 40)
+	w.run(2 * time.Second)
+	first, second := w.hosts[0], w.hosts[1]
+	w.step(first, Waiting{Units: map[ident.TeamID]int64{acme: 100}})
+	w.run(3 * time.Second)
+	w.mustUse(first, 40)
+	for range 40 {
+		for _, h := range w.hosts {
+			w.step(h, Waiting{Units: map[ident.TeamID]int64{acme: 140 - h.holder.Used(acme)}})
+		}
+		w.endAll(first, 4)
+		w.use(first, 4)
+		w.run(250 * time.Millisecond)
+		w.use(second, 40)
+	}
+	if a, b := first.holder.Held(acme), second.holder.Held(acme); a != 20 || b != 20 {
+		t.Fatalf("%d and %d units for the same demand, want 20 and 20", a, b)
+	}
+	moved := w.log.Last()
+	w.run(5 * time.Second)
+	if grown := w.log.Last() - moved; grown > 5 {
+		t.Fatalf("%d records while nothing changed", grown)
+	}
+}
+
+// A host is paused, its workers are leased by another one, its units taken over;
+// it wakes and starts tasks with units that are used elsewhere by then. It must
+// use nothing after its leases broke before it knows, and start over.
+func TestPausedHolderFindsItselfReclaimed(t *testing.T) {
+	w := newWorld(t, "a", "a")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	heir, paused := w.hosts[0], w.hosts[1]
+	w.mustUse(paused, 10)
+	paused.dead = true
+	w.lease(paused, false)
+	w.prove(heir, paused)
+	w.run(2 * time.Second)
+	if !heard[Reclaimed](heir) || heir.holder.Held(acme) != 100 || heir.holder.Used(acme) != 10 {
+		t.Fatalf("heir holds %d, uses %d", heir.holder.Held(acme), heir.holder.Used(acme))
+	}
+	paused.dead = false
+	w.use(heir, 100)
+	w.lease(paused, true)
+	if n := w.use(paused, 5); n != 0 {
+		t.Fatalf("%d started by a holder without units", n)
+	}
+	w.run(2 * time.Second)
+	if !heard[Dethroned](paused) {
+		t.Fatal("the paused holder does not know")
+	}
+	if n := w.use(paused, 5); n != 0 {
+		t.Fatalf("%d started after the end", n)
+	}
+}
+
+// The proof that a host is dead stands, and before the reclaim lands the host
+// comes back, gets a lease, reads that nobody took its units, and uses them;
+// then the reclaim lands. The record that the host writes must void it.
+func TestReclaimAfterReturnIsVoid(t *testing.T) {
+	w := newWorld(t, "a", "a")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	other, back := w.hosts[0], w.hosts[1]
+	w.lease(back, false)
+	w.prove(other, back)
+	other.dead = true
+	w.lease(back, true)
+	w.run(2 * time.Second)
+	w.mustUse(back, 50)
+	other.dead = false
+	w.run(2 * time.Second)
+	if !heard[ReclaimVoid](other) || heard[Reclaimed](other) {
+		t.Fatal("the reclaim of a living holder counted")
+	}
+	w.use(other, 100)
+	if running := w.running(acme); running != 100 {
+		t.Fatalf("%d run, want 100", running)
+	}
+}
+
+// A fleet is replaced host by host. Each gives its units away before it ends,
+// so that none are locked up in holders that are gone.
+func TestRollingReplacementKeepsUnits(t *testing.T) {
+	w := newWorld(t, "a", "a", "b")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	for i := range 3 {
+		old := w.hosts[i]
+		w.birth(old.zone)
+		w.run(2 * time.Second)
+		w.use(old, 5)
+		w.step(old, Leaving{})
+		w.run(2 * time.Second)
+		if heard[Left](old) {
+			t.Fatal("left with tasks running")
+		}
+		w.endAll(old, 100)
+		w.run(2 * time.Second)
+		if !heard[Left](old) {
+			t.Fatal("did not leave")
+		}
+		old.dead = true
+	}
+	if got := len(w.truth.Members()); got != 3 {
+		t.Fatalf("%d members", got)
+	}
+	if sum, _ := w.truth.Sum(acme); sum != 100 {
+		t.Fatalf("%d units, want 100", sum)
+	}
+}
+
+// Every host is new and the records that minted the units have expired. With a
+// snapshot the new host sees what the old ones saw. Without one it must not mint
+// what somebody may hold, and says so.
+func TestExpiredRecords(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(25 * time.Second)
+	w.log.Expire(w.truth.snapshotAt + 1)
+	fresh := w.birth("b")
+	w.run(2 * time.Second)
+	if !heard[Joined](fresh) {
+		t.Fatal("a fresh host did not join from the snapshot")
+	}
+	if got, want := fresh.holder.fold.Held(acme, w.hosts[0].name), w.hosts[0].holder.Held(acme); got != want {
+		t.Fatalf("the fresh host reads %d units, want %d", got, want)
+	}
+	w.log.Expire(w.log.Last() + 1)
+	w.hosts = nil
+	lost := w.birth("a")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	if !heard[Incomplete](lost) || heard[Joined](lost) || w.use(lost, 1) != 0 {
+		t.Fatal("a host went on without knowing who holds what")
+	}
+	w.step(lost, ResetOrdered{})
+	w.truth = NewFold()
+	w.truth.after = w.log.Last()
+	w.supply = map[ident.TeamID]int64{}
+	w.run(4 * time.Second)
+	w.mustUse(lost, 100)
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -25,6 +25,7 @@
 	Moves    *Moves    `json:"mv,omitempty"`
 	Reclaim  *Reclaim  `json:"rec,omitempty"`
 	Leave    *Leave    `json:"leave,omitempty"`
+	Reset    *Reset    `json:"reset,omitempty"`
 	Snapshot *Snapshot `json:"snap,omitempty"`
 }
 
@@ -70,9 +71,12 @@
 }
 
 // Reclaim moves everything that Dead holds to the writer and ends Dead's
-// membership for good. It is written only on proof; see Reclaimer.
+// membership for good. It is written only on proof; see Reclaimer. It is void
+// if Dead has written anything after Num, which was Dead's highest number when
+// the proof stood: a holder that comes back writes before it uses units again.
 type Reclaim struct {
 	Dead ident.Holder `json:"dead"`
+	Num  uint64       `json:"num"`
 }
 
 // Leave moves everything that the writer holds to another member and ends the
@@ -81,6 +85,14 @@
 	To ident.Holder `json:"to"`
 }
 
+// Reset empties the ledger: no members, no units. An operator orders it when
+// records expired that nobody had written again, and nothing runs any more. It
+// is void unless it is the very next record after offset After: a copy of it
+// that lands later would take the units from tasks that run by then.
+type Reset struct {
+	After platform.Offset `json:"after"`
+}
+
 // Encode renders a record for the log.
 func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
 
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -73,6 +73,9 @@
 	return ans
 }
 
+// Pause keeps the reader from reading before the retry interval has passed.
+func (r *Reader) Pause(now time.Duration) { r.nextAt = now + r.Retry }
+
 // Take notes that the record at the offset has been dealt with.
 func (r *Reader) Take(at platform.Offset) { r.After = at }
 
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -66,7 +66,7 @@
 }
 
 // Read asks for a page; the answer is one PageRead or one ReadFailed with the
-// same tag. At most one is open.
+// same tag. A new one replaces the one before, whose answer no longer matters.
 type Read struct {
 	Stream platform.Stream
 	Tag    Tag
