--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -31,9 +31,10 @@
 	zoneHosts []ident.HostID                   // of the own zone, as listed
 	listed    map[ident.HostID]bool            // all hosts, as listed
 
-	proof  *ledger.Reclaimer
-	nextAt time.Duration
-	left   bool // the ledger membership has ended as asked
+	proof   *ledger.Reclaimer
+	nextAt  time.Duration
+	askedAt time.Duration // when peers were last asked for their leases
+	left    bool          // the ledger membership has ended as asked
 }
 
 func newReclaimWatch(opts Options) *reclaimWatch {
@@ -41,7 +42,7 @@
 		promises: map[ident.WorkerID]time.Duration{},
 		wishes:   map[ident.WorkerID]bool{},
 		listed:   map[ident.HostID]bool{},
-		proof:    ledger.NewReclaimer(reclaimerConfig(opts)),
+		proof:    ledger.NewReclaimer(opts.Self),
 	}
 }
 
@@ -118,8 +119,8 @@
 		return
 	}
 	e.reclaim.nextAt = e.now + reclaimEvery
-	if !e.Schedules() {
-		return
+	if !e.Schedules() || e.zone.recovery != nil || !e.sizesKnown() {
+		return // some tasks of the dead are not adopted yet
 	}
 	e.watchHolders()
 }
@@ -149,6 +150,7 @@
 	for _, seen := range e.heldLeases() {
 		e.stepReclaimer(seen)
 	}
+	e.reclaim.askedAt = e.now
 	for _, p := range e.members.Hosts(e.opts.Zone, e.now) {
 		e.emit(AskLeases{Host: p.Host, Addr: p.Addr})
 	}
@@ -200,18 +202,24 @@
 				Class:  class,
 				Holder: e.opts.Self,
 				Left:   left,
-				Tasks:  runningTasks(e.reports[key]),
+				Tasks:  e.runningTasks(e.reports[key]),
 			})
 		}
 	}
 	return seen
 }
 
-func runningTasks(tasks []platform.TaskReport) []ledger.RunningTask {
+// runningTasks lists running tasks with the holder whose units they use.
+func (e *Engine) runningTasks(tasks []platform.TaskReport) []ledger.RunningTask {
 	var list []ledger.RunningTask
 	for _, t := range tasks {
 		if !t.Ended {
-			list = append(list, ledger.RunningTask{ID: t.ID, By: t.Holder, Team: t.Team, Units: resource.LimitUnits(t.Need)})
+			list = append(list, ledger.RunningTask{
+				ID:    t.ID,
+				By:    e.units.State().Heir(t.Holder),
+				Team:  t.Team,
+				Units: resource.LimitUnits(t.Need),
+			})
 		}
 	}
 	return list
@@ -221,11 +229,14 @@
 	e.emit(LeasesReply{Call: ev.Call, Leases: e.heldLeases()})
 }
 
+// leasesAnswered counts what a peer's leases had left from the moment it was
+// asked, which is not later than the moment it looked.
 func (e *Engine) leasesAnswered(ev LeasesAnswered) {
 	if !e.Schedules() {
 		return
 	}
 	for _, seen := range ev.Leases {
+		seen.Left -= e.now - e.reclaim.askedAt
 		e.stepReclaimer(seen)
 	}
 }
--- a/engine/streams.go
+++ b/engine/streams.go
@@ -32,7 +32,7 @@
 
 func (e *Engine) stepMachine(name platform.Stream, ev stream.Event) {
 	switch name {
-	case ledger.Stream:
+	case ledger.StreamName:
 		e.stepUnits(ev)
 	case jobs.StreamOf(e.opts.Zone):
 		e.stepOwner(ev)
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -49,14 +49,15 @@
 // by reading: the record is folded here within the time, or the outcome stays
 // unknown and a second confirmation is harmless.
 func (b *operatorBackend) Confirm(ctx context.Context, operator string, plan fleet.Plan) (admin.Confirmation, error) {
-	data, err := fleet.EncodeChange(&fleet.Change{
-		Plan:     plan.ID,
-		Planner:  plan.Planner,
-		Operator: operator,
-		At:       time.Now().UTC(),
-		Base:     plan.Base,
-		Ops:      plan.Ops,
-	})
+	state, err := b.state()
+	if err != nil {
+		return admin.Confirmation{}, err
+	}
+	now := time.Now().UTC()
+	if err := plan.Check(state, operator, now); err != nil {
+		return admin.Confirmation{}, err
+	}
+	data, err := fleet.EncodeChange(plan.Change(operator, now))
 	if err != nil {
 		return admin.Confirmation{}, err
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -99,6 +99,13 @@
 	h.push(engine.StreamRead{Stream: cmd.Stream, Tag: cmd.Tag, Page: page})
 }
 
+// sendReadCommand serves the ring of reads.
+func (h *Host) sendReadCommand(ctx context.Context, cmd engine.Command) {
+	if read, ok := cmd.(engine.ReadStream); ok {
+		h.readStream(ctx, read)
+	}
+}
+
 // sendPeerCommand serves the ring of calls to peers outside the request path.
 func (h *Host) sendPeerCommand(ctx context.Context, cmd engine.Command) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
--- /dev/null
+++ b/localfleet/localfleet.go
@@ -0,0 +1,270 @@
+// Package localfleet runs a whole deployment in one process: the platform's
+// stand-in and every entry host, each on loopback ports of its own. The demo,
+// tests and measurements use it; the entry hosts are the real ones and meet
+// each other and the platform over TCP only.
+package localfleet
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflyfold/fireflyfold/engine"
+	"github.com/fireflyfold/fireflyfold/entry"
+	"github.com/fireflyfold/fireflyfold/fleet"
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/settings"
+	"github.com/fireflyfold/fireflyfold/standin"
+	"github.com/fireflyfold/fireflyfold/telemetry"
+)
+
+// OperatorToken is the token of the operator "tour" on every host.
+const OperatorToken = "operator-token-for-the-tour"
+
+// Options describe the fleet.
+type Options struct {
+	Layout    standin.Layout
+	TeamLimit int64                                   // units of each team's upper limit; zero for 400
+	Adjust    func(*settings.Settings)                // changes the settings of every host; may be nil
+	Engine    engine.Options                          // base of every engine's options
+	Telemetry func(ident.HostID) *telemetry.Telemetry // nil discards
+}
+
+// defaultTeamLimit is the upper limit of each team in units.
+const defaultTeamLimit = 400
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Platform *standin.Platform
+	Keys     map[ident.TeamID]string // one key for each team
+
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+
+	mu    sync.Mutex
+	hosts map[ident.HostID]*Member
+	order []ident.HostID
+}
+
+// Member is one entry host of the fleet.
+type Member struct {
+	ID   ident.HostID
+	Zone ident.Zone
+	Host *entry.Host
+
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Start starts the platform, gives every team a key and a limit, and starts
+// the entry hosts. Close ends it all.
+func Start(ctx context.Context, opts Options) (*Fleet, error) {
+	if opts.TeamLimit == 0 {
+		opts.TeamLimit = defaultTeamLimit
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f := &Fleet{
+		Platform: standin.NewPlatform(opts.Layout, ""),
+		Keys:     map[ident.TeamID]string{},
+		opts:     opts,
+		ctx:      ctx,
+		cancel:   cancel,
+		hosts:    map[ident.HostID]*Member{},
+	}
+	if err := f.Platform.Start(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
+	if err := f.configure(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	for _, zone := range opts.Layout.Zones {
+		for _, id := range zone.HostIDs() {
+			if err := f.StartHost(zone.Zone, id); err != nil {
+				f.Close()
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+// Close stops the hosts and the platform.
+func (f *Fleet) Close() {
+	f.cancel()
+	f.wg.Wait()
+	f.Platform.Close()
+}
+
+// configure writes the teams into the configuration stream as an operator
+// would: a plan, confirmed.
+func (f *Fleet) configure() error {
+	intent := fleet.Intent{}
+	one := int64(1)
+	for _, team := range f.opts.Layout.Teams {
+		key, id, hash, err := fleet.NewKey(rand.Reader)
+		if err != nil {
+			return err
+		}
+		f.Keys[team] = key
+		intent.Teams = append(intent.Teams, fleet.WantTeam{Team: team, Share: &one, Limit: &f.opts.TeamLimit})
+		intent.Keys = append(intent.Keys, fleet.WantKey{Action: fleet.KeyGive, Team: team, Key: id, Hash: hash})
+	}
+	now := time.Now().UTC()
+	plan, err := fleet.MakePlan(fleet.Empty(), intent, "tour", now, fleet.NoImpact{})
+	if err != nil {
+		return err
+	}
+	data, err := fleet.EncodeChange(plan.Change("tour", now))
+	if err != nil {
+		return err
+	}
+	_, err = f.Platform.Log.Append(f.Platform.Now(), engine.ConfigStream, [][]byte{data})
+	return err
+}
+
+// template is the settings file of a host, but for its addresses.
+const template = `
+[host]
+name = %s
+zone = %s
+api  = 127.0.0.1:1
+peer = 127.0.0.1:2
+[platform]
+log   = %s
+hosts = %s
+[zones]
+configured = %s
+[peers]
+secret = secret-of-the-local-fleet
+[operators]
+tour = %x
+`
+
+func (f *Fleet) settings(zone ident.Zone, id ident.HostID) (*settings.Settings, error) {
+	zones := ""
+	for i, z := range f.opts.Layout.Zones {
+		if i > 0 {
+			zones += ", "
+		}
+		zones += string(z.Zone)
+	}
+	addr := f.Platform.ZoneAddr(zone)
+	text := fmt.Sprintf(template, id, zone, addr, addr, zones, sha256.Sum256([]byte(OperatorToken)))
+	s, err := settings.Parse(string(id), []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	loopback := netip.MustParseAddrPort("127.0.0.1:0") // the kernel picks the ports
+	s.Host.API = loopback
+	s.Host.Peer = loopback
+	if f.opts.Adjust != nil {
+		f.opts.Adjust(&s)
+	}
+	return &s, nil
+}
+
+// StartHost starts an entry host under a name, as a new life if the name was
+// used before, and lists it as live.
+func (f *Fleet) StartHost(zone ident.Zone, id ident.HostID) error {
+	s, err := f.settings(zone, id)
+	if err != nil {
+		return err
+	}
+	tel := telemetry.Discard()
+	if f.opts.Telemetry != nil {
+		tel = f.opts.Telemetry(id)
+	}
+	host, err := entry.New(entry.WithPlatform(entry.Options{Settings: s, Telemetry: tel, Engine: f.opts.Engine}))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	m := &Member{ID: id, Zone: zone, Host: host, cancel: cancel, done: make(chan struct{})}
+	f.mu.Lock()
+	if _, known := f.hosts[id]; !known {
+		f.order = append(f.order, id)
+	}
+	f.hosts[id] = m
+	f.mu.Unlock()
+	f.wg.Go(func() { f.run(ctx, m) })
+	f.Platform.ChangeHosts(standin.HostChange{Hosts: []platform.HostEntry{{
+		Host: id, Zone: zone, Addr: host.PeerAddr(), State: platform.StateLive,
+	}}})
+	return nil
+}
+
+// run lets a host live, and starts a new life when it asks for one.
+func (f *Fleet) run(ctx context.Context, m *Member) {
+	m.err = m.Host.Run(ctx)
+	close(m.done)
+	var over *entry.ReincarnateError
+	if errors.As(m.err, &over) && ctx.Err() == nil {
+		_ = f.StartHost(m.Zone, m.ID) // a host that cannot start again stays dead
+	}
+}
+
+// Host returns the current life of a host, or nil.
+func (f *Fleet) Host(id ident.HostID) *Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[id]
+}
+
+// Hosts lists the current lives in the order of the layout.
+func (f *Fleet) Hosts() []*Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]*Member, 0, len(f.order))
+	for _, id := range f.order {
+		list = append(list, f.hosts[id])
+	}
+	return list
+}
+
+// Kill ends a host at once, as a crash would: its connections break and
+// nothing is handed over. The platform's list does not notice.
+func (f *Fleet) Kill(id ident.HostID) {
+	if m := f.Host(id); m != nil {
+		m.cancel()
+		<-m.done
+	}
+}
+
+// Unlist removes a host from the platform's list.
+func (f *Fleet) Unlist(id ident.HostID) {
+	f.Platform.ChangeHosts(standin.HostChange{GoneHosts: []ident.HostID{id}})
+}
+
+// Drain begins the planned stop of a host and returns when it is complete.
+func (f *Fleet) Drain(id ident.HostID) {
+	if m := f.Host(id); m != nil {
+		m.Host.Drain()
+		<-m.done
+	}
+}
+
+// Running reports whether the host serves.
+func (m *Member) Running() bool {
+	select {
+	case <-m.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Done is closed when the host has stopped.
+func (m *Member) Done() <-chan struct{} { return m.done }
--- /dev/null
+++ b/serve/serve.go
@@ -0,0 +1,123 @@
+// Package serve is the command that runs one entry host until it is told to
+// stop.
+package serve
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflyfold/fireflyfold/entry"
+	"github.com/fireflyfold/fireflyfold/settings"
+	"github.com/fireflyfold/fireflyfold/telemetry"
+)
+
+// Command implements "fireflyfold serve".
+type Command struct {
+	path string
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "run one entry host" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `serve --settings FILE.ini
+  Runs one entry host. SIGTERM or SIGINT begins a planned stop: nothing new is
+  taken, everything in flight ends, then the process exits. A second signal
+  stops at once.
+  Example: fireflyfold serve --settings deploy/rosenau.ini
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file of this host (INI)")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" {
+		fmt.Fprintln(os.Stderr, "serve: name the settings file with --settings FILE.ini")
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.Load(c.path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	if err := run(ctx, &s); err != nil {
+		fmt.Fprintln(os.Stderr, "serve:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// run lets the host live, and live again when a life of it is over.
+func run(ctx context.Context, s *settings.Settings) error {
+	tel, err := telemetry.New(ctx, telemetry.Options{
+		Service:   "fireflyfold",
+		Host:      string(s.Host.Name),
+		Zone:      string(s.Host.Zone),
+		OTLP:      s.Telemetry.OTLP,
+		TraceFile: s.Telemetry.TraceFile,
+		Sample:    s.Telemetry.Sample,
+		LogLevel:  s.Log.Level,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = tel.Close(context.WithoutCancel(ctx)) }()
+	for {
+		err := live(ctx, s, tel)
+		var over *entry.ReincarnateError
+		if !errors.As(err, &over) {
+			return err
+		}
+	}
+}
+
+// live runs one life of the host.
+func live(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry) error {
+	host, err := entry.New(entry.WithPlatform(entry.Options{Settings: s, Telemetry: tel}))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go drainOnSignal(signals, stopped, host, cancel)
+	tel.Log.WithField("api", host.APIAddr()).WithField("peer", host.PeerAddr()).Info("serving")
+	err = host.Run(ctx)
+	tel.Log.Info("stopped")
+	return err
+}
+
+// drainOnSignal begins the planned stop at the first signal and cuts it short
+// at the second.
+func drainOnSignal(signals <-chan os.Signal, stopped <-chan struct{}, host *entry.Host, cancel context.CancelFunc) {
+	select {
+	case <-signals:
+		host.Drain()
+	case <-stopped:
+		return
+	}
+	select {
+	case <-signals:
+		cancel()
+	case <-stopped:
+	}
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -35,9 +35,10 @@
 	Service   string // name in traces
 	Host      string // tag of every metric and trace
 	Zone      string
-	OTLP      string // IP:port of an OTLP/HTTP receiver; empty for none
-	TraceFile string // file that spans are written to as JSON; empty for none
-	LogLevel  string // a logrus level; empty for info
+	OTLP      string  // URL of an OTLP/HTTP receiver; empty for none
+	TraceFile string  // file that spans are written to as JSON; empty for none
+	Sample    float64 // share of traces that are exported; zero for all
+	LogLevel  string  // a logrus level; empty for info
 	LogOutput io.Writer
 }
 
@@ -136,7 +137,7 @@
 func (t *Telemetry) setupTraces(ctx context.Context, opts Options) error {
 	var processors []sdktrace.TracerProviderOption
 	if opts.OTLP != "" {
-		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(opts.OTLP), otlptracehttp.WithInsecure())
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(opts.OTLP))
 		if err != nil {
 			return &SetupError{Part: "otlp", Cause: err}
 		}
@@ -157,6 +158,10 @@
 	if len(processors) == 0 {
 		processors = append(processors, sdktrace.WithSampler(sdktrace.NeverSample()))
 	}
+	if opts.Sample > 0 {
+		sampler := sdktrace.ParentBased(sdktrace.TraceIDRatioBased(opts.Sample))
+		processors = append([]sdktrace.TracerProviderOption{sdktrace.WithSampler(sampler)}, processors...)
+	}
 	processors = append(processors, sdktrace.WithResource(resource.NewSchemaless(
 		attribute.String("service.name", opts.Service),
 		attribute.String("host.name", opts.Host),
