Wait for a job across a change of scheduler; local fleet lists hosts first

Cause: TestWholePath took 31 s: each host that appeared took the zone's scheduling over, and a caller waited on the host that had lost it, where no end is told. Ruled out: the job itself, which ran within 2 s. Conclusion: a waiting call looks again each second through the current scheduler.

--- a/cmd/fireflyfold/main.go
+++ b/cmd/fireflyfold/main.go
@@ -8,11 +8,15 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/fireflyfold/fireflyfold/serve"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.CommandsCommand(), "")
+	commander := subcommands.NewCommander(flag.CommandLine, "fireflyfold")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(&serve.Command{}, "daemons")
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(int(commander.Execute(context.Background())))
 }
--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -218,23 +218,32 @@
 	})
 }
 
+// waitPoll is how often a waiting call looks again by itself. The zone's
+// scheduler may change while it waits, and the end is then told elsewhere.
+const waitPoll = time.Second
+
 // localWait answers when the job has ended, or at the deadline with how it
 // stands.
 func (h *Host) localWait(ctx context.Context, c jobCall, job ident.JobID) ([]byte, *problem.Problem) {
 	done, forget := h.waiters.end(job)
 	defer forget()
-	body, p := h.askEngine(ctx, c, h.query(c, job))
-	if p != nil || jobEnded(body) {
-		return body, p
-	}
-	left := time.NewTimer(max(c.deadline-h.now(), 0))
-	defer left.Stop()
-	select {
-	case <-done:
-	case <-left.C:
-	case <-ctx.Done():
+	look := c
+	look.verb = verbGet
+	look.hops = 0
+	for {
+		look.deadline = h.now() + jobTimeout
+		body, p := h.runJobCall(ctx, look)
+		if ctx.Err() != nil || h.now() >= c.deadline || (p == nil && jobEnded(body)) || (p != nil && p.Type == problem.TypeNotFound) {
+			return body, p
+		}
+		timer := time.NewTimer(min(waitPoll, max(c.deadline-h.now(), 0)))
+		select {
+		case <-done:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
-	return h.askEngine(ctx, c, h.query(c, job))
 }
 
 // askEngine puts a job call to the engine and renders its answer.
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -90,13 +90,9 @@
 		f.Close()
 		return nil, err
 	}
-	for _, zone := range opts.Layout.Zones {
-		for _, id := range zone.HostIDs() {
-			if err := f.StartHost(zone.Zone, id); err != nil {
-				f.Close()
-				return nil, err
-			}
-		}
+	if err := f.startAll(); err != nil {
+		f.Close()
+		return nil, err
 	}
 	return f, nil
 }
@@ -176,34 +172,67 @@
 	return &s, nil
 }
 
+// startAll lists all hosts before the first of them runs, as a platform does
+// that has known them for long. Hosts that appear one by one would pass the
+// zone's scheduling on with each newcomer.
+func (f *Fleet) startAll() error {
+	var members []*Member
+	for _, zone := range f.opts.Layout.Zones {
+		for _, id := range zone.HostIDs() {
+			m, err := f.newMember(zone.Zone, id)
+			if err != nil {
+				return err
+			}
+			members = append(members, m)
+		}
+	}
+	for _, m := range members {
+		f.launch(m)
+	}
+	return nil
+}
+
 // StartHost starts an entry host under a name, as a new life if the name was
 // used before, and lists it as live.
 func (f *Fleet) StartHost(zone ident.Zone, id ident.HostID) error {
-	s, err := f.settings(zone, id)
+	m, err := f.newMember(zone, id)
 	if err != nil {
 		return err
 	}
+	f.launch(m)
+	return nil
+}
+
+// newMember builds a host, which listens, and lists it.
+func (f *Fleet) newMember(zone ident.Zone, id ident.HostID) (*Member, error) {
+	s, err := f.settings(zone, id)
+	if err != nil {
+		return nil, err
+	}
 	tel := telemetry.Discard()
 	if f.opts.Telemetry != nil {
 		tel = f.opts.Telemetry(id)
 	}
 	host, err := entry.New(entry.WithPlatform(entry.Options{Settings: s, Telemetry: tel, Engine: f.opts.Engine}))
 	if err != nil {
-		return err
+		return nil, err
 	}
+	f.Platform.ChangeHosts(standin.HostChange{Hosts: []platform.HostEntry{{
+		Host: id, Zone: zone, Addr: host.PeerAddr(), State: platform.StateLive,
+	}}})
+	return &Member{ID: id, Zone: zone, Host: host, done: make(chan struct{})}, nil
+}
+
+func (f *Fleet) launch(m *Member) {
 	ctx, cancel := context.WithCancel(f.ctx)
-	m := &Member{ID: id, Zone: zone, Host: host, cancel: cancel, done: make(chan struct{})}
+	m.cancel = cancel
 	f.mu.Lock()
-	if _, known := f.hosts[id]; !known {
-		f.order = append(f.order, id)
+	if _, known := f.hosts[m.ID]; !known {
+		f.order = append(f.order, m.ID)
 	}
-	f.hosts[id] = m
+	f.hosts[m.ID] = m
 	f.mu.Unlock()
 	f.wg.Go(func() { f.run(ctx, m) })
-	f.Platform.ChangeHosts(standin.HostChange{Hosts: []platform.HostEntry{{
-		Host: id, Zone: zone, Addr: host.PeerAddr(), State: platform.StateLive,
-	}}})
-	return nil
 }
 
 // run lets a host live, and starts a new life when it asks for one.
