--- a/entry/host.go
+++ b/entry/host.go
@@ -194,6 +194,9 @@
 // Self returns the holder that this life of the host is.
 func (h *Host) Self() ident.Holder { return h.self }
 
+// Scheduling reports whether this host schedules its zone's durable work.
+func (h *Host) Scheduling() bool { return h.schedules() }
+
 // ReincarnateError ends a life whose limit units were taken over while it was
 // paused or cut off. The host is to be started anew.
 type ReincarnateError struct {
--- a/fleet/key.go
+++ b/fleet/key.go
@@ -65,6 +65,15 @@
 	return key, id, sha256.Sum256([]byte(key)), nil
 }
 
+// KeyIDOf returns the identifier within a key, or "" for text that is no key.
+func KeyIDOf(key string) KeyID {
+	parts := strings.Split(key, keySep)
+	if len(parts) != 3 || parts[0] != keyPrefix {
+		return ""
+	}
+	return KeyID(parts[1])
+}
+
 // KeyReason says why a key does not authenticate.
 type KeyReason string
 
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -118,12 +118,17 @@
 		intent.Teams = append(intent.Teams, fleet.WantTeam{Team: team, Share: &one, Limit: &f.opts.TeamLimit})
 		intent.Keys = append(intent.Keys, fleet.WantKey{Action: fleet.KeyGive, Team: team, Key: id, Hash: hash})
 	}
+	return f.change(fleet.Empty(), intent)
+}
+
+// change plans and confirms an intent against a state, as an operator would.
+func (f *Fleet) change(state *fleet.State, intent fleet.Intent) error {
 	now := time.Now().UTC()
-	plan, err := fleet.MakePlan(fleet.Empty(), intent, "tour", now, fleet.NoImpact{})
+	plan, err := fleet.MakePlan(state, intent, operator, now, fleet.NoImpact{})
 	if err != nil {
 		return err
 	}
-	data, err := fleet.EncodeChange(plan.Change("tour", now))
+	data, err := fleet.EncodeChange(plan.Change(operator, now))
 	if err != nil {
 		return err
 	}
@@ -131,6 +136,30 @@
 	return err
 }
 
+// Change plans and confirms an intent against the configuration as the log has
+// it now.
+func (f *Fleet) Change(intent fleet.Intent) error {
+	follower := fleet.NewFollower()
+	page, _, err := f.Platform.Log.Read(f.Platform.Now(), engine.ConfigStream, 0, maxConfig)
+	if err != nil {
+		return err
+	}
+	if _, err := follower.Add(page); err != nil {
+		return err
+	}
+	return f.change(follower.State(), intent)
+}
+
+// WithdrawKey withdraws the key of a team.
+func (f *Fleet) WithdrawKey(team ident.TeamID) error {
+	return f.Change(fleet.Intent{Keys: []fleet.WantKey{{Action: fleet.KeyWithdraw, Key: fleet.KeyIDOf(f.Keys[team])}}})
+}
+
+const (
+	operator  = "tour"
+	maxConfig = 10_000 // records read to learn the configuration
+)
+
 // template is the settings file of a host, but for its addresses.
 const template = `
 [host]
@@ -245,6 +274,9 @@
 	}
 }
 
+// Limit returns the upper limit of each team in units.
+func (f *Fleet) Limit() int64 { return f.opts.TeamLimit }
+
 // Host returns the current life of a host, or nil.
 func (f *Fleet) Host(id ident.HostID) *Member {
 	f.mu.Lock()
