--- a/queue/item.go
+++ b/queue/item.go
@@ -35,6 +35,7 @@
 type Shape struct {
 	Need   resource.Vector // of one task
 	Gang   int             // tasks that start together; zero for single tasks
+	Units  int64           // of the team's upper limit, to start anything
 	Urgent bool
 }
 
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -129,6 +129,7 @@
 	if err := s.CheckFit(spec); err != nil {
 		return err
 	}
+	s.now = max(s.now, now)
 	t := s.team(spec.Team)
 	waiting := t.Waiting()
 	pressing := spec.Deadline > 0 || spec.Urgent
@@ -148,5 +149,5 @@
 
 // fitsNow reports whether a task of the job could start at once.
 func (s *Scheduler) fitsNow(spec work.Spec) bool {
-	return s.queue.Len() == 0 && s.placer.Pack(place.Compute(spec.Need), place.None) != place.None
+	return s.queue.Len() == 0 && s.asked.Pack(place.Compute(spec.Need), place.None) != place.None
 }
--- a/sched/dispatch.go
+++ b/sched/dispatch.go
@@ -43,12 +43,15 @@
 // open reports whether the head of a class might start: its team's units were
 // not refused, and room came free since it last failed to fit.
 func (s *Scheduler) open(class *queue.Class[*job]) bool {
-	if s.limited(class.Head().Owner) {
+	if class.Mark != 0 && !s.mayFit(class) {
 		return false
 	}
-	if class.Mark == 0 {
-		return true
-	}
+	return !s.blocked(class.Head().Owner.team, class.Shape.Units)
+}
+
+// mayFit reports whether room came free since a class was marked that could
+// take one of its tasks.
+func (s *Scheduler) mayFit(class *queue.Class[*job]) bool {
 	position := s.cell.Freed()
 	if class.Mark == position {
 		return false
--- a/sched/job.go
+++ b/sched/job.go
@@ -15,7 +15,7 @@
 	item     queue.Item[*job]
 	id       ident.JobID
 	spec     work.Spec
-	need     resource.Vector // of one task, compute class
+	need     resource.Vector // of one task, slots and connections left out
 	units    int64           // of the team's limit, of one task
 	team     *team
 	family   *family
@@ -68,7 +68,7 @@
 }
 
 func (j *job) shape() queue.Shape {
-	shape := queue.Shape{Need: j.need, Urgent: j.spec.Urgent}
+	shape := queue.Shape{Need: j.need, Units: j.startUnits(), Urgent: j.spec.Urgent}
 	if j.gang() {
 		shape.Gang = j.spec.Tasks
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -12,7 +13,7 @@
 // planner works out when room is expected to come free. Its slices are kept
 // between plans.
 type planner struct {
-	ends []plannedEnd
+	ends endHeap
 	free []resource.Vector // by place.Ref
 	refs []place.Ref
 	room []int64 // by place.Ref: tasks of the planned job
@@ -25,6 +26,22 @@
 	need resource.Vector
 }
 
+// endHeap is a heap of expected ends, the earliest first. Few of them have to
+// come out before a task fits, so that sorting all would be wasted.
+type endHeap []plannedEnd
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(plannedEnd)) }
+func (h *endHeap) Pop() any          { *h = (*h)[:len(*h)-1]; return nil }
+
+// A plan looks at so many workers, or at so many for each task if that is more.
+const (
+	planWorkers = 1024
+	planFactor  = 4
+)
+
 // stopTime is how long a task is expected to take to checkpoint and stop.
 const stopTime = 2 * time.Second
 
@@ -45,13 +62,8 @@
 // the workers on which it will. It reports false if it will not without a
 // change of the workers.
 func (p *planner) earliest(s *Scheduler, j *job) (timeOf, []place.Ref, bool) {
-	p.refs = p.refs[:0]
-	for ref := place.Ref(0); int(ref) < s.cell.Refs(); ref++ {
-		if s.cell.Known(ref) && s.cell.Worker(ref).Bars == 0 {
-			p.refs = append(p.refs, ref)
-		}
-	}
 	missing := p.wanted(j)
+	p.sample(s, max(planWorkers, planFactor*int(missing)))
 	at, ok := p.run(s, j, p.refs, missing)
 	if !ok {
 		return 0, nil, false
@@ -59,6 +71,19 @@
 	return at, p.choose(s, j, missing), true
 }
 
+// sample takes workers that take new tasks, at most so many, each time from
+// another place on, so that a plan has a bounded cost in a zone of any size.
+func (p *planner) sample(s *Scheduler, most int) {
+	p.refs = p.refs[:0]
+	n := s.cell.Refs()
+	for i := 0; i < n && len(p.refs) < most; i++ {
+		ref := place.Ref((i + int(s.seq)) % n)
+		if s.cell.Known(ref) && s.cell.Worker(ref).Bars == 0 {
+			p.refs = append(p.refs, ref)
+		}
+	}
+}
+
 // planOn returns when a job is expected to fit on the given workers alone.
 func (s *Scheduler) planOn(j *job, refs []place.Ref) (timeOf, bool) {
 	return s.planner.run(s, j, refs, s.planner.wanted(j))
@@ -81,11 +106,10 @@
 		fits += p.room[ref]
 	}
 	at := s.now
-	for _, end := range p.ends {
-		if fits >= missing && end.at > at {
-			break
-		}
-		at = end.at
+	for len(p.ends) > 0 && (fits < missing || p.ends[0].at <= at) {
+		end := p.ends[0]
+		heap.Pop(&p.ends)
+		at = max(at, end.at)
 		p.free[end.ref] = p.free[end.ref].Add(end.need)
 		room := place.Count(j.need, p.free[end.ref], missing)
 		fits += room - p.room[end.ref]
@@ -94,7 +118,7 @@
 	return at, fits >= missing
 }
 
-// load copies the free room of the workers and sorts the expected ends.
+// load copies the free room of the workers and collects the expected ends.
 func (p *planner) load(s *Scheduler, j *job, refs []place.Ref) {
 	for len(p.free) < s.cell.Refs() {
 		p.free = append(p.free, resource.Vector{})
@@ -112,12 +136,7 @@
 			}
 		}
 	}
-	slices.SortFunc(p.ends, func(a, b plannedEnd) int {
-		if c := cmp.Compare(a.at, b.at); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ref, b.ref)
-	})
+	heap.Init(&p.ends)
 }
 
 // choose returns the fewest workers that will hold the job, those with most
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -10,8 +10,8 @@
 }
 
 const (
-	sampleEvery = time.Second // shortest time between two jobs whose start is predicted on arrival
-	errorPart   = 8           // the newest error counts one part in so many
+	sampleEvery = 5 * time.Second // shortest time between two jobs whose start is predicted on arrival
+	errorPart   = 8               // the newest error counts one part in so many
 )
 
 // predictArrival predicts the start of a job that has to wait, for a sample
@@ -56,24 +56,32 @@
 	for _, item := range s.queue.AheadOf(&j.item) {
 		ahead += item.Owner.load
 	}
-	return max(at-s.now, seconds(ahead/s.usual(j.team))), true
+	return max(at-s.now, s.drained(j.team, ahead)), true
 }
 
-// usual returns the share of the zone that a team is expected to have while
-// its work waits: what it uses, but at least what it is entitled to.
-func (s *Scheduler) usual(t *team) float64 {
-	return max(s.queue.Entitled(t.Team), s.queue.Share(t.Team), leastShare)
+// drained returns the time until so much waiting work of a team has started,
+// if the zone is shared by weight between the teams with waiting work.
+//
+// While a team works off a load at a rate of its weight, each other team works
+// off its own at the rate of its weight, until it has none left. The time is
+// the sum of all that is worked off meanwhile, in zone-seconds.
+func (s *Scheduler) drained(t *team, load float64) time.Duration {
+	load = max(load, 0)
+	rounds := load / float64(t.Weight)
+	sum := load
+	for _, other := range s.teamList {
+		if other != t {
+			sum += min(max(other.load, 0), float64(other.Weight)*rounds)
+		}
+	}
+	return seconds(sum)
 }
 
-// leastShare keeps predictions finite.
-const leastShare = 1e-6
-
 // expectedWait returns how long new work of a team is expected to wait if it
 // comes after the pressing work alone, or after all work of the team.
 func (s *Scheduler) expectedWait(t *team, pressing bool) time.Duration {
-	load := t.load
 	if pressing {
-		load = t.deadlines
+		return s.drained(t, t.deadlines)
 	}
-	return seconds(max(load, 0) / s.usual(t))
+	return s.drained(t, t.load)
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -15,11 +15,13 @@
 	out    []Command
 	cell   *place.Cell
 	placer *place.Placer
+	asked  *place.Placer // for questions, which must not change decisions
 	queue  *queue.Queue[*job]
 
 	jobs      map[ident.JobID]*job
 	hosts     []host // by place.Ref
 	teams     map[ident.TeamID]*team
+	teamList  []*team // in the order of their first event
 	families  families
 	services  map[ident.ServiceID]*service
 	serviceOf map[ident.JobID]*service
@@ -47,6 +49,7 @@
 		opts:      opts,
 		cell:      cell,
 		placer:    place.NewPlacer(cell),
+		asked:     place.NewPlacer(cell),
 		queue:     queue.New[*job](opts.UrgentOver),
 		jobs:      map[ident.JobID]*job{},
 		teams:     map[ident.TeamID]*team{},
@@ -125,5 +128,9 @@
 // Waiting returns the number of jobs with tasks that wait to start.
 func (s *Scheduler) Waiting() int { return s.queue.Len() }
 
+// PredictionError returns the mean absolute error of predicted starts, and over
+// how many predictions it was taken.
+func (s *Scheduler) PredictionError() (time.Duration, int) { return s.err, s.samples }
+
 // Jobs returns the number of jobs that have not ended.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
--- a/sched/team.go
+++ b/sched/team.go
@@ -26,6 +26,7 @@
 	if !ok {
 		t = &team{Team: s.queue.Team(id), refused: math.MaxInt64}
 		s.teams[id] = t
+		s.teamList = append(s.teamList, t)
 	}
 	return t
 }
