--- a/queue/doc.go
+++ b/queue/doc.go
@@ -6,10 +6,12 @@
 // every team's work is placed and the order does not matter. Urgent work comes
 // before all other work as long as its team is within a multiple of its share.
 //
-// Within a team, work is ordered by a due time that is fixed when it arrives:
-// the deadline, or the arrival plus the patience of its kind, whichever is
-// earlier. Work without a deadline therefore ages: what arrives later is due
-// later, and nothing starves.
+// Within a team, pressing work (urgent, or with a deadline) comes before other
+// work, but after a few starts in a row it is the turn of older work. Each of
+// the two is ordered by a due time that is fixed when the work arrives: the
+// deadline, or the arrival plus the patience of its kind, whichever is earlier.
+// Work without a deadline therefore ages: what arrives later is due later, and
+// nothing starves.
 //
 // Work of one team with equal needs forms a Class. If the first of a class
 // does not fit, none of it does, so that the cost of finding work that fits
--- a/queue/item.go
+++ b/queue/item.go
@@ -33,10 +33,11 @@
 
 // Shape is what makes two items of a team alike to placement.
 type Shape struct {
-	Need   resource.Vector // of one task
-	Gang   int             // tasks that start together; zero for single tasks
-	Units  int64           // of the team's upper limit, to start anything
-	Urgent bool
+	Need     resource.Vector // of one task
+	Gang     int             // tasks that start together; zero for single tasks
+	Units    int64           // of the team's upper limit, to start anything
+	Urgent   bool            // before other work of all teams, within a bound
+	Pressing bool            // before other work of its team, within a bound
 }
 
 // Class is the waiting items of one team and shape.
--- a/queue/order.go
+++ b/queue/order.go
@@ -42,7 +42,7 @@
 		return class.Head()
 	}
 	for _, team := range q.order {
-		if class := team.first(false, open); class != nil {
+		if class := team.First(open); class != nil {
 			return class.Head()
 		}
 	}
@@ -67,7 +67,7 @@
 		if team.urgent == 0 || !q.UrgentWithin(team) {
 			continue
 		}
-		class := team.first(true, open)
+		class := team.firstUrgent(open)
 		if class == nil {
 			continue
 		}
@@ -110,10 +110,18 @@
 	var ahead []*Item[T]
 	for _, class := range item.class.Team.classes {
 		for _, other := range class.items {
-			if other.before(item) {
+			if precedes(other, item) {
 				ahead = append(ahead, other)
 			}
 		}
 	}
 	return ahead
 }
+
+// precedes reports whether one item of a team comes before another.
+func precedes[T any](a, b *Item[T]) bool {
+	if pressing := a.class.Shape.Pressing; pressing != b.class.Shape.Pressing {
+		return pressing
+	}
+	return a.before(b)
+}
--- a/queue/team.go
+++ b/queue/team.go
@@ -11,6 +11,7 @@
 	Weight int64
 	Used   resource.Vector
 
+	passed  int     // pressing items started in a row while older ones waited
 	share   float64 // dominant, divided by weight
 	waiting int     // items
 	urgent  int     // items of urgent classes
@@ -44,19 +45,42 @@
 	}
 }
 
-// First returns the class whose head is due first among those that open
-// admits, or nil.
-func (t *Team[T]) First(open func(*Class[T]) bool) *Class[T] { return t.first(false, open) }
+// pressingRun is how many pressing items of a team start in a row while older
+// work of the team waits. The next start is then the older work's, so that a
+// steady stream of deadlines does not starve it.
+const pressingRun = 4
 
-// first returns the class whose head is due first among those that open
-// admits, or nil.
-func (t *Team[T]) first(urgentOnly bool, open func(*Class[T]) bool) *Class[T] {
-	var best *Class[T]
+// First returns the class whose head comes first among those that open admits,
+// or nil.
+func (t *Team[T]) First(open func(*Class[T]) bool) *Class[T] {
+	var pressing, plain *Class[T]
 	for _, class := range t.classes {
-		if urgentOnly && !class.Shape.Urgent {
+		best := &plain
+		if class.Shape.Pressing {
+			best = &pressing
+		}
+		if *best != nil && (*best).Head().before(class.Head()) {
 			continue
 		}
-		if best != nil && best.Head().before(class.Head()) {
+		if open(class) {
+			*best = class
+		}
+	}
+	switch {
+	case pressing == nil:
+		return plain
+	case plain != nil && t.passed >= pressingRun && plain.Head().before(pressing.Head()):
+		return plain
+	}
+	return pressing
+}
+
+// firstUrgent returns the urgent class whose head is due first among those
+// that open admits, or nil.
+func (t *Team[T]) firstUrgent(open func(*Class[T]) bool) *Class[T] {
+	var best *Class[T]
+	for _, class := range t.classes {
+		if !class.Shape.Urgent || best != nil && best.Head().before(class.Head()) {
 			continue
 		}
 		if open(class) {
@@ -65,3 +89,13 @@
 	}
 	return best
 }
+
+// Started tells the queue that work of a class was started, which decides
+// whose turn is next within the team.
+func (t *Team[T]) Started(class *Class[T]) {
+	if class.Shape.Pressing {
+		t.passed++
+		return
+	}
+	t.passed = 0
+}
--- a/sched/displace.go
+++ b/sched/displace.go
@@ -29,24 +29,55 @@
 	return int(a.job.tasks[a.id.Index].displaced) < s.opts.MaxDisplaced
 }
 
-// displace makes room for urgent work that does not fit, by checkpointing
-// displaceable tasks. The workers are held for urgent work until those have
-// ended.
+// emptying is a worker on which tasks are being checkpointed. Until those have
+// ended it is held for urgent work, or for pressing work of one team.
+type emptying struct {
+	worker place.Ref
+	team   *team // nil for urgent work of all teams
+}
+
+// displace makes room for work that does not fit, by checkpointing
+// displaceable tasks: those of any team for urgent work, and those of the same
+// team for work whose deadline comes near. The second leaves every share as it
+// is, so it needs no bound on the share.
 func (s *Scheduler) displace() {
-	if s.queue.Urgent() == 0 || s.now < s.displaceAt {
+	if s.now < s.displaceAt {
 		return
 	}
 	for _, t := range s.queue.Ordered() {
-		if s.queue.UrgentWithin(t) {
-			t.Each(s.displaceClass)
+		if s.queue.Urgent() > 0 && s.queue.UrgentWithin(t) {
+			t.Each(func(class *queue.Class[*job]) bool {
+				if class.Shape.Urgent {
+					s.displaceFor(class, nil)
+				}
+				return true
+			})
+		}
+		if class := t.First(s.nearDeadline); class != nil {
+			s.displaceFor(class, class.Head().Owner.team)
 		}
 	}
 }
 
-func (s *Scheduler) displaceClass(class *queue.Class[*job]) bool {
+// nearPart is the part of its wait that is left when a deadline is near.
+const nearPart = 2
+
+// nearDeadline reports whether half of the time until the deadline of the head
+// of a class has passed.
+func (s *Scheduler) nearDeadline(class *queue.Class[*job]) bool {
+	if class.Shape.Urgent || class.Mark == 0 {
+		return false
+	}
 	j := class.Head().Owner
-	if !class.Shape.Urgent || s.limited(j) || j.hold != nil {
-		return true
+	return j.spec.Deadline > 0 && !j.gang() && s.now >= j.accepted+j.spec.Deadline/nearPart
+}
+
+// displaceFor makes room for the waiting tasks of a class, on workers that run
+// displaceable tasks: of one team, or of any if it is nil.
+func (s *Scheduler) displaceFor(class *queue.Class[*job], of *team) {
+	j := class.Head().Owner
+	if s.limited(j) || j.hold != nil {
+		return
 	}
 	wanted := int64(min(class.Len(), displaceMost))
 	if j.gang() {
@@ -55,56 +86,67 @@
 		wanted = int64(min(j.waiting(), displaceMost))
 	}
 	if !j.gang() {
-		wanted -= s.comingRoom(j.need, wanted)
+		wanted -= s.comingRoom(j, wanted)
 	}
 	if wanted <= 0 {
-		return true
+		return
 	}
-	workers, found := s.victims(j, wanted)
+	workers, found := s.victims(j, of, wanted)
 	if found == 0 || (j.gang() && found < wanted) {
 		s.displaceAt = s.now + displaceEvery
 		s.after(timer{at: s.displaceAt, kind: timerWake})
-		return true
+		return
 	}
 	for _, ref := range workers {
-		s.checkpoint(ref, j.need)
+		s.checkpoint(ref, j.need, of)
 	}
 	if j.gang() {
 		at := s.now + stopTime
 		s.hold(&hold{job: j, workers: workers, at: at, first: at, urgent: true})
-		return true
+		return
 	}
 	for _, ref := range workers {
 		s.cell.Bar(ref, place.BarHeld)
-		s.making = append(s.making, ref)
+		s.making = append(s.making, emptying{worker: ref, team: of})
+	}
+}
+
+// mayUse reports whether a worker is being emptied for work like the job.
+func (e emptying) mayUse(j *job) bool {
+	if e.team == nil {
+		return j.spec.Urgent
 	}
-	return true
+	return e.team == j.team && j.pressing()
 }
 
-// comingRoom returns how many tasks of the need fit on the workers where room
-// is being made, once it is.
-func (s *Scheduler) comingRoom(need resource.Vector, most int64) int64 {
+// comingRoom returns how many tasks of the job fit on the workers where room is
+// being made for it, once it is.
+func (s *Scheduler) comingRoom(j *job, most int64) int64 {
 	coming := int64(0)
-	for _, ref := range s.making {
-		room := s.cell.Worker(ref).Free
-		for _, a := range s.host(ref).attempts {
+	for _, e := range s.making {
+		if !e.mayUse(j) {
+			continue
+		}
+		room := s.cell.Worker(e.worker).Free
+		for _, a := range s.host(e.worker).attempts {
 			if a.stopping != "" {
 				room = room.Add(a.need)
 			}
 		}
-		coming += place.Count(need, room, most)
+		coming += place.Count(j.need, room, most)
 	}
 	return coming
 }
 
 // victims returns the workers on which the least has to be displaced for the
 // wanted number of tasks, and for how many of them there is enough.
-func (s *Scheduler) victims(j *job, wanted int64) ([]place.Ref, int64) {
+func (s *Scheduler) victims(j *job, of *team, wanted int64) ([]place.Ref, int64) {
 	var workers []place.Ref
-	for ref := range s.hosts {
-		w := s.cell.Worker(place.Ref(ref))
-		if w.Bars == 0 && j.need.Fits(w.Free.Add(s.hosts[ref].displaceable)) {
-			workers = append(workers, place.Ref(ref))
+	for i := range s.hosts {
+		ref := place.Ref(i)
+		w := s.cell.Worker(ref)
+		if w.Bars == 0 && j.need.Fits(w.Free.Add(s.displaceableOf(ref, of))) {
+			workers = append(workers, ref)
 		}
 	}
 	missing := func(ref place.Ref) float64 {
@@ -124,12 +166,28 @@
 	return workers, found
 }
 
+// displaceableOf returns what could be displaced on a worker, of one team or,
+// if it is nil, of all.
+func (s *Scheduler) displaceableOf(ref place.Ref, of *team) resource.Vector {
+	h := s.host(ref)
+	if of == nil || h.displaceable.IsZero() {
+		return h.displaceable
+	}
+	var sum resource.Vector
+	for _, a := range h.attempts {
+		if a.team == of && s.displaceable(a) {
+			sum = sum.Add(a.need)
+		}
+	}
+	return sum
+}
+
 // checkpoint displaces tasks on a worker until one task of the need fits:
 // those first that were displaced least and have run least.
-func (s *Scheduler) checkpoint(ref place.Ref, need resource.Vector) {
+func (s *Scheduler) checkpoint(ref place.Ref, need resource.Vector, of *team) {
 	var victims []*attempt
 	for _, a := range s.host(ref).attempts {
-		if s.displaceable(a) {
+		if s.displaceable(a) && (of == nil || a.team == of) {
 			victims = append(victims, a)
 		}
 	}
@@ -164,13 +222,13 @@
 // any back.
 func (s *Scheduler) endDisplacements() bool {
 	before := len(s.making)
-	s.making = slices.DeleteFunc(s.making, func(ref place.Ref) bool {
-		for _, a := range s.host(ref).attempts {
+	s.making = slices.DeleteFunc(s.making, func(e emptying) bool {
+		for _, a := range s.host(e.worker).attempts {
 			if a.stopping != "" {
 				return false
 			}
 		}
-		s.cell.Unbar(ref, place.BarHeld)
+		s.cell.Unbar(e.worker, place.BarHeld)
 		return true
 	})
 	return len(s.making) < before
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -145,7 +145,7 @@
 			s.endHold(h)
 		}
 	}
-	s.making = slices.DeleteFunc(s.making, func(o place.Ref) bool { return o == ref })
+	s.making = slices.DeleteFunc(s.making, func(e emptying) bool { return e.worker == ref })
 }
 
 // startHeld starts the jobs whose held workers have enough room.
@@ -183,9 +183,9 @@
 	if j.hold != nil {
 		return s.placer.PackIn(j.hold.workers, place.BarHeld, j.need)
 	}
-	if j.spec.Urgent && len(s.making) > 0 {
-		if ref := s.placer.PackIn(s.making, place.BarHeld, j.need); ref != place.None {
-			return ref
+	for _, e := range s.making {
+		if e.mayUse(j) && s.cell.Worker(e.worker).Bars == place.BarHeld && j.need.Fits(s.cell.Worker(e.worker).Free) {
+			return e.worker
 		}
 	}
 	if s.opts.Hold != HoldPlanned || len(s.holds) == 0 {
--- a/sched/job.go
+++ b/sched/job.go
@@ -41,7 +41,7 @@
 
 	hold      *hold
 	noHold    time.Duration // none before this time
-	load      float64       // share of the zone times seconds that its waiting tasks need
+	load      load          // of its tasks that wait
 	predicted time.Duration // start, as predicted on arrival; zero if none was
 	timers    int           // pending timers that name the job
 }
@@ -68,7 +68,7 @@
 }
 
 func (j *job) shape() queue.Shape {
-	shape := queue.Shape{Need: j.need, Units: j.startUnits(), Urgent: j.spec.Urgent}
+	shape := queue.Shape{Need: j.need, Units: j.startUnits(), Urgent: j.spec.Urgent, Pressing: j.pressing()}
 	if j.gang() {
 		shape.Gang = j.spec.Tasks
 	}
--- a/sched/learn.go
+++ b/sched/learn.go
@@ -100,16 +100,15 @@
 
 // weigh keeps the sums of waiting work of a team up to date with a job.
 func (s *Scheduler) weigh(j *job) {
-	load := 0.0
+	var work load
 	if waiting := j.waiting(); waiting > 0 {
-		share := j.need.Dominant(s.cell.Total())
-		load = float64(waiting) * share * s.estimate(j).Seconds()
+		work = loadOf(j.need, float64(waiting)*s.estimate(j).Seconds())
 	}
-	change := load - j.load
-	j.load = load
-	j.team.load += change
+	change := work.sub(j.load)
+	j.load = work
+	j.team.load = j.team.load.add(change)
 	if j.pressing() {
-		j.team.deadlines += change
+		j.team.deadlines = j.team.deadlines.add(change)
 	}
 }
 
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -52,36 +52,47 @@
 	if !ok {
 		return 0, false
 	}
-	ahead := 0.0
+	var ahead load
 	for _, item := range s.queue.AheadOf(&j.item) {
-		ahead += item.Owner.load
+		ahead = ahead.add(item.Owner.load)
 	}
 	return max(at-s.now, s.drained(j.team, ahead)), true
 }
 
 // drained returns the time until so much waiting work of a team has started,
-// if the zone is shared by weight between the teams with waiting work.
+// if the zone is shared by weight between the teams with waiting work and no
+// more arrives.
 //
-// While a team works off a load at a rate of its weight, each other team works
-// off its own at the rate of its weight, until it has none left. The time is
-// the sum of all that is worked off meanwhile, in zone-seconds.
-func (s *Scheduler) drained(t *team, load float64) time.Duration {
-	load = max(load, 0)
-	rounds := load / float64(t.Weight)
-	sum := load
+// While a team works off its load at a rate of its weight, each other team
+// works off its own at the rate of its weight, until it has none left. The
+// time is what the zone needs for all that is worked off meanwhile.
+func (s *Scheduler) drained(t *team, own load) time.Duration {
+	total := s.cell.Total()
+	rounds := own.over(total) / float64(t.Weight)
+	sum := own
 	for _, other := range s.teamList {
-		if other != t {
-			sum += min(max(other.load, 0), float64(other.Weight)*rounds)
+		if other == t {
+			continue
+		}
+		if all := other.load.over(total); all > 0 {
+			sum = sum.add(other.load.times(min(1, float64(other.Weight)*rounds/all)))
 		}
 	}
-	return seconds(sum)
+	return seconds(sum.over(total))
 }
 
 // expectedWait returns how long new work of a team is expected to wait if it
-// comes after the pressing work alone, or after all work of the team.
+// comes after the pressing work alone, or after all work of the team. It
+// assumes that other teams go on to use what they are entitled to, because
+// under overload their work goes on to arrive.
 func (s *Scheduler) expectedWait(t *team, pressing bool) time.Duration {
+	ahead := t.load
 	if pressing {
-		return s.drained(t, t.deadlines)
+		ahead = t.deadlines
 	}
-	return s.drained(t, t.load)
+	share := max(s.queue.Entitled(t.Team), s.queue.Share(t.Team))
+	return seconds(ahead.over(s.cell.Total()) / max(share, leastShare))
 }
+
+// leastShare keeps expected waits finite.
+const leastShare = 1e-6
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -34,9 +34,9 @@
 	dirty      bool   // something happened that could let work start
 	planAt     timeOf // no planning before this time
 	planner    planner
-	making     []place.Ref // workers on which room is made for urgent work
-	displaceAt timeOf      // no displacing before this time
-	sick       int         // quarantined workers
+	making     []emptying
+	displaceAt timeOf // no displacing before this time
+	sick       int    // quarantined workers
 	openFunc   func(*queue.Class[*job]) bool
 	gangRefs   []place.Ref // scratch
 }
--- a/sched/team.go
+++ b/sched/team.go
@@ -11,12 +11,12 @@
 // team is what the scheduler keeps of a team.
 type team struct {
 	*queue.Team[*job]
-	limit      int64   // upper limit over the fleet; zero if there is none
-	refused    int64   // units that were refused last; math.MaxInt64 if none were
-	refusedTil timeOf  // after this the refusal counts no longer
-	load       float64 // share of the zone times seconds that waiting tasks need
-	deadlines  float64 // the same, of jobs with a deadline or urgent ones only
-	headJob    *job    // the job that is due first, when last looked at
+	limit      int64  // upper limit over the fleet; zero if there is none
+	refused    int64  // units that were refused last; math.MaxInt64 if none were
+	refusedTil timeOf // after this the refusal counts no longer
+	load       load   // of the tasks that wait
+	deadlines  load   // the same, of jobs with a deadline or urgent ones only
+	headJob    *job   // the job that is due first, when last looked at
 	headSince  timeOf
 	unitsInUse int64
 }
