--- a/measure/gauge.go
+++ b/measure/gauge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/queue"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -92,65 +93,26 @@
 // furthest returns how far the furthest team is from its fair share of what
 // all teams use together. It reports false unless two teams have work waiting.
 func (g *gauges) furthest(r *replay) (float64, bool) {
-	list := make([]fairTeam, 0, len(r.trace.Teams))
+	list := make([]queue.Demand, 0, len(r.trace.Teams))
 	waiting := 0
 	for _, team := range r.trace.Teams {
 		t := g.team(team.ID)
 		if t.waiting > 0 {
 			waiting++
 		}
-		list = append(list, fairTeam{
-			weight: float64(team.Weight),
-			used:   t.used.Dominant(g.total),
-			wants:  t.used.Add(t.needs).Dominant(g.total),
+		list = append(list, queue.Demand{
+			Weight: team.Weight,
+			Used:   t.used.Dominant(g.total),
+			Wants:  t.used.Add(t.needs).Dominant(g.total),
 		})
 	}
 	if waiting < 2 {
 		return 0, false
 	}
-	share(list)
+	queue.Divide(list)
 	furthest := 0.0
 	for _, t := range list {
-		furthest = max(furthest, math.Abs(t.used-t.fair))
+		furthest = max(furthest, math.Abs(t.Used-t.Fair))
 	}
 	return furthest, true
 }
-
-// fairTeam is a team with the shares of the zone that it uses, could use, and
-// should have.
-type fairTeam struct {
-	weight, used, wants, fair float64
-}
-
-// share divides what all teams use together by weight, but gives no team more
-// than it wants; what one leaves is divided between the others.
-func share(list []fairTeam) {
-	left := 0.0
-	for _, t := range list {
-		left += t.used
-	}
-	settled := make([]bool, len(list))
-	for again := true; again; {
-		again = false
-		weights := 0.0
-		for i, t := range list {
-			if !settled[i] {
-				weights += t.weight
-			}
-		}
-		level := left / max(weights, 1)
-		for i := range list {
-			t := &list[i]
-			if settled[i] {
-				continue
-			}
-			t.fair = level * t.weight
-			if t.wants <= t.fair {
-				t.fair = t.wants
-				left -= t.wants
-				settled[i], again = true, true
-				break
-			}
-		}
-	}
-}
--- a/measure/replay.go
+++ b/measure/replay.go
@@ -34,6 +34,7 @@
 		{Name: "planned", Options: sched.Options{Hold: sched.HoldPlanned}},
 		{Name: "drain", Options: sched.Options{Hold: sched.HoldDrain}},
 		{Name: "no-hold", Options: sched.Options{Hold: sched.HoldNone}},
+		{Name: "keep-running", Options: sched.Options{KeepRunning: true}},
 		{Name: "fifo", Options: sched.Options{FirstFit: true}, Blind: true},
 	}
 }
--- a/sched/dispatch.go
+++ b/sched/dispatch.go
@@ -20,6 +20,7 @@
 		return
 	}
 	s.displace()
+	s.rebalance()
 	s.planHolds()
 }
 
--- a/sched/displace.go
+++ b/sched/displace.go
@@ -26,9 +26,12 @@
 	if !spec.Displaceable || spec.Urgent || spec.NonIdempotent {
 		return false
 	}
-	return int(a.job.tasks[a.id.Index].displaced) < s.opts.MaxDisplaced
+	return a.displaced() < s.opts.MaxDisplaced
 }
 
+// displaced returns how often the task of an attempt was displaced.
+func (a *attempt) displaced() int { return int(a.job.tasks[a.id.Index].displaced) }
+
 // emptying is a worker on which tasks are being checkpointed. Until those have
 // ended it is held for urgent work, or for pressing work of one team.
 type emptying struct {
@@ -192,8 +195,7 @@
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b *attempt) int {
-		left, right := &a.job.tasks[a.id.Index], &b.job.tasks[b.id.Index]
-		if c := cmp.Compare(left.displaced, right.displaced); c != 0 {
+		if c := cmp.Compare(a.displaced(), b.displaced()); c != 0 {
 			return c
 		}
 		return cmp.Compare(b.since, a.since)
--- a/sched/options.go
+++ b/sched/options.go
@@ -47,6 +47,7 @@
 	UrgentPatience time.Duration // the same for urgent work; default 2 s
 	UrgentOver     float64       // urgent work goes first up to this multiple of the team's share; default 1.5
 	MaxDisplaced   int           // how often one task is displaced; default 3
+	KeepRunning    bool          // never displace to give another team its share
 
 	MaxAttempts int           // default and bound of attempts of a task; default 5
 	BackoffMin  time.Duration // after the first failure; default 1 s, doubled each time
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -30,15 +30,16 @@
 	holds     []*hold
 	prediction
 
-	seq        uint64 // of arrivals
-	dirty      bool   // something happened that could let work start
-	planAt     timeOf // no planning before this time
-	planner    planner
-	making     []emptying
-	displaceAt timeOf // no displacing before this time
-	sick       int    // quarantined workers
-	openFunc   func(*queue.Class[*job]) bool
-	gangRefs   []place.Ref // scratch
+	seq         uint64 // of arrivals
+	dirty       bool   // something happened that could let work start
+	planAt      timeOf // no planning before this time
+	planner     planner
+	making      []emptying
+	displaceAt  timeOf // no displacing before this time
+	rebalanceAt timeOf // no rebalancing before this time
+	sick        int    // quarantined workers
+	openFunc    func(*queue.Class[*job]) bool
+	gangRefs    []place.Ref // scratch
 }
 
 // New returns a scheduler that knows no worker and no job.
--- a/sched/team.go
+++ b/sched/team.go
@@ -11,6 +11,7 @@
 // team is what the scheduler keeps of a team.
 type team struct {
 	*queue.Team[*job]
+	number     int    // in the order of first events
 	limit      int64  // upper limit over the fleet; zero if there is none
 	refused    int64  // units that were refused last; math.MaxInt64 if none were
 	refusedTil timeOf // after this the refusal counts no longer
@@ -24,7 +25,7 @@
 func (s *Scheduler) team(id ident.TeamID) *team {
 	t, ok := s.teams[id]
 	if !ok {
-		t = &team{Team: s.queue.Team(id), refused: math.MaxInt64}
+		t = &team{Team: s.queue.Team(id), number: len(s.teamList), refused: math.MaxInt64}
 		s.teams[id] = t
 		s.teamList = append(s.teamList, t)
 	}
