sched: tests of failures and policies; failure rate of new work starts at an even guess

Cause: broken work of one name set aside two of eight workers before its failure rate had risen. After: none, and a worker that fails everything is still found.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -91,7 +91,7 @@
 
 // plan holds the workers on which the job is planned to start first.
 func (s *Scheduler) plan(j *job) {
-	at, workers, ok := s.planner.earliest(s, j)
+	at, workers, ok := s.planner.earliest(s, j, 0)
 	if !ok {
 		return
 	}
--- a/sched/learn.go
+++ b/sched/learn.go
@@ -13,6 +13,7 @@
 	runs      int
 	mean      float64 // run time in seconds, moving average
 	deviation float64 // mean absolute deviation from it
+	ends      int
 	failing   float64 // failure rate, moving average
 }
 
@@ -61,11 +62,10 @@
 		return
 	}
 	f := j.family
+	f.judge(e.failed)
 	if e.failed {
-		f.failing += (1 - f.failing) * learnRate
 		return
 	}
-	f.failing -= f.failing * learnRate
 	ran := e.ran.Seconds()
 	f.runs++
 	if f.runs == 1 {
@@ -77,6 +77,19 @@
 	f.mean += (ran - f.mean) * rate
 }
 
+// judge keeps the failure rate. It starts at an even guess, so that the second
+// failure of new work points at the work, and one alone at neither.
+func (f *family) judge(failed bool) {
+	const guesses = 2
+	rate := max(learnRate, 1/float64(f.ends+guesses))
+	f.ends++
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	f.failing += (target - f.failing) * rate
+}
+
 // estimate returns the expected run time of a task of the job.
 func (s *Scheduler) estimate(j *job) time.Duration {
 	if j.family.runs >= learnedRuns {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -61,9 +61,11 @@
 // earliest returns the earliest time at which a job is expected to fit, and
 // the workers on which it will. It reports false if it will not without a
 // change of the workers.
-func (p *planner) earliest(s *Scheduler, j *job) (timeOf, []place.Ref, bool) {
+//
+// Workers with bars count only if they have no others than ignore.
+func (p *planner) earliest(s *Scheduler, j *job, ignore place.Bars) (timeOf, []place.Ref, bool) {
 	missing := p.wanted(j)
-	p.sample(s, max(planWorkers, planFactor*int(missing)))
+	p.sample(s, max(planWorkers, planFactor*int(missing)), ignore)
 	at, ok := p.run(s, j, p.refs, missing)
 	if !ok {
 		return 0, nil, false
@@ -73,12 +75,12 @@
 
 // sample takes workers that take new tasks, at most so many, each time from
 // another place on, so that a plan has a bounded cost in a zone of any size.
-func (p *planner) sample(s *Scheduler, most int) {
+func (p *planner) sample(s *Scheduler, most int, ignore place.Bars) {
 	p.refs = p.refs[:0]
 	n := s.cell.Refs()
 	for i := 0; i < n && len(p.refs) < most; i++ {
 		ref := place.Ref((i + int(s.seq)) % n)
-		if s.cell.Known(ref) && s.cell.Worker(ref).Bars == 0 {
+		if s.cell.Known(ref) && s.cell.Worker(ref).Bars&^ignore == 0 {
 			p.refs = append(p.refs, ref)
 		}
 	}
--- /dev/null
+++ b/sched/policy_test.go
@@ -0,0 +1,238 @@
+package sched
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/work"
+)
+
+// Small tasks arrive all the time, each ends after a while, and a job needs
+// most of the zone at once. Without a hold its users wait for ever, because
+// every core that comes free is taken by the next small task.
+func TestGangDoesNotStarveBehindSmallWork(t *testing.T) {
+	for _, hold := range []Hold{HoldPlanned, HoldDrain, HoldNone} {
+		t.Run(fmt.Sprint(hold), func(t *testing.T) {
+			w := zone(t, 4, Options{Hold: hold, KeepRunning: true})
+			feed := func() {
+				for w.s.Waiting() < 20 {
+					w.accept(batch("small", 2, 1))
+				}
+			}
+			feed()
+			job := w.accept(gang("large", 8, 2))
+			for turn := 0; turn < 200 && len(w.runningOf(job)) == 0; turn++ {
+				w.pass(time.Second)
+				w.end(turn%len(w.running), AttemptEnded{Ran: time.Minute})
+				feed()
+			}
+			if started := len(w.runningOf(job)) == 2; started != (hold != HoldNone) {
+				t.Errorf("started: %v", started)
+			}
+		})
+	}
+}
+
+// While workers are held for a large job, short work may use them, long work
+// may not: users of short work should not pay for a hold.
+func TestShortWorkRunsOnHeldWorkers(t *testing.T) {
+	w := zone(t, 2, Options{KeepRunning: true})
+	long := batch("a", 5, 1)
+	long.Run = time.Hour
+	w.accept(long)
+	w.accept(long)
+	w.accept(gang("b", 8, 2))
+	w.pass(5 * time.Second)
+	short, other := batch("c", 2, 1), batch("d", 2, 1)
+	other.Run = 2 * time.Hour
+	if job := w.accept(other); len(w.runningOf(job)) != 0 {
+		t.Errorf("long work started on a held worker")
+	}
+	if job := w.accept(short); len(w.runningOf(job)) != 1 {
+		t.Errorf("short work did not start on a held worker")
+	}
+}
+
+// Urgent work meets a zone that is full of displaceable tasks: it starts as
+// soon as one of them has been checkpointed, and that one starts again later.
+// A task that was displaced as often as the bound allows is left alone.
+func TestUrgentWorkDisplacesWithinABound(t *testing.T) {
+	w := zone(t, 1, Options{MaxDisplaced: 2, KeepRunning: true})
+	plain := batch("a", 8, 1)
+	plain.Displaceable = true
+	victim := w.accept(plain)
+	for round := range 3 {
+		urgent := batch("b", 4, 1)
+		urgent.Urgent = true
+		job := w.accept(urgent)
+		at := w.runningOf(victim)
+		displaced := w.controls[w.running[at[0]].ID] == platform.ControlCheckpoint
+		if displaced != (round < 2) {
+			t.Fatalf("round %d: displaced %v", round, displaced)
+		}
+		if !displaced {
+			return
+		}
+		w.end(at[0], AttemptEnded{Stopped: true, Ran: time.Second})
+		if len(w.runningOf(job)) != 1 {
+			t.Fatalf("round %d: the urgent job did not start", round)
+		}
+		w.end(w.runningOf(job)[0], AttemptEnded{})
+		if len(w.runningOf(victim)) != 1 {
+			t.Fatalf("round %d: the displaced task did not start again", round)
+		}
+	}
+}
+
+// One worker fails whatever it gets, at once, and is therefore always free.
+// Without quarantine it draws every job of the zone until all have failed; with
+// it all jobs succeed, and when the worker is mended it is used again.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	w := zone(t, 4, Options{})
+	bad := worker(0)
+	var jobs []ident.JobID
+	for i := range 60 {
+		spec := batch("a", 8, 1)
+		spec.Name = fmt.Sprint(i % 5)
+		jobs = append(jobs, w.accept(spec))
+	}
+	tried := 0
+	for turn := 0; len(w.ended) < len(jobs) && turn < 2000; turn++ {
+		w.pass(time.Second)
+		for i := len(w.running) - 1; i >= 0; i-- {
+			if w.running[i].Worker == bad {
+				tried++
+				w.end(i, AttemptEnded{Failed: true, Reason: "broken disk"})
+			} else if turn%4 == i%4 {
+				w.end(i, AttemptEnded{Ran: time.Second})
+			}
+		}
+	}
+	for _, job := range jobs {
+		if end := w.ended[job]; end.Outcome != work.OutcomeRan || end.Failed {
+			t.Fatalf("job %s: %+v", job, end)
+		}
+	}
+	if tried > 12 {
+		t.Errorf("the broken worker was tried %d times", tried)
+	}
+	w.pass(time.Hour)
+	job := w.accept(batch("a", 8, 4))
+	for len(w.running) > 0 {
+		w.end(0, AttemptEnded{Ran: time.Second})
+	}
+	if _, ended := w.ended[job]; !ended || w.s.sick != 0 {
+		t.Errorf("the job ended: %v; %d workers are set aside", ended, w.s.sick)
+	}
+}
+
+// One team's jobs all fail, wherever they run. The workers are fine: another
+// team must find all of them in use, and none set aside.
+func TestBrokenWorkSetsNoWorkerAside(t *testing.T) {
+	w := zone(t, 8, Options{})
+	for i := range 100 {
+		spec := batch("broken", 8, 1)
+		spec.Name = "same"
+		spec.MaxAttempts = 1
+		w.accept(spec)
+		for len(w.running) > 0 {
+			w.end(0, AttemptEnded{Failed: true, Reason: fmt.Sprint("crash ", i)})
+		}
+		w.pass(time.Second)
+	}
+	if w.s.sick != 0 {
+		t.Errorf("%d workers are set aside", w.s.sick)
+	}
+}
+
+// A team floods the zone. A team within its share starts its work as soon as
+// anything ends, however many jobs of the other wait.
+func TestFloodDoesNotDelayAnotherTeam(t *testing.T) {
+	w := zone(t, 4, Options{KeepRunning: true})
+	w.step(TeamsChanged{Teams: []Team{{ID: "flood", Weight: 1}, {ID: "calm", Weight: 1}}})
+	for range 5000 {
+		w.accept(batch("flood", 1, 1))
+	}
+	job := w.accept(batch("calm", 1, 1))
+	w.end(0, AttemptEnded{})
+	if len(w.runningOf(job)) != 1 {
+		t.Errorf("the team within its share waits behind a flood")
+	}
+}
+
+// The upper limit refuses units: the engine is told, and when units come back
+// the work starts. If that word is lost, the scheduler asks again by itself.
+func TestUpperLimit(t *testing.T) {
+	w := zone(t, 2, Options{})
+	w.units.limit["a"] = 2
+	w.accept(batch("a", 1, 3))
+	if want := (Want{Team: "a", Units: 1}); len(w.running) != 2 || w.commands[2] != Command(want) {
+		t.Fatalf("%d run, commands %v", len(w.running), w.commands)
+	}
+	w.units.limit["a"] = 3
+	w.pass(refusalFor)
+	if len(w.running) != 3 {
+		t.Errorf("%d run after the limit was raised", len(w.running))
+	}
+}
+
+// A worker is to be removed in a planned change. Callers of the service must
+// never find fewer replicas than declared: the replacement starts first, in
+// another rack if it can, and only then is the old replica stopped.
+func TestServiceIsReplacedBeforeItIsRemoved(t *testing.T) {
+	w := zone(t, 6, Options{})
+	service := ident.JobID{Zone: "a", Host: "h", Incarnation: 2, Seq: 1}
+	w.step(ServiceDeclared{Service: "s", Job: service, Team: "a", Replicas: 3, Need: cpu(2)})
+	racks := map[string]bool{}
+	for _, a := range w.running {
+		ref, _ := w.s.cell.Lookup(a.Worker)
+		racks[w.s.cell.RackName(w.s.cell.Worker(ref).Rack)] = true
+		w.step(AttemptStarted{ID: a.ID})
+	}
+	if len(w.running) != 3 || len(racks) != 3 {
+		t.Fatalf("%d replicas in %d racks", len(w.running), len(racks))
+	}
+	old := w.running[0]
+	w.shut[old.Worker] = true
+	w.step(WorkerLeaving{Worker: old.Worker})
+	if len(w.running) != 4 || w.controls[old.ID] != "" {
+		t.Fatalf("%d replicas, control %q before the replacement started", len(w.running), w.controls[old.ID])
+	}
+	w.step(AttemptStarted{ID: w.running[3].ID})
+	if w.controls[old.ID] != platform.ControlStop {
+		t.Errorf("the old replica was not stopped")
+	}
+	w.end(0, AttemptEnded{Stopped: true})
+	w.step(ServiceDeclared{Service: "s", Job: service, Team: "a", Replicas: 1, Need: cpu(2)})
+	if stopped := len(w.controls); len(w.running) != 3 || stopped != 3 {
+		t.Errorf("%d replicas, %d stopped after scaling down", len(w.running), stopped)
+	}
+}
+
+// A job waits and an operator asks why.
+func TestExplanation(t *testing.T) {
+	w := zone(t, 3, Options{})
+	w.step(WorkerCordoned{Worker: worker(2), Cordoned: true})
+	w.shut[worker(2)] = true
+	w.accept(batch("b", 8, 2))
+	w.accept(batch("a", 6, 1))
+	job := w.accept(gang("a", 6, 2))
+	w.pass(2 * time.Second)
+	words := w.s.Explain(w.now, job).Words()
+	for _, want := range []string{
+		"is waiting", "2 waiting", "1 jobs of the team come earlier", "0 of 3 could take a task now",
+		"1 turned away: lease not held or cordoned", "1 turned away: held for another job", "1 turned away: not enough free processors", "predicted start: in",
+	} {
+		if !strings.Contains(words, want) {
+			t.Errorf("%q is missing in:\n%s", want, words)
+		}
+	}
+	running := w.s.Explain(w.now, w.running[0].ID.Job).Words()
+	if !strings.Contains(running, "runs on "+string(w.running[0].Worker)) {
+		t.Errorf("no place in:\n%s", running)
+	}
+}
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/place"
+)
 
 // prediction compares predicted starts with real ones.
 type prediction struct {
@@ -48,7 +52,7 @@
 	if j.hold != nil {
 		return max(j.hold.at-s.now, 0), true
 	}
-	at, _, ok := s.planner.earliest(s, j)
+	at, _, ok := s.planner.earliest(s, j, place.BarHeld)
 	if !ok {
 		return 0, false
 	}
