--- a/settings/values.go
+++ b/settings/values.go
@@ -137,6 +137,13 @@
 	return 0, false
 }
 
+// ParseMiB parses a size that is a whole number of MiB, such as 512MiB or 4GiB,
+// and returns that number.
+func ParseMiB(value string) (int64, bool) {
+	bytes, ok := ParseSize(value)
+	return bytes / mib, ok && bytes%mib == 0
+}
+
 // flag sets a yes or a no.
 func flag(at func(*Settings) *bool) setter {
 	return func(s *Settings, value string) bool {
--- a/wanted/wanted.go
+++ b/wanted/wanted.go
@@ -90,7 +90,6 @@
 const (
 	stateAbsent = "absent"
 	markNone    = "none"
-	bytesPerMiB = 1 << 20
 )
 
 func (r *reader) fail(section, key, value, allowed string) {
@@ -214,11 +213,11 @@
 		need.Accelerators = *accelerators
 	}
 	if given {
-		size, ok := settings.ParseSize(memory)
-		if !ok || size%bytesPerMiB != 0 {
+		size, ok := settings.ParseMiB(memory)
+		if !ok {
 			r.fail(section, keyMemory, memory, "whole MiB with the unit, such as 512MiB or 4GiB")
 		}
-		need.MemoryMiB = size / bytesPerMiB
+		need.MemoryMiB = size
 	}
 	return &need
 }
--- a/wanted/wanted_test.go
+++ b/wanted/wanted_test.go
@@ -86,6 +86,11 @@
 request-timeout = 5
 [worker w1]
 reason = none given
+[worker w1.b]
+reason = nothing comes from a section whose name is a part of this one
+[worker w1.b.c]
+mark = drain
+[worker w1.b.c.d]
 `))
 	var invalid *settings.InvalidError
 	if !errors.As(err, &invalid) {
@@ -96,7 +101,8 @@
 		got = append(got, field.Section+"/"+field.Key)
 	}
 	want := []string{"/stray", "team/", "cluster x/", "team grants/limits", "team grants/share", "team grants/limit",
-		"team grants/state", "service checks/memory", "service checks/request-timeout", "worker w1/mark"}
+		"team grants/state", "service checks/memory", "service checks/request-timeout", "worker w1/mark",
+		"worker w1.b/mark", "worker w1.b.c.d/mark"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
