--- a/admin/status.go
+++ b/admin/status.go
@@ -129,11 +129,22 @@
 	Partial  bool         `json:"partial,omitempty"` // a zone could not be asked
 }
 
+// KeyState says whether a key is accepted.
+type KeyState string
+
+// The states of a key.
+const (
+	KeyValid     KeyState = "valid"
+	KeyEnding    KeyState = "ending"    // rotated; valid until KeyStatus.Until
+	KeyEnded     KeyState = "ended"     // rotated, and the overlap is over
+	KeyWithdrawn KeyState = "withdrawn" // remembered for fleet.PlanWindow records
+)
+
 // KeyStatus is one key; never the key itself.
 type KeyStatus struct {
 	Key     fleet.KeyID     `json:"key"`
-	Team    ident.TeamID    `json:"team"`
-	State   string          `json:"state"` // valid, ending, ended or withdrawn
+	Team    ident.TeamID    `json:"team,omitempty"` // empty for a withdrawn key
+	State   KeyState        `json:"state"`
 	Until   time.Time       `json:"until,omitzero"`
 	Changed platform.Offset `json:"changed"` // offset of the last change
 	By      string          `json:"by,omitempty"`
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -177,6 +177,32 @@
 	return s.gone[ref]
 }
 
+// LastChange tells which change touched an object last. It returns the zero
+// Changed if that is not remembered: nothing touched it, or a removal is more
+// than PlanWindow records ago.
+func (s *State) LastChange(ref Ref) Changed {
+	at := s.Revision(ref)
+	if at == 0 {
+		return Changed{}
+	}
+	return s.describe(ref, at)
+}
+
+// Withdrawn lists the keys that were withdrawn within the last PlanWindow
+// records, the newest first.
+func (s *State) Withdrawn() []Changed {
+	var out []Changed
+	for ref, at := range s.gone {
+		if ref.Kind == KindKey {
+			out = append(out, s.describe(ref, at))
+		}
+	}
+	slices.SortFunc(out, func(a, b Changed) int {
+		return cmp.Or(cmp.Compare(b.Offset, a.Offset), a.Object.compare(b.Object))
+	})
+	return out
+}
+
 // Recent returns the accepted changes of the last PlanWindow records, oldest
 // first.
 func (s *State) Recent() []Applied { return slices.Clone(s.recent) }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -89,6 +89,8 @@
 		set: duration(minPoll, maxPoll, func(s *Settings) *dur { return &s.Config.Poll })},
 	{section: sectionConfig, key: "max-age", standard: "0s", allowed: "0s to serve on for ever, or a duration from 5s to 24h",
 		set: setMaxAge},
+	{section: sectionConfig, key: "snapshot", standard: "1h", allowed: "a duration from 1m to 24h",
+		set: duration(minSnapshot, maxSnapshot, func(s *Settings) *dur { return &s.Config.Snapshot })},
 
 	{section: sectionTelemetry, key: "metrics", standard: "yes", allowed: allowedBool,
 		set: flag(func(s *Settings) *bool { return &s.Telemetry.Metrics })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,9 @@
 type Config struct {
 	Poll   time.Duration // longest wait of one read of the log, and the pause between exchanges with peers
 	MaxAge time.Duration // beyond this age of the configuration new work is refused; zero serves on
+	// Snapshot is the time between two snapshots in the configuration's stream.
+	// It must be well below the time that the log keeps records.
+	Snapshot time.Duration
 }
 
 // Telemetry says what is exported.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -97,6 +97,7 @@
 	{"limits", "request-timeout = -1s", "request-timeout", "-1s"},
 	{"config", "poll = 10s", "poll", "10s"},
 	{"config", "max-age = 1s", "max-age", "1s"},
+	{"config", "snapshot = 1s", "snapshot", "1s"},
 	{"telemetry", "metrics = true", "metrics", "true"},
 	{"telemetry", "otlp = http://collector:4318", "otlp", "http://collector:4318"},
 	{"telemetry", "sample = 2", "sample", "2"},
--- a/settings/values.go
+++ b/settings/values.go
@@ -36,6 +36,8 @@
 	maxRequestTimeout = time.Hour
 	minPoll           = 50 * time.Millisecond
 	maxPoll           = 5 * time.Second // a change must be in force within 9 s
+	minSnapshot       = time.Minute
+	maxSnapshot       = 24 * time.Hour
 	minMaxAge         = 5 * time.Second
 	maxMaxAge         = 24 * time.Hour
 
