--- a/fleet/key.go
+++ b/fleet/key.go
@@ -62,9 +62,12 @@
 	}
 	id = KeyID(hex.EncodeToString(raw[:keyIDBytes]))
 	key = strings.Join([]string{keyPrefix, string(id), hex.EncodeToString(raw[keyIDBytes:])}, keySep)
-	return key, id, sha256.Sum256([]byte(key)), nil
+	return key, id, hashOf(key), nil
 }
 
+// hashOf returns the hash under which a key is stored.
+func hashOf(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
 // KeyReason says why a key does not authenticate.
 type KeyReason string
 
@@ -94,7 +97,7 @@
 	if len(parts) != 3 || parts[0] != keyPrefix {
 		return "", &KeyError{Reason: KeyMalformed}
 	}
-	hash := sha256.Sum256([]byte(key))
+	hash := hashOf(key)
 	known, found := s.keys[KeyID(parts[1])]
 	equal := subtle.ConstantTimeCompare(hash[:], known.Hash[:]) == 1
 	if !found || !equal {
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -2,14 +2,16 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/platform"
 )
 
 // The stream's records expire, so its state is written into it again, as a
-// snapshot: one group of records, each with a part of an encoded State. A
+// snapshot: one group of records, each with a part of a compressed State. A
 // State that is whole ignores the content and goes on; a reader that starts at
 // the oldest record that is left begins with the first whole snapshot that it
 // finds (see Follower).
@@ -21,11 +23,14 @@
 
 const (
 	// SnapshotRecords is the number of records after which a snapshot is due.
-	SnapshotRecords = 1024
+	SnapshotRecords = 4096
 
-	// partSize is the size of the State's bytes in one part, in bytes.
+	// partSize is the size of one part's data, in bytes.
 	partSize = 128 << 10
 
+	// maxState bounds what the parts of a snapshot may unpack to, in bytes.
+	maxState = 256 << 20
+
 	// maxParts bounds what a reader collects for one snapshot.
 	maxParts = 1024
 )
@@ -89,8 +94,9 @@
 // SnapshotGroup renders s as a group of records that are to be appended in one
 // call. now is the wall clock.
 func SnapshotGroup(s *State, now time.Time) ([][]byte, error) {
-	whole := Encode(s)
-	digest := Digest(whole[:len(Digest{})])
+	encoded := Encode(s)
+	digest := Digest(encoded[:len(Digest{})])
+	whole := pack(encoded)
 	parts := (len(whole) + partSize - 1) / partSize
 	group := make([][]byte, 0, parts)
 	for i := range parts {
@@ -126,9 +132,36 @@
 	if c.have < p.Parts {
 		return nil
 	}
-	s, err := Decode(bytes.Join(c.parts, nil))
+	encoded, err := unpack(bytes.Join(c.parts, nil))
+	if err != nil {
+		return nil
+	}
+	s, err := Decode(encoded)
 	if err != nil || s.offset != p.Of {
 		return nil // damaged, or of a newer format: another snapshot will follow
 	}
 	return s
 }
+
+// pack compresses an encoded State: every host reads every snapshot, so its
+// size counts once for each host.
+func pack(data []byte) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, _ = w.Write(data) // a buffer takes everything
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// unpack undoes pack. It returns a *TornError for anything else.
+func unpack(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, &TornError{Detail: err.Error()}
+	}
+	out, err := io.ReadAll(io.LimitReader(r, maxState))
+	if err != nil {
+		return nil, &TornError{Detail: err.Error()}
+	}
+	return out, nil
+}
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -79,9 +81,14 @@
 // left of it.
 func TestHalfWrittenSnapshot(t *testing.T) {
 	s := newStream(t)
-	payload := string(bytes.Repeat([]byte("x"), MaxPayload))
+	random := rand.New(rand.NewPCG(1, 2)) // text that does not compress
 	s.must(team("grants", 10))
-	for i := range 80 {
+	for i := range 160 {
+		raw := make([]byte, MaxPayload/2)
+		for j := range raw {
+			raw[j] = byte(random.Uint32())
+		}
+		payload := hex.EncodeToString(raw)
 		id := ident.ServiceID("s" + string(rune('a'+i/26)) + string(rune('a'+i%26)))
 		s.must(Intent{Services: []WantService{{Service: id, Team: ptr(ident.TeamID("grants")), Payload: &payload}}})
 	}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -80,7 +80,7 @@
 
 // Teams returns all teams sorted by identifier.
 func (s *State) Teams() []Team {
-	return sorted(s.teams, func(a, b Team) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(s.teams), func(a, b Team) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // Key returns a key by its identifier.
@@ -91,14 +91,19 @@
 
 // Keys returns all keys that are not withdrawn, sorted by team and identifier.
 func (s *State) Keys() []Key {
-	return sorted(s.keys, func(a, b Key) int {
-		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.ID, b.ID))
-	})
+	return slices.SortedFunc(maps.Values(s.keys), Key.compare)
 }
 
 // KeysOf returns the keys of one team, sorted by identifier.
 func (s *State) KeysOf(team ident.TeamID) []Key {
-	return slices.DeleteFunc(s.Keys(), func(k Key) bool { return k.Team != team })
+	var out []Key
+	for _, key := range s.keys {
+		if key.Team == team {
+			out = append(out, key)
+		}
+	}
+	slices.SortFunc(out, Key.compare)
+	return out
 }
 
 // Service returns a service by its identifier.
@@ -109,12 +114,19 @@
 
 // Services returns all services sorted by identifier.
 func (s *State) Services() []Service {
-	return sorted(s.svcs, func(a, b Service) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(s.svcs), Service.compare)
 }
 
 // ServicesOf returns the services of one team, sorted by identifier.
 func (s *State) ServicesOf(team ident.TeamID) []Service {
-	return slices.DeleteFunc(s.Services(), func(v Service) bool { return v.Team != team })
+	var out []Service
+	for _, service := range s.svcs {
+		if service.Team == team {
+			out = append(out, service)
+		}
+	}
+	slices.SortFunc(out, Service.compare)
+	return out
 }
 
 // Marked is a marked object.
@@ -210,7 +222,8 @@
 // Snapshot tells which snapshot in the stream is the newest.
 func (s *State) Snapshot() SnapshotInfo { return s.snap }
 
-// sorted returns the values of m in the order of compare.
-func sorted[K comparable, V any](m map[K]V, compare func(a, b V) int) []V {
-	return slices.SortedFunc(maps.Values(m), compare)
+func (k Key) compare(o Key) int {
+	return cmp.Or(cmp.Compare(k.Team, o.Team), cmp.Compare(k.ID, o.ID))
 }
+
+func (v Service) compare(o Service) int { return cmp.Compare(v.ID, o.ID) }
