--- a/admin/status.go
+++ b/admin/status.go
@@ -130,7 +130,7 @@
 }
 
 // KeyState says whether a key is accepted.
-type KeyState string
+type KeyState = string
 
 // The states of a key.
 const (
