Read records of every known format, not only of the newest

Cause: raising formatVersion would have made hosts reject all older records. Before: only the newest format was read. After: every one from the oldest on.

--- a/fleet/change.go
+++ b/fleet/change.go
@@ -26,8 +26,13 @@
 	// MaxRecord is the greatest size of a record, in bytes.
 	MaxRecord = 512 << 10
 
-	formatVersion = 1  // of records and snapshots
-	planIDBytes   = 10 // bytes of the digest that make a PlanID
+	// formatVersion is the newest format of records and snapshots that this
+	// program knows and writes; it reads every one from oldestVersion on. A new
+	// operation needs a new format, so that older programs stop at it.
+	formatVersion = 1
+	oldestVersion = 1
+
+	planIDBytes = 10 // bytes of the digest that make a PlanID
 )
 
 // Change is a confirmed plan as it stands in the stream.
@@ -100,7 +105,7 @@
 	if err := strictJSON(r.Data, &out); err != nil {
 		return record{}, err
 	}
-	if out.Version != formatVersion || (out.Change == nil) == (out.Snapshot == nil) {
+	if out.Version < oldestVersion || (out.Change == nil) == (out.Snapshot == nil) {
 		return record{}, &MalformedError{Detail: "neither one change nor one snapshot"}
 	}
 	return out, nil
