--- a/fleet/state.go
+++ b/fleet/state.go
@@ -80,7 +80,7 @@
 
 // Teams returns all teams sorted by identifier.
 func (s *State) Teams() []Team {
-	return sorted(s.teams, func(a, b Team) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(s.teams), func(a, b Team) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // Key returns a key by its identifier.
@@ -91,14 +91,19 @@
 
 // Keys returns all keys that are not withdrawn, sorted by team and identifier.
 func (s *State) Keys() []Key {
-	return sorted(s.keys, func(a, b Key) int {
-		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.ID, b.ID))
-	})
+	return slices.SortedFunc(maps.Values(s.keys), Key.compare)
 }
 
 // KeysOf returns the keys of one team, sorted by identifier.
 func (s *State) KeysOf(team ident.TeamID) []Key {
-	return slices.DeleteFunc(s.Keys(), func(k Key) bool { return k.Team != team })
+	var out []Key
+	for _, key := range s.keys {
+		if key.Team == team {
+			out = append(out, key)
+		}
+	}
+	slices.SortFunc(out, Key.compare)
+	return out
 }
 
 // Service returns a service by its identifier.
@@ -109,12 +114,19 @@
 
 // Services returns all services sorted by identifier.
 func (s *State) Services() []Service {
-	return sorted(s.svcs, func(a, b Service) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(s.svcs), Service.compare)
 }
 
 // ServicesOf returns the services of one team, sorted by identifier.
 func (s *State) ServicesOf(team ident.TeamID) []Service {
-	return slices.DeleteFunc(s.Services(), func(v Service) bool { return v.Team != team })
+	var out []Service
+	for _, service := range s.svcs {
+		if service.Team == team {
+			out = append(out, service)
+		}
+	}
+	slices.SortFunc(out, Service.compare)
+	return out
 }
 
 // Marked is a marked object.
@@ -177,6 +189,32 @@
 	return s.gone[ref]
 }
 
+// LastChange tells which change touched an object last. It returns the zero
+// Changed if that is not remembered: nothing touched it, or a removal is more
+// than PlanWindow records ago.
+func (s *State) LastChange(ref Ref) Changed {
+	at := s.Revision(ref)
+	if at == 0 {
+		return Changed{}
+	}
+	return s.describe(ref, at)
+}
+
+// Withdrawn lists the keys that were withdrawn within the last PlanWindow
+// records, the newest first.
+func (s *State) Withdrawn() []Changed {
+	var out []Changed
+	for ref, at := range s.gone {
+		if ref.Kind == KindKey {
+			out = append(out, s.describe(ref, at))
+		}
+	}
+	slices.SortFunc(out, func(a, b Changed) int {
+		return cmp.Or(cmp.Compare(b.Offset, a.Offset), a.Object.compare(b.Object))
+	})
+	return out
+}
+
 // Recent returns the accepted changes of the last PlanWindow records, oldest
 // first.
 func (s *State) Recent() []Applied { return slices.Clone(s.recent) }
@@ -184,7 +222,8 @@
 // Snapshot tells which snapshot in the stream is the newest.
 func (s *State) Snapshot() SnapshotInfo { return s.snap }
 
-// sorted returns the values of m in the order of compare.
-func sorted[K comparable, V any](m map[K]V, compare func(a, b V) int) []V {
-	return slices.SortedFunc(maps.Values(m), compare)
+func (k Key) compare(o Key) int {
+	return cmp.Or(cmp.Compare(k.Team, o.Team), cmp.Compare(k.ID, o.ID))
 }
+
+func (v Service) compare(o Service) int { return cmp.Compare(v.ID, o.ID) }
