A new host does not take the zone's scheduling from a peer it has not met

Cause: in the tour on one machine two hosts of a zone took the job stream from each other every 2 s for 6 s after start (log lines of h1), because a host wants at once and gives up only after a damping time. Before: three takeovers in 6 s. Conclusion: a host waits for listed peers that may be alive before it wants the role, and a host that lost the stream leaves it alone for 5 s.

--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -273,6 +273,20 @@
 	e.stepRecovery(jobs.RecoveryTick{})
 }
 
+// yieldFor is how long a host that lost the stream to another leaves it there.
+// Both may believe for a moment to be the zone's scheduler; without the pause
+// they would take the stream from each other until their views agree.
+const yieldFor = 5 * time.Second
+
+// tickYield wishes for the stream again if this host is still the one that
+// should schedule the zone.
+func (e *Engine) tickYield() {
+	if e.zone.yieldTo != 0 && e.now >= e.zone.yieldTo {
+		e.zone.yieldTo = 0
+		e.stepOwner(jobs.WantOwnership{Want: true})
+	}
+}
+
 // lostOwnership starts the zone's work anew without its jobs, which are the
 // next owner's now. Services stay with whoever holds the compute leases.
 func (e *Engine) lostOwnership(ev jobs.LostOwnership) {
@@ -282,6 +296,8 @@
 	e.note(NoteScheduler, "no longer schedules zone "+string(e.opts.Zone)+", "+ev.Owner.String()+" does")
 	old := e.zone
 	e.zone = e.newZone()
+	e.zone.yieldTo = e.now + yieldFor
+	e.stepOwner(jobs.WantOwnership{Want: false})
 	e.zone.failed = old.failed
 	for id, w := range old.workers {
 		if w.held {
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -254,6 +254,7 @@
 		return
 	}
 	e.tryOpen()
+	e.tickYield()
 	e.stepSched(sched.Tick{})
 	e.retryStarts()
 	e.stepRecovery(jobs.RecoveryTick{})
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -33,6 +33,8 @@
 	openBy time.Duration
 	failed map[ident.WorkerID]bool // did not answer since the start
 
+	yieldTo time.Duration // leaves the stream to its new owner until then; zero for not
+
 	recovery   *jobs.Recovery
 	recovering map[ident.JobID]int // open attempts of earlier owners to settle
 }
--- a/localfleet/faults_test.go
+++ b/localfleet/faults_test.go
@@ -54,6 +54,21 @@
 	return jobReply{}
 }
 
+// untilRunning waits until a task of the job runs.
+func untilRunning(t *testing.T, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, job string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		status, data := once(ctx, t, http.MethodGet, "http://"+m.Host.APIAddr()+"/v1/jobs/"+job, f.Keys[team], "")
+		if status == http.StatusOK && parseJob(t, data).State == "running" {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+	t.Fatalf("job %s does not run", job)
+}
+
 // scheduler returns the host that schedules a zone, once one does.
 func scheduler(t *testing.T, f *localfleet.Fleet, zone ident.Zone) *localfleet.Member {
 	t.Helper()
@@ -105,6 +120,7 @@
 		spec := fmt.Sprintf(`{"kind":"batch","name":"n%d","need":{"milli_cpu":4000},"tasks":4,"run":"3s"}`, i)
 		jobs = append(jobs, submit(t, f, m, "citizens", spec))
 	}
+	untilRunning(t, f, m, "citizens", jobs[0])
 	f.Kill(m.ID)
 	f.Unlist(m.ID)
 	next := other(f, m)
--- a/member/assign.go
+++ b/member/assign.go
@@ -86,12 +86,31 @@
 func (m *Members) assignScheduler(now time.Duration, names []ident.HostID) {
 	winner := Winner(schedulerKey+string(m.opts.Zone), names)
 	before := m.scheduler.wanted
+	if !before && m.unsettled(now) {
+		return
+	}
 	m.decide(now, &m.scheduler, winner)
 	if m.scheduler.wanted != before {
 		m.emit(SchedulerWanted{Wanted: m.scheduler.wanted})
 	}
 }
 
+// unsettled reports whether a listed host of the own zone may be alive and has
+// not been heard of yet. A host that just started would otherwise take the
+// zone's scheduling over from a peer that it has not met, and each takeover
+// costs the zone a pause.
+func (m *Members) unsettled(now time.Duration) bool {
+	for _, h := range m.hosts {
+		if h.zone != m.opts.Zone || !h.listed || h.heard || h.leaves() {
+			continue
+		}
+		if h.fails < m.opts.FailuresToDead && now-h.sinceAt < m.opts.PeerTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // settle applies the ranking to one worker, handovers at a bounded pace.
 func (m *Members) settle(now time.Duration, w *wish, winner ident.HostID, want Want) {
 	before := *w
