--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -44,7 +44,7 @@
 	go func() { done <- write(ctx, "late") }()
 	select {
 	case err := <-done:
-		t.Errorf("a hanging relay answered %v", err)
+		t.Fatalf("a hanging relay answered %v", err)
 	case <-time.After(20 * time.Millisecond):
 	}
 	set(RelayFaults{})
