--- a/place/place_test.go
+++ b/place/place_test.go
@@ -161,3 +161,21 @@
 		})
 	}
 }
+
+// Many workers are just too full and one has room. A caller would wait although
+// there is room if the search stopped after its sample of the bucket.
+func TestOneWorkerWithRoomIsFoundAmongMany(t *testing.T) {
+	cell := NewCell()
+	placer := NewPlacer(cell)
+	const workers = 4 * sampleOf
+	for i := range workers {
+		size := resource.Vector{MilliCPU: 4100, MemoryMiB: 4096}
+		if i == workers-1 {
+			size.MilliCPU = 4400
+		}
+		cell.Add(ident.WorkerID(fmt.Sprint(i)), "r", size)
+	}
+	if ref := placer.Pack(resource.Vector{MilliCPU: 4300}, None); ref != workers-1 {
+		t.Errorf("found %d", ref)
+	}
+}
--- a/sched/attempt_test.go
+++ b/sched/attempt_test.go
@@ -229,3 +229,50 @@
 		})
 	}
 }
+
+// A report of an earlier attempt comes late, after the task was started again.
+// Taking it for the new attempt would free room that is still in use.
+func TestLateReportOfAnEarlierAttempt(t *testing.T) {
+	w := zone(t, 1, Options{BackoffMin: time.Second})
+	w.accept(batch("a", 8, 1))
+	first := w.end(0, AttemptEnded{Failed: true})
+	w.pass(time.Second)
+	w.step(AttemptEnded{ID: first.ID})
+	if len(w.ended) != 0 || w.s.cell.Worker(0).Tasks != 1 {
+		t.Errorf("the late report ended the new attempt")
+	}
+}
+
+// One task of an all-at-once job fails. The others are worth nothing alone:
+// they are stopped, and all start again together.
+func TestGangStartsAgainAsAWhole(t *testing.T) {
+	w := zone(t, 2, Options{BackoffMin: time.Second})
+	job := w.accept(gang("a", 4, 4))
+	w.end(0, AttemptEnded{Failed: true})
+	for len(w.running) > 0 {
+		if w.controls[w.running[0].ID] != platform.ControlStop {
+			t.Fatalf("%s runs on", w.running[0].ID)
+		}
+		w.end(0, AttemptEnded{Stopped: true})
+	}
+	w.pass(time.Second)
+	if got := len(w.runningOf(job)); got != 4 {
+		t.Errorf("%d tasks started again", got)
+	}
+}
+
+// The only worker refuses a start. Trying again at once would go on for ever.
+func TestRefusingWorkerIsLeftAlone(t *testing.T) {
+	for _, reason := range []platform.Refusal{"", platform.RefusedCapacity} {
+		w := zone(t, 1, Options{})
+		w.accept(batch("a", 1, 1))
+		w.step(StartRefused{ID: w.take(0).ID, Reason: reason})
+		if len(w.running) != 0 {
+			t.Errorf("refusal %q: started again at once", reason)
+		}
+		w.pass(time.Second)
+		if len(w.running) != 1 {
+			t.Errorf("refusal %q: not started again", reason)
+		}
+	}
+}
--- a/sched/displace.go
+++ b/sched/displace.go
@@ -97,7 +97,7 @@
 	workers, found := s.victims(j, of, wanted)
 	if found == 0 || (j.gang() && found < wanted) {
 		s.displaceAt = s.now + displaceEvery
-		s.after(timer{at: s.displaceAt, kind: timerWake})
+		s.wake(s.displaceAt)
 		return
 	}
 	for _, ref := range workers {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -43,6 +43,7 @@
 		return
 	}
 	if s.now < s.planAt {
+		s.wake(s.planAt)
 		return
 	}
 	s.planAt = s.now + planEvery
@@ -68,7 +69,7 @@
 		}
 	}
 	if ripens || len(s.holds) > 0 {
-		s.after(timer{at: s.planAt, kind: timerWake})
+		s.wake(s.planAt)
 	}
 }
 
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -236,3 +236,71 @@
 		t.Errorf("no place in:\n%s", running)
 	}
 }
+
+// An approval runs that is marked displaceable by mistake. Displacing it would
+// need a second attempt, so urgent work has to wait for its end.
+func TestApprovalsAreNotDisplaced(t *testing.T) {
+	w := zone(t, 1, Options{})
+	spec := batch("a", 8, 1)
+	spec.Displaceable, spec.NonIdempotent = true, true
+	w.accept(spec)
+	urgent := batch("b", 1, 1)
+	urgent.Urgent = true
+	w.accept(urgent)
+	w.pass(time.Minute)
+	if len(w.controls) != 0 {
+		t.Errorf("controls: %v", w.controls)
+	}
+}
+
+// A held worker is removed. The hold would keep the other workers idle for a
+// start that cannot come.
+func TestHoldEndsWithItsWorker(t *testing.T) {
+	w := zone(t, 2, Options{KeepRunning: true})
+	w.accept(batch("a", 5, 2))
+	w.accept(gang("b", 8, 2))
+	w.pass(5 * time.Second)
+	if len(w.s.holds) != 1 {
+		t.Fatalf("%d holds", len(w.s.holds))
+	}
+	w.remove(worker(0))
+	if held := w.s.cell.Worker(1).Bars; len(w.s.holds) != 0 || held != 0 {
+		t.Errorf("%d holds, bars %d", len(w.s.holds), held)
+	}
+}
+
+// A team filled the zone while it was alone. When another team's work arrives,
+// the first must not keep everything until its long tasks end.
+func TestSharesComeTogether(t *testing.T) {
+	w := zone(t, 4, Options{})
+	long := batch("first", 1, 64)
+	long.Displaceable = true
+	w.accept(long)
+	job := w.accept(batch("second", 1, 64))
+	for range 60 {
+		w.pass(time.Second)
+		for i := len(w.running) - 1; i >= 0; i-- {
+			if w.controls[w.running[i].ID] != "" {
+				w.end(i, AttemptEnded{Stopped: true, Ran: time.Second})
+			}
+		}
+	}
+	if got := len(w.runningOf(job)); got < 15 || got > 17 {
+		t.Errorf("the second team runs %d of 32 tasks", got)
+	}
+}
+
+// Two jobs of one team wait, the later one with an earlier deadline: that one
+// starts first.
+func TestEarliestDeadlineFirst(t *testing.T) {
+	w := zone(t, 1, Options{})
+	w.accept(batch("a", 8, 1))
+	relaxed, tight := batch("a", 8, 1), batch("a", 8, 1)
+	relaxed.Deadline, tight.Deadline = time.Hour, time.Minute
+	w.accept(relaxed)
+	job := w.accept(tight)
+	w.end(0, AttemptEnded{})
+	if len(w.runningOf(job)) != 1 {
+		t.Errorf("the later deadline went first")
+	}
+}
--- a/sched/rebalance.go
+++ b/sched/rebalance.go
@@ -24,7 +24,11 @@
 // rebalance displaces tasks of teams that are over their fair share, for a
 // team that is under its own.
 func (s *Scheduler) rebalance() {
-	if s.opts.KeepRunning || s.now < s.rebalanceAt || s.queue.Len() == 0 {
+	if s.opts.KeepRunning || s.queue.Len() == 0 {
+		return
+	}
+	if s.now < s.rebalanceAt {
+		s.wake(s.rebalanceAt)
 		return
 	}
 	s.rebalanceAt = s.now + rebalanceEvery
@@ -33,7 +37,7 @@
 	if under == nil {
 		return
 	}
-	s.after(timer{at: s.rebalanceAt, kind: timerWake})
+	s.wake(s.rebalanceAt)
 	need := under.First(s.unlimited).Shape.Need
 	victims := s.overShare(demands, need)
 	budget := 1 + s.cell.Len()/rebalancePart
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -33,6 +33,7 @@
 	seq         uint64 // of arrivals
 	dirty       bool   // something happened that could let work start
 	planAt      timeOf // no planning before this time
+	wakeAt      timeOf // next look at the waiting work, if in the future
 	planner     planner
 	making      []emptying
 	displaceAt  timeOf // no displacing before this time
--- a/sched/team.go
+++ b/sched/team.go
@@ -75,7 +75,7 @@
 		t.refused = 1
 	}
 	t.refusedTil = s.now + refusalFor
-	s.after(timer{at: t.refusedTil, kind: timerWake})
+	s.wake(t.refusedTil)
 	s.emit(Want{Team: t.ID, Units: units})
 	return false
 }
--- a/sched/timer.go
+++ b/sched/timer.go
@@ -71,6 +71,17 @@
 	heap.Push(&s.timers.heap, t)
 }
 
+// wake sees to it that the waiting work is looked at again at a time. It is for
+// decisions that are taken at most so often, so that none is put off until the
+// next event.
+func (s *Scheduler) wake(at timeOf) {
+	if s.wakeAt > s.now && s.wakeAt <= at {
+		return
+	}
+	s.wakeAt = at
+	s.after(timer{at: at, kind: timerWake})
+}
+
 // forgetTimers drops the timers of ended jobs once they are half of all.
 func (s *Scheduler) forgetTimers(j *job) {
 	s.timers.dead += j.timers
