--- a/measure/gauge.go
+++ b/measure/gauge.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"encoding/binary"
 	"hash"
 	"math"
 	"time"
@@ -17,6 +18,17 @@
 	displaced int
 	spent     time.Duration // in Step
 	digest    hash.Hash64   // of all commands
+	line      []byte        // scratch
+}
+
+// note adds a command to the digest.
+func (t *tally) note(now time.Duration, id ident.AttemptID, what string) {
+	t.line = t.line[:0]
+	for _, n := range [...]uint64{uint64(now), id.Job.Seq, uint64(id.Index), uint64(id.Attempt)} {
+		t.line = binary.BigEndian.AppendUint64(t.line, n)
+	}
+	t.line = append(t.line, what...)
+	_, _ = t.digest.Write(t.line)
 }
 
 // gauges integrates over time how much of the zone is reserved, how much could
