--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/admin"
+	"github.com/fireflyfold/fireflyfold/problem"
 	"github.com/fireflyfold/fireflyfold/settings"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -27,6 +29,10 @@
 // submission without one, in bytes.
 const idempotencyBytes = 16
 
+// drawTries is how many idempotency keys are tried at most for a submission
+// without one, while the zones that they belong to cannot be reached.
+const drawTries = 8
+
 // jobNeed is what one task needs.
 type jobNeed struct {
 	MilliCPU     int64 `json:"milli_cpu,omitempty"`
@@ -124,13 +130,6 @@
 			}
 			job.Need.MemoryMiB = size
 			job.Kind = work.Kind(kind)
-			if key == "" {
-				drawn := make([]byte, idempotencyBytes)
-				if _, err := io.ReadFull(c.env.Random, drawn); err != nil {
-					return &FileError{Path: "source of randomness", Cause: err}
-				}
-				key = hex.EncodeToString(drawn)
-			}
 			return c.submit(ctx, job, key, wait)
 		},
 	}
@@ -138,9 +137,8 @@
 
 // submit hands in a job and waits for its outcome if that is wanted.
 func (c *command) submit(ctx context.Context, job submission, key string, wait time.Duration) error {
-	var answer jobAnswer
-	req := call{method: http.MethodPost, path: pathJobs, body: job, headers: map[string]string{headerIdempotency: key}}
-	if err := c.call(ctx, req, &answer); err != nil {
+	answer, key, err := c.handIn(ctx, job, key)
+	if err != nil {
 		if judge(err).exit == ExitUnknown {
 			fmt.Fprintf(c.env.Stderr, "fireflyfold: to submit the same job again safely, add: --idempotency-key %s\n", key)
 		}
@@ -152,6 +150,44 @@
 	return c.print(answer, answer.print)
 }
 
+// handIn sends a submission and returns the idempotency key that it carried.
+// The key decides which zone the job belongs to. If that zone cannot be
+// reached the submission truly did not run, so a key that was only drawn here
+// is replaced by another, which belongs to another zone as likely as not.
+func (c *command) handIn(ctx context.Context, job submission, key string) (jobAnswer, string, error) {
+	tries := 1
+	if key == "" {
+		tries = drawTries
+	}
+	var answer jobAnswer
+	var err error
+	for range tries {
+		sent := key
+		if sent == "" {
+			if sent, err = c.drawKey(); err != nil {
+				return jobAnswer{}, "", err
+			}
+		}
+		req := call{method: http.MethodPost, path: pathJobs, body: job, headers: map[string]string{headerIdempotency: sent}}
+		err = c.call(ctx, req, &answer)
+		var told *problem.Problem
+		elsewhere := errors.As(err, &told) && told.Type == problem.TypeNotReady && told.Outcome == work.OutcomeNotRun
+		if !elsewhere || key != "" {
+			return answer, sent, err
+		}
+	}
+	return answer, key, err
+}
+
+// drawKey draws an idempotency key.
+func (c *command) drawKey() (string, error) {
+	drawn := make([]byte, idempotencyBytes)
+	if _, err := io.ReadFull(c.env.Random, drawn); err != nil {
+		return "", &FileError{Path: "source of randomness", Cause: err}
+	}
+	return hex.EncodeToString(drawn), nil
+}
+
 // job shows how a job stands.
 func (c *command) job(ctx context.Context, id string, wait time.Duration) error {
 	path := pathJobs + "/" + url.PathEscape(id)
@@ -174,7 +210,7 @@
 func newCancel(env Env) *command {
 	return &command{
 		env: env, name: "cancel", args: "JOB", synopsis: "Cancel a job; its tasks that run are stopped",
-		example: "  fireflyfold cancel ober-a.rosenau-a1.3f2k.1c",
+		example: "  fireflyfold cancel oberbayern-1.oberbayern-1-h1.3f2k.1c",
 		about:   "Cancelling a job that has ended changes nothing; repeating it is safe.",
 		run: func(ctx context.Context, c *command, args []string) error {
 			id, err := oneArg(args, "job")
@@ -193,7 +229,7 @@
 func newExplain(env Env) *command {
 	return &command{
 		env: env, name: "explain", args: "JOB", synopsis: "Say why a job waits, where it runs or how it ended",
-		example: "  fireflyfold explain ober-a.rosenau-a1.3f2k.1c",
+		example: "  fireflyfold explain oberbayern-1.oberbayern-1-h1.3f2k.1c",
 		about:   "With a team's key it explains the team's own jobs, with an operator's token every job.",
 		run: func(ctx context.Context, c *command, args []string) error {
 			id, err := oneArg(args, "job")
@@ -223,7 +259,9 @@
 		fmt.Fprintf(w, ", outcome %s", e.Outcome)
 	}
 	fmt.Fprintf(w, ", waited %s\n", short(e.Waited))
-	for _, sentence := range e.Words {
-		fmt.Fprintf(w, "  %s\n", sentence)
+	for _, words := range e.Words {
+		for line := range strings.Lines(words) {
+			fmt.Fprintf(w, "  %s\n", strings.TrimRight(line, "\n"))
+		}
 	}
 }
--- a/cli/lists.go
+++ b/cli/lists.go
@@ -99,7 +99,7 @@
 const historyHeader = "WHEN\tHOST\tEVENT\tOBJECT\tBY\tREASON"
 
 func historyRow(e admin.HistoryEntry) []any {
-	return []any{wall(e.At), or(string(e.Host), "-"), e.Event, e.Object, or(e.By, "-"), e.Reason}
+	return []any{wall(e.At), or(string(e.Host), "-"), e.Event, or(e.Object, "-"), or(e.By, "-"), e.Reason}
 }
 
 func newHistory(env Env) *command {
--- a/cli/plan.go
+++ b/cli/plan.go
@@ -40,7 +40,7 @@
 			"  fireflyfold plan --team grants --limit 200 --share 4\n" +
 			"  fireflyfold plan --give-key grants\n" +
 			"  fireflyfold plan --rotate-key 3fa94c01b2d7 --overlap 24h\n" +
-			"  fireflyfold plan --drain upstream/ober-a-w07 --reason \"new memory\"",
+			"  fireflyfold plan --drain upstream/oberbayern-1-w07 --reason \"new memory\"",
 		about: "The plan is written to PLAN.plan in this directory and can be confirmed from any machine\n" +
 			"that has the file. A key is drawn here, printed once, and valid after confirm; only its hash is sent.",
 		flags: func(f *flag.FlagSet) {
@@ -66,7 +66,7 @@
 	return &command{
 		env: env, name: "drain", args: "worker|upstream|host NAME",
 		synopsis: "Plan that a worker, an upstream or an entry host takes nothing new",
-		example:  "  fireflyfold drain --reason \"new memory\" worker ober-a-w07\n  fireflyfold drain --undo worker ober-a-w07",
+		example:  "  fireflyfold drain --reason \"new memory\" worker oberbayern-1-w07\n  fireflyfold drain --undo worker oberbayern-1-w07",
 		about:    "This makes a plan; nothing happens before confirm. What is in flight is not cut off.",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&reason, "reason", "", "shown to other operators")
--- a/cli/status.go
+++ b/cli/status.go
@@ -28,7 +28,7 @@
 	var wait time.Duration
 	return &command{
 		env: env, name: "status", args: "[JOB]", synopsis: "Show the whole fleet on one screen, or how one job stands",
-		example: "  fireflyfold status\n  fireflyfold status --wait 30s ober-a.rosenau-a1.3f2k.1c",
+		example: "  fireflyfold status\n  fireflyfold status --wait 30s oberbayern-1.oberbayern-1-h1.3f2k.1c",
 		about:   "Without a job it needs an operator's token, with one the key of the job's team.",
 		flags:   func(f *flag.FlagSet) { f.DurationVar(&wait, "wait", 0, "wait this long for the outcome of the job") },
 		run: func(ctx context.Context, c *command, args []string) error {
@@ -97,7 +97,11 @@
 	}
 	fmt.Fprintln(w, "\nDEGRADED")
 	for _, d := range all {
-		fmt.Fprintf(w, "  %s (for %s)\n    means: %s\n    do:    %s\n", d.What, short(d.Since), d.Means, d.Do)
+		since := ""
+		if d.Since > 0 {
+			since = " (for " + short(d.Since) + ")"
+		}
+		fmt.Fprintf(w, "  %s%s\n    means: %s\n    do:    %s\n", d.What, since, d.Means, d.Do)
 	}
 }
 
--- a/cmd/fireflyfold/main.go
+++ b/cmd/fireflyfold/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/fireflyfold/fireflyfold/cli"
 	"github.com/fireflyfold/fireflyfold/serve"
 )
 
@@ -17,6 +18,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&serve.Command{}, "daemons")
+	cli.Register(commander)
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
