--- a/sched/learn.go
+++ b/sched/learn.go
@@ -13,6 +13,7 @@
 	runs      int
 	mean      float64 // run time in seconds, moving average
 	deviation float64 // mean absolute deviation from it
+	ends      int
 	failing   float64 // failure rate, moving average
 }
 
@@ -61,11 +62,10 @@
 		return
 	}
 	f := j.family
+	f.judge(e.failed)
 	if e.failed {
-		f.failing += (1 - f.failing) * learnRate
 		return
 	}
-	f.failing -= f.failing * learnRate
 	ran := e.ran.Seconds()
 	f.runs++
 	if f.runs == 1 {
@@ -77,6 +77,19 @@
 	f.mean += (ran - f.mean) * rate
 }
 
+// judge keeps the failure rate. It starts at an even guess, so that the second
+// failure of new work points at the work, and one alone at neither.
+func (f *family) judge(failed bool) {
+	const guesses = 2
+	rate := max(learnRate, 1/float64(f.ends+guesses))
+	f.ends++
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	f.failing += (target - f.failing) * rate
+}
+
 // estimate returns the expected run time of a task of the job.
 func (s *Scheduler) estimate(j *job) time.Duration {
 	if j.family.runs >= learnedRuns {
@@ -100,16 +113,15 @@
 
 // weigh keeps the sums of waiting work of a team up to date with a job.
 func (s *Scheduler) weigh(j *job) {
-	load := 0.0
+	var work load
 	if waiting := j.waiting(); waiting > 0 {
-		share := j.need.Dominant(s.cell.Total())
-		load = float64(waiting) * share * s.estimate(j).Seconds()
+		work = loadOf(j.need, float64(waiting)*s.estimate(j).Seconds())
 	}
-	change := load - j.load
-	j.load = load
-	j.team.load += change
+	change := work.sub(j.load)
+	j.load = work
+	j.team.load = j.team.load.add(change)
 	if j.pressing() {
-		j.team.deadlines += change
+		j.team.deadlines = j.team.deadlines.add(change)
 	}
 }
 
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/place"
+)
 
 // prediction compares predicted starts with real ones.
 type prediction struct {
@@ -10,8 +14,8 @@
 }
 
 const (
-	sampleEvery = time.Second // shortest time between two jobs whose start is predicted on arrival
-	errorPart   = 8           // the newest error counts one part in so many
+	sampleEvery = 5 * time.Second // shortest time between two jobs whose start is predicted on arrival
+	errorPart   = 8               // the newest error counts one part in so many
 )
 
 // predictArrival predicts the start of a job that has to wait, for a sample
@@ -48,32 +52,51 @@
 	if j.hold != nil {
 		return max(j.hold.at-s.now, 0), true
 	}
-	at, _, ok := s.planner.earliest(s, j)
+	at, _, ok := s.planner.earliest(s, j, place.BarHeld)
 	if !ok {
 		return 0, false
 	}
-	ahead := 0.0
+	var ahead load
 	for _, item := range s.queue.AheadOf(&j.item) {
-		ahead += item.Owner.load
+		ahead = ahead.add(item.Owner.load)
 	}
-	return max(at-s.now, seconds(ahead/s.usual(j.team))), true
+	return max(at-s.now, s.drained(j.team, ahead)), true
 }
 
-// usual returns the share of the zone that a team is expected to have while
-// its work waits: what it uses, but at least what it is entitled to.
-func (s *Scheduler) usual(t *team) float64 {
-	return max(s.queue.Entitled(t.Team), s.queue.Share(t.Team), leastShare)
+// drained returns the time until so much waiting work of a team has started,
+// if the zone is shared by weight between the teams with waiting work and no
+// more arrives.
+//
+// While a team works off its load at a rate of its weight, each other team
+// works off its own at the rate of its weight, until it has none left. The
+// time is what the zone needs for all that is worked off meanwhile.
+func (s *Scheduler) drained(t *team, own load) time.Duration {
+	total := s.cell.Total()
+	rounds := own.over(total) / float64(t.Weight)
+	sum := own
+	for _, other := range s.teamList {
+		if other == t {
+			continue
+		}
+		if all := other.load.over(total); all > 0 {
+			sum = sum.add(other.load.times(min(1, float64(other.Weight)*rounds/all)))
+		}
+	}
+	return seconds(sum.over(total))
 }
 
-// leastShare keeps predictions finite.
-const leastShare = 1e-6
-
 // expectedWait returns how long new work of a team is expected to wait if it
-// comes after the pressing work alone, or after all work of the team.
+// comes after the pressing work alone, or after all work of the team. It
+// assumes that other teams go on to use what they are entitled to, because
+// under overload their work goes on to arrive.
 func (s *Scheduler) expectedWait(t *team, pressing bool) time.Duration {
-	load := t.load
+	ahead := t.load
 	if pressing {
-		load = t.deadlines
+		ahead = t.deadlines
 	}
-	return seconds(max(load, 0) / s.usual(t))
+	share := max(s.queue.Entitled(t.Team), s.queue.Share(t.Team))
+	return seconds(ahead.over(s.cell.Total()) / max(share, leastShare))
 }
+
+// leastShare keeps expected waits finite.
+const leastShare = 1e-6
