--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -172,7 +172,7 @@
 		err = c.call(ctx, req, &answer)
 		var told *problem.Problem
 		elsewhere := errors.As(err, &told) && told.Type == problem.TypeNotReady && told.Outcome == work.OutcomeNotRun
-		if !elsewhere || key != "" {
+		if !elsewhere {
 			return answer, sent, err
 		}
 	}
--- a/engine/config.go
+++ b/engine/config.go
@@ -125,7 +125,7 @@
 	for _, p := range e.view.Hosts {
 		if p.Host == c.newestAt || (c.newestAt == "" && p.Heard) {
 			c.peerOpen = true
-			e.emit(ReadPeer{Host: p.Host, Addr: p.Addr, After: c.follower.After(), Limit: configPage})
+			e.emit(ReadPeer{Host: p.Host, Addr: p.Addr, After: c.follower.PeerAfter(), Limit: configPage})
 			return
 		}
 	}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -31,15 +31,23 @@
 // admits nothing before that: it could not know withdrawn keys or limits.
 func (f *Follower) State() *State { return f.state }
 
-// After returns the offset after which the next page is to be read.
+// After returns the offset after which the next page is to be read from the
+// log.
 func (f *Follower) After() platform.Offset {
-	switch {
-	case len(f.pending) > 0:
+	if len(f.pending) > 0 {
 		return f.pending[len(f.pending)-1].Offset
-	case f.state != nil:
-		return f.state.offset
 	}
-	return 0
+	return f.PeerAfter()
+}
+
+// PeerAfter returns the offset after which a peer is to be asked. It differs
+// from After while records are only collected and none could be folded: a peer
+// that was asked after those would answer that there is nothing newer.
+func (f *Follower) PeerAfter() platform.Offset {
+	if f.state == nil {
+		return 0
+	}
+	return f.state.offset
 }
 
 // NoSnapshotError reports that the stream was read to its end, that the records
@@ -72,7 +80,7 @@
 // A *NewerFormatError stops the fold until the program is replaced. With a
 // *NoSnapshotError or a *BehindError the State stays as it was.
 func (f *Follower) Add(page platform.Page) ([]Result, error) {
-	if f.state == nil && page.First <= 1 && len(f.pending) == 0 {
+	if f.state == nil && f.wholeStream(page) {
 		f.state = Empty()
 	}
 	if f.state != nil && page.Last < f.state.offset {
@@ -88,10 +96,18 @@
 	if found == nil {
 		return nil, nil
 	}
-	rest := append(f.pending, page.Records...)
-	f.pending, f.snapshot = nil, nil
 	f.state, f.tail = found, nil
-	return f.apply(rest)
+	records := append(f.pending, page.Records...) // some stand in both; apply passes over them
+	f.pending, f.snapshot = nil, nil
+	return f.apply(records)
+}
+
+// wholeStream reports whether a page begins at the first record of all.
+func (f *Follower) wholeStream(page platform.Page) bool {
+	if len(page.Records) == 0 {
+		return page.First <= 1 && len(f.pending) == 0
+	}
+	return page.Records[0].Offset == 1
 }
 
 // follows reports whether records can be applied to the State as they are.
@@ -99,14 +115,30 @@
 // this host was cut off; then a snapshot is searched for, and the State that
 // there is stays in force meanwhile.
 func (f *Follower) follows(records []platform.Record) bool {
-	if f.state == nil || len(f.pending) > 0 {
+	if f.state == nil {
 		return false
 	}
-	return len(records) == 0 || records[0].Offset <= f.state.offset+1
+	if len(records) == 0 {
+		return len(f.pending) == 0
+	}
+	return records[0].Offset <= f.state.offset+1
 }
 
-// apply applies records to the State that there is.
+// apply applies records to the State that there is, then those that were
+// collected meanwhile, if they follow now.
 func (f *Follower) apply(records []platform.Record) ([]Result, error) {
+	results, err := f.fold(records)
+	if err != nil || len(f.pending) == 0 || f.pending[0].Offset > f.state.offset+1 {
+		return results, err
+	}
+	collected := f.pending
+	f.pending, f.snapshot = nil, nil
+	more, err := f.fold(collected)
+	return append(results, more...), err
+}
+
+// fold applies records in order and passes over those that are known.
+func (f *Follower) fold(records []platform.Record) ([]Result, error) {
 	results := make([]Result, 0, len(records))
 	for _, r := range records {
 		next, result, err := Apply(f.state, r)
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -224,6 +224,77 @@
 	}
 }
 
+// Story: a new host finds a log whose old records have expired and which holds
+// no snapshot. Peers that run since long have the configuration: one that keeps
+// the records since its own start sends them, another sends its whole State.
+// The new host must come to the same State from either.
+func TestNewHostFromPeer(t *testing.T) {
+	s := newStream(t)
+	for n := range 4 {
+		s.must(team("grants", int64(n)))
+	}
+	peer := NewFollower()
+	if err := s.follow(peer, 1, 10); err != nil {
+		t.Fatal(err)
+	}
+	fresh := func() *Follower {
+		f := NewFollower()
+		var none *NoSnapshotError
+		if err := s.follow(f, 3, 1); !errors.As(err, &none) || f.After() != 4 || f.PeerAfter() != 0 {
+			t.Fatalf("got %v, after %d", err, f.After())
+		}
+		return f
+	}
+	page, ok := peer.Since(fresh().PeerAfter())
+	if !ok {
+		t.Fatal("the peer does not have the records")
+	}
+	byRecords, byState := fresh(), fresh()
+	page.Records = page.Records[:2]
+	if results, err := byRecords.Add(page); err != nil || len(results) != 4 {
+		t.Errorf("%d results, %v", len(results), err)
+	}
+	byState.Adopt(peer.State())
+	for _, f := range []*Follower{byRecords, byState} {
+		if f.State() == nil || !bytes.Equal(Encode(f.State()), Encode(s.state)) || f.After() != 4 {
+			t.Errorf("another State, or none; after %d", f.After())
+		}
+	}
+}
+
+// Story: a host that was cut off for long is behind what the log still holds.
+// A peer has kept the records between; with them the host is up to date again
+// and its own collected records are not lost.
+func TestCutOffHostCatchesUpFromPeer(t *testing.T) {
+	s := newStream(t)
+	s.must(team("grants", 1))
+	f, peer := NewFollower(), NewFollower()
+	if err := s.follow(f, 1, 10); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 5 {
+		s.must(team("grants", int64(n+2)))
+	}
+	if err := s.follow(peer, 1, 10); err != nil {
+		t.Fatal(err)
+	}
+	var none *NoSnapshotError
+	if err := s.follow(f, 4, 10); !errors.As(err, &none) {
+		t.Fatalf("got %v", err)
+	}
+	page, ok := peer.Since(f.PeerAfter())
+	if !ok {
+		t.Fatal("the peer does not have the records")
+	}
+	page.Records = page.Records[:2] // offsets 2 and 3; 4 to 6 were collected
+	if results, err := f.Add(page); err != nil || len(results) != 5 {
+		t.Errorf("%d results, %v", len(results), err)
+	}
+	if !bytes.Equal(Encode(f.State()), Encode(s.state)) || f.After() != 6 {
+		t.Error("another State")
+	}
+}
+
 func TestSnapshotDue(t *testing.T) {
 	s := newStream(t)
 	if SnapshotDue(s.state, wall, time.Hour) {
