--- a/engine/config.go
+++ b/engine/config.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/fleet"
@@ -230,15 +231,17 @@
 func (e *Engine) LogReachable() bool { return !e.config.logFails }
 
 // snapshotConfig writes the configuration into its stream again before its
-// records expire. The scheduler of the first configured zone does so; a
-// snapshot written by two hosts at once is harmless.
+// records expire. The scheduler of the first configured zone does so, or that
+// of a later zone if the first is cut off; a snapshot written by two hosts at
+// once is harmless.
 func (e *Engine) snapshotConfig() {
 	c := &e.config
 	state := c.state()
-	if state == nil || !e.Schedules() || e.opts.Zone != e.opts.Zones[0] || c.logFails {
+	if state == nil || !e.Schedules() || c.logFails {
 		return
 	}
-	if !fleet.SnapshotDue(state, e.wall, e.opts.SnapshotEvery) || !c.appender.Ready(e.now, snapshotPause) {
+	rank := slices.Index(e.opts.Zones, e.opts.Zone)
+	if !fleet.SnapshotDue(state, e.wall, e.opts.SnapshotEvery, rank) || !c.appender.Ready(e.now, snapshotPause) {
 		return
 	}
 	group, err := fleet.SnapshotGroup(state, e.wall)
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -84,13 +84,22 @@
 // wall clock and there is anything to keep. every must be well below the
 // retention of the log. A wrong clock gives snapshots too often or lets the
 // number of records decide.
-func SnapshotDue(s *State, now time.Time, every time.Duration) bool {
+//
+// rank orders those who might write, from zero. Each waits an eighth longer
+// than the one before, so that normally only the first writes, and another does
+// when the first is dead or cut off.
+func SnapshotDue(s *State, now time.Time, every time.Duration, rank int) bool {
 	if s.offset == 0 {
 		return false
 	}
-	return s.offset-s.snap.Of >= SnapshotRecords || now.Sub(s.snap.At) >= every
+	records := SnapshotRecords + SnapshotRecords/rankPart*rank
+	age := every + every/rankPart*time.Duration(rank)
+	return s.offset-s.snap.Of >= platform.Offset(records) || now.Sub(s.snap.At) >= age
 }
 
+// rankPart is the part of the interval by which the next rank waits longer.
+const rankPart = 8
+
 // SnapshotGroup renders s as a group of records that are to be appended in one
 // call. now is the wall clock.
 func SnapshotGroup(s *State, now time.Time) ([][]byte, error) {
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -295,24 +295,39 @@
 	}
 }
 
+// Story: the host whose turn it is to write the snapshot is cut off. Records
+// expire all the same, so the next in order writes it, a little later.
 func TestSnapshotDue(t *testing.T) {
 	s := newStream(t)
-	if SnapshotDue(s.state, wall, time.Hour) {
+	due := func(age time.Duration, rank int) bool { return SnapshotDue(s.state, wall.Add(age), 8*time.Hour, rank) }
+	if due(0, 0) {
 		t.Error("due for nothing")
 	}
 	s.must(team("grants", 10))
-	if !SnapshotDue(s.state, wall, time.Hour) {
+	if !due(0, 0) {
 		t.Error("the first is not due")
 	}
 	s.snapshot()
-	if SnapshotDue(s.state, wall.Add(59*time.Minute), time.Hour) || !SnapshotDue(s.state, wall.Add(time.Hour), time.Hour) {
-		t.Error("the age does not count")
+	for _, c := range []struct {
+		age  time.Duration
+		rank int
+		want bool
+	}{{8*time.Hour - 1, 0, false}, {8 * time.Hour, 0, true}, {8 * time.Hour, 1, false}, {9 * time.Hour, 1, true}, {9 * time.Hour, 2, false}} {
+		if due(c.age, c.rank) != c.want {
+			t.Errorf("age %v, rank %d: want %v", c.age, c.rank, c.want)
+		}
 	}
 	for range SnapshotRecords {
 		s.add([]byte("noise"))
 	}
-	if !SnapshotDue(s.state, wall, time.Hour) {
-		t.Error("the number of records does not count")
+	if !due(0, 0) || due(0, 1) {
+		t.Error("the number of records does not count by rank")
+	}
+	for range SnapshotRecords / rankPart {
+		s.add([]byte("noise"))
+	}
+	if !due(0, 1) {
+		t.Error("the next in order never writes")
 	}
 }
 
