--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -224,24 +224,110 @@
 	}
 }
 
+// Story: a new host finds a log whose old records have expired and which holds
+// no snapshot. Peers that run since long have the configuration: one that keeps
+// the records since its own start sends them, another sends its whole State.
+// The new host must come to the same State from either.
+func TestNewHostFromPeer(t *testing.T) {
+	s := newStream(t)
+	for n := range 4 {
+		s.must(team("grants", int64(n)))
+	}
+	peer := NewFollower()
+	if err := s.follow(peer, 1, 10); err != nil {
+		t.Fatal(err)
+	}
+	fresh := func() *Follower {
+		f := NewFollower()
+		var none *NoSnapshotError
+		if err := s.follow(f, 3, 1); !errors.As(err, &none) || f.After() != 4 || f.PeerAfter() != 0 {
+			t.Fatalf("got %v, after %d", err, f.After())
+		}
+		return f
+	}
+	page, ok := peer.Since(fresh().PeerAfter())
+	if !ok {
+		t.Fatal("the peer does not have the records")
+	}
+	byRecords, byState := fresh(), fresh()
+	page.Records = page.Records[:2]
+	if results, err := byRecords.Add(page); err != nil || len(results) != 4 {
+		t.Errorf("%d results, %v", len(results), err)
+	}
+	byState.Adopt(peer.State())
+	for _, f := range []*Follower{byRecords, byState} {
+		if f.State() == nil || !bytes.Equal(Encode(f.State()), Encode(s.state)) || f.After() != 4 {
+			t.Errorf("another State, or none; after %d", f.After())
+		}
+	}
+}
+
+// Story: a host that was cut off for long is behind what the log still holds.
+// A peer has kept the records between; with them the host is up to date again
+// and its own collected records are not lost.
+func TestCutOffHostCatchesUpFromPeer(t *testing.T) {
+	s := newStream(t)
+	s.must(team("grants", 1))
+	f, peer := NewFollower(), NewFollower()
+	if err := s.follow(f, 1, 10); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 5 {
+		s.must(team("grants", int64(n+2)))
+	}
+	if err := s.follow(peer, 1, 10); err != nil {
+		t.Fatal(err)
+	}
+	var none *NoSnapshotError
+	if err := s.follow(f, 4, 10); !errors.As(err, &none) {
+		t.Fatalf("got %v", err)
+	}
+	page, ok := peer.Since(f.PeerAfter())
+	if !ok {
+		t.Fatal("the peer does not have the records")
+	}
+	page.Records = page.Records[:2] // offsets 2 and 3; 4 to 6 were collected
+	if results, err := f.Add(page); err != nil || len(results) != 5 {
+		t.Errorf("%d results, %v", len(results), err)
+	}
+	if !bytes.Equal(Encode(f.State()), Encode(s.state)) || f.After() != 6 {
+		t.Error("another State")
+	}
+}
+
+// Story: the host whose turn it is to write the snapshot is cut off. Records
+// expire all the same, so the next in order writes it, a little later.
 func TestSnapshotDue(t *testing.T) {
 	s := newStream(t)
-	if SnapshotDue(s.state, wall, time.Hour) {
+	due := func(age time.Duration, rank int) bool { return SnapshotDue(s.state, wall.Add(age), 8*time.Hour, rank) }
+	if due(0, 0) {
 		t.Error("due for nothing")
 	}
 	s.must(team("grants", 10))
-	if !SnapshotDue(s.state, wall, time.Hour) {
+	if !due(0, 0) {
 		t.Error("the first is not due")
 	}
 	s.snapshot()
-	if SnapshotDue(s.state, wall.Add(59*time.Minute), time.Hour) || !SnapshotDue(s.state, wall.Add(time.Hour), time.Hour) {
-		t.Error("the age does not count")
+	for _, c := range []struct {
+		age  time.Duration
+		rank int
+		want bool
+	}{{8*time.Hour - 1, 0, false}, {8 * time.Hour, 0, true}, {8 * time.Hour, 1, false}, {9 * time.Hour, 1, true}, {9 * time.Hour, 2, false}} {
+		if due(c.age, c.rank) != c.want {
+			t.Errorf("age %v, rank %d: want %v", c.age, c.rank, c.want)
+		}
 	}
 	for range SnapshotRecords {
 		s.add([]byte("noise"))
 	}
-	if !SnapshotDue(s.state, wall, time.Hour) {
-		t.Error("the number of records does not count")
+	if !due(0, 0) || due(0, 1) {
+		t.Error("the number of records does not count by rank")
+	}
+	for range SnapshotRecords / rankPart {
+		s.add([]byte("noise"))
+	}
+	if !due(0, 1) {
+		t.Error("the next in order never writes")
 	}
 }
 
