--- a/lease/answer.go
+++ b/lease/answer.go
@@ -43,7 +43,7 @@
 	if ev.SentAt <= c.reported {
 		return
 	}
-	c.until = max(c.until, until)
+	c.until = until
 	c.next = max(now, ev.SentAt+m.jitter(m.opts.RenewEvery))
 	c.reported = ev.SentAt
 	m.emit(Reported{Key: c.key, Epoch: c.epoch, SentAt: ev.SentAt, Size: ev.Grant.Size, Tasks: ev.Grant.Tasks})
--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -66,6 +66,11 @@
 	if _, ok := cmds[0].(Lost); !ok {
 		t.Errorf("first command after waking is %#v, want Lost", cmds[0])
 	}
+	for _, cmd := range cmds {
+		if _, ok := cmd.(Gained); ok {
+			t.Error("a grant that is used up was taken for a new lease")
+		}
+	}
 	wantEpoch(t, m, time.Minute, 0)
 }
 
