cli: the test of a lost answer counts calls without a race

Cause: the race detector saw the counter of a handler that never answers read by the test. Before: FAIL under -race. After: atomic; -race -count=3 passes.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -14,6 +14,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,9 +142,9 @@
 // must not call this "not run", and must not try the next host, or the job
 // could run twice; a question in the same place is simply unanswered.
 func TestLostAnswer(t *testing.T) {
-	calls := 0
+	var calls atomic.Int32
 	dying := func(w http.ResponseWriter, r *http.Request) {
-		calls++
+		calls.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		panic(http.ErrAbortHandler)
 	}
@@ -151,8 +152,8 @@
 	other := serve(t, dying)
 	c.hosts += "," + other.hosts
 	c.expect(c.run("submit"), ExitUnknown, "--idempotency-key")
-	if calls != 1 {
-		t.Errorf("%d calls", calls)
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d calls", n)
 	}
 	c.expect(c.run("teams"), ExitUnreachable)
 }
