--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -81,6 +81,9 @@
 	last.at = a.at
 	h.attempts[len(h.attempts)-1] = nil
 	h.attempts = h.attempts[:len(h.attempts)-1]
+	if a.stopping != "" {
+		a.team.stopping = a.team.stopping.Sub(a.need)
+	}
 	s.cell.Measured(a.worker, -a.excess)
 	s.cell.Release(a.worker, a.need)
 	s.queue.Release(a.team.Team, a.need)
@@ -263,6 +266,9 @@
 		h := s.host(a.worker)
 		h.displaceable = h.displaceable.Sub(a.need)
 	}
+	if a.stopping == "" {
+		a.team.stopping = a.team.stopping.Add(a.need)
+	}
 	a.stopping = control
 	s.emit(Control{ID: a.id, Worker: s.cell.Worker(a.worker).ID, Control: control})
 }
--- a/sched/attempt_test.go
+++ b/sched/attempt_test.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// The scheduler learns of a job only after its deadline, because its process
+// was paused meanwhile. There is room, but it is too late.
+func TestJobThatArrivesAfterItsDeadline(t *testing.T) {
+	w := zone(t, 1, Options{})
+	spec := batch("a", 1, 1)
+	spec.Deadline = time.Second
+	job := ident.JobID{Seq: 7}
+	w.step(JobAccepted{Job: job, Spec: spec, Age: 2 * time.Second})
+	if end := w.ended[job]; end.Outcome != work.OutcomeNotRun || len(w.running) != 0 {
+		t.Errorf("got %+v, %d run", end, len(w.running))
+	}
+}
+
 // Twenty thousand waiting jobs are cancelled one after the other. Operators
 // would see placement stall if each cancellation searched the queue or left a
 // timer behind; the work that stays must still start.
--- a/sched/dispatch.go
+++ b/sched/dispatch.go
@@ -16,6 +16,11 @@
 			break
 		}
 	}
+	s.makeRoom()
+}
+
+// makeRoom looks after work that could not start.
+func (s *Scheduler) makeRoom() {
 	if s.opts.FirstFit {
 		return
 	}
@@ -24,6 +29,14 @@
 	s.planHolds()
 }
 
+// startAlike starts jobs of the same class as a job until one cannot start.
+func (s *Scheduler) startAlike(j *job) {
+	class := j.item.Class()
+	for class != nil && class.Len() > 0 && s.open(class) {
+		s.start(class.Head().Owner)
+	}
+}
+
 func (s *Scheduler) startWaiting() {
 	for {
 		item := s.first()
@@ -88,14 +101,14 @@
 	if ref == place.None {
 		ref = s.lookHeld(j)
 	}
-	if ref == place.None {
+	if ref == place.None || !s.cell.Reserve(ref, j.need) {
 		j.item.Class().Mark = s.cell.Freed()
 		return
 	}
 	if !s.tryUse(j.team, j.units, j.item.Due) {
+		s.cell.Undo(ref, j.need)
 		return
 	}
-	s.cell.Reserve(ref, j.need)
 	s.assign(j, ref)
 	s.started(j)
 }
--- a/sched/event.go
+++ b/sched/event.go
@@ -13,8 +13,9 @@
 type Event interface{ isEvent() }
 
 // WorkerAdded reports that the compute lease of a worker is held from now on.
-// For a worker that is known already it updates size and rack and ends a
-// cordon; a worker that shrank keeps what it runs and takes nothing new until
+// For a worker that is known already it updates size and rack, and ends a
+// cordon and a planned removal; if the removal still stands, WorkerLeaving has
+// to follow. A worker that shrank keeps what it runs and takes nothing new until
 // it is within its size.
 type WorkerAdded struct {
 	Worker ident.WorkerID
--- a/sched/job.go
+++ b/sched/job.go
@@ -139,7 +139,12 @@
 		}
 		s.queue.Push(j.team.Team, j.shape(), &j.item)
 	}
-	if j.waiting() > 0 && s.open(j.item.Class()) {
-		s.dirty = true
+	if j.waiting() == 0 || !s.open(j.item.Class()) {
+		return
 	}
+	if s.newest == nil {
+		s.newest = j
+		return
+	}
+	s.dirty = true
 }
--- a/sched/rebalance.go
+++ b/sched/rebalance.go
@@ -60,16 +60,8 @@
 // that are being stopped count no longer.
 func (s *Scheduler) demands() []queue.Demand {
 	demands := make([]queue.Demand, len(s.teamList))
-	stopping := make([]resource.Vector, len(s.teamList))
-	for i := range s.hosts {
-		for _, a := range s.hosts[i].attempts {
-			if a.stopping != "" {
-				stopping[a.team.number] = stopping[a.team.number].Add(a.need)
-			}
-		}
-	}
 	for i, t := range s.teamList {
-		used := t.Used.Sub(stopping[i]).Dominant(s.cell.Total())
+		used := t.Used.Sub(t.stopping).Dominant(s.cell.Total())
 		demands[i] = queue.Demand{Weight: t.Weight, Used: used, Wants: used}
 		if class := t.First(s.unlimited); class != nil && class.Shape.Gang == 0 {
 			demands[i].Wants = math.Inf(1)
@@ -93,13 +85,14 @@
 	return most
 }
 
-// overShare returns the displaceable attempts of teams over their fair share
+// overShare returns, from a sample of the workers, the displaceable attempts of teams over their fair share
 // whose room lets a task of the need start: those first that were displaced
 // least and have run least.
 func (s *Scheduler) overShare(demands []queue.Demand, need resource.Vector) []*attempt {
 	var victims []*attempt
-	for i := range s.hosts {
-		for _, a := range s.hosts[i].attempts {
+	n := len(s.hosts)
+	for i := range min(n, planWorkers) {
+		for _, a := range s.hosts[(i+int(s.seq))%n].attempts {
 			d := &demands[a.team.number]
 			if d.Used-d.Fair <= shareSlack || !s.displaceable(a) {
 				continue
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -31,6 +31,7 @@
 	prediction
 
 	seq         uint64 // of arrivals
+	newest      *job   // the only job whose waiting changed, if nothing else is dirty
 	dirty       bool   // something happened that could let work start
 	planAt      timeOf // no planning before this time
 	wakeAt      timeOf // next look at the waiting work, if in the future
@@ -71,12 +72,26 @@
 	s.out = s.out[:0]
 	s.expire()
 	s.handle(ev)
+	s.expire() // a job may arrive after its deadline
+	s.decide()
+	return s.out
+}
+
+// decide starts what can start. If one job is all that changed, nothing else
+// can, because the last decision left nothing that could.
+func (s *Scheduler) decide() {
+	newest := s.newest
+	s.newest = nil
+	if newest != nil && !s.dirty {
+		s.startAlike(newest)
+		s.makeRoom()
+	}
 	if s.dirty {
 		s.dirty = false
 		s.reconcileServices()
 		s.dispatch()
 	}
-	return s.out
+	s.newest = nil
 }
 
 func (s *Scheduler) handle(ev Event) {
--- a/sched/service.go
+++ b/sched/service.go
@@ -210,14 +210,14 @@
 		return false
 	}
 	ref := s.placer.Spread(svc.need, svc.spread, svc.last)
-	if ref == place.None {
+	if ref == place.None || !s.cell.Reserve(ref, svc.need) {
 		svc.mark = s.cell.Freed()
 		return false
 	}
 	if !s.tryUse(svc.team, svc.units, s.now) {
+		s.cell.Undo(ref, svc.need)
 		return false
 	}
-	s.cell.Reserve(ref, svc.need)
 	a := &attempt{
 		id:      ident.AttemptID{Job: svc.job, Index: svc.next, Attempt: 1},
 		service: svc,
--- a/sched/team.go
+++ b/sched/team.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/queue"
+	"github.com/fireflyfold/fireflyfold/resource"
 )
 
 // team is what the scheduler keeps of a team.
@@ -20,6 +21,7 @@
 	headJob    *job   // the job that is due first, when last looked at
 	headSince  timeOf
 	unitsInUse int64
+	stopping   resource.Vector // needs of the attempts that are being stopped
 }
 
 func (s *Scheduler) team(id ident.TeamID) *team {
