Status asks every known host, so one screen shows the whole fleet

Cause: a host knew only its own zone's workers and its own use of a team's limit, so the status of a fleet was a fragment.

--- a/engine/facts.go
+++ b/engine/facts.go
@@ -25,6 +25,13 @@
 	JobsWaiting  int // jobs of the zone, if this host is its scheduler
 	JobsRunning  int
 	Recovering   bool // settles attempts of an earlier scheduler
+	Silences     []Silence
+}
+
+// Silence is how long a peer that sends digests has not been heard.
+type Silence struct {
+	Host ident.HostID
+	For  time.Duration
 }
 
 // WorkerFacts is what this host knows of one worker.
@@ -57,6 +64,11 @@
 		Counters:     e.router.Counters(),
 	}
 	f.Workers = e.workerFacts()
+	for _, p := range e.view.Hosts {
+		if silence, heard := e.members.Silence(p.Holder, e.now); heard {
+			f.Silences = append(f.Silences, Silence{Host: p.Host, For: silence})
+		}
+	}
 	if state := e.config.state(); state != nil {
 		for _, t := range state.Teams() {
 			f.Units = append(f.Units, UnitFacts{Team: t.ID, Held: e.units.Held(t.ID), Used: e.units.Used(t.ID)})
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -37,12 +37,12 @@
 }
 
 // Plan implements admin.Backend.
-func (b *operatorBackend) Plan(_ context.Context, operator string, intent fleet.Intent) (fleet.Plan, error) {
+func (b *operatorBackend) Plan(ctx context.Context, operator string, intent fleet.Intent) (fleet.Plan, error) {
 	state, err := b.state()
 	if err != nil {
 		return fleet.Plan{}, err
 	}
-	return fleet.MakePlan(state, intent, operator, time.Now().UTC(), &impact{facts: b.h.loadFacts()})
+	return fleet.MakePlan(state, intent, operator, time.Now().UTC(), &impact{survey: b.h.inspect(ctx)})
 }
 
 // Confirm implements admin.Backend. An append whose answer was lost is settled
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -133,6 +134,15 @@
 	return connect.NewResponse(toWireLeases(reply.Leases)), nil
 }
 
+// Inspect implements peerv1.PeerServiceHandler.
+func (s *peerServer) Inspect(context.Context, *connect.Request[peerv1.InspectRequest]) (*connect.Response[peerv1.InspectResponse], error) {
+	facts, err := json.Marshal(s.h.ownFacts())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerv1.InspectResponse{Facts: facts}), nil
+}
+
 // ask puts a question to the engine and waits for its reply.
 func (s *peerServer) ask(ctx context.Context, event func(call uint64) engine.Event) (engine.Command, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/entry/status.go
+++ b/entry/status.go
@@ -11,7 +11,6 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
-	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -23,22 +22,20 @@
 
 // Status implements admin.Backend.
 func (b *operatorBackend) Status(ctx context.Context) (admin.Status, error) {
-	f := b.h.loadFacts()
+	s := b.h.inspect(ctx)
+	own := s.hosts[0].Facts
 	st := admin.Status{
 		Host:   b.h.self.Host,
 		Zone:   b.h.zone,
 		At:     time.Now().UTC(),
-		Config: b.configStatus(f),
-		Zones:  b.zones(f),
-		Queues: []admin.QueueStatus{{Zone: b.h.zone, Kind: work.KindRequest, Waiting: f.WaitingReqs, Running: int(f.InFlight)}},
+		Config: b.configStatus(own),
+		Zones:  b.zones(s),
+		Hosts:  b.hosts(s),
+		Queues: queues(s),
+		Teams:  b.teams(s),
 		Recent: b.h.history.newest(recentEntries),
 	}
-	if f.Scheduler {
-		st.Queues = append(st.Queues, admin.QueueStatus{Zone: b.h.zone, Kind: work.KindBatch, Waiting: f.JobsWaiting, Running: f.JobsRunning})
-	}
-	st.Hosts, _ = b.Hosts(ctx) // never fails
-	st.Teams, _ = b.Teams(ctx) // no teams without a configuration
-	st.Degraded = b.degraded(f, st)
+	st.Degraded = degraded(own, st)
 	return st, nil
 }
 
@@ -54,28 +51,15 @@
 	return cs
 }
 
-// zones sums up the own zone from what this host knows, and the others from
-// the digests of their hosts.
-func (b *operatorBackend) zones(f engine.Facts) []admin.ZoneStatus {
-	view := b.h.loadView()
+// zones sums up what the hosts of each zone say.
+func (b *operatorBackend) zones(s survey) []admin.ZoneStatus {
 	var list []admin.ZoneStatus
 	for _, z := range b.h.opts.Settings.Zones {
-		zs := admin.ZoneStatus{Zone: z.Name, Region: z.Region, Reachable: z.Name == b.h.zone}
-		if z.Name == b.h.zone {
-			ownZone(&zs, f)
-			zs.Hosts++
-			if f.Scheduler {
-				zs.Scheduler = b.h.self.Host
-			}
-		}
-		for _, host := range view.Hosts {
-			if host.Zone != z.Name {
-				continue
-			}
-			zs.Hosts++
-			zs.Reachable = zs.Reachable || host.Heard
-			if host.Scheduler {
-				zs.Scheduler = host.Host
+		zs := admin.ZoneStatus{Zone: z.Name, Region: z.Region}
+		for _, f := range s.hosts {
+			if f.Zone == z.Name {
+				zs.Hosts++
+				addHost(&zs, f)
 			}
 		}
 		list = append(list, zs)
@@ -83,144 +67,181 @@
 	return list
 }
 
-func ownZone(zs *admin.ZoneStatus, f engine.Facts) {
-	zs.Workers = len(f.Workers)
-	for _, w := range f.Workers {
-		if w.SlotsHeld || w.ComputeHeld {
+// addHost adds what one host of a zone says. Every host lists all workers of
+// its zone, and counts the leases that it holds itself.
+func addHost(zs *admin.ZoneStatus, f hostFacts) {
+	if !f.Reached {
+		return
+	}
+	zs.Reachable = true
+	zs.Workers = max(zs.Workers, len(f.Facts.Workers))
+	if f.Facts.Scheduler {
+		zs.Scheduler = f.Host
+	}
+	for _, w := range f.Facts.Workers {
+		if w.ComputeHeld {
 			zs.Leased++
 			zs.Size = zs.Size.Add(w.Entry.Size)
 			zs.Used = zs.Used.Add(w.Used)
 		}
-		if w.Quarantined || w.Entry.State == platform.StateLeaving {
+		if w.SlotsHeld {
+			zs.Used.Slots += w.Requests
+		}
+		if w.Quarantined || (w.SlotsHeld && w.Entry.State == platform.StateLeaving) {
 			zs.Impaired++
 		}
 	}
 }
 
-// Hosts implements admin.Backend.
-func (b *operatorBackend) Hosts(context.Context) ([]admin.HostStatus, error) {
-	f := b.h.loadFacts()
-	own := admin.HostStatus{
-		Host:      b.h.self.Host,
-		Zone:      b.h.zone,
-		State:     "live",
-		InFlight:  int(f.InFlight),
-		Waiting:   f.WaitingReqs,
-		Workers:   slotsHeld(f),
-		Scheduler: f.Scheduler,
-		Started:   admin.SecondsOf(b.h.now()),
-		Life:      b.h.self.Incarnation,
-	}
-	if f.Draining {
-		own.State = "draining"
-	}
-	state := b.h.config.Load()
-	if state != nil {
-		own.Config = state.Offset()
-		own.Mark = state.HostMode(own.Host)
-	}
-	list := []admin.HostStatus{own}
-	for _, p := range b.h.loadView().Hosts {
-		list = append(list, peerStatus(p, state))
+func queues(s survey) []admin.QueueStatus {
+	list := []admin.QueueStatus{}
+	for _, f := range s.hosts {
+		if f.Facts.WaitingReqs > 0 || f.Facts.InFlight > 0 {
+			list = append(list, admin.QueueStatus{Zone: f.Zone, Kind: work.KindRequest, Waiting: f.Facts.WaitingReqs, Running: int(f.Facts.InFlight)})
+		}
+		if f.Facts.Scheduler {
+			list = append(list, admin.QueueStatus{Zone: f.Zone, Kind: work.KindBatch, Waiting: f.Facts.JobsWaiting, Running: f.Facts.JobsRunning})
+		}
 	}
-	return list, nil
+	return list
 }
 
-func slotsHeld(f engine.Facts) int {
-	n := 0
-	for _, w := range f.Workers {
-		if w.SlotsHeld {
-			n++
+// Hosts implements admin.Backend.
+func (b *operatorBackend) Hosts(ctx context.Context) ([]admin.HostStatus, error) {
+	return b.hosts(b.h.inspect(ctx)), nil
+}
+
+func (b *operatorBackend) hosts(s survey) []admin.HostStatus {
+	state := b.h.config.Load()
+	silences := map[ident.HostID]time.Duration{}
+	for _, silence := range s.hosts[0].Facts.Silences {
+		silences[silence.Host] = silence.For
+	}
+	list := []admin.HostStatus{}
+	for _, f := range s.hosts {
+		hs := hostStatus(f)
+		hs.Age = admin.SecondsOf(silences[f.Host])
+		if state != nil {
+			hs.Mark = state.HostMode(f.Host)
 		}
+		list = append(list, hs)
 	}
-	return n
+	return list
 }
 
-func peerStatus(p engine.ViewHost, state *fleet.State) admin.HostStatus {
+func hostStatus(f hostFacts) admin.HostStatus {
 	hs := admin.HostStatus{
-		Host:      p.Host,
-		Zone:      p.Zone,
+		Host:      f.Host,
+		Zone:      f.Zone,
 		State:     "live",
-		Config:    p.Config,
-		Waiting:   p.Waiting,
-		Workers:   p.Leases,
-		Scheduler: p.Scheduler,
-		Life:      p.Holder.Incarnation,
-	}
-	if !p.Heard {
-		hs.State = "listed" // by the platform; this host exchanges no digests with it
+		InFlight:  int(f.Facts.InFlight),
+		Waiting:   f.Facts.WaitingReqs,
+		Scheduler: f.Facts.Scheduler,
+		Config:    platform.Offset(f.Config),
+		Started:   admin.SecondsOf(f.Up),
+		Life:      f.Life,
+	}
+	for _, w := range f.Facts.Workers {
+		if w.SlotsHeld {
+			hs.Workers++
+		}
 	}
-	if state != nil {
-		hs.Mark = state.HostMode(p.Host)
+	switch {
+	case !f.Reached:
+		hs.State = "silent"
+	case f.Facts.Draining:
+		hs.State = "draining"
 	}
 	return hs
 }
 
-// Teams implements admin.Backend. Units in use are those of this host; a team
-// may use more elsewhere.
-func (b *operatorBackend) Teams(context.Context) ([]admin.TeamStatus, error) {
-	state, err := b.state()
-	if err != nil {
+// Teams implements admin.Backend.
+func (b *operatorBackend) Teams(ctx context.Context) ([]admin.TeamStatus, error) {
+	if _, err := b.state(); err != nil {
 		return nil, err
 	}
+	return b.teams(b.h.inspect(ctx)), nil
+}
+
+// teams adds up what the hosts use of each team's limit.
+func (b *operatorBackend) teams(s survey) []admin.TeamStatus {
+	list := []admin.TeamStatus{}
+	state := b.h.config.Load()
+	if state == nil {
+		return list
+	}
 	used := map[ident.TeamID]int64{}
-	for _, u := range b.h.loadFacts().Units {
-		used[u.Team] = u.Used
+	for _, f := range s.hosts {
+		for _, u := range f.Facts.Units {
+			used[u.Team] += u.Used
+		}
 	}
-	var shares int64
+	var shares, units int64
 	for _, t := range state.Teams() {
 		shares += t.Share
+		units += used[t.ID]
 	}
-	list := []admin.TeamStatus{}
 	for _, t := range state.Teams() {
 		list = append(list, admin.TeamStatus{
 			Team:     t.ID,
 			Share:    t.Share,
 			Entitled: float64(t.Share) / float64(max(shares, 1)),
+			Using:    float64(used[t.ID]) / float64(max(units, 1)),
 			Limit:    t.Limit,
 			Units:    used[t.ID],
 			Keys:     len(state.KeysOf(t.ID)),
-			Partial:  true,
+			Partial:  s.partial,
 		})
 	}
-	return list, nil
+	return list
 }
 
-// Workers implements admin.Backend. It knows the workers of the own zone.
-func (b *operatorBackend) Workers(context.Context) ([]admin.WorkerStatus, error) {
+// Workers implements admin.Backend.
+func (b *operatorBackend) Workers(ctx context.Context) ([]admin.WorkerStatus, error) {
 	state := b.h.config.Load()
-	list := []admin.WorkerStatus{}
-	for _, w := range b.h.loadFacts().Workers {
-		list = append(list, b.workerStatus(w, state))
+	merged := map[ident.WorkerID]admin.WorkerStatus{}
+	for _, f := range b.h.inspect(ctx).hosts {
+		for _, w := range f.Facts.Workers {
+			merged[w.Entry.Worker] = mergeWorker(merged[w.Entry.Worker], f.Host, w, state)
+		}
+	}
+	list := make([]admin.WorkerStatus, 0, len(merged))
+	for _, ws := range merged {
+		list = append(list, finishWorker(ws))
 	}
+	slices.SortFunc(list, func(a, b admin.WorkerStatus) int {
+		if a.Worker < b.Worker {
+			return -1
+		}
+		return 1
+	})
 	return list, nil
 }
 
-func (b *operatorBackend) workerStatus(w engine.WorkerFacts, state *fleet.State) admin.WorkerStatus {
-	ws := admin.WorkerStatus{
-		Worker:   w.Entry.Worker,
-		Zone:     w.Entry.Zone,
-		Rack:     w.Entry.Rack,
-		State:    "live",
-		Size:     w.Entry.Size,
-		Used:     w.Used,
-		Tasks:    w.Tasks,
-		Requests: int(w.Requests),
-		Services: w.Entry.Service,
-	}
+// mergeWorker adds what one host knows of a worker: only the holder of a lease
+// knows what runs under it.
+func mergeWorker(ws admin.WorkerStatus, host ident.HostID, w engine.WorkerFacts, state *fleet.State) admin.WorkerStatus {
+	ws.Worker = w.Entry.Worker
+	ws.Zone = w.Entry.Zone
+	ws.Rack = w.Entry.Rack
+	ws.Size = w.Entry.Size
+	ws.Services = w.Entry.Service
 	if w.SlotsHeld {
-		ws.Slots = b.h.self.Host
+		ws.Slots = host
+		ws.Requests = int(w.Requests)
 	}
 	if w.ComputeHeld {
-		ws.Compute = b.h.self.Host
+		ws.Compute = host
+		ws.Used = w.Used
+		ws.Tasks = w.Tasks
 	}
-	switch {
-	case w.Entry.State == platform.StateLeaving:
-		ws.State = "leaving"
-	case w.Quarantined:
+	if w.Quarantined {
 		ws.State = "quarantined"
 		ws.Why = "requests fail there"
 	}
+	if w.Entry.State == platform.StateLeaving && ws.State == "" {
+		ws.State = "leaving"
+	}
 	if state != nil {
 		ws.Mark = state.WorkerMode(w.Entry.Worker)
 		ws.UpstreamMark = state.UpstreamMode(w.Entry.Worker)
@@ -228,46 +249,50 @@
 	return ws
 }
 
+func finishWorker(ws admin.WorkerStatus) admin.WorkerStatus {
+	switch {
+	case ws.State != "":
+	case ws.Slots == "" && ws.Compute == "":
+		ws.State = "unleased"
+		ws.Why = "no host that could be asked holds a lease of it"
+	default:
+		ws.State = "live"
+	}
+	return ws
+}
+
 // degraded lists what does not work as it should, and what it means.
-func (b *operatorBackend) degraded(f engine.Facts, st admin.Status) []admin.Degradation {
+func degraded(f engine.Facts, st admin.Status) []admin.Degradation {
 	list := []admin.Degradation{}
-	add := func(what, means, do string) {
-		list = append(list, admin.Degradation{What: what, Means: means, Do: do})
+	add := func(what, means, do string, since time.Duration) {
+		list = append(list, admin.Degradation{What: what, Means: means, Do: do, Since: admin.SecondsOf(since)})
 	}
 	if !f.LogReachable {
 		add("the platform's log cannot be reached from here",
 			"requests and running work go on; new jobs and idempotency keys are refused as not run",
-			"restore the log; nothing has to be done here")
+			"restore the log; nothing has to be done here", f.ConfigAge)
 	}
 	if f.ConfigAge > staleAfter {
-		add("the configuration was last known to be the newest "+f.ConfigAge.Round(time.Second).String()+" ago",
+		add("the configuration may be out of date",
 			"a key withdrawn since then still works here",
-			"restore the path to the log or to another availability zone")
+			"restore the path to the log or to another availability zone", f.ConfigAge)
 	}
 	if f.Recovering {
-		add("settling what an earlier scheduler of the zone left running", "some jobs wait until their workers have answered", "nothing")
+		add("settling what an earlier scheduler of the zone left running", "some jobs wait until their workers have answered", "nothing", 0)
 	}
+	impaired := 0
 	for _, z := range st.Zones {
+		impaired += z.Impaired
 		if !z.Reachable {
-			add("availability zone "+string(z.Zone)+" does not answer", "jobs whose home it is are refused as not run", "check the network between the zones")
+			add("availability zone "+string(z.Zone)+" does not answer", "jobs whose home it is are refused as not run", "check the network between the zones", 0)
 		}
 	}
-	if n := quarantined(f); n > 0 {
-		add(strconv.Itoa(n)+" workers are quarantined", "they failed what was sent to them and get a probe now and then", "look at these workers")
+	if impaired > 0 {
+		add(strconv.Itoa(impaired)+" workers are leaving or quarantined", "they get no new work, but for a probe now and then", "fireflyfold workers shows which", 0)
 	}
 	return list
 }
 
-func quarantined(f engine.Facts) int {
-	n := 0
-	for _, w := range f.Workers {
-		if w.Quarantined {
-			n++
-		}
-	}
-	return n
-}
-
 func (h *Host) loadView() *engine.View {
 	if v := h.view.Load(); v != nil {
 		return v
@@ -298,51 +323,3 @@
 	})
 	return targets
 }
-
-// impact tells what a change would touch, as far as this host knows.
-type impact struct {
-	facts engine.Facts
-}
-
-// Team implements fleet.Impact.
-func (i *impact) Team(team ident.TeamID, _ int64) fleet.Touched {
-	t := fleet.Touched{Partial: true}
-	for _, u := range i.facts.Units {
-		if u.Team == team {
-			t.Units = u.Used
-			t.Running = int(u.Used)
-		}
-	}
-	return t
-}
-
-// Service implements fleet.Impact.
-func (i *impact) Service(ident.ServiceID) fleet.Touched { return fleet.Touched{Partial: true} }
-
-// Worker implements fleet.Impact.
-func (i *impact) Worker(worker ident.WorkerID) fleet.Touched {
-	t := fleet.Touched{Partial: true}
-	for _, w := range i.facts.Workers {
-		if w.Entry.Worker == worker {
-			t.Running = w.Tasks + int(w.Requests)
-			t.Units = resource.LimitUnits(w.Used)
-		}
-	}
-	return t
-}
-
-// Upstream implements fleet.Impact.
-func (i *impact) Upstream(worker ident.WorkerID) fleet.Touched {
-	t := fleet.Touched{Partial: true}
-	for _, w := range i.facts.Workers {
-		if w.Entry.Worker == worker {
-			t.Running = int(w.Requests)
-		}
-	}
-	return t
-}
-
-// Host implements fleet.Impact.
-func (i *impact) Host(ident.HostID) fleet.Touched {
-	return fleet.Touched{Running: int(i.facts.InFlight), Waiting: i.facts.WaitingReqs, Partial: true}
-}
--- a/peer/peerv1/peer.connect.go
+++ b/peer/peerv1/peer.connect.go
@@ -45,6 +45,8 @@
 	PeerServiceAskUnitsProcedure = "/fireflyfold.peer.v1.PeerService/AskUnits"
 	// PeerServiceReadConfigProcedure is the fully-qualified name of the PeerService's ReadConfig RPC.
 	PeerServiceReadConfigProcedure = "/fireflyfold.peer.v1.PeerService/ReadConfig"
+	// PeerServiceInspectProcedure is the fully-qualified name of the PeerService's Inspect RPC.
+	PeerServiceInspectProcedure = "/fireflyfold.peer.v1.PeerService/Inspect"
 	// PeerServicePromiseProcedure is the fully-qualified name of the PeerService's Promise RPC.
 	PeerServicePromiseProcedure = "/fireflyfold.peer.v1.PeerService/Promise"
 	// PeerServiceListLeasesProcedure is the fully-qualified name of the PeerService's ListLeases RPC.
@@ -64,6 +66,8 @@
 	AskUnits(context.Context, *connect.Request[AskUnitsRequest]) (*connect.Response[AskUnitsResponse], error)
 	// ReadConfig hands out the configuration to a host that cannot read the log.
 	ReadConfig(context.Context, *connect.Request[ReadConfigRequest]) (*connect.Response[ReadConfigResponse], error)
+	// Inspect tells operators of another host how the called one stands.
+	Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error)
 	// Promise asks the called host not to hold the compute lease of a worker.
 	Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error)
 	// ListLeases tells which control leases the called host holds.
@@ -111,6 +115,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ReadConfig")),
 			connect.WithClientOptions(opts...),
 		),
+		inspect: connect.NewClient[InspectRequest, InspectResponse](
+			httpClient,
+			baseURL+PeerServiceInspectProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Inspect")),
+			connect.WithClientOptions(opts...),
+		),
 		promise: connect.NewClient[PromiseRequest, PromiseResponse](
 			httpClient,
 			baseURL+PeerServicePromiseProcedure,
@@ -133,6 +143,7 @@
 	callJob    *connect.Client[CallJobRequest, CallJobResponse]
 	askUnits   *connect.Client[AskUnitsRequest, AskUnitsResponse]
 	readConfig *connect.Client[ReadConfigRequest, ReadConfigResponse]
+	inspect    *connect.Client[InspectRequest, InspectResponse]
 	promise    *connect.Client[PromiseRequest, PromiseResponse]
 	listLeases *connect.Client[ListLeasesRequest, ListLeasesResponse]
 }
@@ -162,6 +173,11 @@
 	return c.readConfig.CallUnary(ctx, req)
 }
 
+// Inspect calls fireflyfold.peer.v1.PeerService.Inspect.
+func (c *peerServiceClient) Inspect(ctx context.Context, req *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error) {
+	return c.inspect.CallUnary(ctx, req)
+}
+
 // Promise calls fireflyfold.peer.v1.PeerService.Promise.
 func (c *peerServiceClient) Promise(ctx context.Context, req *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error) {
 	return c.promise.CallUnary(ctx, req)
@@ -185,6 +201,8 @@
 	AskUnits(context.Context, *connect.Request[AskUnitsRequest]) (*connect.Response[AskUnitsResponse], error)
 	// ReadConfig hands out the configuration to a host that cannot read the log.
 	ReadConfig(context.Context, *connect.Request[ReadConfigRequest]) (*connect.Response[ReadConfigResponse], error)
+	// Inspect tells operators of another host how the called one stands.
+	Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error)
 	// Promise asks the called host not to hold the compute lease of a worker.
 	Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error)
 	// ListLeases tells which control leases the called host holds.
@@ -228,6 +246,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ReadConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceInspectHandler := connect.NewUnaryHandler(
+		PeerServiceInspectProcedure,
+		svc.Inspect,
+		connect.WithSchema(peerServiceMethods.ByName("Inspect")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServicePromiseHandler := connect.NewUnaryHandler(
 		PeerServicePromiseProcedure,
 		svc.Promise,
@@ -252,6 +276,8 @@
 			peerServiceAskUnitsHandler.ServeHTTP(w, r)
 		case PeerServiceReadConfigProcedure:
 			peerServiceReadConfigHandler.ServeHTTP(w, r)
+		case PeerServiceInspectProcedure:
+			peerServiceInspectHandler.ServeHTTP(w, r)
 		case PeerServicePromiseProcedure:
 			peerServicePromiseHandler.ServeHTTP(w, r)
 		case PeerServiceListLeasesProcedure:
@@ -285,6 +311,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.ReadConfig is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.Inspect is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.Promise is not implemented"))
 }
