cli wraps errors at its edge with cockroachdb/errors

Cause: the house style names the library and nothing used it. Ruled out: wrapping on the request path (a stack for each refusal). Before: typed errors without context at the edge. After: context is wrapped around them; exit codes unchanged.

--- a/cli/client.go
+++ b/cli/client.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflyfold/fireflyfold/problem"
 )
 
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -1,10 +1,10 @@
 package cli
 
 import (
-	"errors"
 	"fmt"
 	"io"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
 	"github.com/fireflyfold/fireflyfold/problem"
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflyfold/fireflyfold/admin"
 	"github.com/fireflyfold/fireflyfold/problem"
 	"github.com/fireflyfold/fireflyfold/settings"
--- a/cli/plan.go
+++ b/cli/plan.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 	"os"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflyfold/fireflyfold/admin"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
@@ -101,7 +102,7 @@
 	}
 	answer.File = or(out, string(answer.Plan.ID)+planSuffix)
 	if err := writePlan(answer.File, answer.Plan); err != nil {
-		return err
+		return errors.Wrap(err, "the plan was made, but could not be kept")
 	}
 	return c.print(answer, func(w io.Writer) { printPlan(w, answer) })
 }
@@ -200,7 +201,7 @@
 			}
 			plan, err := readPlan(name)
 			if err != nil {
-				return err
+				return errors.Wrapf(err, "plan %s", name)
 			}
 			var answer admin.Confirmation
 			if err := c.call(ctx, call{method: http.MethodPost, path: admin.PathConfirm, body: plan}, &answer); err != nil {
