Settings and questions mean what they say

Cause: an operator's trial found that asking for a running job could answer 'not run', which is false of the job, and that several settings did nothing.

--- a/engine/zone.go
+++ b/engine/zone.go
@@ -195,7 +195,7 @@
 			Service:  s.ID,
 			Job:      e.serviceJob(s.ID),
 			Team:     s.Team,
-			Replicas: zoneReplicas(s.Replicas, e.opts.Zones, e.opts.Zone),
+			Replicas: s.ZoneReplicas(e.opts.Zone, e.opts.Zones),
 			Need:     s.Need,
 		})
 	}
@@ -218,22 +218,6 @@
 	return ident.JobID{Zone: e.opts.Zone, Host: e.opts.Self.Host, Incarnation: e.opts.Self.Incarnation, Seq: serviceSeq(id)}
 }
 
-// zoneReplicas splits the replicas of a service over the configured zones as
-// evenly as can be; the first zones get what is left over. The split depends
-// on the configuration alone, so a zone that is cut off needs nobody to know
-// its part.
-func zoneReplicas(total int, zones []ident.Zone, zone ident.Zone) int {
-	at := slices.Index(zones, zone)
-	if at < 0 || len(zones) == 0 {
-		return 0
-	}
-	part := total / len(zones)
-	if at < total%len(zones) {
-		part++
-	}
-	return part
-}
-
 // markCompute tells the scheduler that a worker takes nothing new.
 func (e *Engine) markCompute(id ident.WorkerID, leaving bool) {
 	if e.zone == nil {
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -124,21 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list := []admin.KeyStatus{}
-	for _, k := range state.Keys() {
-		list = append(list, admin.KeyStatus{Key: k.ID, Team: k.Team, State: keyState(k), Until: k.Until, Changed: k.Revision})
-	}
-	return list, nil
-}
-
-func keyState(k fleet.Key) string {
-	switch {
-	case k.Until.IsZero():
-		return "valid"
-	case time.Now().After(k.Until):
-		return "ended"
-	}
-	return "ending"
+	return admin.KeysOf(state, time.Now().UTC()), nil
 }
 
 // loadFacts returns the last picture of the engine.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -124,6 +124,33 @@
 	}
 }
 
+// greetSeeds exchanges digests with the hosts that the settings name, until
+// the host has a configuration. A host that starts while the host list and the
+// log are down meets its peers this way, and gets the configuration from them.
+func (h *Host) greetSeeds(ctx context.Context) {
+	for ctx.Err() == nil && h.config.Load() == nil {
+		for _, seed := range h.opts.Settings.Peers.Seeds {
+			if seed.String() != h.PeerAddr() {
+				h.greet(ctx, seed.String())
+			}
+		}
+		pause(ctx, listEvery)
+	}
+}
+
+func (h *Host) greet(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	res, err := h.peers.At(addr).Exchange(ctx, connect.NewRequest(exchangeRequest(h.ownDigest())))
+	if err != nil {
+		h.metrics.peerFailed.Inc(1)
+		return
+	}
+	if digest, ok := fromWireDigest(res.Msg.GetDigest()); ok {
+		h.push(engine.DigestReceived{Digest: digest})
+	}
+}
+
 func (h *Host) sendDigest(ctx context.Context, cmd engine.SendDigest) {
 	res, err := h.peers.At(cmd.Addr).Exchange(ctx, connect.NewRequest(exchangeRequest(cmd.Digest)))
 	if err != nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -25,6 +25,7 @@
 	"github.com/fireflyfold/fireflyfold/peer"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/ring"
+	"github.com/fireflyfold/fireflyfold/sched"
 	"github.com/fireflyfold/fireflyfold/settings"
 	"github.com/fireflyfold/fireflyfold/telemetry"
 )
@@ -147,10 +148,24 @@
 	opts.Lease.Drift = s.Lease.Drift
 	opts.Request.MaxWaiting = s.Limits.MaxWaiting
 	opts.ConfigPoll = s.Config.Poll
+	opts.SnapshotEvery = s.Config.Snapshot
+	opts.Sched = schedOptions(opts.Sched, s.Policy)
 	opts.MaxRequestTime = s.Limits.RequestTimeout
 	return opts
 }
 
+// schedOptions puts the deployment's policy into the scheduler's options.
+func schedOptions(opts sched.Options, p settings.Policy) sched.Options {
+	if !p.Backfill {
+		opts.Hold = sched.HoldDrain
+	}
+	if !p.Displace {
+		opts.MaxDisplaced = sched.NeverDisplaced
+		opts.KeepRunning = true
+	}
+	return opts
+}
+
 func (h *Host) listen() error {
 	s := h.opts.Settings
 	var err error
@@ -245,8 +260,12 @@
 	}
 }
 
-// Drain begins the planned stop. Run returns when it is complete.
-func (h *Host) Drain() { h.push(engine.DrainRequested{}) }
+// Drain begins the planned stop. Run returns when it is complete, or when the
+// time that the settings allow for it is over.
+func (h *Host) Drain() {
+	h.push(engine.DrainRequested{})
+	time.AfterFunc(h.opts.Settings.Limits.DrainTimeout, func() { h.stop(end{reason: "the planned stop took too long"}) })
+}
 
 // server bounds what a slow or malicious caller can hold.
 func (h *Host) server(handler http.Handler) *http.Server {
@@ -289,6 +308,7 @@
 	}
 	spawn(1, func() { h.runCore(ctx) })
 	spawn(1, func() { h.pollList(ctx) })
+	spawn(1, func() { h.greetSeeds(ctx) })
 	spawn(leaseWorkers, func() { drainRing(ctx, h.leasing.Items(), h.sendLeaseCommand) })
 	spawn(taskWorkers, func() { drainRing(ctx, h.tasking.Items(), h.sendTaskCommand) })
 	spawn(peerWorkers, func() { drainRing(ctx, h.peering.Items(), h.sendPeerCommand) })
--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -113,9 +113,23 @@
 	delete(w.ends, job)
 }
 
-// runJobCall answers a job call here if this host schedules the job's zone,
-// and passes it on otherwise.
+// runJobCall answers a job call, here or in its home zone. A question that
+// could not be answered says nothing of the job, so its outcome is unknown,
+// whatever became of the question.
 func (h *Host) runJobCall(ctx context.Context, c jobCall) ([]byte, *problem.Problem) {
+	body, p := h.placeJobCall(ctx, c)
+	if p != nil && c.verb.asks() {
+		p.Outcome = work.OutcomeUnknown
+	}
+	return body, p
+}
+
+// asks reports whether the verb changes nothing.
+func (v jobVerb) asks() bool { return v == verbGet || v == verbWait || v == verbExplain }
+
+// placeJobCall answers a job call here if this host schedules the job's zone,
+// and passes it on otherwise.
+func (h *Host) placeJobCall(ctx context.Context, c jobCall) ([]byte, *problem.Problem) {
 	job, err := ident.ParseTaskID(c.jobText)
 	if err != nil {
 		return nil, problem.NotRun(problem.TypeNotFound, err.Error())
--- a/sched/options.go
+++ b/sched/options.go
@@ -46,7 +46,7 @@
 	Patience       time.Duration // wait after which plain work counts as due; default 5 min
 	UrgentPatience time.Duration // the same for urgent work; default 2 s
 	UrgentOver     float64       // urgent work goes first up to this multiple of the team's share; default 1.5
-	MaxDisplaced   int           // how often one task is displaced; default 3
+	MaxDisplaced   int           // how often one task is displaced; NeverDisplaced for not at all; default 3
 	KeepRunning    bool          // never displace to give another team its share
 
 	MaxAttempts int           // default and bound of attempts of a task; default 5
@@ -61,3 +61,6 @@
 
 	FirstFit bool // first in, first out on the first worker that fits: the plain baseline of the measurements
 }
+
+// NeverDisplaced as Options.MaxDisplaced lets every task run to its end.
+const NeverDisplaced = -1
