--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -152,3 +152,37 @@
 		t.Error("not drained after the release")
 	}
 }
+
+// A worker refuses a renewal because another host took the lease over. The
+// holder must not wait for its own clock before it asks again.
+func TestRefusedRenewalAsksAnew(t *testing.T) {
+	m := gainedAt(t, 0)
+	m.Step(2*time.Second, Tick{})
+	cmds := m.Step(2100*time.Millisecond, Refused{Key: testKey, SentAt: 2 * time.Second, Epoch: 3, Refusal: platform.RefusedLapsed})
+	if len(cmds) != 2 {
+		t.Fatalf("want Lost and Acquire, got %#v", cmds)
+	}
+	wantEpoch(t, m, 2100*time.Millisecond, 0)
+}
+
+// A refusal of a start of an earlier lease arrives when a new one is held. It
+// says nothing of the new one.
+func TestLateRefusalOfOldEpoch(t *testing.T) {
+	m := gainedAt(t, 0)
+	if cmds := m.Step(time.Second, EpochRefused{Key: testKey, Epoch: 2}); len(cmds) != 0 {
+		t.Errorf("late refusal caused %#v", cmds)
+	}
+	wantEpoch(t, m, time.Second, 3)
+}
+
+// While a worker is handed over, the grant of a doubled request gives a newer
+// epoch. Keeping it would undo the handover and stall the successor for a TTL.
+func TestNewerGrantDuringHandover(t *testing.T) {
+	m := gainedAt(t, 0)
+	m.Step(time.Second, Want{Key: testKey, Wanted: false})
+	cmds := m.Step(1100*time.Millisecond, grant(0, 4))
+	want := []Command{Lost{Key: testKey, Epoch: 4}, Release{Key: testKey, Epoch: 4}}
+	if diff := cmp.Diff(want, cmds); diff != "" {
+		t.Fatal(diff)
+	}
+}
