--- a/engine/command.go
+++ b/engine/command.go
@@ -6,10 +6,12 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
+	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/sched"
+	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -64,30 +66,29 @@
 	Digest member.Digest
 }
 
-// Append adds a group of records to a stream. The answer is an Appended with
-// the same Stream and Tag.
-type Append struct {
-	Stream platform.Stream
-	Tag    uint64
-	Group  [][]byte
+// AppendGroup adds a group of records to a stream. The answer is an Appended.
+type AppendGroup struct {
+	stream.Append
 }
 
-// ReadStream asks the log for the records after an offset. At most one is open
-// for each stream.
+// ReadStream asks the log for the records after an offset. The answer is a
+// StreamRead or a StreamFailed. At most one is open for each stream.
 type ReadStream struct {
-	Stream platform.Stream
-	After  platform.Offset
-	Limit  int
-	Wait   time.Duration // for a first record
+	stream.Read
 }
 
-// ReadPeer asks a peer for records of the configuration.
+// ReadPeer asks a peer for the configuration after an offset. The answer is a
+// PeerConfig.
 type ReadPeer struct {
-	Host   ident.HostID
-	Addr   string
-	Stream platform.Stream
-	After  platform.Offset
-	Limit  int
+	Host  ident.HostID
+	Addr  string
+	After platform.Offset
+	Limit int
+}
+
+// ViewChanged publishes what the edges need to know of the other hosts.
+type ViewChanged struct {
+	View *View
 }
 
 // StartTask starts an attempt on a worker. The answer is a StartAnswered.
@@ -152,6 +153,51 @@
 	Seq   uint64
 }
 
+// AskPromise asks a peer not to hold the compute lease of a worker, or frees it
+// from that promise. The answer is a PromiseAnswered, except to a release.
+type AskPromise struct {
+	Host    ident.HostID
+	Addr    string
+	Worker  ident.WorkerID
+	Release bool
+}
+
+// PromiseReply answers a PromiseAsked.
+type PromiseReply struct {
+	Call  uint64
+	Given bool
+}
+
+// AskLeases asks a peer which leases it holds. The answer is a LeasesAnswered.
+type AskLeases struct {
+	Host ident.HostID
+	Addr string
+}
+
+// LeasesReply answers a LeasesAsked.
+type LeasesReply struct {
+	Call   uint64
+	Leases []ledger.LeaseSeen
+}
+
+// ConfigReply answers a ConfigAsked with the records that follow, or with the
+// whole configuration, or with neither if there is none.
+type ConfigReply struct {
+	Call  uint64
+	Page  *platform.Page
+	State *fleet.State
+	Age   time.Duration
+}
+
+// ConfigFolded tells what became of a record of the configuration, for
+// operators that wait for it.
+type ConfigFolded struct {
+	Result fleet.Result
+}
+
+// Drained tells that the planned stop is complete.
+type Drained struct{}
+
 // ConfigChanged publishes a newer configuration.
 type ConfigChanged struct {
 	State *fleet.State
@@ -189,7 +235,8 @@
 func (ForwardCall) isCommand()   {}
 func (RequestDone) isCommand()   {}
 func (SendDigest) isCommand()    {}
-func (Append) isCommand()        {}
+func (AppendGroup) isCommand()   {}
+func (ViewChanged) isCommand()   {}
 func (ReadStream) isCommand()    {}
 func (ReadPeer) isCommand()      {}
 func (StartTask) isCommand()     {}
@@ -200,3 +247,10 @@
 func (ConfigChanged) isCommand() {}
 func (Noted) isCommand()         {}
 func (Reincarnate) isCommand()   {}
+func (AskPromise) isCommand()    {}
+func (PromiseReply) isCommand()  {}
+func (AskLeases) isCommand()     {}
+func (LeasesReply) isCommand()   {}
+func (ConfigFolded) isCommand()  {}
+func (Drained) isCommand()       {}
+func (ConfigReply) isCommand()   {}
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -1,40 +1,21 @@
 package ledger
 
 import (
-	"time"
-
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
 )
 
-// Tag names one append of this process.
-type Tag uint64
-
 // Event is something that happened to the holder.
-type Event interface{ event() }
-
-// Tick lets time pass.
-type Tick struct{}
-
-// PageRead answers the Read command with the same After.
-type PageRead struct {
-	After platform.Offset
-	Page  platform.Page
-}
-
-// ReadFailed reports that the Read command with the same After brought nothing.
-type ReadFailed struct{ After platform.Offset }
-
-// AppendDone reports that the group was appended.
-type AppendDone struct{ Tag Tag }
-
-// AppendFailed reports that the group got no answer, or a refusal. Certain
-// means that the group was not and will not be appended; it is false for a
-// *platform.UncertainError and only for that.
-type AppendFailed struct {
-	Tag     Tag
-	Certain bool
-}
+type Event = stream.Event
+
+// The events that every machine on a stream takes.
+type (
+	Tick         = stream.Tick
+	PageRead     = stream.PageRead
+	ReadFailed   = stream.ReadFailed
+	AppendDone   = stream.AppendDone
+	AppendFailed = stream.AppendFailed
+)
 
 // Configured tells the limits of the configuration in force.
 type Configured struct{ Teams []TeamLimit }
@@ -43,17 +24,20 @@
 // a team that is absent needs none. It replaces what was told before.
 type Waiting struct{ Units map[ident.TeamID]int64 }
 
-// Asked is another member's request for units. Seq rises with every request of
-// that member; a request that is not newer than the last one is dropped.
+// Asked is another member's request, as its Ask command said.
 type Asked struct {
 	From  ident.Holder
 	Team  ident.TeamID
 	Units int64
+	Lack  int64
 	Seq   uint64
 }
 
-// LeasesHeld tells whether this process holds any control lease of a worker,
-// of any class, by its own clock. See Holder.TryUse.
+// LeasesHeld tells whether this process holds any control lease of a worker, of
+// any class, by its own clock. It is told at every change, also when the last
+// lease lapses and another is acquired at one moment: first false, then true.
+// After a change to true no unit is used before the ledger has shown that
+// nobody took them over meanwhile.
 type LeasesHeld struct{ Any bool }
 
 // ReclaimProved asks to take over the units of a dead holder, on the proof of
@@ -65,46 +49,52 @@
 }
 
 // Leaving asks to give everything away, as the units become free, and to end
-// the membership once nothing is used. No further use is allowed.
-type Leaving struct{}
-
-func (Tick) event()          {}
-func (PageRead) event()      {}
-func (ReadFailed) event()    {}
-func (AppendDone) event()    {}
-func (AppendFailed) event()  {}
-func (Configured) event()    {}
-func (Waiting) event()       {}
-func (Asked) event()         {}
-func (LeasesHeld) event()    {}
-func (ReclaimProved) event() {}
-func (Leaving) event()       {}
+// the membership once nothing is used. No further use is allowed. Avoid names
+// hosts that are leaving as well, which get nothing.
+type Leaving struct{ Avoid []ident.HostID }
 
-// Command is something that the holder wants done or known.
-type Command interface{ command() }
+// ResetOrdered asks to empty the ledger. It is an operator's last resort after
+// Incomplete, when nothing of any team runs.
+type ResetOrdered struct{}
 
-// Append asks to append the group to the ledger's stream; the answer is
-// AppendDone or AppendFailed with the same tag. At most one is open.
-type Append struct {
-	Tag   Tag
-	Group [][]byte
-}
+// StreamEvent marks an event.
+func (Configured) StreamEvent() {}
 
-// Read asks for a page; the answer is PageRead or ReadFailed. At most one is
-// open.
-type Read struct {
-	After platform.Offset
-	Limit int
-	Wait  time.Duration
-}
+// StreamEvent marks an event.
+func (Waiting) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (Asked) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (LeasesHeld) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (ReclaimProved) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (ResetOrdered) StreamEvent() {}
+
+// StreamEvent marks an event.
+func (Leaving) StreamEvent() {}
+
+// Command is something that the holder wants done or known.
+type Command = stream.Command
+
+// The commands that every machine on a stream gives.
+type (
+	Append = stream.Append
+	Read   = stream.Read
+)
 
 // Ask asks a peer for units; no answer is expected but units. It is sent once
 // and may be lost.
 type Ask struct {
 	Peer  ident.Holder
 	Team  ident.TeamID
-	Units int64
-	Seq   uint64
+	Units int64  // wanted from this peer
+	Lack  int64  // wanted altogether: how short this holder is
+	Seq   uint64 // rises with every request; an older one is dropped
 }
 
 // Joined reports that this holder is a member.
@@ -128,15 +118,34 @@
 	By ident.Holder // zero if unknown
 }
 
+// Incomplete reports that records have expired that were not written again, so
+// that nobody can tell who holds what. No unit can be used until another host
+// writes a snapshot or an operator orders a reset.
+type Incomplete struct{}
+
 // Left reports that the membership ended as asked.
 type Left struct{}
 
-func (Append) command()      {}
-func (Read) command()        {}
-func (Ask) command()         {}
-func (Joined) command()      {}
-func (Changed) command()     {}
-func (Reclaimed) command()   {}
-func (ReclaimVoid) command() {}
-func (Dethroned) command()   {}
-func (Left) command()        {}
+// StreamCommand marks a command.
+func (Ask) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Joined) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Changed) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Reclaimed) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (ReclaimVoid) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Dethroned) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Incomplete) StreamCommand() {}
+
+// StreamCommand marks a command.
+func (Left) StreamCommand() {}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -2,14 +2,14 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/stream"
 )
 
-// Stream names the ledger's stream.
-const Stream platform.Stream = "limits"
+// StreamName names the ledger's stream.
+const StreamName platform.Stream = "limits"
 
 // Record is the envelope of everything in the stream. Exactly one of the
 // bodies is set.
@@ -25,11 +25,11 @@
 	Moves    *Moves    `json:"mv,omitempty"`
 	Reclaim  *Reclaim  `json:"rec,omitempty"`
 	Leave    *Leave    `json:"leave,omitempty"`
+	Reset    *Reset    `json:"reset,omitempty"`
 	Snapshot *Snapshot `json:"snap,omitempty"`
 }
 
-// Join makes the writer a member that can hold units. It starts with none,
-// unless nobody holds them.
+// Join makes the writer a member that can hold units. It starts with none.
 type Join struct {
 	Zone ident.Zone `json:"z"`
 }
@@ -70,9 +70,12 @@
 }
 
 // Reclaim moves everything that Dead holds to the writer and ends Dead's
-// membership for good. It is written only on proof; see Reclaimer.
+// membership for good. It is written only on proof; see Reclaimer. It is void
+// if Dead has written anything after Num, which was Dead's highest number when
+// the proof stood: a holder that comes back writes before it uses units again.
 type Reclaim struct {
 	Dead ident.Holder `json:"dead"`
+	Num  uint64       `json:"num"`
 }
 
 // Leave moves everything that the writer holds to another member and ends the
@@ -81,29 +84,23 @@
 	To ident.Holder `json:"to"`
 }
 
-// MalformedRecordError reports a record that cannot be read. It has no effect,
-// alike on every host.
-type MalformedRecordError struct {
-	Cause error
+// Reset empties the ledger: no members, no units. An operator orders it when
+// records expired that nobody had written again, and nothing runs any more. It
+// is void unless it is the very next record after offset After: a copy of it
+// that lands later would take the units from tasks that run by then.
+type Reset struct {
+	After platform.Offset `json:"after"`
 }
 
-// Error implements error.
-func (e *MalformedRecordError) Error() string {
-	return fmt.Sprintf("malformed ledger record: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *MalformedRecordError) Unwrap() error { return e.Cause }
-
 // Encode renders a record for the log.
 func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
 
-// Decode reads a record. It returns a *MalformedRecordError for anything that
+// Decode reads a record. It returns a *stream.MalformedRecordError for anything that
 // Encode did not write.
 func Decode(data []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, &MalformedRecordError{Cause: err}
+		return Record{}, &stream.MalformedRecordError{Cause: err}
 	}
 	return r, nil
 }
--- a/sched/event.go
+++ b/sched/event.go
@@ -13,8 +13,9 @@
 type Event interface{ isEvent() }
 
 // WorkerAdded reports that the compute lease of a worker is held from now on.
-// For a worker that is known already it updates size and rack and ends a
-// cordon; a worker that shrank keeps what it runs and takes nothing new until
+// For a worker that is known already it updates size and rack, and ends a
+// cordon and a planned removal; if the removal still stands, WorkerLeaving has
+// to follow. A worker that shrank keeps what it runs and takes nothing new until
 // it is within its size.
 type WorkerAdded struct {
 	Worker ident.WorkerID
@@ -56,9 +57,11 @@
 type RestoredTask struct {
 	Index     int
 	Attempts  int            // attempts assigned so far, the running one included
-	Displaced int            // how often it was displaced
+	Refused   int            // of these, attempts that truly did not run
+	Displaced int            // of these, attempts that were displaced
 	Done      bool           // it ended without failure
 	Failed    bool           // its last attempt failed and no further one may follow
+	Reason    string         // with Failed
 	Running   bool           // the last attempt runs, or may run, on Worker
 	Started   bool           // with Running: the worker has reported it as running
 	Worker    ident.WorkerID // with Running
@@ -140,14 +143,16 @@
 	Service ident.ServiceID
 }
 
-// Team is the share of a team. Upper limits are kept behind Limits.
+// Team is the share of a team and its upper limit. The limit is kept behind
+// Limits; here it only serves to refuse work that is over it.
 type Team struct {
 	ID     ident.TeamID
 	Weight int64 // of its share, at least one
+	Limit  int64 // units over the fleet; zero for none
 }
 
 // TeamsChanged replaces the teams and their weights. Teams that are not listed
-// count with weight one.
+// count with weight one and without limit.
 type TeamsChanged struct {
 	Teams []Team
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -16,10 +16,14 @@
 
 func TestExamplesAreValid(t *testing.T) {
 	files, err := filepath.Glob("../deploy/*.ini")
-	if err != nil || len(files) < 2 {
+	if err != nil || len(files) != 2 {
 		t.Fatalf("examples: %v, %v", files, err)
 	}
-	for _, file := range files {
+	tour, err := filepath.Glob("../deploy/tour/*.ini")
+	if err != nil || len(tour) != 4 {
+		t.Fatalf("tour: %v, %v", tour, err)
+	}
+	for _, file := range append(files, tour...) {
 		s, err := Load(file)
 		if err != nil {
 			t.Errorf("%v", err)
@@ -97,6 +101,7 @@
 	{"limits", "request-timeout = -1s", "request-timeout", "-1s"},
 	{"config", "poll = 10s", "poll", "10s"},
 	{"config", "max-age = 1s", "max-age", "1s"},
+	{"config", "snapshot = 1s", "snapshot", "1s"},
 	{"telemetry", "metrics = true", "metrics", "true"},
 	{"telemetry", "otlp = http://collector:4318", "otlp", "http://collector:4318"},
 	{"telemetry", "sample = 2", "sample", "2"},
--- a/settings/values.go
+++ b/settings/values.go
@@ -36,6 +36,8 @@
 	maxRequestTimeout = time.Hour
 	minPoll           = 50 * time.Millisecond
 	maxPoll           = 5 * time.Second // a change must be in force within 9 s
+	minSnapshot       = time.Minute
+	maxSnapshot       = 24 * time.Hour
 	minMaxAge         = 5 * time.Second
 	maxMaxAge         = 24 * time.Hour
 
@@ -112,7 +114,7 @@
 // size sets a whole number of bytes with its unit, between two bounds.
 func size(least, most int64, at func(*Settings) *int64) setter {
 	return func(s *Settings, value string) bool {
-		parsed, ok := parseSize(value)
+		parsed, ok := ParseSize(value)
 		if !ok || parsed < least || parsed > most {
 			return false
 		}
@@ -121,8 +123,8 @@
 	}
 }
 
-// parseSize parses a whole number followed by B, KiB, MiB or GiB.
-func parseSize(value string) (int64, bool) {
+// ParseSize parses a whole number of bytes, followed by B, KiB, MiB or GiB.
+func ParseSize(value string) (int64, bool) {
 	for _, unit := range sizeUnits {
 		digits, found := strings.CutSuffix(value, unit.suffix)
 		if !found {
@@ -137,6 +139,13 @@
 	return 0, false
 }
 
+// ParseMiB parses a size that is a whole number of MiB, such as 512MiB or 4GiB,
+// and returns that number.
+func ParseMiB(value string) (int64, bool) {
+	bytes, ok := ParseSize(value)
+	return bytes / mib, ok && bytes%mib == 0
+}
+
 // flag sets a yes or a no.
 func flag(at func(*Settings) *bool) setter {
 	return func(s *Settings, value string) bool {
