--- a/lease/answer.go
+++ b/lease/answer.go
@@ -53,14 +53,15 @@
 // grant arrives gives it back at once, or nobody could use the worker for a
 // whole TTL.
 func (m *Manager) gained(now time.Duration, c *control, ev Granted, until time.Duration) {
-	if c.phase == phaseHeld {
+	if c.holding() {
 		m.emit(Lost{Key: c.key, Epoch: c.epoch})
+		c.phase = phaseNone
 	}
 	c.epoch = ev.Grant.Epoch
 	c.floor = ev.Grant.Epoch
 	c.until = until
 	c.reported = ev.SentAt
-	if c.phase == phaseReleasing || c.phase == phaseHandover || !c.wanted {
+	if !c.wanted {
 		m.release(now, c)
 		return
 	}
