--- a/cmd/fireflyfold/main.go
+++ b/cmd/fireflyfold/main.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/fireflyfold/fireflyfold/cli"
+	"github.com/fireflyfold/fireflyfold/demo"
 	"github.com/fireflyfold/fireflyfold/load"
 	"github.com/fireflyfold/fireflyfold/serve"
 )
@@ -19,6 +20,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&serve.Command{}, "daemons")
+	commander.Register(&demo.Command{}, "daemons")
 	cli.Register(commander)
 	commander.Register(&load.Command{}, "measuring")
 	flag.Parse()
--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -163,6 +163,7 @@
 	a.phase = phaseRunning
 	a.startedAt = e.now
 	e.stepSched(sched.AttemptStarted{ID: a.ID})
+	e.expectEnd(a, 0)
 }
 
 // startRefused takes a worker's refusal. After an unanswered start a refusal
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -136,6 +136,27 @@
 		e.started(a)
 	}
 	e.stepSched(sched.UsageReported{ID: a.ID, Ran: t.Ran, Usage: t.Usage})
+	e.expectEnd(a, t.Ran)
+}
+
+// minLook is the least time between two looks at a worker for the end of a
+// task.
+const minLook = 50 * time.Millisecond
+
+// expectEnd has the worker's report fetched when a task should end by its
+// declared run time, instead of at the next renewal: room that is free and not
+// known to be free keeps others waiting. A task that is overdue is looked for
+// at growing intervals, so that a wrong estimate costs few messages.
+func (e *Engine) expectEnd(a *attempt, ran time.Duration) {
+	if a.Run <= 0 {
+		return
+	}
+	left := a.Run - ran
+	if left < 0 {
+		left = -left / 2
+	}
+	key := lease.Key{Worker: a.Worker, Class: platform.ClassCompute}
+	e.stepLeases(lease.Hasten{Key: key, At: e.now + max(left, minLook)})
 }
 
 // unknownTask deals with a task that this host did not start. Replicas are
--- a/lease/event.go
+++ b/lease/event.go
@@ -59,6 +59,13 @@
 	IDs []string
 }
 
+// Hasten asks for a report of the worker at a time, sooner than the next
+// renewal would bring it: a task is expected to end by then.
+type Hasten struct {
+	Key
+	At time.Duration
+}
+
 // Idle says that no start or control under this lease is on its way, so that
 // a handover may release it. Tasks may still run.
 type Idle struct {
@@ -87,6 +94,7 @@
 func (EpochRefused) isEvent() {}
 func (Acked) isEvent()        {}
 func (Idle) isEvent()         {}
+func (Hasten) isEvent()       {}
 func (ReleaseDone) isEvent()  {}
 func (Drain) isEvent()        {}
 func (Tick) isEvent()         {}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -49,6 +49,8 @@
 		m.with(now, ev.Key, func(c *control) { m.epochRefused(now, c, ev) })
 	case Acked:
 		m.with(now, ev.Key, func(c *control) { c.acks = append(c.acks, ev.IDs...) })
+	case Hasten:
+		m.with(now, ev.Key, func(c *control) { m.hasten(c, ev.At) })
 	case Idle:
 		m.with(now, ev.Key, func(c *control) { m.idle(now, c) })
 	case ReleaseDone:
@@ -61,6 +63,13 @@
 	return m.out
 }
 
+// hasten brings the next renewal of a held lease forward.
+func (m *Manager) hasten(c *control, at time.Duration) {
+	if c.phase == phaseHeld && at < c.next {
+		c.next = at
+	}
+}
+
 // Epoch returns the epoch under which a start may be sent at now. It reports
 // false when the lease is not held, is being handed over, or may have run out
 // on the worker.
