A host waits to be listed before it wants the zone's scheduling

Cause: the host list lags, so hosts that start together first see none of the zone, themselves included, and each took the scheduling (log of a fleet of two: a takeover at start and 4 s until the second gave its workers up). Before: first batch task ran 4.2 s after submission. Ruled out: the log and the workers, whose steps took 60 ms each.

--- a/member/assign.go
+++ b/member/assign.go
@@ -95,11 +95,15 @@
 	}
 }
 
-// unsettled reports whether a listed host of the own zone may be alive and has
-// not been heard of yet. A host that just started would otherwise take the
-// zone's scheduling over from a peer that it has not met, and each takeover
-// costs the zone a pause.
+// unsettled reports whether a host of the own zone may be alive that was not
+// heard of yet: a listed one, or any while the list lags so far behind that it
+// does not show this host itself. A host that just started would otherwise
+// take the zone's scheduling over from a peer that it has not met, and each
+// takeover costs the zone a pause.
 func (m *Members) unsettled(now time.Duration) bool {
+	if !m.selfListed && now-m.firstStep < m.opts.PeerTTL {
+		return true
+	}
 	for _, h := range m.hosts {
 		if h.zone != m.opts.Zone || !h.listed || h.heard || h.leaves() {
 			continue
--- a/member/host.go
+++ b/member/host.go
@@ -70,6 +70,7 @@
 	}
 	for _, entry := range listing.Hosts {
 		if entry.Host == m.opts.Self.Host {
+			m.selfListed = true
 			m.selfLeaves = entry.State == platform.StateLeaving
 			continue
 		}
--- a/member/members.go
+++ b/member/members.go
@@ -20,6 +20,9 @@
 
 	listed     bool // a listing was read
 	selfLeaves bool // the list says that this host is leaving
+	selfListed bool // the list has shown this host
+	firstStep  time.Duration
+	stepped    bool
 	draining   bool // this host is being stopped
 	load       Load
 	seq        uint64
@@ -47,6 +50,10 @@
 // not decrease from step to step.
 func (m *Members) Step(now time.Duration, ev Event) []Command {
 	m.out = nil
+	if !m.stepped {
+		m.stepped = true
+		m.firstStep = now
+	}
 	m.forgiveOwnPause(now)
 	switch ev := ev.(type) {
 	case ListRead:
