--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/fireflyfold/fireflyfold/faultmatrix/agenda"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/resource"
@@ -18,28 +18,6 @@
 // testDrift bounds how much faster one clock of a history runs than another.
 const testDrift = 0.05
 
-// action is something that happens in a history at a given time.
-type action struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type agenda []action
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // node is one host of a history, with a clock of its own.
 type node struct {
 	arb    Arbiter
@@ -55,43 +33,28 @@
 // history runs several hosts against real workers over a bad network. The
 // faults are drawn by rapid, so that a failing history shrinks.
 type history struct {
-	t      *rapid.T
-	now    time.Duration
-	agenda agenda
-	seq    int
-	calm   bool // no further faults
-	nodes  []*node
-	keys   []Key
-	carry  func(h *history, n *node, cmd Command)
-	check  func(h *history)
-}
-
-func (h *history) after(d time.Duration, do func()) {
-	h.seq++
-	heap.Push(&h.agenda, action{at: h.now + d, seq: h.seq, do: do})
+	agenda.Agenda
+	t     *rapid.T
+	calm  bool // no further faults
+	nodes []*node
+	keys  []Key
+	carry func(h *history, n *node, cmd Command)
+	check func(h *history)
 }
 
-// runUntil carries out what happens up to the end, and checks after each step.
-func (h *history) runUntil(end time.Duration) {
-	for len(h.agenda) > 0 && h.agenda[0].at <= end {
-		next := heap.Pop(&h.agenda).(action)
-		h.now = next.at
-		next.do()
-		h.check(h)
-	}
-	h.now = end
-}
+// play carries out what happens up to the end, and checks after each action.
+func (h *history) play(end time.Duration) { h.RunUntil(end, func() { h.check(h) }) }
 
 // deliver hands a message over after a drawn delay, or not at all, or twice.
 func (h *history) deliver(label string, do func()) {
 	if h.calm {
-		h.after(2*time.Millisecond, do)
+		h.After(2*time.Millisecond, do)
 		return
 	}
 	const late = 8000 // ms, longer than the TTL
 	for range rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 0, 2}).Draw(h.t, label+" copies") {
 		delay := rapid.SampledFrom([]int{1, 1, 1, 1, 200, 2500, late}).Draw(h.t, label+" ms")
-		h.after(time.Duration(delay)*time.Millisecond, do)
+		h.After(time.Duration(delay)*time.Millisecond, do)
 	}
 }
 
@@ -101,13 +64,13 @@
 	if n.dead {
 		return
 	}
-	if h.now < n.paused {
-		h.after(min(n.paused-h.now, time.Second), func() { h.tell(n, ev) })
+	if h.Now() < n.paused {
+		h.After(min(n.paused-h.Now(), time.Second), func() { h.tell(n, ev) })
 		return
 	}
-	for _, cmd := range n.arb.Step(n.local(h.now), ev) {
+	for _, cmd := range n.arb.Step(n.local(h.Now()), ev) {
 		if q, ok := cmd.(Quiesce); ok && n.idles {
-			h.after(time.Millisecond, func() { h.tell(n, Idle{Key: q.Key}) })
+			h.After(time.Millisecond, func() { h.tell(n, Idle{Key: q.Key}) })
 		}
 		h.carry(h, n, cmd)
 	}
@@ -115,10 +78,10 @@
 
 func (h *history) tick(n *node) {
 	const every = 100 * time.Millisecond
-	if h.now >= n.paused {
+	if h.Now() >= n.paused {
 		h.tell(n, Tick{})
 	}
-	h.after(every, func() { h.tick(n) })
+	h.After(every, func() { h.tick(n) })
 }
 
 // disturb draws one fault or change of mind and comes again.
@@ -127,8 +90,8 @@
 		return
 	}
 	n := h.nodes[rapid.IntRange(0, len(h.nodes)-1).Draw(h.t, "node")]
-	if h.now < n.paused {
-		h.after(time.Second, h.disturb)
+	if h.Now() < n.paused {
+		h.After(time.Second, h.disturb)
 		return
 	}
 	switch rapid.SampledFrom([]string{"want", "unwant", "pause", "nothing"}).Draw(h.t, "fault") {
@@ -137,9 +100,9 @@
 	case "unwant":
 		h.tell(n, Want{Key: rapid.SampledFrom(h.keys).Draw(h.t, "key"), Wanted: false})
 	case "pause":
-		n.paused = h.now + time.Duration(rapid.SampledFrom([]int{500, 3000, 9000}).Draw(h.t, "pause ms"))*time.Millisecond
+		n.paused = h.Now() + time.Duration(rapid.SampledFrom([]int{500, 3000, 9000}).Draw(h.t, "pause ms"))*time.Millisecond
 	}
-	h.after(time.Duration(rapid.IntRange(100, 2000).Draw(h.t, "calm ms"))*time.Millisecond, h.disturb)
+	h.After(time.Duration(rapid.IntRange(100, 2000).Draw(h.t, "calm ms"))*time.Millisecond, h.disturb)
 }
 
 // atMostOneStarter fails if two hosts would start on one worker.
@@ -147,12 +110,12 @@
 	for _, key := range h.keys {
 		var starters []ident.Holder
 		for _, n := range h.nodes {
-			if _, ok := n.arb.Epoch(key, n.local(h.now)); ok && !n.dead {
+			if _, ok := n.arb.Epoch(key, n.local(h.Now())); ok && !n.dead {
 				starters = append(starters, n.holder)
 			}
 		}
 		if len(starters) > 1 {
-			h.t.Fatalf("at %v: %v may all start on %v", h.now, starters, key)
+			h.t.Fatalf("at %v: %v may all start on %v", h.Now(), starters, key)
 		}
 	}
 }
@@ -194,7 +157,7 @@
 		h.deliver("renew", func() { h.lease(workers[cmd.Worker], n, cmd.Key, cmd.SentAt, cmd.Request) })
 	case Release:
 		h.deliver("release", func() {
-			err := workers[cmd.Worker].Release(h.now, cmd.Class, cmd.Epoch)
+			err := workers[cmd.Worker].Release(h.Now(), cmd.Class, cmd.Epoch)
 			h.deliver("released", func() { h.tell(n, ReleaseDone{Key: cmd.Key, Epoch: cmd.Epoch, Done: err == nil}) })
 		})
 	}
@@ -202,7 +165,7 @@
 
 // lease lets a worker decide on a request and sends its answer back.
 func (h *history) lease(w *standin.WorkerState, n *node, key Key, sentAt time.Duration, req platform.LeaseRequest) {
-	grant, err := w.Lease(h.now, req)
+	grant, err := w.Lease(h.Now(), req)
 	var answer Event = Granted{Key: key, SentAt: sentAt, Grant: grant}
 	var refusal *platform.RefusedError
 	if errors.As(err, &refusal) {
@@ -215,10 +178,10 @@
 // count it as its holder.
 func (h *history) startersHoldWorkers(workers map[ident.WorkerID]*standin.WorkerState) {
 	for _, key := range h.keys {
-		holder, _, alive := workers[key.Worker].LeaseOf(h.now, key.Class)
+		holder, _, alive := workers[key.Worker].LeaseOf(h.Now(), key.Class)
 		for _, n := range h.nodes {
-			if _, ok := n.arb.Epoch(key, n.local(h.now)); ok && (!alive || holder != n.holder) {
-				h.t.Fatalf("at %v: %v believes in %v, the worker in %v (alive %v)", h.now, n.holder, key, holder, alive)
+			if _, ok := n.arb.Epoch(key, n.local(h.Now())); ok && (!alive || holder != n.holder) {
+				h.t.Fatalf("at %v: %v believes in %v, the worker in %v (alive %v)", h.Now(), n.holder, key, holder, alive)
 			}
 		}
 	}
@@ -234,7 +197,7 @@
 		h.tick(n)
 	}
 	h.disturb()
-	h.runUntil(30 * time.Second)
+	h.play(30 * time.Second)
 	h.calm = true
 	for i, n := range h.nodes {
 		n.paused = 0
@@ -243,7 +206,7 @@
 		}
 	}
 	h.nodes[0].dead = true
-	h.runUntil(h.now + takeover)
+	h.play(h.Now() + takeover)
 	for _, key := range h.keys {
 		if !h.held(key) {
 			h.t.Fatalf("nobody holds %v %v after the faults ended", key, takeover)
@@ -253,7 +216,7 @@
 
 func (h *history) held(key Key) bool {
 	for _, n := range h.nodes {
-		if _, ok := n.arb.Epoch(key, n.local(h.now)); ok && !n.dead {
+		if _, ok := n.arb.Epoch(key, n.local(h.Now())); ok && !n.dead {
 			return true
 		}
 	}
