--- a/sched/displace.go
+++ b/sched/displace.go
@@ -102,7 +102,7 @@
 	workers, found := s.victims(j, from, wanted)
 	if found == 0 || (j.gang() && found < wanted) {
 		s.displaceAt = s.now + displaceEvery
-		s.wake(s.displaceAt)
+		s.wake(&s.wakes.displace, s.displaceAt)
 		return
 	}
 	for _, ref := range workers {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if s.now < s.planAt {
-		s.wake(s.planAt)
+		s.wake(&s.wakes.plan, s.planAt)
 		return
 	}
 	s.planAt = s.now + planEvery
@@ -69,7 +69,7 @@
 		}
 	}
 	if ripens || len(s.holds) > 0 {
-		s.wake(s.planAt)
+		s.wake(&s.wakes.plan, s.planAt)
 	}
 }
 
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -180,6 +180,22 @@
 	}
 }
 
+// Units are refused twice within a second, then the limit is raised and the
+// word of it is lost. The retry of the first refusal comes before the second
+// one lapses: it must not be the last.
+func TestUpperLimitIsTriedAgainAfterASecondRefusal(t *testing.T) {
+	w := zone(t, 1, Options{})
+	w.units.limit["a"] = 1
+	w.accept(batch("a", 1, 2))
+	w.now += refusalFor / 2
+	w.step(LimitChanged{Team: "a"})
+	w.units.limit["a"] = 2
+	w.pass(refusalFor)
+	if len(w.running) != 2 {
+		t.Errorf("%d run after the limit was raised", len(w.running))
+	}
+}
+
 // A worker is to be removed in a planned change. Callers of the service must
 // never find fewer replicas than declared: the replacement starts first, in
 // another rack if it can, and only then is the old replica stopped.
--- a/sched/rebalance.go
+++ b/sched/rebalance.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if s.now < s.rebalanceAt {
-		s.wake(s.rebalanceAt)
+		s.wake(&s.wakes.rebalance, s.rebalanceAt)
 		return
 	}
 	s.rebalanceAt = s.now + rebalanceEvery
@@ -33,7 +33,7 @@
 	if under == nil {
 		return
 	}
-	s.wake(s.rebalanceAt)
+	s.wake(&s.wakes.rebalance, s.rebalanceAt)
 	j := under.First(s.unlimited).Head().Owner
 	over := func(a *attempt) bool {
 		d := &demands[a.team.number]
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -34,12 +34,12 @@
 	newest      *job   // the only job whose waiting changed, if nothing else is dirty
 	dirty       bool   // something happened that could let work start
 	planAt      timeOf // no planning before this time
-	wakeAt      timeOf // next look at the waiting work, if in the future
 	planner     planner
 	making      []emptying
-	displaceAt  timeOf // no displacing before this time
-	rebalanceAt timeOf // no rebalancing before this time
-	sick        int    // quarantined workers
+	displaceAt  timeOf                                     // no displacing before this time
+	rebalanceAt timeOf                                     // no rebalancing before this time
+	wakes       struct{ plan, displace, rebalance timeOf } // last wake-ups that were set
+	sick        int                                        // quarantined workers
 	openFunc    func(*queue.Class[*job]) bool
 	gangRefs    []place.Ref // scratch
 }
--- a/sched/team.go
+++ b/sched/team.go
@@ -16,6 +16,7 @@
 	limit      int64  // upper limit over the fleet; zero if there is none
 	refused    int64  // units that were refused last; math.MaxInt64 if none were
 	refusedTil timeOf // after this the refusal counts no longer
+	retrying   bool   // a timer for the end of the refusal is set
 	load       load   // of the tasks that wait
 	deadlines  load   // the same, of jobs with a deadline or urgent ones only
 	headJob    *job   // the job that is due first, when last looked at
@@ -77,11 +78,25 @@
 		t.refused = 1
 	}
 	t.refusedTil = s.now + refusalFor
-	s.wake(t.refusedTil)
+	if !t.retrying {
+		t.retrying = true
+		s.after(timer{at: t.refusedTil, kind: timerLimit, team: t})
+	}
 	s.emit(Want{Team: t.ID, Units: units})
 	return false
 }
 
+// refusalPassed tries again after a refusal, or goes on waiting if there was
+// another one meanwhile.
+func (s *Scheduler) refusalPassed(t *team) {
+	if s.now < t.refusedTil {
+		s.after(timer{at: t.refusedTil, kind: timerLimit, team: t})
+		return
+	}
+	t.retrying = false
+	s.dirty = true
+}
+
 // overLimit reports whether so many units are never granted at once.
 func (t *team) overLimit(units int64) bool { return t.limit > 0 && units > t.limit }
 
--- a/sched/timer.go
+++ b/sched/timer.go
@@ -18,7 +18,8 @@
 	timerWorker // the end of a quarantine or of a refusal's back-off
 	timerHold
 	timerService
-	timerWake // nothing but a look at the waiting work
+	timerLimit // the end of a refusal of limit units
+	timerWake  // nothing but a look at the waiting work
 )
 
 // timer is something that is due at a time. It is checked when it fires, so
@@ -33,6 +34,7 @@
 	job     *job
 	hold    *hold
 	service *service
+	team    *team
 }
 
 // timers is a heap of timers. Those of ended jobs stay until they are half of
@@ -71,14 +73,14 @@
 	heap.Push(&s.timers.heap, t)
 }
 
-// wake sees to it that the waiting work is looked at again at a time. It is for
-// decisions that are taken at most so often, so that none is put off until the
-// next event.
-func (s *Scheduler) wake(at timeOf) {
-	if s.wakeAt > s.now && s.wakeAt <= at {
+// wake sees to it that the waiting work is looked at again at a time, once for
+// each value of slot. It is for decisions that are taken at most so often, so
+// that none is put off until the next event.
+func (s *Scheduler) wake(slot *timeOf, at timeOf) {
+	if *slot == at {
 		return
 	}
-	s.wakeAt = at
+	*slot = at
 	s.after(timer{at: at, kind: timerWake})
 }
 
@@ -126,6 +128,8 @@
 		s.workerReturns(t.worker, t.life)
 	case timerHold:
 		s.holdPassed(t.hold)
+	case timerLimit:
+		s.refusalPassed(t.team)
 	case timerService, timerWake:
 		s.dirty = true
 	}
