--- a/standin/admin.go
+++ b/standin/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -23,6 +24,8 @@
 //	PUT      /leaving/{worker}       lists a worker as leaving
 //	GET      /audit                  Counts
 //	GET      /audit/runs?id=         how often an identifier was started
+//	GET      /audit/units?team=      Units of a team
+//	GET      /audit/history?after=   []RunEvent, but for the first so many
 //
 // Durations are in nanoseconds.
 func (p *Platform) Admin() http.Handler {
@@ -55,9 +58,31 @@
 	mux.HandleFunc("GET /audit/runs", func(w http.ResponseWriter, r *http.Request) {
 		reply(w, p.Audit.Runs(r.URL.Query().Get("id")))
 	})
+	mux.HandleFunc("GET /audit/units", func(w http.ResponseWriter, r *http.Request) {
+		now, peak := p.Audit.Units(ident.TeamID(r.URL.Query().Get("team")))
+		reply(w, Units{Now: now, Peak: peak})
+	})
+	mux.HandleFunc("GET /audit/history", p.auditHistory)
 	return mux
 }
 
+// Units are the limit units that a team's running tasks use now, and the most
+// that they ever used at once.
+type Units struct {
+	Now  int64 `json:"now"`
+	Peak int64 `json:"peak"`
+}
+
+func (p *Platform) auditHistory(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 32)
+	if err != nil {
+		problem(w, http.StatusBadRequest, platform.Problem{Detail: "after: want a number of events"})
+		return
+	}
+	history := p.Audit.History()
+	reply(w, history[min(int(after), len(history)):])
+}
+
 // setter decodes a body and hands it to a function.
 func setter[T any](set func(*http.Request, T) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
