--- a/sched/sched.go
+++ b/sched/sched.go
@@ -34,12 +34,12 @@
 	newest      *job   // the only job whose waiting changed, if nothing else is dirty
 	dirty       bool   // something happened that could let work start
 	planAt      timeOf // no planning before this time
-	wakeAt      timeOf // next look at the waiting work, if in the future
 	planner     planner
 	making      []emptying
-	displaceAt  timeOf // no displacing before this time
-	rebalanceAt timeOf // no rebalancing before this time
-	sick        int    // quarantined workers
+	displaceAt  timeOf                                     // no displacing before this time
+	rebalanceAt timeOf                                     // no rebalancing before this time
+	wakes       struct{ plan, displace, rebalance timeOf } // last wake-ups that were set
+	sick        int                                        // quarantined workers
 	openFunc    func(*queue.Class[*job]) bool
 	gangRefs    []place.Ref // scratch
 }
@@ -145,9 +145,8 @@
 // Waiting returns the number of jobs with tasks that wait to start.
 func (s *Scheduler) Waiting() int { return s.queue.Len() }
 
-// PredictionError returns the mean absolute error of predicted starts, and over
-// how many predictions it was taken.
-func (s *Scheduler) PredictionError() (time.Duration, int) { return s.err, s.samples }
+// Accuracy returns how predicted starts compared with real ones.
+func (s *Scheduler) Accuracy() Accuracy { return s.accuracy }
 
 // Jobs returns the number of jobs that have not ended.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
