Units of calls that may still run stay in use; refused starts settle by epoch

Cause: the fault matrix showed a team with 6 units running of 5 in 12 cells (among them answer/message lost, reserve/worker dies): a call given up without an answer returned its unit at once while the worker ran on. Ruled out: the ledger, whose own property tests hold. Ends refused by a full queue of proposals are proposed again instead of being lost; a refusal after an unanswered start takes the lease anew before the attempt is given back.

--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -166,16 +166,20 @@
 	e.expectEnd(a, 0)
 }
 
-// startRefused takes a worker's refusal. After an unanswered start a refusal
-// for the lease says nothing about that earlier one, so the worker's next
-// report decides.
+// startRefused takes a worker's refusal.
+//
+// It guards against a start that arrives after its attempt was given back: one
+// start got no answer and is still on its way, a second one is refused, and the
+// first then finds room. A refusal therefore settles an attempt only if no
+// earlier start is unanswered; otherwise the lease is taken anew, since the
+// worker refuses the old epoch from then on and its grant tells what it has.
 func (e *Engine) startRefused(a *attempt, refusal platform.Refusal) {
-	leaseGone := refusal == platform.RefusedEpoch || refusal == platform.RefusedLapsed
-	if leaseGone {
+	if refusal == platform.RefusedEpoch || refusal == platform.RefusedLapsed {
 		key := lease.Key{Worker: a.Worker, Class: platform.ClassCompute}
 		e.stepLeases(lease.EpochRefused{Key: key, Epoch: a.lease})
 	}
-	if leaseGone && a.maybeSent {
+	if a.maybeSent {
+		e.cycleLease(a.Worker, a.lease)
 		return
 	}
 	e.endNever(a, refusal)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -27,6 +27,8 @@
 	units   *ledger.Holder
 	owner   *jobs.Owner
 
+	requestUnits *requestLimits
+
 	config  configFollower
 	calls   requestBook
 	demand  demand
@@ -44,8 +46,9 @@
 	viewSent  bool
 	out       []Command
 
-	proposals  map[jobs.ProposalID]proposal
-	proposalID jobs.ProposalID
+	proposals   map[jobs.ProposalID]sentProposal
+	proposalID  jobs.ProposalID
+	refusedEnds []sentProposal // to be proposed again
 
 	routerPump pump[request.Command]
 	schedPump  pump[sched.Command]
@@ -69,9 +72,10 @@
 		reclaim: newReclaimWatch(opts),
 		reports: map[lease.Key][]platform.TaskReport{},
 
-		proposals: map[jobs.ProposalID]proposal{},
+		proposals: map[jobs.ProposalID]sentProposal{},
 	}
-	opts.Request.Limits = e.units
+	e.requestUnits = &requestLimits{units: e.units, kept: map[ident.TeamID]int64{}}
+	opts.Request.Limits = e.requestUnits
 	opts.Request.Rand = rand.New(rand.NewPCG(opts.Seed, uint64(opts.Self.Incarnation)))
 	e.router = request.New(opts.Request)
 	return e
@@ -158,6 +162,7 @@
 	e.tickConfig()
 	e.tickDemand()
 	e.stepUnits(ledger.Tick{})
+	e.retryEnds()
 	e.stepOwner(jobs.Tick{})
 	e.stepRouter(request.Tick{})
 	e.tickZone()
--- a/engine/leases.go
+++ b/engine/leases.go
@@ -101,6 +101,9 @@
 		return
 	}
 	e.stepRouter(request.WorkerFreed{Worker: ev.Worker, Occupied: e.foreignCalls(ev.Worker, ev.SentAt, ev.Tasks)})
+	if len(e.calls.lingering) > 0 {
+		e.reportLingering(ev.Worker, ev.SentAt, ev.Tasks)
+	}
 	e.ackCalls(ev.Key, ev.Tasks)
 }
 
--- a/engine/proposals.go
+++ b/engine/proposals.go
@@ -21,13 +21,57 @@
 	undecided(e *Engine)
 }
 
+// sentProposal is a proposal with the record that it is about.
+type sentProposal struct {
+	proposal
+	body jobs.Record
+}
+
 // propose sends a record on its way. A zero deadline means none.
 func (e *Engine) propose(p proposal, body jobs.Record, deadline time.Duration) {
 	e.proposalID++
-	e.proposals[e.proposalID] = p
+	e.proposals[e.proposalID] = sentProposal{proposal: p, body: body}
 	e.stepOwner(jobs.Propose{ID: e.proposalID, Body: body, Deadline: deadline})
 }
 
+// reportsEnd reports whether a proposal says that something is over. Nobody
+// can be asked to repeat it, so it must not be given up while this host owns
+// the stream.
+func reportsEnd(p proposal) bool {
+	switch p.(type) {
+	case *ending, *jobEnding, *resolution:
+		return true
+	}
+	return false
+}
+
+// voided settles a proposal that had no effect.
+//
+// It guards against ends that are lost in a burst: while the log is slow the
+// owner refuses proposals over its bound, and an end dropped then would leave
+// its room, its units and its job taken for ever. It is proposed again until
+// it is in force or another host owns the stream.
+func (e *Engine) voided(p sentProposal, ev jobs.Void) {
+	if ev.Reason == jobs.VoidFull && reportsEnd(p.proposal) {
+		e.refusedEnds = append(e.refusedEnds, p)
+		return
+	}
+	p.void(e, ev)
+}
+
+// endsPerTick bounds how many refused ends are proposed again at once.
+const endsPerTick = 1024
+
+// retryEnds proposes refused ends again.
+func (e *Engine) retryEnds() {
+	n := min(len(e.refusedEnds), endsPerTick)
+	due := e.refusedEnds[:n:n]
+	e.refusedEnds = e.refusedEnds[n:]
+	for _, p := range due {
+		e.propose(p.proposal, p.body, 0)
+	}
+}
+
 func (e *Engine) stepOwner(ev stream.Event) {
 	e.ownerPump.run(e.owner.Step(e.now, ev), e.ownerCommand)
 }
@@ -44,11 +88,11 @@
 		}
 	case jobs.Existing:
 		if p, ok := e.takeProposal(cmd.ID); ok {
-			e.existing(p, cmd.Job)
+			e.existing(p.proposal, cmd.Job)
 		}
 	case jobs.Void:
 		if p, ok := e.takeProposal(cmd.ID); ok {
-			p.void(e, cmd)
+			e.voided(p, cmd)
 		}
 	case jobs.Undecided:
 		if p, ok := e.proposals[cmd.ID]; ok {
@@ -61,7 +105,7 @@
 	}
 }
 
-func (e *Engine) takeProposal(id jobs.ProposalID) (proposal, bool) {
+func (e *Engine) takeProposal(id jobs.ProposalID) (sentProposal, bool) {
 	p, ok := e.proposals[id]
 	delete(e.proposals, id)
 	return p, ok
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -42,7 +42,7 @@
 	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), ev.Epoch, open)
 	for _, o := range open {
 		e.zone.recovering[o.Attempt.Job]++
-		e.cycleLease(o)
+		e.cycleLease(o.Worker, o.Lease)
 	}
 	e.restoreJobs()
 	e.stepRecovery(e.zoneHosts())
@@ -53,15 +53,14 @@
 }
 
 // cycleLease takes a worker's lease anew if this host holds it under the epoch
-// that an open attempt was to be started under. A start sent before ownership
-// was lost could otherwise still arrive after the worker was found not to have
-// it, and the task would run twice.
-func (e *Engine) cycleLease(o jobs.OpenAttempt) {
-	w := e.zone.workers[o.Worker]
-	if w == nil || !w.held || w.epoch > o.Lease {
+// that a start may be on its way under. After it, that start cannot take
+// effect any more, and the grant shows whether it did.
+func (e *Engine) cycleLease(worker ident.WorkerID, epoch platform.Epoch) {
+	w := e.zone.workers[worker]
+	if w == nil || !w.held || w.epoch > epoch {
 		return
 	}
-	key := lease.Key{Worker: o.Worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: worker, Class: platform.ClassCompute}
 	e.stepLeases(lease.Want{Key: key, Wanted: false})
 	e.stepLeases(lease.Idle{Key: key})
 	e.stepLeases(lease.Want{Key: key, Wanted: true})
--- a/engine/requests.go
+++ b/engine/requests.go
@@ -11,19 +11,26 @@
 
 // sentCall is a call in flight on a worker.
 type sentCall struct {
-	worker ident.WorkerID
-	epoch  platform.Epoch
+	worker   ident.WorkerID
+	epoch    platform.Epoch
+	team     ident.TeamID
+	deadline time.Duration
 }
 
 // requestBook remembers which calls are in flight where, and which ended
 // lately, to tell a worker's report of them from calls of other hosts.
 type requestBook struct {
-	sent  map[ident.TaskID]sentCall
-	ended map[ident.TaskID]time.Duration
+	sent      map[ident.TaskID]sentCall
+	ended     map[ident.TaskID]time.Duration
+	lingering map[ident.TaskID]lingeringCall
 }
 
 func newRequestBook() requestBook {
-	return requestBook{sent: map[ident.TaskID]sentCall{}, ended: map[ident.TaskID]time.Duration{}}
+	return requestBook{
+		sent:      map[ident.TaskID]sentCall{},
+		ended:     map[ident.TaskID]time.Duration{},
+		lingering: map[ident.TaskID]lingeringCall{},
+	}
 }
 
 // rememberEnded is how long an ended call is remembered: longer than a
@@ -83,7 +90,7 @@
 		e.stepRouter(request.Finished{ID: cmd.ID, Result: request.ResultNotRun, Refused: true})
 		return
 	}
-	e.calls.sent[cmd.ID] = sentCall{worker: cmd.Worker, epoch: epoch}
+	e.calls.sent[cmd.ID] = sentCall{worker: cmd.Worker, epoch: epoch, team: cmd.Team, deadline: cmd.Deadline}
 	e.emit(CallWorker{ID: cmd.ID, Worker: cmd.Worker, Addr: entry.Addr, Epoch: epoch, Try: cmd.Try})
 }
 
@@ -113,9 +120,12 @@
 // lease is news for the lease manager as well.
 func (e *Engine) requestFinished(ev RequestFinished) {
 	id := ev.Finished.ID
-	if _, ok := e.calls.sent[id]; ok {
+	if sent, ok := e.calls.sent[id]; ok {
 		delete(e.calls.sent, id)
 		e.calls.ended[id] = e.now
+		if ev.Finished.Result.MayStillRun() {
+			e.linger(id, sent)
+		}
 	}
 	switch ev.Refusal {
 	case platform.RefusedEpoch, platform.RefusedLapsed:
--- a/engine/units.go
+++ b/engine/units.go
@@ -67,6 +67,7 @@
 // tickDemand tells the ledger what waits, when that has changed.
 func (e *Engine) tickDemand() {
 	e.calls.expire(e.now)
+	e.expireLingering()
 	sum := e.demand.settle(e.now)
 	if maps.Equal(sum, e.demand.told) {
 		return
--- a/request/message.go
+++ b/request/message.go
@@ -86,6 +86,16 @@
 	ResultAbandoned                   // the caller went away after it was sent
 )
 
+// MayStillRun reports whether the call may go on on its worker after this
+// result: it was sent, and its end was not seen.
+func (r Result) MayStillRun() bool {
+	switch r {
+	case ResultAnswered, ResultNotRun:
+		return false
+	}
+	return true
+}
+
 // Finished reports the end of the Dispatch or Forward in flight for a request.
 type Finished struct {
 	ID     ident.TaskID
@@ -127,9 +137,11 @@
 
 // Dispatch sends a request to a worker under the slots lease held for it.
 type Dispatch struct {
-	ID     ident.TaskID
-	Worker ident.WorkerID
-	Try    int // counts from one
+	ID       ident.TaskID
+	Worker   ident.WorkerID
+	Team     ident.TeamID
+	Deadline time.Duration // on the router's clock
+	Try      int           // counts from one
 }
 
 // Forward sends a request to a peer, which takes its identifier at most once.
--- a/request/router.go
+++ b/request/router.go
@@ -36,8 +36,8 @@
 	defaultPeerTTL    = 3 * time.Second
 )
 
-// unitsOfRequest is what one request uses of its team's limit.
-const unitsOfRequest = 1
+// UnitsOfRequest is what one request uses of its team's limit.
+const UnitsOfRequest = 1
 
 // Router is the request path of one entry host. It is not safe for concurrent
 // use.
@@ -224,5 +224,5 @@
 	}
 	c.units = false
 	r.team(c.Team).inFlight--
-	r.opts.Limits.Done(c.Team, unitsOfRequest)
+	r.opts.Limits.Done(c.Team, UnitsOfRequest)
 }
--- a/request/step.go
+++ b/request/step.go
@@ -84,12 +84,12 @@
 // must wait.
 func (r *Router) start(now time.Duration, c *call) bool {
 	w := r.pick(now, c)
-	if w != nil && r.opts.Limits.TryUse(c.Team, unitsOfRequest) {
+	if w != nil && r.opts.Limits.TryUse(c.Team, UnitsOfRequest) {
 		r.dispatch(now, c, w)
 		return true
 	}
 	if w != nil {
-		r.emit(Want{Team: c.Team, Units: unitsOfRequest + int64(r.team(c.Team).waiting)})
+		r.emit(Want{Team: c.Team, Units: UnitsOfRequest + int64(r.team(c.Team).waiting)})
 	}
 	if p := r.spill(now, c); p != nil {
 		r.forward(now, c, p)
@@ -106,7 +106,7 @@
 	c.sentAt = now
 	c.worker = w.id
 	r.counters.Dispatched++
-	r.emit(Dispatch{ID: c.ID, Worker: w.id, Try: c.tries})
+	r.emit(Dispatch{ID: c.ID, Worker: w.id, Team: c.Team, Deadline: c.Deadline, Try: c.tries})
 }
 
 func (r *Router) forward(now time.Duration, c *call, p *peer) {
