Settle lost groups with a record of their own; property of owners

Cause: random histories showed proposals told void that counted: a copy sent again landed beside the first one, a cancellation was lost with its owner, and a reader that starts behind the first copy took the second for a new job. Before: what was sent and not settled was sent again in the next group. After: a group without an answer is followed by one that carries only cancellations and a mark; once that is read back everything is certain, and what is void goes out again. No proposal is in the stream twice. Ruled out: keeping both copies and telling them apart in the fold; a reader that starts between them cannot know the first.

--- a/jobs/group.go
+++ b/jobs/group.go
@@ -53,14 +53,15 @@
 	return true
 }
 
-// addFor adds a record that speaks for a proposal.
+// addFor adds a record that speaks for a proposal: its body, or a cancellation.
 func (d *draft) addFor(p *proposal, body Record, cancels bool) bool {
 	if !d.add(body) {
 		return false
 	}
-	p.copies++
 	if cancels {
-		p.cancels++
+		p.doomed = true
+	} else {
+		p.open = true
 	}
 	d.group.entries = append(d.group.entries, entry{num: d.owner.num, proposal: p, cancels: cancels})
 	return true
@@ -69,10 +70,11 @@
 // sendGroup forms and sends the next group, if one is due.
 //
 // At most one append is open, and what was acknowledged is read back before the
-// next one, so a group is formed from the state right before it. The exception
-// are groups whose answer was lost: they are followed by a group with higher
-// numbers, which repeats what is still wanted. Once that one is read back the
-// lost one has either been read before it or is void for ever.
+// next one, so a group is formed from the state right before it. A group whose
+// answer was lost is followed by one with higher numbers and nothing in it that
+// anybody proposed. Once that one is read back, the lost one has either been
+// read before it or is void for ever, and what it carried can be sent again.
+// So no proposal is in the stream twice, and proposals keep their order.
 func (o *Owner) sendGroup() {
 	if g := o.lastGroup(); g != nil && g.acked {
 		return
@@ -85,8 +87,10 @@
 	d := &draft{owner: o, group: &group{first: o.num + 1}}
 	if clean {
 		o.addRefresh(d)
+		o.addProposals(d)
+	} else {
+		o.addCancellations(d)
 	}
-	o.addProposals(d)
 	o.addMark(d, clean)
 	if len(d.data) == 0 {
 		return
@@ -105,20 +109,30 @@
 	return o.cfg.RefreshInterval
 }
 
-// addProposals adds what waits, oldest first: what was sent and is not settled
-// again, then what was never sent.
+// addProposals adds what waits, oldest first.
 func (o *Owner) addProposals(d *draft) {
 	for _, p := range o.tray.order() {
-		if p.expired && p.body.Accepted == nil {
+		if p.landed {
+			if !d.addFor(p, p.cancellation(), true) {
+				return
+			}
 			continue
 		}
-		ok := false
-		if p.expired && !p.hasLiveFollower() {
-			ok = d.addFor(p, p.cancellation(), true)
-		} else {
-			ok = d.addFor(p, p.body, false)
+		if !d.addFor(p, p.body, false) {
+			return
 		}
-		if !ok {
+	}
+}
+
+// addCancellations follows expired acceptances, which may be in the stream, by
+// their cancellation, unless somebody else still waits for them.
+func (o *Owner) addCancellations(d *draft) {
+	for _, p := range o.tray.order() {
+		if p.body.Accepted == nil || !p.sent() {
+			continue
+		}
+		over := p.doomed || p.expired && !p.hasLiveFollower()
+		if over && !d.addFor(p, p.cancellation(), true) {
 			return
 		}
 	}
@@ -191,7 +205,6 @@
 	if len(g.entries) > 0 && g.entries[0].num == num {
 		e := g.entries[0]
 		g.entries = g.entries[1:]
-		e.proposal.copies--
 		o.settleEntry(e, at, v)
 	}
 	if num == g.last {
@@ -199,28 +212,21 @@
 	}
 }
 
-// takeBack handles a group that is not in the stream and never will be. What is
-// still wanted goes into the next one.
+// takeBack handles a group that is not in the stream and never will be. What it
+// carried goes into a later one, if it is still wanted.
 func (o *Owner) takeBack(g *group) {
 	for _, e := range g.entries {
 		p := e.proposal
-		p.copies--
-		if e.cancels {
-			p.cancels--
+		if p.settled || e.cancels {
+			continue
 		}
-		if !p.settled && p.copies == 0 {
-			o.takeBackOne(p)
+		p.open = false
+		switch {
+		case p.expired:
+			o.promote(p)
+			o.void(p, Void{Reason: VoidExpired})
+		case o.phase == phaseLeaving:
+			o.void(p, Void{Reason: VoidNotOwner})
 		}
 	}
 }
-
-func (o *Owner) takeBackOne(p *proposal) {
-	switch {
-	case p.landed:
-		o.effective(p, p.landedAt)
-	case p.expired && !p.hasLiveFollower():
-		o.void(p, Void{Reason: VoidExpired})
-	case o.phase == phaseLeaving:
-		o.void(p, Void{Reason: VoidNotOwner})
-	}
-}
--- a/jobs/proposal.go
+++ b/jobs/proposal.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
 )
 
@@ -13,13 +14,15 @@
 	body     Record
 	deadline time.Duration // zero for none
 
-	copies  int  // records of open groups that speak for it
-	cancels int  // of these, records that cancel it
+	open    bool // its record is in a group that is not settled
 	expired bool // its deadline passed or it was withdrawn
 	told    bool // Undecided was reported
 	settled bool // its final command was given
 
-	landed   bool // its record is in force, and a cancellation is on its way
+	// doomed is set once a cancellation was sent, while its record was open. A
+	// repeat of its key then stands for itself.
+	doomed   bool
+	landed   bool // its record is in force until the cancellation is
 	landedAt platform.Offset
 
 	// leader is the earlier proposal with the same idempotency key, if any. The
@@ -33,7 +36,7 @@
 	if p.leader != nil {
 		return p.leader.sent()
 	}
-	return p.copies > 0 || p.landed
+	return p.open || p.landed
 }
 
 // hasLiveFollower reports whether somebody still waits for a proposal that
@@ -68,17 +71,25 @@
 	byID      map[ProposalID]*proposal
 	list      []*proposal // leaders, oldest first; settled ones are skipped
 	keys      map[KeyHash]*proposal
+	jobs      map[ident.JobID]bool // whose acceptance is proposed
 	deadlines deadlines
 }
 
 func newTray() tray {
-	return tray{byID: map[ProposalID]*proposal{}, keys: map[KeyHash]*proposal{}}
+	return tray{
+		byID: map[ProposalID]*proposal{},
+		keys: map[KeyHash]*proposal{},
+		jobs: map[ident.JobID]bool{},
+	}
 }
 
 func (t *tray) empty() bool { return len(t.byID) == 0 }
 
 func (t *tray) put(p *proposal) {
 	t.byID[p.id] = p
+	if p.body.Accepted != nil {
+		t.jobs[p.body.Accepted.Job] = true
+	}
 	if p.deadline > 0 {
 		heap.Push(&t.deadlines, p)
 	}
@@ -109,6 +120,9 @@
 func (t *tray) remove(p *proposal) {
 	p.settled = true
 	delete(t.byID, p.id)
+	if p.body.Accepted != nil {
+		delete(t.jobs, p.body.Accepted.Job)
+	}
 	if key := p.key(); key != "" && t.keys[key] == p {
 		delete(t.keys, key)
 	}
--- a/jobs/propose.go
+++ b/jobs/propose.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
 )
 
@@ -31,6 +32,8 @@
 		return Void{Reason: VoidFull, RetryAfter: o.cfg.RetryInterval}, true
 	case o.tooLarge(p.body):
 		return Void{Reason: VoidTooLarge}, true
+	case o.tray.jobs[subject(p.body)]:
+		return Void{Reason: VoidRejected, Reject: RejectNoJob}, true
 	}
 	return Void{}, false
 }
@@ -50,6 +53,24 @@
 	return bodies == 1
 }
 
+// subject returns the job that a record other than an acceptance is about.
+//
+// Nothing may be proposed about a job whose acceptance is not settled: it may be
+// in the state already and still be cancelled as "not run".
+func subject(r Record) ident.JobID {
+	switch {
+	case r.Assigned != nil:
+		return r.Assigned.Attempt.Job
+	case r.Ended != nil:
+		return r.Ended.Attempt.Job
+	case r.JobEnded != nil:
+		return r.JobEnded.Job
+	case r.Cancelled != nil:
+		return r.Cancelled.Job
+	}
+	return ident.JobID{}
+}
+
 // tooLarge reports whether an acceptance does not fit a group. The other
 // records are small.
 func (o *Owner) tooLarge(r Record) bool {
@@ -71,14 +92,18 @@
 		o.emit(Existing{ID: p.id, Job: a.Job})
 		return true
 	}
-	if a.Key == "" {
+	if o.tray.jobs[a.Job] {
+		o.emit(Void{ID: p.id, Reason: VoidRejected, Reject: RejectKnown})
+		return true
+	}
+	leader := o.tray.keys[a.Key]
+	if a.Key == "" || leader != nil && leader.doomed {
 		return false
 	}
 	if j := o.fold.ByKey(a.Key); j != nil {
 		o.answerKey(p, &j.Accepted)
 		return true
 	}
-	leader := o.tray.keys[a.Key]
 	if leader == nil {
 		return false
 	}
@@ -183,9 +208,9 @@
 	switch {
 	case p.settled:
 	case e.cancels:
-		p.cancels--
 		o.void(p, Void{Reason: VoidExpired})
-	case v.Applied && p.cancels > 0:
+	case v.Applied && p.doomed:
+		p.open = false
 		p.landed = true
 		p.landedAt = at
 	case v.Applied:
--- a/jobs/reading.go
+++ b/jobs/reading.go
@@ -74,9 +74,10 @@
 	o.emit(BecameOwner{Epoch: epoch, Whole: o.whole})
 }
 
-// lose settles every proposal as void and reports the loss.
+// lose settles every proposal that was not read as void and reports the loss.
 func (o *Owner) lose(to ident.Holder) {
 	o.groups = nil
+	o.settleLanded()
 	for _, p := range o.tray.drain() {
 		o.emit(Void{ID: p.id, Reason: VoidLost})
 	}
@@ -88,12 +89,23 @@
 	}
 }
 
+// settleLanded ends acceptances that are in force, and whose cancellation is
+// not any more.
+func (o *Owner) settleLanded() {
+	for _, p := range o.tray.order() {
+		if p.landed {
+			o.effective(p, p.landedAt)
+		}
+	}
+}
+
 // missed handles records that expired before this host read them: it was cut
 // off for longer than the log keeps records. What was sent can never be told;
 // what was not sent is void.
 func (o *Owner) missed() {
 	if o.owns() {
 		o.groups = nil
+		o.settleLanded()
 		for _, p := range o.tray.drain() {
 			if p.sent() {
 				o.emit(Undecided{ID: p.id, Final: true})
--- a/jobs/world_test.go
+++ b/jobs/world_test.go
@@ -56,17 +56,24 @@
 func newWorld(t fataler, hosts int) *world {
 	w := &world{t: t, log: &fakelog.Log{}}
 	for i := range hosts {
-		name := ident.Holder{Host: ident.HostID(fmt.Sprintf("h%d", i)), Incarnation: 1}
-		w.hosts = append(w.hosts, &host{
-			owner: NewOwner(testConfig(name)),
-			name:  name,
-			final: map[ProposalID]stream.Command{},
-			told:  map[ProposalID]bool{},
-		})
+		w.owner(ident.HostID(fmt.Sprintf("h%d", i)))
 	}
 	return w
 }
 
+// owner adds a host.
+func (w *world) owner(name ident.HostID) *host {
+	self := ident.Holder{Host: name, Incarnation: 1}
+	h := &host{
+		owner: NewOwner(testConfig(self)),
+		name:  self,
+		final: map[ProposalID]stream.Command{},
+		told:  map[ProposalID]bool{},
+	}
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
 // step hands an event to a host and sorts its commands.
 func (w *world) step(h *host, ev stream.Event) {
 	w.t.Helper()
@@ -208,10 +215,15 @@
 }
 
 // truth folds the whole stream from its first record.
-func (w *world) truth() *Fold {
+func (w *world) truth() *Fold { return w.truthAt(w.log.Last()) }
+
+// truthAt folds the stream up to an offset.
+func (w *world) truthAt(last platform.Offset) *Fold {
 	f := NewFold()
 	for _, rec := range w.log.Records() {
-		f.Apply(rec.Offset, rec.Data)
+		if rec.Offset <= last {
+			f.Apply(rec.Offset, rec.Data)
+		}
 	}
 	return f
 }
