Recovery of attempts that an earlier owner left open

Before: signatures. After: what a worker's grant lists decides; a lease of the same epoch is given back and taken anew before 'never started' is said; an unreachable worker is waited out under promises that are asked again up to the end and by incarnation. Ruled out: one promise a host: a host that restarts has forgotten it.

--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -1,96 +1,274 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
 )
 
-// RecoveryConfig sets the waits of a recovery.
-type RecoveryConfig struct {
-	TaskTTL  time.Duration // how long tasks outlive the last renewal of their lease
-	Drift    time.Duration // how much longer a worker's clock may take for it
-	InFlight time.Duration // longest time from sending a call to its arrival
-	AskEvery time.Duration // between requests for one peer's promise
-}
+// Recovery finds out what became of the attempts that earlier owners left open.
+// It is not safe for concurrent use.
+type Recovery struct {
+	cfg     RecoveryConfig
+	started time.Duration
+	begun   bool
+	workers map[ident.WorkerID]*openWorker
+	hosts   map[ident.HostID]*zoneHost
+	over    bool
+	seq     uint64
 
-// RecoveryEvent is something that a recovery learns.
-type RecoveryEvent interface{ recoveryEvent() }
+	now time.Duration
+	out []RecoveryCommand
+}
 
-// RecoveryTick lets time pass.
-type RecoveryTick struct{}
+// openWorker is a worker on which attempts are open.
+type openWorker struct {
+	attempts []OpenAttempt
+	promises map[ident.HostID]*promise
+}
 
-// WorkerReport says that this process holds the compute lease of the worker,
-// and what the grant listed.
-type WorkerReport struct {
-	Worker ident.WorkerID
-	Epoch  platform.Epoch
-	Tasks  []platform.TaskReport
+// zoneHost is a host that might hold the lease of a worker.
+type zoneHost struct {
+	listed  bool
+	silence time.Duration // since when nothing was heard, while it is not listed
 }
 
-// ZoneHosts lists the hosts of the zone without this one, as the host list has
-// them now.
-type ZoneHosts struct{ Hosts []ident.HostID }
+// promise is a peer's word not to touch a worker's compute lease.
+type promise struct {
+	by    ident.Holder
+	since time.Duration // when it was first received from this incarnation
+	held  time.Duration // up to when it is known to have been kept
 
-// PeerPromise says that a host will not ask for the worker's compute lease, nor
-// renew it, until it is released from the promise.
-type PeerPromise struct {
-	Host   ident.HostID
-	Worker ident.WorkerID
+	asked   uint64        // newest request
+	askedAt time.Duration // when it was sent
 }
 
-// HostHeard says that a sign of life came from a host.
-type HostHeard struct{ Host ident.HostID }
+// NewRecovery starts with the open attempts that were assigned in another epoch
+// than the given one.
+func NewRecovery(cfg RecoveryConfig, epoch Epoch, open []OpenAttempt) *Recovery {
+	r := &Recovery{
+		cfg:     cfg,
+		workers: map[ident.WorkerID]*openWorker{},
+		hosts:   map[ident.HostID]*zoneHost{},
+	}
+	for _, a := range open {
+		if a.Epoch == epoch {
+			continue
+		}
+		w := r.workers[a.Worker]
+		if w == nil {
+			w = &openWorker{promises: map[ident.HostID]*promise{}}
+			r.workers[a.Worker] = w
+		}
+		w.attempts = append(w.attempts, a)
+	}
+	return r
+}
 
-func (RecoveryTick) recoveryEvent() {}
-func (WorkerReport) recoveryEvent() {}
-func (ZoneHosts) recoveryEvent()    {}
-func (PeerPromise) recoveryEvent()  {}
-func (HostHeard) recoveryEvent()    {}
+// Workers lists the workers on which attempts are still open, in order.
+func (r *Recovery) Workers() []ident.WorkerID { return slices.Sorted(maps.Keys(r.workers)) }
 
-// RecoveryCommand is something that a recovery decides.
-type RecoveryCommand interface{ recoveryCommand() }
+// Step handles one event at the given time of the process's own clock.
+func (r *Recovery) Step(now time.Duration, ev RecoveryEvent) []RecoveryCommand {
+	r.now = now
+	r.out = nil
+	if !r.begun {
+		r.begun = true
+		r.started = now
+	}
+	switch ev := ev.(type) {
+	case WorkerReport:
+		r.report(ev)
+	case ZoneHosts:
+		r.list(ev.Hosts)
+	case HostHeard:
+		r.heard(ev.Host)
+	case PeerPromise:
+		r.promised(ev)
+	}
+	r.advance()
+	return r.out
+}
 
-// AskPromise asks a peer for its promise; the answer is PeerPromise.
-type AskPromise struct {
-	Host   ident.HostID
-	Worker ident.WorkerID
+func (r *Recovery) emit(c RecoveryCommand) { r.out = append(r.out, c) }
+
+// report decides by what a worker lists.
+//
+// It guards against a job that runs twice: a start of the earlier owner may be
+// on its way when the successor looks. Under a lease of a higher epoch it will
+// be refused, so what is not listed then never started. A lower epoch means
+// that the worker lost its memory: the task may have run and is gone.
+func (r *Recovery) report(ev WorkerReport) {
+	w := r.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	listed := map[string]platform.TaskReport{}
+	for _, t := range ev.Tasks {
+		listed[t.ID] = t
+	}
+	var left []OpenAttempt
+	for _, a := range w.attempts {
+		t, found := listed[a.Attempt.String()]
+		switch {
+		case found && !t.Ended:
+			r.emit(Adopt{Attempt: a, Report: t})
+		case found:
+			r.emit(Resolve{Attempt: a, Result: resultOf(t), Reason: t.Reason})
+		case ev.Epoch > a.Lease:
+			r.emit(Resolve{Attempt: a, Result: ResultNeverStarted, Reason: "the worker never saw it"})
+		case ev.Epoch < a.Lease:
+			r.emit(Resolve{Attempt: a, Result: ResultLost, Reason: "the worker lost its memory"})
+		default:
+			left = append(left, a)
+		}
+	}
+	w.attempts = left
+	if len(left) > 0 {
+		r.emit(Reacquire{Worker: ev.Worker})
+		return
+	}
+	r.close(ev.Worker)
 }
 
-// ReleasePromise frees a peer from its promise.
-type ReleasePromise struct {
-	Host   ident.HostID
-	Worker ident.WorkerID
+// resultOf translates a worker's word on an ended task.
+func resultOf(t platform.TaskReport) Result {
+	switch {
+	case t.Stopped:
+		return ResultStopped
+	case t.Failed:
+		return ResultFailed
+	}
+	return ResultSucceeded
 }
 
-// Adopt reports an attempt that runs on under this process.
-type Adopt struct {
-	Attempt OpenAttempt
-	Report  platform.TaskReport
+// close frees the peers from their promises for a worker.
+func (r *Recovery) close(id ident.WorkerID) {
+	w := r.workers[id]
+	delete(r.workers, id)
+	for _, host := range slices.Sorted(maps.Keys(w.promises)) {
+		r.emit(ReleasePromise{Host: host, Worker: id})
+	}
 }
 
-// Resolve reports how an attempt ended; the process proposes it as Ended.
-type Resolve struct {
-	Attempt OpenAttempt
-	Result  Result
-	Reason  string
+// list takes the host list. A host that it drops starts to be silent.
+func (r *Recovery) list(hosts []ident.HostID) {
+	for _, id := range hosts {
+		if r.hosts[id] == nil {
+			r.hosts[id] = &zoneHost{}
+		}
+		r.hosts[id].listed = true
+	}
+	for id, h := range r.hosts {
+		if h.listed && !slices.Contains(hosts, id) {
+			h.listed = false
+			h.silence = r.now
+		}
+	}
 }
 
-// Recovered reports that no attempt of an earlier owner is open any more.
-type Recovered struct{}
+// heard ends the silence of a host that is not listed.
+func (r *Recovery) heard(id ident.HostID) {
+	if r.hosts[id] == nil {
+		r.hosts[id] = &zoneHost{}
+	}
+	r.hosts[id].silence = r.now
+}
 
-func (AskPromise) recoveryCommand()     {}
-func (ReleasePromise) recoveryCommand() {}
-func (Adopt) recoveryCommand()          {}
-func (Resolve) recoveryCommand()        {}
-func (Recovered) recoveryCommand()      {}
+// promised takes a peer's word. Another incarnation knows nothing of the word of
+// the one before, which may have been broken in between.
+func (r *Recovery) promised(ev PeerPromise) {
+	w := r.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	p := w.promises[ev.From.Host]
+	if p == nil || ev.Seq != p.asked {
+		return
+	}
+	if p.by != ev.From {
+		p.by = ev.From
+		p.since = r.now
+	}
+	p.held = p.askedAt
+}
 
-// Recovery finds out what became of the attempts that earlier owners left open.
-type Recovery struct{}
+// advance asks for promises, and resolves the attempts on workers for which the
+// wait is over.
+func (r *Recovery) advance() {
+	for _, id := range r.Workers() {
+		w := r.workers[id]
+		r.ask(id, w)
+		if r.waitedOut(w) {
+			r.giveUp(id, w)
+		}
+	}
+	if len(r.workers) == 0 && !r.over {
+		r.over = true
+		r.emit(Recovered{})
+	}
+}
+
+// ask asks every listed host for its promise, again and again.
+func (r *Recovery) ask(id ident.WorkerID, w *openWorker) {
+	for _, host := range slices.Sorted(maps.Keys(r.hosts)) {
+		p := w.promises[host]
+		if !r.hosts[host].listed || p != nil && r.now < p.askedAt+r.cfg.AskEvery {
+			continue
+		}
+		if p == nil {
+			p = &promise{}
+			w.promises[host] = p
+		}
+		r.seq++
+		p.asked = r.seq
+		p.askedAt = r.now
+		r.emit(AskPromise{Host: host, Worker: id, Seq: r.seq})
+	}
+}
 
-// NewRecovery starts with the open attempts of older epochs than epoch.
-func NewRecovery(cfg RecoveryConfig, epoch Epoch, open []OpenAttempt) *Recovery { return &Recovery{} }
+// waitedOut reports whether the tasks on a worker that cannot be reached must
+// have been stopped by the worker itself.
+//
+// It guards against an attempt assigned again while the first one runs: the
+// tasks live for the task TTL after the last renewal, so the wait begins when
+// nobody could renew any more, and is as long as the TTL on a slow clock plus
+// the time that a renewal may be on its way. Every listed host must have kept
+// its promise throughout, up to the end. A host that is not listed counts as cut
+// off from workers once it was silent for the task TTL; so does every host that
+// this process never heard of.
+func (r *Recovery) waitedOut(w *openWorker) bool {
+	quiet := r.started + r.cfg.TaskTTL
+	for id, h := range r.hosts {
+		p := w.promises[id]
+		switch {
+		case h.listed && (p == nil || p.by.IsZero()):
+			return false
+		case h.listed:
+			quiet = max(quiet, p.since)
+		default:
+			quiet = max(quiet, h.silence+r.cfg.TaskTTL)
+		}
+	}
+	end := quiet + r.cfg.TaskTTL + r.cfg.Drift + r.cfg.InFlight
+	if r.now < end {
+		return false
+	}
+	for id, h := range r.hosts {
+		if h.listed && w.promises[id].held < end {
+			return false
+		}
+	}
+	return true
+}
 
-// Step handles one event at the given time of the process's own clock.
-func (r *Recovery) Step(now time.Duration, ev RecoveryEvent) []RecoveryCommand { return nil }
+// giveUp resolves the attempts on a worker that cannot be reached.
+func (r *Recovery) giveUp(id ident.WorkerID, w *openWorker) {
+	for _, a := range w.attempts {
+		r.emit(Resolve{Attempt: a, Result: ResultLost, Reason: "the worker could not be reached until its tasks had to be over"})
+	}
+	r.close(id)
+}
