--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -17,11 +17,7 @@
 	w.own(w.hosts[0])
 	id := w.propose(w.hosts[0], acceptance(1, "", ""), 0)
 	w.runUntilAppend(w.hosts[0])
-	fence, err := Encode(Record{Fence: &Fence{Owner: w.hosts[1].name}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	w.log.Append([][]byte{fence})
+	w.fence(w.hosts[1])
 	w.answerAppend(w.hosts[0], fakelog.Fine)
 	if len(w.hosts[0].final) != 0 {
 		t.Fatalf("settled before it was read back: %#v", w.hosts[0].final)
@@ -202,3 +198,73 @@
 		t.Fatalf("last command %#v", last)
 	}
 }
+
+// A caller hung up and is told "not run"; its job had landed, nobody knew, and
+// it is assigned while its cancellation is on its way. Order: the group lands
+// without an answer, the deadline passes, the cancellation is sent, the group is
+// read. Until the cancellation is read nothing may be proposed about the job; if
+// ownership is lost before, the job counts and the caller is told so.
+func TestExpiredAcceptanceThatLanded(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		w := newWorld(t, 2)
+		h := w.hosts[0]
+		w.own(h)
+		id := w.propose(h, acceptance(1, "k", "f"), 200*time.Millisecond)
+		w.runUntilAppend(h)
+		append1 := w.takeAppend(h)
+		w.now += time.Second
+		w.step(h, Tick{})
+		w.step(h, w.log.Answer(append1, fakelog.RequestLost))
+		w.now += time.Second
+		w.step(h, Tick{})
+		if !h.appendOpen() {
+			t.Fatal("no cancellation was sent")
+		}
+		w.log.Append(append1.Group)
+		w.answerReads(h)
+		if h.owner.State().Job(jobID(1)) == nil || h.final[id] != nil {
+			t.Fatalf("setting up: %#v", h.final[id])
+		}
+		assigned := w.propose(h, assignment(1, 1, "w"), 0)
+		if void := mustFinal[Void](t, h, assigned); void.Reject != RejectNoJob {
+			t.Fatalf("assigned: %+v", void)
+		}
+		if lost {
+			w.fence(w.hosts[1])
+			w.answerReads(h)
+			if eff := mustFinal[Effective](t, h, id); !eff.Late {
+				t.Fatalf("%+v", eff)
+			}
+			continue
+		}
+		w.run(time.Second)
+		mustFinal[Void](t, h, id)
+		if j := w.truth().Job(jobID(1)); j != nil && j.Outcome != work.OutcomeNotRun {
+			t.Fatalf("told not run: %+v", j)
+		}
+		again := w.propose(h, acceptance(2, "k", "f"), 0)
+		w.run(time.Second)
+		mustFinal[Effective](t, h, again)
+	}
+}
+
+// A job that ended is running again after a takeover. Order: its end is in a
+// group without an answer; the next group writes the job again as it was before;
+// then the first lands. Jobs are not written again beside a lost group.
+func TestNoRefreshBesideLostGroup(t *testing.T) {
+	w := newWorld(t, 1)
+	h := w.hosts[0]
+	w.own(h)
+	w.propose(h, acceptance(1, "", ""), 0)
+	w.run(time.Second)
+	w.propose(h, Record{JobEnded: &JobEnded{Job: jobID(1), Outcome: work.OutcomeRan, Keep: 60_000}}, 0)
+	w.runUntilAppend(h)
+	w.answerAppend(h, fakelog.RequestLost)
+	w.now += 5 * time.Second
+	w.step(h, Tick{})
+	for _, data := range w.takeAppend(h).Group {
+		if rec, err := Decode(data); err != nil || rec.State != nil {
+			t.Fatalf("beside a lost group: %s, %v", data, err)
+		}
+	}
+}
--- a/jobs/world_test.go
+++ b/jobs/world_test.go
@@ -21,6 +21,7 @@
 	final  map[ProposalID]stream.Command
 	told   map[ProposalID]bool // reported undecided
 	epochs []Epoch
+	cut    bool // neither steps nor reaches the log
 }
 
 // world is a few hosts on one stream, with one clock that tests move.
@@ -135,20 +136,65 @@
 	return false
 }
 
+// takeAppend takes the open append of a host out of its calls.
+func (w *world) takeAppend(h *host) Append {
+	w.t.Helper()
+	for i, cmd := range h.open {
+		if a, ok := cmd.(Append); ok {
+			h.open = append(h.open[:i:i], h.open[i+1:]...)
+			return a
+		}
+	}
+	w.t.Fatalf("no append is open")
+	return Append{}
+}
+
+// answerReads answers the open reads of a host until there is nothing new.
+func (w *world) answerReads(h *host) {
+	w.t.Helper()
+	for range 10 {
+		for i, cmd := range h.open {
+			if _, ok := cmd.(Read); ok {
+				h.open = append(h.open[:i:i], h.open[i+1:]...)
+				w.step(h, w.log.Answer(cmd, fakelog.Fine))
+				break
+			}
+		}
+	}
+}
+
+// fence lands a fence of a host.
+func (w *world) fence(h *host) {
+	w.t.Helper()
+	data, err := Encode(Record{Fence: &Fence{Owner: h.name}})
+	if err != nil {
+		w.t.Fatalf("%v", err)
+	}
+	w.log.Append([][]byte{data})
+}
+
 // run lets everything go well for a while.
 func (w *world) run(d time.Duration) {
 	w.t.Helper()
 	const pace = 50 * time.Millisecond
 	for end := w.now + d; w.now < end; w.now += pace {
 		for _, h := range w.hosts {
-			w.step(h, Tick{})
-			for range len(h.open) {
-				w.answer(h, fakelog.Fine)
+			if !h.cut {
+				w.turn(h)
 			}
 		}
 	}
 }
 
+// turn lets one host tick and answers its calls.
+func (w *world) turn(h *host) {
+	w.t.Helper()
+	w.step(h, Tick{})
+	for range len(h.open) {
+		w.answer(h, fakelog.Fine)
+	}
+}
+
 // runUntilAppend lets time pass, without answering anything but reads, until a
 // host has an append open.
 func (w *world) runUntilAppend(h *host) {
