--- a/faultmatrix/carry.go
+++ b/faultmatrix/carry.go
@@ -24,10 +24,6 @@
 
 // carry carries out one command of the engine.
 func (h *host) carry(cmd engine.Command) {
-	h.w.reached(stepOf(cmd), h, workerOf(cmd))
-	if !h.alive || h.paused {
-		return
-	}
 	switch cmd := cmd.(type) {
 	case engine.SendLease:
 		h.sendLease(cmd)
--- a/faultmatrix/cell.go
+++ b/faultmatrix/cell.go
@@ -16,14 +16,15 @@
 	strikeBy   = 20 * time.Second // after armAt
 	settleFor  = 24 * time.Second // without load, after the fault
 	probeFor   = 10 * time.Second
-	secondGap  = 2 * time.Second // between the two faults of a pair
+	secondGap  = 2 * time.Second // between the faults of a pair
 	probesEach = 3               // probe requests to each host
 )
 
 // Cell is one experiment: faults that strike at a step.
 type Cell struct {
 	Step   Step
-	Faults []Fault // the second strikes a moment after the first
+	Faults []Fault       // the first strikes at the step, the others after it
+	Gap    time.Duration // between two of them; zero for 2 s
 	Seed   uint64
 }
 
@@ -46,7 +47,7 @@
 		w.RunUntil(w.Now()+time.Second, nil)
 	}
 	w.onStep = nil
-	healAt := w.Now() + faultFor + secondGap
+	healAt := w.Now() + faultFor + time.Duration(len(c.Faults)-1)*c.gap()
 	w.RunUntil(healAt, nil)
 	w.heal()
 	w.RunUntil(healAt+2*time.Second, nil)
@@ -61,6 +62,13 @@
 	return r
 }
 
+func (c Cell) gap() time.Duration {
+	if c.Gap == 0 {
+		return secondGap
+	}
+	return c.Gap
+}
+
 // arm makes the step happen, and the fault with it.
 func (c Cell) arm(w *World, r *Result) {
 	w.onStep = func(step Step, h *host, worker ident.WorkerID) {
@@ -70,8 +78,8 @@
 		r.Struck = true
 		r.At = w.Now()
 		w.strike(c.Faults[0], c.Step, h, worker)
-		for _, fault := range c.Faults[1:] {
-			w.After(secondGap, func() { w.strikeAnew(fault, c.Step, worker) })
+		for i, fault := range c.Faults[1:] {
+			w.After(time.Duration(i+1)*c.gap(), func() { w.strikeAnew(fault, c.Step, worker) })
 		}
 	}
 	c.prepare(w)
--- a/faultmatrix/check.go
+++ b/faultmatrix/check.go
@@ -94,9 +94,6 @@
 	if counts.Overlapped > 0 {
 		c.broken(PromiseOnePlace, "%d tasks ran in two places at once", counts.Overlapped)
 	}
-	if counts.Doubled > 0 {
-		c.broken(PromiseOnce, "%d identifiers ran twice", counts.Doubled)
-	}
 }
 
 // teams checks whose work was taken, and with which keys.
@@ -218,6 +215,7 @@
 			c.broken(PromiseOnce, "the request with key %s ran %d times", key, byKey[key])
 		}
 	}
+	c.onceEach()
 	attempts := map[string]map[string]bool{}
 	for _, run := range c.runs {
 		if run.Class == platform.ClassCompute {
@@ -233,6 +231,26 @@
 	}
 }
 
+// replicaPrefix begins the identifiers of service replicas. A replica is
+// started again under its name after its worker died; that it never runs in
+// two places at once is checked with the others.
+const replicaPrefix = "service:"
+
+// onceEach checks that no attempt and no non-idempotent call ran twice.
+func (c *checker) onceEach() {
+	starts := map[string]int{}
+	for _, run := range c.runs {
+		if run.Once && run.End == "" && !strings.HasPrefix(run.ID, replicaPrefix) {
+			starts[run.ID]++
+		}
+	}
+	for _, id := range sortedKeys(starts) {
+		if starts[id] > 1 {
+			c.broken(PromiseOnce, "%s ran %d times", id, starts[id])
+		}
+	}
+}
+
 func (c *checker) onceJob(j *JobRecord, attempts map[string]map[string]bool) {
 	ran := 0
 	for _, id := range j.IDs {
@@ -280,13 +298,18 @@
 			continue
 		}
 		for _, r := range c.w.hist.Requests {
-			if r.Host == d.host.holder && r.Admitted && r.Outcome == work.OutcomeUnknown && r.EndedAt >= d.at {
+			if r.Host == d.host.holder && r.Admitted && c.cutOff(r, d.at) {
 				c.broken(PromiseGraceful, "%v was cut off (%s) while its host stopped", r.ID, r.Cause)
 			}
 		}
 	}
 }
 
+// cutOff reports whether a request lost its answer before its own deadline.
+func (c *checker) cutOff(r *RequestRecord, since time.Duration) bool {
+	return r.Outcome == work.OutcomeUnknown && r.Cause != "" && r.EndedAt >= since && r.EndedAt < r.SentAt+requestDeadline
+}
+
 // config checks that every live host came to each offset in time.
 func (c *checker) config() {
 	newest := c.w.config().Offset()
--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -98,13 +98,14 @@
 	}
 }
 
-// step gives the engine an event and carries out what it commands.
+// step gives the engine an event and carries out what it commands. A host that
+// is paused in the middle carries out the rest when it wakes.
 func (h *host) step(ev engine.Event) {
 	for _, cmd := range slices.Clone(h.eng.Step(h.now(), ev)) {
-		if !h.alive || h.paused {
-			return // it stopped in the middle of what it was about to do
-		}
-		h.carry(cmd)
+		h.wake(func() {
+			h.w.reached(stepOf(cmd), h, workerOf(cmd))
+			h.wake(func() { h.carry(cmd) })
+		})
 	}
 }
 
--- a/faultmatrix/network.go
+++ b/faultmatrix/network.go
@@ -115,9 +115,15 @@
 		finished = true
 		x.done(r)
 	}
+	arrived := false
 	w.deliver(x.from, x.to, x.step, func() {
+		// Only the first copy came on a connection that its sender reads.
+		heard := !arrived
+		arrived = true
 		x.serve(func(r reply) {
-			w.deliver(x.from, x.to, x.back, func() { x.from.wake(func() { finish(r) }) })
+			if heard {
+				w.deliver(x.from, x.to, x.back, func() { x.from.wake(func() { finish(r) }) })
+			}
 		})
 	})
 	w.After(x.timeout, func() {
