--- a/measure/bench_test.go
+++ b/measure/bench_test.go
@@ -28,3 +28,13 @@
 	}
 	b.ReportMetric(float64(placed)/b.Elapsed().Seconds(), "placements/s")
 }
+
+// BenchmarkCancellation cancels one waiting job among many.
+func BenchmarkCancellation(b *testing.B) {
+	z := NewSteady(800, 50_000, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		z.cancelWave(1)
+		z.accept()
+	}
+}
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -320,3 +320,27 @@
 		t.Errorf("the later deadline went first")
 	}
 }
+
+// A team alone in its zone fills it with long tasks, and then an approval of
+// the same team arrives. Nothing ends before its deadline: a citizen would be
+// told that it did not run although the team had room to give.
+func TestOwnWorkMakesRoomNearADeadline(t *testing.T) {
+	w := zone(t, 1, Options{})
+	long := batch("a", 4, 2)
+	long.Displaceable = true
+	w.accept(long)
+	approval := batch("a", 1, 1)
+	approval.NonIdempotent = true
+	approval.Deadline = 10 * time.Second
+	job := w.accept(approval)
+	w.pass(5 * time.Second)
+	for i, a := range w.running {
+		if w.controls[a.ID] == platform.ControlCheckpoint {
+			w.end(i, AttemptEnded{Stopped: true, Ran: time.Second})
+			break
+		}
+	}
+	if len(w.runningOf(job)) != 1 || len(w.controls) != 1 {
+		t.Errorf("%d approvals run after %d controls", len(w.runningOf(job)), len(w.controls))
+	}
+}
