sched: a missing replica may displace batch work

Cause: in a full zone a lost replica waited for some batch task to end. Before: no replica until then. After: one checkpoint, and the replica starts when it has ended (test).

--- a/sched/displace.go
+++ b/sched/displace.go
@@ -33,10 +33,12 @@
 func (a *attempt) displaced() int { return int(a.job.tasks[a.id.Index].displaced) }
 
 // emptying is a worker on which tasks are being checkpointed. Until those have
-// ended it is held for urgent work, or for work of one team.
+// ended it is held for a replica of a service, for work of one team or, if
+// neither is set, for urgent work.
 type emptying struct {
-	worker place.Ref
-	team   *team // nil for urgent work of all teams
+	worker  place.Ref
+	team    *team
+	service *service
 }
 
 // filter chooses among the attempts that may be displaced. A nil filter takes
@@ -99,7 +101,7 @@
 	if wanted <= 0 {
 		return
 	}
-	workers, found := s.victims(j, from, wanted)
+	workers, found := s.victims(j.need, from, wanted)
 	if found == 0 || (j.gang() && found < wanted) {
 		s.displaceAt = s.now + displaceEvery
 		s.wake(&s.wakes.displace, s.displaceAt)
@@ -113,23 +115,28 @@
 		s.hold(&hold{job: j, workers: workers, at: at, first: at, urgent: true})
 		return
 	}
-	s.empty(workers, use)
+	s.empty(workers, emptying{team: use})
 }
 
 // empty holds workers on which tasks are being checkpointed.
-func (s *Scheduler) empty(workers []place.Ref, use *team) {
+func (s *Scheduler) empty(workers []place.Ref, use emptying) {
 	for _, ref := range workers {
 		s.cell.Bar(ref, place.BarHeld)
-		s.making = append(s.making, emptying{worker: ref, team: use})
+		use.worker = ref
+		s.making = append(s.making, use)
 	}
 }
 
 // mayUse reports whether a worker is being emptied for work like the job.
 func (e emptying) mayUse(j *job) bool {
-	if e.team == nil {
+	switch {
+	case e.service != nil:
+		return false
+	case e.team != nil:
+		return e.team == j.team
+	default:
 		return j.spec.Urgent
 	}
-	return e.team == j.team
 }
 
 // comingRoom returns how many tasks of the job fit on the workers where room is
@@ -153,18 +160,18 @@
 
 // victims returns the workers on which the least has to be displaced for the
 // wanted number of tasks, and for how many of them there is enough.
-func (s *Scheduler) victims(j *job, from filter, wanted int64) ([]place.Ref, int64) {
+func (s *Scheduler) victims(need resource.Vector, from filter, wanted int64) ([]place.Ref, int64) {
 	var workers []place.Ref
 	for i := range s.hosts {
 		ref := place.Ref(i)
 		w := s.cell.Worker(ref)
-		if w.Bars == 0 && j.need.Fits(w.Free.Add(s.displaceableOn(ref, from))) {
+		if w.Bars == 0 && need.Fits(w.Free.Add(s.displaceableOn(ref, from))) {
 			workers = append(workers, ref)
 		}
 	}
 	missing := func(ref place.Ref) float64 {
 		w := s.cell.Worker(ref)
-		return j.need.Sub(w.Free).Dominant(w.Size)
+		return need.Sub(w.Free).Dominant(w.Size)
 	}
 	slices.SortStableFunc(workers, func(a, b place.Ref) int {
 		return cmp.Compare(missing(a), missing(b))
@@ -174,7 +181,7 @@
 		if found >= wanted {
 			return workers[:i], found
 		}
-		found += max(1, place.Count(j.need, s.cell.Worker(ref).Free, wanted))
+		found += max(1, place.Count(need, s.cell.Worker(ref).Free, wanted))
 	}
 	return workers, found
 }
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -229,6 +229,31 @@
 	}
 }
 
+// The worker of a replica is lost while batch work fills the zone. Callers would
+// find one replica less until some batch task ends, which may take hours.
+func TestLostReplicaMakesRoomForItself(t *testing.T) {
+	w := zone(t, 2, Options{KeepRunning: true})
+	service := ident.JobID{Zone: "a", Host: "h", Incarnation: 2, Seq: 1}
+	w.step(ServiceDeclared{Service: "s", Job: service, Team: "a", Replicas: 1, Need: cpu(2)})
+	lost := w.running[0].Worker
+	long := batch("b", 4, 10)
+	long.Displaceable = true
+	w.accept(long)
+	w.remove(lost)
+	if len(w.controls) != 1 {
+		t.Fatalf("%d controls", len(w.controls))
+	}
+	for i, a := range w.running {
+		if w.controls[a.ID] == platform.ControlCheckpoint {
+			w.end(i, AttemptEnded{Stopped: true, Ran: time.Minute})
+			break
+		}
+	}
+	if len(w.runningOf(service)) != 1 {
+		t.Errorf("the replica did not start")
+	}
+}
+
 // A job waits and an operator asks why.
 func TestExplanation(t *testing.T) {
 	w := zone(t, 3, Options{})
--- a/sched/rebalance.go
+++ b/sched/rebalance.go
@@ -39,14 +39,14 @@
 		d := &demands[a.team.number]
 		return d.Used-d.Fair > shareSlack
 	}
-	workers, found := s.victims(j, over, int64(1+s.cell.Len()/rebalancePart))
+	workers, found := s.victims(j.need, over, int64(1+s.cell.Len()/rebalancePart))
 	if found == 0 {
 		return
 	}
 	for _, ref := range workers {
 		s.checkpoint(ref, j.need, over)
 	}
-	s.empty(workers, under)
+	s.empty(workers, emptying{team: under})
 }
 
 // demands returns what each team uses and should have, by its number. Tasks
--- a/sched/service.go
+++ b/sched/service.go
@@ -192,6 +192,9 @@
 	for stay < svc.wanted && s.startReplica(svc) {
 		stay++
 	}
+	if stay < svc.wanted {
+		s.displaceForReplicas(svc, svc.wanted-stay)
+	}
 	for ; leaving > 0 && up > svc.wanted; leaving-- {
 		if s.stopLeaving(svc) {
 			up--
@@ -210,6 +213,9 @@
 		return false
 	}
 	ref := s.placer.Spread(svc.need, svc.spread, svc.last)
+	if ref == place.None {
+		ref = s.emptied(svc)
+	}
 	if ref == place.None || !s.cell.Reserve(ref, svc.need) {
 		svc.mark = s.cell.Freed()
 		return false
@@ -239,6 +245,45 @@
 	return true
 }
 
+// displaceForReplicas checkpoints displaceable tasks where replicas are missing
+// and no worker has room for them. Callers of a service wait for an answer now,
+// and a zone full of batch work may not come free for hours.
+func (s *Scheduler) displaceForReplicas(svc *service, missing int) {
+	if s.opts.FirstFit || s.now < s.displaceAt || s.now < svc.notUntil || s.blocked(svc.team, svc.units) {
+		return
+	}
+	for _, e := range s.making {
+		if e.service == svc {
+			missing--
+		}
+	}
+	if missing <= 0 {
+		return
+	}
+	workers, found := s.victims(svc.need, nil, int64(missing))
+	if found == 0 {
+		s.displaceAt = s.now + displaceEvery
+		s.wake(&s.wakes.displace, s.displaceAt)
+		return
+	}
+	for _, ref := range workers {
+		s.checkpoint(ref, svc.need, nil)
+	}
+	s.empty(workers, emptying{service: svc})
+}
+
+// emptied returns a worker on which room was made for the service, or
+// place.None.
+func (s *Scheduler) emptied(svc *service) place.Ref {
+	for _, e := range s.making {
+		w := s.cell.Worker(e.worker)
+		if e.service == svc && w.Bars == place.BarHeld && svc.need.Fits(w.Free) {
+			return e.worker
+		}
+	}
+	return place.None
+}
+
 // stopLeaving stops one replica whose worker is being removed, and reports
 // whether it had started.
 func (s *Scheduler) stopLeaving(svc *service) bool {
