--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -229,6 +229,31 @@
 	}
 }
 
+// The worker of a replica is lost while batch work fills the zone. Callers would
+// find one replica less until some batch task ends, which may take hours.
+func TestLostReplicaMakesRoomForItself(t *testing.T) {
+	w := zone(t, 2, Options{KeepRunning: true})
+	service := ident.JobID{Zone: "a", Host: "h", Incarnation: 2, Seq: 1}
+	w.step(ServiceDeclared{Service: "s", Job: service, Team: "a", Replicas: 1, Need: cpu(2)})
+	lost := w.running[0].Worker
+	long := batch("b", 4, 10)
+	long.Displaceable = true
+	w.accept(long)
+	w.remove(lost)
+	if len(w.controls) != 1 {
+		t.Fatalf("%d controls", len(w.controls))
+	}
+	for i, a := range w.running {
+		if w.controls[a.ID] == platform.ControlCheckpoint {
+			w.end(i, AttemptEnded{Stopped: true, Ran: time.Minute})
+			break
+		}
+	}
+	if len(w.runningOf(service)) != 1 {
+		t.Errorf("the replica did not start")
+	}
+}
+
 // A job waits and an operator asks why.
 func TestExplanation(t *testing.T) {
 	w := zone(t, 3, Options{})
@@ -320,3 +345,27 @@
 		t.Errorf("the later deadline went first")
 	}
 }
+
+// A team alone in its zone fills it with long tasks, and then an approval of
+// the same team arrives. Nothing ends before its deadline: a citizen would be
+// told that it did not run although the team had room to give.
+func TestOwnWorkMakesRoomNearADeadline(t *testing.T) {
+	w := zone(t, 1, Options{})
+	long := batch("a", 4, 2)
+	long.Displaceable = true
+	w.accept(long)
+	approval := batch("a", 1, 1)
+	approval.NonIdempotent = true
+	approval.Deadline = 10 * time.Second
+	job := w.accept(approval)
+	w.pass(5 * time.Second)
+	for i, a := range w.running {
+		if w.controls[a.ID] == platform.ControlCheckpoint {
+			w.end(i, AttemptEnded{Stopped: true, Ran: time.Second})
+			break
+		}
+	}
+	if len(w.runningOf(job)) != 1 || len(w.controls) != 1 {
+		t.Errorf("%d approvals run after %d controls", len(w.runningOf(job)), len(w.controls))
+	}
+}
