queue: the classes of one team are looked at in turns of 256

Cause: a team with thousands of different needs made every step of the zone look at all of them. Ruled out: rounding needs into fewer classes, since a class must not hold work that fits behind work that does not.

--- a/queue/doc.go
+++ b/queue/doc.go
@@ -16,4 +16,6 @@
 // Work of one team with equal needs forms a Class. If the first of a class
 // does not fit, none of it does, so that the cost of finding work that fits
 // grows with the number of classes and not with the number of waiting jobs.
+// It is bounded for each team, so that no team slows the others down with
+// thousands of different needs.
 package queue
--- a/queue/order.go
+++ b/queue/order.go
@@ -42,13 +42,23 @@
 		return class.Head()
 	}
 	for _, team := range q.order {
-		if class := team.First(open); class != nil {
+		class, whole := team.first(open)
+		if class != nil {
 			return class.Head()
 		}
+		q.partial = q.partial || !whole
 	}
 	return nil
 }
 
+// Partial reports, once, whether some classes were not looked at since it was
+// last called although their team had nothing else to start.
+func (q *Queue[T]) Partial() bool {
+	partial := q.partial
+	q.partial = false
+	return partial
+}
+
 // Ordered returns the teams that have items waiting, in order. The slice is
 // valid until the queue changes.
 func (q *Queue[T]) Ordered() []*Team[T] { return q.order }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -17,6 +17,7 @@
 	urgentOver float64 // multiple of its share up to which a team's urgent work comes first
 	urgent     int     // urgent items of all teams
 	waiting    int
+	partial    bool        // some classes were not looked at
 	spare      []*Class[T] // empty classes for later use
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -111,3 +111,31 @@
 		}
 	}
 }
+
+// One team waits with thousands of different needs, one of which fits. Others
+// must not wait while all are looked at; and the one that fits must be found
+// after a few turns.
+func TestManyDifferentNeedsAreLookedAtInTurns(t *testing.T) {
+	const needs = 4 * lookMost
+	q := New[int](1)
+	for i := range needs {
+		q.Push(q.Team("a"), Shape{Need: resource.Vector{MemoryMiB: int64(i)}}, &Item[int]{Owner: i})
+	}
+	const fits = needs - 1
+	for turns := 1; ; turns++ {
+		looks := 0
+		item := q.First(func(class *Class[int]) bool {
+			looks++
+			return class.Head().Owner == fits
+		})
+		if looks > lookMost {
+			t.Fatalf("%d classes were looked at", looks)
+		}
+		if item != nil {
+			return
+		}
+		if !q.Partial() || turns > needs/lookMost {
+			t.Fatalf("turn %d: the need that fits was not found", turns)
+		}
+	}
+}
--- a/queue/team.go
+++ b/queue/team.go
@@ -18,6 +18,7 @@
 	classes []*Class[T]
 	byShape map[Shape]*Class[T]
 	at      int // in the order of teams; notOrdered without waiting items
+	turn    int // class at which the next look begins, if there are too many for one
 }
 
 const notOrdered = -1
@@ -50,22 +51,55 @@
 // steady stream of deadlines does not starve it.
 const pressingRun = 4
 
+// lookMost is how many classes of a team are looked at at once. A team with
+// more different needs has them looked at in turns: that it cannot be served in
+// strict order is its own loss, and no other team waits for the looking.
+const lookMost = 256
+
+// look calls f for the classes whose turn it is, and reports whether these are
+// all.
+func (t *Team[T]) look(f func(*Class[T])) bool {
+	n := len(t.classes)
+	if n <= lookMost {
+		for _, class := range t.classes {
+			f(class)
+		}
+		return true
+	}
+	for i := range lookMost {
+		f(t.classes[(t.turn+i)%n])
+	}
+	t.turn = (t.turn + lookMost) % n
+	return false
+}
+
 // First returns the class whose head comes first among those that open admits,
-// or nil.
+// or nil. If there are many classes it looks at some of them only.
 func (t *Team[T]) First(open func(*Class[T]) bool) *Class[T] {
+	class, _ := t.first(open)
+	return class
+}
+
+// first is First, and reports whether all classes were looked at.
+func (t *Team[T]) first(open func(*Class[T]) bool) (*Class[T], bool) {
 	var pressing, plain *Class[T]
-	for _, class := range t.classes {
+	whole := t.look(func(class *Class[T]) {
 		best := &plain
 		if class.Shape.Pressing {
 			best = &pressing
 		}
 		if *best != nil && (*best).Head().before(class.Head()) {
-			continue
+			return
 		}
 		if open(class) {
 			*best = class
 		}
-	}
+	})
+	return t.choose(pressing, plain), whole
+}
+
+// choose returns the class whose turn it is.
+func (t *Team[T]) choose(pressing, plain *Class[T]) *Class[T] {
 	switch {
 	case pressing == nil:
 		return plain
@@ -79,14 +113,14 @@
 // that open admits, or nil.
 func (t *Team[T]) firstUrgent(open func(*Class[T]) bool) *Class[T] {
 	var best *Class[T]
-	for _, class := range t.classes {
+	t.look(func(class *Class[T]) {
 		if !class.Shape.Urgent || best != nil && best.Head().before(class.Head()) {
-			continue
+			return
 		}
 		if open(class) {
 			best = class
 		}
-	}
+	})
 	return best
 }
 
--- a/sched/dispatch.go
+++ b/sched/dispatch.go
@@ -1,10 +1,16 @@
 package sched
 
 import (
+	"time"
+
 	"github.com/fireflyfold/fireflyfold/place"
 	"github.com/fireflyfold/fireflyfold/queue"
 )
 
+// lookEvery is the time until the other classes of a team with too many
+// different needs are looked at, if nothing else happens.
+const lookEvery = 100 * time.Millisecond
+
 // dispatch starts waiting work in its order until nothing that waits can
 // start. Work that does not fit is passed over, so that no room stays free
 // that other work could use, except what a hold keeps.
@@ -24,6 +30,9 @@
 	if s.opts.FirstFit {
 		return
 	}
+	if s.queue.Partial() {
+		s.wake(&s.wakes.look, s.now+lookEvery)
+	}
 	s.displace()
 	s.rebalance()
 	s.planHolds()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -36,10 +36,10 @@
 	planAt      timeOf // no planning before this time
 	planner     planner
 	making      []emptying
-	displaceAt  timeOf                                     // no displacing before this time
-	rebalanceAt timeOf                                     // no rebalancing before this time
-	wakes       struct{ plan, displace, rebalance timeOf } // last wake-ups that were set
-	sick        int                                        // quarantined workers
+	displaceAt  timeOf                                           // no displacing before this time
+	rebalanceAt timeOf                                           // no rebalancing before this time
+	wakes       struct{ plan, displace, rebalance, look timeOf } // last wake-ups that were set
+	sick        int                                              // quarantined workers
 	openFunc    func(*queue.Class[*job]) bool
 	gangRefs    []place.Ref // scratch
 }
