--- a/measure/command.go
+++ b/measure/command.go
@@ -19,6 +19,7 @@
 	csv    bool
 	replay bool
 	trace  string
+	seeds  int
 }
 
 // The zones in which the cost of decisions is measured.
@@ -37,7 +38,7 @@
 
 // Usage implements subcommands.Command.
 func (*Command) Usage() string {
-	return `measure [--csv] [--trace NAME] [--replay-only]:
+	return `measure [--csv] [--trace NAME] [--seeds N] [--replay-only]:
   Replay the recorded traces of both deployments with each policy and print
   waiting times, packing, distance from shares and control cost; then time
   decisions in full zones of several sizes. Replays are exact, times are not.
@@ -48,6 +49,7 @@
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.csv, "csv", false, "print CSV instead of tables")
 	f.StringVar(&c.trace, "trace", "", "replay one trace alone")
+	f.IntVar(&c.seeds, "seeds", 0, "also print the means over generated traces of so many other seeds")
 	f.BoolVar(&c.replay, "replay-only", false, "leave out the cost of decisions in full zones")
 }
 
@@ -91,6 +93,9 @@
 		for _, policy := range Policies() {
 			rows = append(rows, Replay(trace, policy).Rows()...)
 		}
+		if c.seeds > 0 {
+			rows = append(rows, Means(name, c.seeds)...)
+		}
 	}
 	if c.replay {
 		return rows, ctx.Err()
--- a/measure/replay_test.go
+++ b/measure/replay_test.go
@@ -190,11 +190,11 @@
 func TestCommandPrintsTheTable(t *testing.T) {
 	for _, asCSV := range []bool{false, true} {
 		var out, errs bytes.Buffer
-		c := &Command{Out: &out, Err: &errs, csv: asCSV, replay: true, trace: Overload}
+		c := &Command{Out: &out, Err: &errs, csv: asCSV, replay: true, trace: Overload, seeds: 2}
 		if status := c.Execute(t.Context(), nil); status != 0 {
 			t.Fatalf("status %d: %s", status, errs.String())
 		}
-		for _, want := range []string{Overload, "fifo", "deadline wait p99", "distance from share"} {
+		for _, want := range []string{Overload, "mean of 2 seeds", "fifo", "deadline wait p99", "distance from share"} {
 			if !bytes.Contains(out.Bytes(), []byte(want)) {
 				t.Errorf("csv %v: %q is missing", asCSV, want)
 			}
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -26,6 +26,8 @@
 	expected time.Duration // run time
 	excess   int64         // milli-processors measured above the need
 	stopping platform.Control
+	stopAt   timeOf // when the first control was sent
+	over     bool
 }
 
 // ending is how an attempt ended.
@@ -72,6 +74,7 @@
 
 // release gives back what an attempt holds.
 func (s *Scheduler) release(a *attempt) {
+	a.over = true
 	h := s.host(a.worker)
 	if s.displaceable(a) {
 		h.displaceable = h.displaceable.Sub(a.need)
@@ -269,8 +272,32 @@
 	if a.stopping == "" {
 		a.team.stopping = a.team.stopping.Add(a.need)
 	}
+	again := a.stopping != ""
 	a.stopping = control
-	s.emit(Control{ID: a.id, Worker: s.cell.Worker(a.worker).ID, Control: control})
+	s.sendControl(a)
+	if !again {
+		a.stopAt = s.now
+		s.after(timer{at: s.now + controlEvery, kind: timerControl, attempt: a})
+	}
+}
+
+// controlEvery is the time after which a control is sent again.
+const controlEvery = 5 * time.Second
+
+func (s *Scheduler) sendControl(a *attempt) {
+	s.emit(Control{ID: a.id, Worker: s.cell.Worker(a.worker).ID, Control: a.stopping})
+}
+
+// repeatControl sends a control again until the attempt has ended. A control
+// can be lost on its way, or meet a worker whose lease is not held at the
+// moment; a cancelled job would then run on, and its caller never get an
+// answer. Controls are idempotent, so one more does no harm.
+func (s *Scheduler) repeatControl(a *attempt) {
+	if a.over {
+		return
+	}
+	s.sendControl(a)
+	s.after(timer{at: s.now + controlEvery, kind: timerControl, attempt: a})
 }
 
 func (s *Scheduler) usageReported(ev UsageReported) {
--- a/sched/displace.go
+++ b/sched/displace.go
@@ -37,10 +37,15 @@
 // neither is set, for urgent work.
 type emptying struct {
 	worker  place.Ref
+	until   timeOf // no longer than this
 	team    *team
 	service *service
 }
 
+// emptyMost bounds how long a worker is held while tasks on it are being
+// checkpointed. A worker that cannot checkpoint would be idle for ever.
+const emptyMost = 30 * time.Second
+
 // filter chooses among the attempts that may be displaced. A nil filter takes
 // all.
 type filter func(*attempt) bool
@@ -120,6 +125,8 @@
 
 // empty holds workers on which tasks are being checkpointed.
 func (s *Scheduler) empty(workers []place.Ref, use emptying) {
+	use.until = s.now + emptyMost
+	s.after(timer{at: use.until, kind: timerWake})
 	for _, ref := range workers {
 		s.cell.Bar(ref, place.BarHeld)
 		use.worker = ref
@@ -236,18 +243,22 @@
 }
 
 // endDisplacements gives workers back to all work once every displaced task
-// on them has ended and urgent work had its turn. It reports whether it gave
+// on them has ended, or took too long, and the work that they were held for had
+// its turn. It reports whether it gave
 // any back.
 func (s *Scheduler) endDisplacements() bool {
 	before := len(s.making)
 	s.making = slices.DeleteFunc(s.making, func(e emptying) bool {
-		for _, a := range s.host(e.worker).attempts {
-			if a.stopping != "" {
-				return false
-			}
+		if s.now < e.until && s.stopsSome(e.worker) {
+			return false
 		}
 		s.cell.Unbar(e.worker, place.BarHeld)
 		return true
 	})
 	return len(s.making) < before
 }
+
+// stopsSome reports whether attempts on a worker are being stopped.
+func (s *Scheduler) stopsSome(ref place.Ref) bool {
+	return slices.ContainsFunc(s.host(ref).attempts, func(a *attempt) bool { return a.stopping != "" })
+}
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -369,3 +369,32 @@
 		t.Errorf("%d approvals run after %d controls", len(w.runningOf(job)), len(w.controls))
 	}
 }
+
+// The control that checkpoints a task is lost, and later its worker turns out
+// not to checkpoint at all. The control must be sent again, and the worker must
+// not stay idle for urgent work that it cannot make room for.
+func TestControlThatIsNotFollowed(t *testing.T) {
+	w := zone(t, 1, Options{Hold: HoldNone})
+	long := batch("a", 6, 1)
+	long.Displaceable = true
+	w.accept(long)
+	urgent := batch("b", 4, 1)
+	urgent.Urgent = true
+	w.accept(urgent)
+	sent := 0
+	for range 6 {
+		for _, c := range w.commands {
+			if _, ok := c.(Control); ok {
+				sent++
+			}
+		}
+		w.now += controlEvery
+		w.step(Tick{})
+	}
+	if sent < 5 {
+		t.Errorf("the control was sent %d times", sent)
+	}
+	if job := w.accept(batch("c", 2, 1)); len(w.runningOf(job)) != 1 {
+		t.Errorf("the worker is still held")
+	}
+}
--- a/sched/timer.go
+++ b/sched/timer.go
@@ -18,8 +18,9 @@
 	timerWorker // the end of a quarantine or of a refusal's back-off
 	timerHold
 	timerService
-	timerLimit // the end of a refusal of limit units
-	timerWake  // nothing but a look at the waiting work
+	timerControl // a control that has not been followed by an end
+	timerLimit   // the end of a refusal of limit units
+	timerWake    // nothing but a look at the waiting work
 )
 
 // timer is something that is due at a time. It is checked when it fires, so
@@ -35,6 +36,7 @@
 	hold    *hold
 	service *service
 	team    *team
+	attempt *attempt
 }
 
 // timers is a heap of timers. Those of ended jobs stay until they are half of
@@ -128,6 +130,8 @@
 		s.workerReturns(t.worker, t.life)
 	case timerHold:
 		s.holdPassed(t.hold)
+	case timerControl:
+		s.repeatControl(t.attempt)
 	case timerLimit:
 		s.refusalPassed(t.team)
 	case timerService, timerWake:
