Recovery of an earlier owner's attempts joined to the engine

Cause: a crash of a zone's scheduler left the jobs whose tasks ran unfinished for ever. A first run then hung: a restored job whose record named a later task alone took its own entry from the list of waiting tasks again and again.

--- a/cmd/fireflyfold/main.go
+++ b/cmd/fireflyfold/main.go
@@ -12,6 +12,7 @@
 	"github.com/fireflyfold/fireflyfold/cli"
 	"github.com/fireflyfold/fireflyfold/demo"
 	"github.com/fireflyfold/fireflyfold/load"
+	"github.com/fireflyfold/fireflyfold/measure"
 	"github.com/fireflyfold/fireflyfold/serve"
 )
 
@@ -23,6 +24,7 @@
 	commander.Register(&demo.Command{}, "daemons")
 	cli.Register(commander)
 	commander.Register(&load.Command{}, "measuring")
+	commander.Register(&measure.Command{}, "measuring")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
--- a/engine/command.go
+++ b/engine/command.go
@@ -159,12 +159,14 @@
 	Host    ident.HostID
 	Addr    string
 	Worker  ident.WorkerID
+	Seq     uint64 // to be returned with the answer
 	Release bool
 }
 
 // PromiseReply answers a PromiseAsked.
 type PromiseReply struct {
 	Call  uint64
+	From  ident.Holder
 	Given bool
 }
 
--- a/engine/event.go
+++ b/engine/event.go
@@ -167,8 +167,9 @@
 
 // PromiseAnswered answers an AskPromise.
 type PromiseAnswered struct {
-	Host   ident.HostID
+	From   ident.Holder
 	Worker ident.WorkerID
+	Seq    uint64 // of the AskPromise
 	Given  bool
 }
 
--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -66,10 +66,12 @@
 }
 
 // emitPromise asks a peer for a promise, or frees it from one.
-func (e *Engine) emitPromise(host ident.HostID, worker ident.WorkerID, release bool) {
+func (e *Engine) emitPromise(host ident.HostID, ask AskPromise) {
 	for _, p := range e.view.Hosts {
 		if p.Host == host {
-			e.emit(AskPromise{Host: host, Addr: p.Addr, Worker: worker, Release: release})
+			ask.Host = host
+			ask.Addr = p.Addr
+			e.emit(ask)
 			return
 		}
 	}
@@ -90,7 +92,7 @@
 	}
 	e.reclaim.promises[ev.Worker] = e.now + promiseFor
 	e.stepLeases(lease.Want{Key: key, Wanted: false})
-	e.emit(PromiseReply{Call: ev.Call, Given: e.leases.Left(key, e.now) == 0})
+	e.emit(PromiseReply{Call: ev.Call, From: e.opts.Self, Given: e.leases.Left(key, e.now) == 0})
 }
 
 func (e *Engine) endPromise(worker ident.WorkerID) {
@@ -105,7 +107,7 @@
 
 func (e *Engine) promiseAnswered(ev PromiseAnswered) {
 	if ev.Given {
-		e.stepRecovery(jobs.PeerPromise{Host: ev.Host, Worker: ev.Worker})
+		e.stepRecovery(jobs.PeerPromise{From: ev.From, Worker: ev.Worker, Seq: ev.Seq})
 	}
 }
 
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -42,7 +42,6 @@
 	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), ev.Epoch, open)
 	for _, o := range open {
 		e.zone.recovering[o.Attempt.Job]++
-		e.cycleLease(o.Worker, o.Lease)
 	}
 	e.restoreJobs()
 	e.stepRecovery(e.zoneHosts())
@@ -172,9 +171,13 @@
 func (e *Engine) recoveryCommand(cmd jobs.RecoveryCommand) {
 	switch cmd := cmd.(type) {
 	case jobs.AskPromise:
-		e.emitPromise(cmd.Host, cmd.Worker, false)
+		e.emitPromise(cmd.Host, AskPromise{Worker: cmd.Worker, Seq: cmd.Seq})
 	case jobs.ReleasePromise:
-		e.emitPromise(cmd.Host, cmd.Worker, true)
+		e.emitPromise(cmd.Host, AskPromise{Worker: cmd.Worker, Release: true})
+	case jobs.Reacquire:
+		if w := e.zone.workers[cmd.Worker]; w != nil {
+			e.cycleLease(cmd.Worker, w.epoch)
+		}
 	case jobs.Adopt:
 		e.adoptAttempt(cmd)
 	case jobs.Resolve:
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -176,7 +176,7 @@
 	}
 	teams := make([]sched.Team, 0, len(state.Teams()))
 	for _, t := range state.Teams() {
-		teams = append(teams, sched.Team{ID: t.ID, Weight: t.Share})
+		teams = append(teams, sched.Team{ID: t.ID, Weight: t.Share, Limit: t.Limit})
 	}
 	e.stepSched(sched.TeamsChanged{Teams: teams})
 	e.declareServices(state)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -195,7 +195,12 @@
 		h.metrics.peerFailed.Inc(1)
 		return
 	}
-	h.push(engine.PromiseAnswered{Host: cmd.Host, Worker: cmd.Worker, Given: res.Msg.GetGiven() && !cmd.Release})
+	h.push(engine.PromiseAnswered{
+		From:   fromWireHolder(res.Msg.GetFrom()),
+		Worker: cmd.Worker,
+		Seq:    cmd.Seq,
+		Given:  res.Msg.GetGiven() && !cmd.Release,
+	})
 }
 
 func (h *Host) askLeases(ctx context.Context, cmd engine.AskLeases) {
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	reply, _ := cmd.(engine.PromiseReply)
-	return connect.NewResponse(&peerv1.PromiseResponse{Given: reply.Given}), nil
+	return connect.NewResponse(&peerv1.PromiseResponse{Given: reply.Given, From: toWireHolder(reply.From)}), nil
 }
 
 // ListLeases implements peerv1.PeerServiceHandler.
--- a/faultmatrix/peers.go
+++ b/faultmatrix/peers.go
@@ -25,7 +25,7 @@
 	case engine.AskLeases:
 		h.askLeases(cmd)
 	case engine.PromiseReply:
-		h.answered(cmd.Call, cmd.Given)
+		h.answered(cmd.Call, cmd)
 	case engine.LeasesReply:
 		h.answered(cmd.Call, cmd.Leases)
 	case engine.ConfigReply:
@@ -88,8 +88,8 @@
 	h.peer(cmd, cmd.Host, func(p *host, answer func(any)) {
 		p.step(engine.PromiseAsked{Call: p.ask(answer), Worker: cmd.Worker, Release: cmd.Release})
 	}, func(v any, err error) {
-		if given, ok := v.(bool); ok && err == nil && !cmd.Release {
-			h.step(engine.PromiseAnswered{Host: cmd.Host, Worker: cmd.Worker, Given: given})
+		if reply, ok := v.(engine.PromiseReply); ok && err == nil && !cmd.Release {
+			h.step(engine.PromiseAnswered{From: reply.From, Worker: cmd.Worker, Seq: cmd.Seq, Given: reply.Given})
 		}
 	})
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -78,17 +78,22 @@
 // take returns the index of the next task to start, which must be one that
 // waits.
 func (j *job) take() int {
+	if n := len(j.ready); n > 0 {
+		index := j.ready[n-1]
+		j.ready = j.ready[:n-1]
+		return int(index)
+	}
+	return j.takeFresh()
+}
+
+// takeFresh returns the index of the next task that was never taken.
+func (j *job) takeFresh() int {
 	if j.tasks == nil {
 		j.tasks = make([]task, j.spec.Tasks)
 		for i := range j.tasks {
 			j.tasks[i].last = place.None
 		}
 	}
-	if n := len(j.ready); n > 0 {
-		index := j.ready[n-1]
-		j.ready = j.ready[:n-1]
-		return int(index)
-	}
 	j.fresh++
 	return j.fresh - 1
 }
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -154,7 +154,7 @@
 		return
 	}
 	for j.fresh <= known.Index {
-		j.ready = append(j.ready, int32(j.take()))
+		j.ready = append(j.ready, int32(j.takeFresh()))
 	}
 	j.ready = slices.DeleteFunc(j.ready, func(i int32) bool { return int(i) == known.Index })
 	t := &j.tasks[known.Index]
