--- a/jobs/expiry_test.go
+++ b/jobs/expiry_test.go
@@ -43,6 +43,10 @@
 	}
 	w.run(time.Second)
 	w.propose(first, assignment(7, 1, "w"), 0)
+	w.run(3 * time.Second)
+	if start := w.newestStart(); start < 20 {
+		t.Fatalf("3 s old jobs are still found at %d only", start)
+	}
 	for range 40 {
 		w.run(300 * time.Millisecond)
 		w.log.Expire(w.newestStart() + 1)
