Prove the death of a holder at one moment, beyond the list's lag

Cause: a suspect could hold the lease of a worker that the scheduler's list did not show yet, and never be without a lease. Before: all listed leases with others at one moment. After: with others without a break for twice the list's lag, on a list not older than the lag. Ruled out: trusting the host list alone, which lags.

--- a/ledger/reclaim.go
+++ b/ledger/reclaim.go
@@ -15,8 +15,9 @@
 // ReclaimTick lets time pass.
 type ReclaimTick struct{}
 
-// Workers lists the workers of the zone. A worker that is no longer listed
-// counts until WorkerGone says that no task can run on it any more.
+// Workers lists the workers of the zone, as a fresh answer of the host list has
+// them. A worker that is no longer listed counts until WorkerGone says that no
+// task can run on it any more.
 type Workers struct{ Workers []ident.WorkerID }
 
 // WorkerGone says that no task can run on a worker any more, and that nobody
@@ -36,7 +37,8 @@
 	Class  platform.LeaseClass
 	Holder ident.Holder
 	Left   time.Duration
-	// Tasks are the running tasks of the class on this worker.
+	// Tasks are the running tasks of the class on this worker, as this process
+	// knows them now.
 	Tasks []RunningTask
 }
 
@@ -82,7 +84,9 @@
 // dead. It is not safe for concurrent use.
 type Reclaimer struct {
 	self     ident.Holder
+	listLag  time.Duration
 	workers  map[ident.WorkerID]bool
+	listedAt time.Duration // when the workers were last listed
 	suspects map[ident.Holder]bool
 	leases   map[leaseKey]seenLease
 }
@@ -92,17 +96,20 @@
 	class  platform.LeaseClass
 }
 
-// seenLease is what was last seen of a lease; it is alive before until.
+// seenLease is what was last seen of a lease: its holder has it without a break
+// since one moment, until before another.
 type seenLease struct {
-	holder ident.Holder
-	until  time.Duration
-	tasks  []RunningTask
+	holder       ident.Holder
+	since, until time.Duration
+	tasks        []RunningTask
 }
 
-// NewReclaimer returns a reclaimer that knows of no worker and no suspect.
-func NewReclaimer(self ident.Holder) *Reclaimer {
+// NewReclaimer returns a reclaimer that knows of no worker and no suspect. The
+// host list is at most listLag behind.
+func NewReclaimer(self ident.Holder, listLag time.Duration) *Reclaimer {
 	return &Reclaimer{
 		self:     self,
+		listLag:  listLag,
 		workers:  map[ident.WorkerID]bool{},
 		suspects: map[ident.Holder]bool{},
 		leases:   map[leaseKey]seenLease{},
@@ -113,6 +120,7 @@
 func (r *Reclaimer) Step(now time.Duration, ev ReclaimEvent) []ReclaimCommand {
 	switch ev := ev.(type) {
 	case Workers:
+		r.listedAt = now
 		for _, w := range ev.Workers {
 			r.workers[w] = true
 		}
@@ -123,15 +131,20 @@
 	case Alive:
 		delete(r.suspects, ev.Holder)
 	case LeaseSeen:
-		r.leases[leaseKey{ev.Worker, ev.Class}] = seenLease{
-			holder: ev.Holder,
-			until:  now + ev.Left,
-			tasks:  ev.Tasks,
-		}
+		r.see(now, ev)
 	}
 	return r.prove(now)
 }
 
+func (r *Reclaimer) see(now time.Duration, ev LeaseSeen) {
+	key := leaseKey{ev.Worker, ev.Class}
+	seen := seenLease{holder: ev.Holder, since: now, until: now + ev.Left, tasks: ev.Tasks}
+	if before, ok := r.leases[key]; ok && before.holder == ev.Holder && now < before.until {
+		seen.since = before.since
+	}
+	r.leases[key] = seen
+}
+
 func (r *Reclaimer) drop(w ident.WorkerID) {
 	delete(r.workers, w)
 	delete(r.leases, leaseKey{w, platform.ClassSlots})
@@ -158,17 +171,20 @@
 // It guards against units taken from a holder that still uses them. Each class
 // of each worker of the zone must be leased by somebody else at one and the same
 // moment: leases seen one after the other could each be followed by a return of
-// the suspect. Its requests must have ended, since nobody here learns of their
+// the suspect. They must have been so for as long as a new worker may be missing
+// from the list, so that the suspect cannot have gone over to one that this
+// process does not know without a time when it held no lease; see
+// LeasesHeld. Its requests must have ended, since nobody here learns of their
 // end later; its compute tasks must run under this process, which counts them.
 func (r *Reclaimer) proveOne(now time.Duration, dead ident.Holder) ([]RunningTask, bool) {
-	if len(r.workers) == 0 || dead == r.self {
+	if len(r.workers) == 0 || dead == r.self || now-r.listedAt > r.listLag {
 		return nil, false
 	}
 	var adopted []RunningTask
 	for _, w := range slices.Sorted(maps.Keys(r.workers)) {
 		slots := r.leases[leaseKey{w, platform.ClassSlots}]
 		compute := r.leases[leaseKey{w, platform.ClassCompute}]
-		if now >= slots.until || now >= compute.until {
+		if !r.settled(now, slots) || !r.settled(now, compute) {
 			return nil, false
 		}
 		if slots.holder == dead || compute.holder != r.self {
@@ -182,6 +198,12 @@
 	return adopted, true
 }
 
+// settled reports whether a lease is alive and was so, under one holder, while
+// two answers of the host list could lag.
+func (r *Reclaimer) settled(now time.Duration, l seenLease) bool {
+	return now < l.until && now-l.since >= 2*r.listLag
+}
+
 // startedBy lists the tasks that use a holder's units.
 func startedBy(tasks []RunningTask, by ident.Holder) []RunningTask {
 	var out []RunningTask
