Bound what a successor must read by the live state

Cause: at 100 starts a second a stream holds 120 MB of ended tasks in half an hour, all read to find one job that lives long. Before: jobs were written again by age only. After: also when 4 records for each job, and 4096, stand behind the oldest.

--- a/jobs/expiry_test.go
+++ b/jobs/expiry_test.go
@@ -21,6 +21,18 @@
 	return 0
 }
 
+// shortJob lets a job be accepted and end at once.
+func (w *world) shortJob(h *host, seq uint64) {
+	w.t.Helper()
+	w.propose(h, acceptance(seq, "", ""), 0)
+	w.run(200 * time.Millisecond)
+	w.propose(h, jobEnd(seq, work.OutcomeRan, 0), 0)
+	w.run(200 * time.Millisecond)
+	if j := h.owner.State().Job(jobID(seq)); j != nil && !j.Ended {
+		w.t.Fatalf("job %d did not end", seq)
+	}
+}
+
 // whole reports what the newest BecameOwner of a host says.
 func (h *host) whole() (whole, owner bool) {
 	for _, cmd := range h.heard {
@@ -102,9 +114,7 @@
 	w.propose(h, acceptance(1, "", ""), 0)
 	w.run(time.Second)
 	for seq := uint64(2); seq <= 40; seq++ {
-		w.propose(h, acceptance(seq, "", ""), 0)
-		w.propose(h, jobEnd(seq, work.OutcomeRan, 0), 0)
-		w.run(100 * time.Millisecond)
+		w.shortJob(h, seq)
 	}
 	w.log.Expire(3)
 	w.run(2 * time.Second)
@@ -162,3 +172,33 @@
 		t.Fatalf("queued: %+v", void)
 	}
 }
+
+// A takeover takes minutes because its first host must read half an hour of
+// short jobs to find one that lives long. What must be read stays near the size
+// of the live state, and writing jobs again adds little.
+func TestReadingIsBoundedByLiveState(t *testing.T) {
+	w := newWorld(t, 1)
+	h := w.hosts[0]
+	h.owner.cfg.RefreshAfter = time.Hour
+	h.owner.cfg.RefreshRecords = 50
+	h.owner.cfg.MarkEvery = 10 * time.Second
+	w.own(h)
+	w.propose(h, acceptance(1, "", ""), 0)
+	for seq := uint64(2); seq <= 500; seq++ {
+		w.shortJob(h, seq)
+	}
+	w.run(time.Second)
+	state := h.owner.State()
+	if behind := state.Position() - state.start().After; behind > 150 {
+		t.Fatalf("%d of %d records must be read for %d jobs", behind, state.Position(), state.Len())
+	}
+	refreshed := 0
+	for _, rec := range w.log.Records() {
+		if r, err := Decode(rec.Data); err == nil && r.State != nil {
+			refreshed++
+		}
+	}
+	if refreshed > int(w.log.Last())/refreshRatio {
+		t.Fatalf("%d of %d records write jobs again", refreshed, w.log.Last())
+	}
+}
--- a/jobs/group.go
+++ b/jobs/group.go
@@ -157,13 +157,18 @@
 }
 
 // refreshDue reports whether a job must be written again: by its age in the
-// stream's time, or, in case that runs slow because the stream had no owner for
-// long, because it is near the oldest record that is retained.
+// stream's time; because so many records came behind it that a successor would
+// read long; or, in case the stream's time runs slow because the stream had no
+// owner for long, because it is near the oldest record that is retained.
 func (o *Owner) refreshDue(j *Job) bool {
 	clock := o.fold.at.FenceClock + millis(o.now-o.epochAt)
 	if clock-j.base.Clock >= millis(o.cfg.RefreshAfter) {
 		return true
 	}
+	behind := int(o.fold.Position() - j.base.After)
+	if behind >= o.cfg.RefreshRecords+refreshRatio*o.fold.Len() {
+		return true
+	}
 	first, last := o.reader.First, o.reader.Last
 	if first <= 1 || last <= first {
 		return false
@@ -171,6 +176,11 @@
 	return j.base.After < first+(last-first)/expiryMargin
 }
 
+// refreshRatio is how many records for each job may stand behind the oldest one.
+// It bounds both what a successor reads, to about so many times the live state,
+// and what writing jobs again adds, to about one record in so many.
+const refreshRatio = 4
+
 // expiryMargin is the part of the retained records, from the oldest, in which a
 // job is written again whatever its age.
 const expiryMargin platform.Offset = 8
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -19,6 +19,7 @@
 	FenceInterval   time.Duration // before another fence after ownership was lost
 	ReadWait        time.Duration // how long a read may wait for news
 	RefreshAfter    time.Duration // age, in the stream's time, at which a job is written again
+	RefreshRecords  int           // records behind a job, besides a few for each job, with the same effect
 	MarkEvery       time.Duration // least time between two marks
 	GroupRecords    int           // most records of one append
 	GroupBytes      int           // most bytes of one append
@@ -38,6 +39,7 @@
 		FenceInterval:   2 * time.Second,
 		ReadWait:        time.Second,
 		RefreshAfter:    30 * time.Minute,
+		RefreshRecords:  4096,
 		MarkEvery:       10 * time.Second,
 		GroupRecords:    512,
 		GroupBytes:      256 << 10,
