--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -75,7 +75,7 @@
 		w.own(h)
 		id := w.propose(h, acceptance(1, "k", "f"), 300*time.Millisecond)
 		w.runUntilAppend(h)
-		h.open = h.open[:0:0]
+		h.calls.Drop()
 		w.now += time.Second
 		w.step(h, Tick{})
 		if len(h.final) != 0 || !h.told[id] {
@@ -114,7 +114,7 @@
 	first := w.propose(h, acceptance(1, "", ""), 200*time.Millisecond)
 	for range 20 {
 		w.step(h, Tick{})
-		for range len(h.open) {
+		for range h.calls.Len() {
 			w.answer(h, fakelog.Refused)
 		}
 		w.now += 50 * time.Millisecond
@@ -217,7 +217,7 @@
 		w.step(h, w.log.Answer(append1, fakelog.RequestLost))
 		w.now += time.Second
 		w.step(h, Tick{})
-		if !h.appendOpen() {
+		if h.calls.Append() < 0 {
 			t.Fatal("no cancellation was sent")
 		}
 		w.log.Append(append1.Group)
--- a/jobs/property_test.go
+++ b/jobs/property_test.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
@@ -13,15 +12,11 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain gives the property tests a fixed seed and long histories, unless the
-// command line says otherwise.
+// TestMain fixes the histories of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.steps": "100"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := fakelog.FixHistories(); err != nil {
+		panic(err)
 	}
-	flag.Parse()
 	os.Exit(m.Run())
 }
 
@@ -64,7 +59,7 @@
 			continue
 		}
 		a.w.step(h, Tick{})
-		for range len(h.open) {
+		for range h.calls.Len() {
 			a.w.answer(h, rapid.SampledFrom(someFates).Draw(t, "fate"))
 		}
 	}
--- a/jobs/world_test.go
+++ b/jobs/world_test.go
@@ -16,7 +16,7 @@
 type host struct {
 	owner  *Owner
 	name   ident.Holder
-	open   []stream.Command // reads and appends that are not answered
+	calls  fakelog.Calls
 	heard  []stream.Command // everything else, in order
 	final  map[ProposalID]stream.Command
 	told   map[ProposalID]bool // reported undecided
@@ -68,6 +68,7 @@
 	h := &host{
 		owner: NewOwner(testConfig(self)),
 		name:  self,
+		calls: fakelog.Calls{Log: w.log},
 		final: map[ProposalID]stream.Command{},
 		told:  map[ProposalID]bool{},
 	}
@@ -85,10 +86,10 @@
 
 func (w *world) hear(h *host, cmd stream.Command) {
 	w.t.Helper()
-	switch cmd := cmd.(type) {
-	case Append, Read:
-		h.open = append(h.open, cmd)
+	if h.calls.Take(cmd) {
 		return
+	}
+	switch cmd := cmd.(type) {
 	case Effective:
 		w.finish(h, cmd.ID, cmd)
 	case Existing:
@@ -117,48 +118,31 @@
 // answer answers the oldest open call of a host.
 func (w *world) answer(h *host, fate fakelog.Fate) {
 	w.t.Helper()
-	cmd := h.open[0]
-	h.open = h.open[1:]
-	w.step(h, w.log.Answer(cmd, fate))
+	w.step(h, h.calls.Answer(0, fate))
 }
 
-// answerAppend answers the open append of a host, and reports false if there is
-// none.
-func (w *world) answerAppend(h *host, fate fakelog.Fate) bool {
+// answerAppend answers the open append of a host.
+func (w *world) answerAppend(h *host, fate fakelog.Fate) {
 	w.t.Helper()
-	for i, cmd := range h.open {
-		if _, ok := cmd.(Append); ok {
-			h.open = append(h.open[:i:i], h.open[i+1:]...)
-			w.step(h, w.log.Answer(cmd, fate))
-			return true
-		}
-	}
-	return false
+	w.step(h, h.calls.Answer(h.calls.Append(), fate))
 }
 
 // takeAppend takes the open append of a host out of its calls.
 func (w *world) takeAppend(h *host) Append {
 	w.t.Helper()
-	for i, cmd := range h.open {
-		if a, ok := cmd.(Append); ok {
-			h.open = append(h.open[:i:i], h.open[i+1:]...)
-			return a
-		}
+	a, ok := h.calls.TakeAppend()
+	if !ok {
+		w.t.Fatalf("no append is open")
 	}
-	w.t.Fatalf("no append is open")
-	return Append{}
+	return a
 }
 
 // answerReads answers the open reads of a host until there is nothing new.
 func (w *world) answerReads(h *host) {
 	w.t.Helper()
 	for range 10 {
-		for i, cmd := range h.open {
-			if _, ok := cmd.(Read); ok {
-				h.open = append(h.open[:i:i], h.open[i+1:]...)
-				w.step(h, w.log.Answer(cmd, fakelog.Fine))
-				break
-			}
+		if i := h.calls.Read(); i >= 0 {
+			w.step(h, h.calls.Answer(i, fakelog.Fine))
 		}
 	}
 }
@@ -190,7 +174,7 @@
 func (w *world) turn(h *host) {
 	w.t.Helper()
 	w.step(h, Tick{})
-	for range len(h.open) {
+	for range h.calls.Len() {
 		w.answer(h, fakelog.Fine)
 	}
 }
@@ -202,10 +186,10 @@
 	const pace, most = 50 * time.Millisecond, 200
 	for range most {
 		w.step(h, Tick{})
-		if h.appendOpen() {
+		if h.calls.Append() >= 0 {
 			return
 		}
-		for range len(h.open) {
+		for range h.calls.Len() {
 			w.answer(h, fakelog.Fine)
 		}
 		w.now += pace
@@ -213,15 +197,6 @@
 	w.t.Fatalf("no append was sent")
 }
 
-func (h *host) appendOpen() bool {
-	for _, cmd := range h.open {
-		if _, ok := cmd.(Append); ok {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *world) own(h *host) {
 	w.t.Helper()
 	w.step(h, WantOwnership{Want: true})
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -21,7 +21,8 @@
 type Configured struct{ Teams []TeamLimit }
 
 // Waiting tells how many units the work that waits on this host needs, by team;
-// a team that is absent needs none. It replaces what was told before.
+// a team that is absent needs none. It replaces what was told before. The holder
+// keeps the map; the caller must not change it any more.
 type Waiting struct{ Units map[ident.TeamID]int64 }
 
 // Asked is another member's request, as its Ask command said.
@@ -100,8 +101,8 @@
 // Joined reports that this holder is a member.
 type Joined struct{}
 
-// Changed reports teams of which this holder can use more than before, in
-// order of name.
+// Changed reports teams of which this holder may use more than before, in order
+// of name.
 type Changed struct{ Teams []ident.TeamID }
 
 // Reclaimed reports that the dead holder's units are this holder's.
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -141,7 +141,9 @@
 // the stream, so every group below it that was not read is void.
 func (h *Holder) settle(v Verdict) {
 	num := v.Record.Num
-	h.proof.read(num)
+	if h.proof.read(num) {
+		h.touched = append(h.touched, h.fold.Teams()...)
+	}
 	for len(h.groups) > 0 && h.groups[0].last < num {
 		h.release(h.groups[0], h.groups[0].last)
 		h.groups = h.groups[1:]
@@ -164,10 +166,12 @@
 func (h *Holder) release(g *group, upTo uint64) {
 	n := 0
 	for n < len(g.gifts) && g.gifts[n].num <= upTo {
-		h.aside[g.gifts[n].team] -= g.gifts[n].units
-		if h.aside[g.gifts[n].team] == 0 {
-			delete(h.aside, g.gifts[n].team)
+		team := g.gifts[n].team
+		h.aside[team] -= g.gifts[n].units
+		if h.aside[team] == 0 {
+			delete(h.aside, team)
 		}
+		h.touched = append(h.touched, team)
 		n++
 	}
 	g.gifts = g.gifts[n:]
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -89,7 +89,8 @@
 	avoid    map[ident.HostID]bool
 	reset    bool
 
-	driftAt time.Duration // no gift without a request before this
+	driftAt time.Duration  // no gift without a request before this
+	touched []ident.TeamID // of which more may be free since the last report
 
 	now time.Duration
 	out []Command
--- a/ledger/holder_test.go
+++ b/ledger/holder_test.go
@@ -83,7 +83,8 @@
 		w.step(giver, Asked{From: taker.name, Team: acme, Units: 30, Seq: 1})
 		for range 20 {
 			w.step(giver, Tick{})
-			if w.answerAppend(giver, fate) {
+			if i := giver.calls.Append(); i >= 0 {
+				w.answer(giver, i, fate)
 				break
 			}
 			w.now += 50 * time.Millisecond
@@ -251,11 +252,11 @@
 	if n := w.use(paused, 5); n != 0 {
 		t.Fatalf("%d started after the end", n)
 	}
-	paused.open = nil
+	paused.calls.Drop()
 	w.now += time.Minute
 	w.step(paused, Tick{})
-	if len(paused.open) != 0 {
-		t.Fatalf("goes on after the end: %#v", paused.open)
+	if paused.calls.Len() != 0 {
+		t.Fatal("goes on after the end")
 	}
 }
 
--- a/ledger/proof.go
+++ b/ledger/proof.go
@@ -31,11 +31,14 @@
 	}
 }
 
-// read notes that a record of this holder with this number is in the stream.
-func (p *proof) read(num uint64) {
-	if p.pending() && p.num != 0 && num >= p.num {
-		p.done = true
+// read notes that a record of this holder with this number is in the stream. It
+// reports whether the proof stands from now on.
+func (p *proof) read(num uint64) bool {
+	if !p.pending() || p.num == 0 || num < p.num {
+		return false
 	}
+	p.done = true
+	return true
 }
 
 // leases starts or ends a proof.
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -33,10 +33,10 @@
 
 func (a actions) answer(t *rapid.T) {
 	h := a.host(t)
-	if h.dead || len(h.open) == 0 {
+	if h.dead || h.calls.Len() == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(h.open)-1).Draw(t, "call")
+	i := rapid.IntRange(0, h.calls.Len()-1).Draw(t, "call")
 	a.w.answer(h, i, fakelog.Fate(rapid.IntRange(0, fakelog.Fates-1).Draw(t, "fate")))
 }
 
@@ -52,7 +52,7 @@
 			continue
 		}
 		a.w.step(h, Tick{})
-		for range len(h.open) {
+		for range h.calls.Len() {
 			a.w.answer(h, 0, rapid.SampledFrom(fates).Draw(t, "fate"))
 		}
 	}
--- a/ledger/reading.go
+++ b/ledger/reading.go
@@ -22,10 +22,9 @@
 		h.missed()
 		return
 	}
-	var changed []ident.TeamID
 	for _, rec := range ans.Records {
 		h.reader.Take(rec.Offset)
-		changed = append(changed, h.record(rec)...)
+		h.record(rec)
 		if h.phase == phaseGone {
 			return
 		}
@@ -33,7 +32,7 @@
 	if h.phase == phaseReading && ans.AtEnd {
 		h.phase = phaseJoining
 	}
-	h.report(changed)
+	h.report()
 }
 
 // loading lets the loader find the start of reading.
@@ -84,9 +83,8 @@
 	h.emit(Dethroned{By: by})
 }
 
-// record folds one record and settles what it decides. It returns the teams
-// that it changed.
-func (h *Holder) record(rec platform.Record) []ident.TeamID {
+// record folds one record and settles what it decides.
+func (h *Holder) record(rec platform.Record) {
 	before := h.fold.snapshotAt
 	v := h.fold.Apply(rec.Offset, rec.Data)
 	if h.fold.snapshotAt != before {
@@ -101,7 +99,7 @@
 	if v.Applied {
 		h.membership(v.Record)
 	}
-	return v.Teams
+	h.touched = append(h.touched, v.Teams...)
 }
 
 // membership notes what a record in force says of this holder's place.
@@ -119,16 +117,19 @@
 	case rec.Reset != nil && h.phase == phaseMember:
 		h.dethrone(rec.Writer)
 	case rec.Reclaim != nil:
+		h.wants.forget(rec.Reclaim.Dead)
 		h.reclaimed(rec.Reclaim.Dead, rec.Writer)
 	case rec.Leave != nil:
+		h.wants.forget(rec.Writer)
 		h.reclaimed(rec.Writer, rec.Leave.To)
 	}
 }
 
 // report tells of which teams more can be used.
-func (h *Holder) report(changed []ident.TeamID) {
-	slices.Sort(changed)
-	changed = slices.Compact(changed)
+func (h *Holder) report() {
+	slices.Sort(h.touched)
+	changed := slices.Compact(h.touched)
+	h.touched = nil
 	changed = slices.DeleteFunc(changed, func(id ident.TeamID) bool { return h.Free(id) == 0 })
 	if len(changed) > 0 {
 		h.emit(Changed{Teams: changed})
--- a/ledger/wants.go
+++ b/ledger/wants.go
@@ -118,6 +118,12 @@
 	return 1
 }
 
+// forget drops what is remembered of a peer that is gone for good.
+func (w *wants) forget(peer ident.Holder) {
+	maps.DeleteFunc(w.asks, func(key askKey, _ ask) bool { return key.peer == peer })
+	maps.DeleteFunc(w.newest, func(key askKey, _ uint64) bool { return key.peer == peer })
+}
+
 // expire forgets requests that are too old.
 func (w *wants) expire(now, ttl time.Duration) {
 	maps.DeleteFunc(w.asks, func(_ askKey, a ask) bool { return now-a.at >= ttl })
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,15 +12,11 @@
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 )
 
-// TestMain gives the property tests a fixed seed and long histories, unless the
-// command line says otherwise.
+// TestMain fixes the histories of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.steps": "100"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := fakelog.FixHistories(); err != nil {
+		panic(err)
 	}
-	flag.Parse()
 	os.Exit(m.Run())
 }
 
@@ -43,9 +38,9 @@
 	holder *Holder
 	name   ident.Holder
 	zone   ident.Zone
-	leases bool             // holds a worker's lease, in truth
-	view   bool             // and as it last told the holder
-	open   []stream.Command // reads and appends that are not answered
+	leases bool // holds a worker's lease, in truth
+	view   bool // and as it last told the holder
+	calls  fakelog.Calls
 	heard  []stream.Command // everything else, in order
 	over   bool             // told to start over, or left
 	dead   bool             // the process is gone, or paused
@@ -102,6 +97,7 @@
 		holder: NewHolder(testConfig(name, zone)),
 		name:   name,
 		zone:   zone,
+		calls:  fakelog.Calls{Log: w.log},
 		claims: map[ident.Holder][]*task{},
 	}
 	w.hosts = append(w.hosts, h)
@@ -131,13 +127,10 @@
 }
 
 func (w *world) hear(h *host, cmd stream.Command) {
-	switch cmd := cmd.(type) {
-	case Append:
-		h.open = append(h.open, cmd)
-		return
-	case Read:
-		h.open = append(h.open, cmd)
+	if h.calls.Take(cmd) {
 		return
+	}
+	switch cmd := cmd.(type) {
 	case Ask:
 		w.asks = append(w.asks, sentAsk{from: h.name, ask: cmd})
 		return
@@ -154,22 +147,7 @@
 // answer answers the i-th open call of a host.
 func (w *world) answer(h *host, i int, fate fakelog.Fate) {
 	w.t.Helper()
-	cmd := h.open[i]
-	h.open = append(h.open[:i:i], h.open[i+1:]...)
-	w.step(h, w.log.Answer(cmd, fate))
-}
-
-// answerAppend answers the open append of a host and reports whether there was
-// one.
-func (w *world) answerAppend(h *host, fate fakelog.Fate) bool {
-	w.t.Helper()
-	for i, cmd := range h.open {
-		if _, ok := cmd.(Append); ok {
-			w.answer(h, i, fate)
-			return true
-		}
-	}
-	return false
+	w.step(h, h.calls.Answer(i, fate))
 }
 
 // run lets everything go well for a while.
@@ -191,7 +169,7 @@
 func (w *world) turn(h *host) {
 	w.t.Helper()
 	w.step(h, Tick{})
-	for range len(h.open) {
+	for range h.calls.Len() {
 		w.answer(h, 0, fakelog.Fine)
 	}
 }
--- a/stream/fakelog/fakelog.go
+++ b/stream/fakelog/fakelog.go
@@ -4,6 +4,8 @@
 package fakelog
 
 import (
+	"flag"
+
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
@@ -124,3 +126,70 @@
 	l.Append(cmd.Group)
 	return stream.AppendDone{Tag: cmd.Tag}
 }
+
+// Calls are the reads and appends of one machine that are not answered yet.
+type Calls struct {
+	Log  *Log
+	open []stream.Command
+}
+
+// Take keeps a read or an append, and reports false for any other command.
+func (c *Calls) Take(cmd stream.Command) bool {
+	switch cmd.(type) {
+	case stream.Append, stream.Read:
+		c.open = append(c.open, cmd)
+		return true
+	}
+	return false
+}
+
+// Len returns the number of open calls.
+func (c *Calls) Len() int { return len(c.open) }
+
+// Drop forgets all open calls.
+func (c *Calls) Drop() { c.open = nil }
+
+// Answer returns the event that answers the i-th open call.
+func (c *Calls) Answer(i int, fate Fate) stream.Event {
+	cmd := c.open[i]
+	c.open = append(c.open[:i:i], c.open[i+1:]...)
+	return c.Log.Answer(cmd, fate)
+}
+
+// Append returns the place of the open append, or -1.
+func (c *Calls) Append() int { return c.find(true) }
+
+// Read returns the place of the oldest open read, or -1.
+func (c *Calls) Read() int { return c.find(false) }
+
+func (c *Calls) find(want bool) int {
+	for i, cmd := range c.open {
+		if _, ok := cmd.(stream.Append); ok == want {
+			return i
+		}
+	}
+	return -1
+}
+
+// TakeAppend takes the open append away from the calls.
+func (c *Calls) TakeAppend() (stream.Append, bool) {
+	i := c.Append()
+	if i < 0 {
+		return stream.Append{}, false
+	}
+	cmd := c.open[i].(stream.Append)
+	c.open = append(c.open[:i:i], c.open[i+1:]...)
+	return cmd, true
+}
+
+// FixHistories gives the property tests of a package a fixed seed and long
+// histories, unless the command line says otherwise. It is called by TestMain.
+func FixHistories() error {
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			return err
+		}
+	}
+	flag.Parse()
+	return nil
+}
