--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -268,3 +268,61 @@
 		}
 	}
 }
+
+// Two hosts have different host lists and both want the stream: nothing is ever
+// accepted again, since each fence makes the other fence. Between two fences
+// there must be time to work, and everything proposed is answered.
+func TestRivalsLeaveTimeToWork(t *testing.T) {
+	w := newWorld(t, 2)
+	for _, h := range w.hosts {
+		w.step(h, WantOwnership{Want: true})
+	}
+	effective, ids := 0, map[ProposalID]*host{}
+	for range 100 {
+		for _, h := range w.hosts {
+			ids[w.propose(h, acceptance(uint64(w.lastID)+1, "", ""), 0)] = h
+		}
+		w.run(100 * time.Millisecond)
+	}
+	w.step(w.hosts[0], WantOwnership{Want: false})
+	w.run(2 * time.Second)
+	for id, h := range ids {
+		switch h.final[id].(type) {
+		case Effective:
+			effective++
+		case nil:
+			t.Fatalf("proposal %d was never answered", id)
+		}
+	}
+	if changes := len(w.hosts[0].epochs) + len(w.hosts[1].epochs); changes > 30 {
+		t.Fatalf("%d owners in 10 s", changes)
+	}
+	if effective < 50 {
+		t.Fatalf("%d of 200 proposals became effective", effective)
+	}
+}
+
+// A stream with years behind it takes long to take over. The calls to the log
+// from the wish to ownership are few, whatever came before.
+func TestTakeoverNeedsFewCalls(t *testing.T) {
+	w := newWorld(t, 2)
+	first, second := w.hosts[0], w.hosts[1]
+	w.own(first)
+	for seq := uint64(1); seq <= 300; seq++ {
+		w.shortJob(first, seq)
+	}
+	w.step(first, WantOwnership{Want: false})
+	w.run(time.Second)
+	second.owner = NewOwner(DefaultConfig(testZone, second.name))
+	w.step(second, WantOwnership{Want: true})
+	calls := 0
+	for len(second.epochs) == 0 {
+		w.step(second, Tick{})
+		w.answer(second, fakelog.Fine)
+		calls++
+	}
+	if calls > 6 {
+		t.Fatalf("%d calls to take over a stream of %d records", calls, w.log.Last())
+	}
+	t.Logf("%d calls, %d records", calls, w.log.Last())
+}
--- a/ledger/holder_test.go
+++ b/ledger/holder_test.go
@@ -272,8 +272,12 @@
 	w.lease(back, false)
 	w.prove(other, back)
 	other.dead = true
+	back.heard = nil
 	w.lease(back, true)
 	w.run(2 * time.Second)
+	if !heard[Changed](back) {
+		t.Fatal("work that waits is not told that units can be used again")
+	}
 	w.mustUse(back, 50)
 	w.wake(other)
 	w.run(2 * time.Second)
