Units in use move with the tasks when a zone's scheduling moves

Cause: the fault matrix showed jobs that waited for ever after a planned change of scheduler (list stale, process pauses): the former scheduler, alive, kept the units of the tasks it had started and heard no more of their ends. Now it asks the present scheduler, which counts an adopted task first; the units then move by one record. Ruled out: the recovery of attempts, which was complete in these cells.

--- a/engine/command.go
+++ b/engine/command.go
@@ -182,6 +182,21 @@
 	Leases []ledger.LeaseSeen
 }
 
+// AskAttempts asks the zone's scheduler about attempts that this host started.
+// The answer is an AttemptsAnswered.
+type AskAttempts struct {
+	Host     ident.HostID
+	Addr     string
+	Attempts []AskedAttempt
+}
+
+// AttemptsReply answers an AttemptsAsked, in its order.
+type AttemptsReply struct {
+	Call   uint64
+	From   ident.Holder
+	States []AttemptState
+}
+
 // ConfigReply answers a ConfigAsked with the records that follow, or with the
 // whole configuration, or with neither if there is none.
 type ConfigReply struct {
@@ -256,3 +271,5 @@
 func (ConfigFolded) isCommand()  {}
 func (Drained) isCommand()       {}
 func (ConfigReply) isCommand()   {}
+func (AskAttempts) isCommand()   {}
+func (AttemptsReply) isCommand() {}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -35,6 +35,7 @@
 	zone    *zoneScheduler // nil unless this host is the zone's scheduler
 	claims  claimBook
 	reclaim *reclaimWatch
+	left    leftBook
 
 	reports   map[lease.Key][]platform.TaskReport // of held leases, the last
 	draining  bool
@@ -70,6 +71,7 @@
 		demand:  newDemand(),
 		claims:  newClaimBook(),
 		reclaim: newReclaimWatch(opts),
+		left:    newLeftBook(),
 		reports: map[lease.Key][]platform.TaskReport{},
 
 		proposals: map[jobs.ProposalID]sentProposal{},
@@ -137,6 +139,10 @@
 		e.promiseAsked(ev)
 	case PromiseAnswered:
 		e.promiseAnswered(ev)
+	case AttemptsAsked:
+		e.attemptsAsked(ev)
+	case AttemptsAnswered:
+		e.attemptsAnswered(ev)
 	case LeasesAsked:
 		e.leasesAsked(ev)
 	case LeasesAnswered:
--- a/engine/event.go
+++ b/engine/event.go
@@ -191,6 +191,21 @@
 	After platform.Offset
 }
 
+// AttemptsAsked is the question of an earlier scheduler of the zone about
+// attempts that it started. The answer is an AttemptsReply.
+type AttemptsAsked struct {
+	Call     uint64
+	From     ident.Holder
+	Attempts []AskedAttempt
+}
+
+// AttemptsAnswered answers an AskAttempts, in its order.
+type AttemptsAnswered struct {
+	From     ident.Holder
+	Attempts []AskedAttempt
+	States   []AttemptState
+}
+
 // DrainRequested starts the planned stop of this host.
 type DrainRequested struct{}
 
@@ -214,6 +229,8 @@
 func (JobQueried) isEvent()         {}
 func (UnitsAsked) isEvent()         {}
 func (DrainRequested) isEvent()     {}
+func (AttemptsAsked) isEvent()      {}
+func (AttemptsAnswered) isEvent()   {}
 func (ConfigAsked) isEvent()        {}
 func (PromiseAsked) isEvent()       {}
 func (PromiseAnswered) isEvent()    {}
--- a/engine/options.go
+++ b/engine/options.go
@@ -32,6 +32,7 @@
 	ConfigPoll     time.Duration // longest wait of one read of the configuration; default 1 s
 	SnapshotEvery  time.Duration // between snapshots of the configuration; default 1 h
 	KeepJobs       time.Duration // how long ended jobs and their keys are remembered; default 24 h
+	ListLag        time.Duration // how far the host list may be behind; default 10 s
 	MaxRequestTime time.Duration // longest life of a request; default 60 s
 }
 
@@ -40,6 +41,7 @@
 	defaultConfigPoll     = time.Second
 	defaultSnapshotEvery  = time.Hour
 	defaultKeepJobs       = 24 * time.Hour
+	defaultListLag        = 10 * time.Second
 	defaultMaxRequestTime = time.Minute
 )
 
@@ -53,6 +55,9 @@
 	if o.KeepJobs == 0 {
 		o.KeepJobs = defaultKeepJobs
 	}
+	if o.ListLag == 0 {
+		o.ListLag = defaultListLag
+	}
 	if o.MaxRequestTime == 0 {
 		o.MaxRequestTime = defaultMaxRequestTime
 	}
--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	listed    map[ident.HostID]bool            // all hosts, as listed
 
 	proof   *ledger.Reclaimer
+	workers map[ident.WorkerID]bool // of the zone, as last told to the reclaimer
 	nextAt  time.Duration
 	askedAt time.Duration // when peers were last asked for their leases
 	left    bool          // the ledger membership has ended as asked
@@ -42,7 +44,7 @@
 		promises: map[ident.WorkerID]time.Duration{},
 		wishes:   map[ident.WorkerID]bool{},
 		listed:   map[ident.HostID]bool{},
-		proof:    ledger.NewReclaimer(opts.Self),
+		proof:    ledger.NewReclaimer(opts.Self, opts.ListLag),
 	}
 }
 
@@ -63,6 +65,7 @@
 	}
 	slices.Sort(r.zoneHosts)
 	e.stepRecovery(e.zoneHosts())
+	e.zoneWorkersListed()
 }
 
 // emitPromise asks a peer for a promise, or frees it from one.
@@ -121,6 +124,7 @@
 		return
 	}
 	e.reclaim.nextAt = e.now + reclaimEvery
+	e.tickLeft()
 	if !e.Schedules() || e.zone.recovery != nil || !e.sizesKnown() {
 		return // some tasks of the dead are not adopted yet
 	}
@@ -145,7 +149,6 @@
 	if len(suspects) == 0 {
 		return
 	}
-	e.stepReclaimer(ledger.Workers{Workers: e.zoneWorkerIDs()})
 	for _, s := range suspects {
 		e.stepReclaimer(ledger.Suspect{Holder: s})
 	}
@@ -180,13 +183,23 @@
 	return list
 }
 
-func (e *Engine) zoneWorkerIDs() []ident.WorkerID {
-	entries := e.members.Workers()
-	ids := make([]ident.WorkerID, len(entries))
-	for i, entry := range entries {
-		ids[i] = entry.Worker
+// zoneWorkersListed tells the reclaimer of the workers of the zone. One that
+// membership has given up, after the list dropped it and it was silent for
+// long, can run nothing any more.
+func (e *Engine) zoneWorkersListed() {
+	now := map[ident.WorkerID]bool{}
+	var ids []ident.WorkerID
+	for _, entry := range e.members.Workers() {
+		now[entry.Worker] = true
+		ids = append(ids, entry.Worker)
+	}
+	e.stepReclaimer(ledger.Workers{Workers: ids})
+	for _, id := range slices.Sorted(maps.Keys(e.reclaim.workers)) {
+		if !now[id] {
+			e.stepReclaimer(ledger.WorkerGone{Worker: id})
+		}
 	}
-	return ids
+	e.reclaim.workers = now
 }
 
 // heldLeases lists the leases that this host holds, with what runs under them.
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -243,6 +243,7 @@
 	if p.cmd.Result != jobs.ResultNeverStarted && p.cmd.Result != jobs.ResultLost {
 		e.ackTask(p.cmd.Attempt.Worker, taskName("", p.cmd.Attempt.Attempt))
 	}
+	e.leftOver(p.cmd.Attempt.Attempt)
 	e.settled(p.cmd.Attempt.Attempt.Job)
 }
 
@@ -297,6 +298,7 @@
 	}
 	e.note(NoteScheduler, "no longer schedules zone "+string(e.opts.Zone)+", "+ev.Owner.String()+" does")
 	old := e.zone
+	e.leave(old)
 	e.zone = e.newZone()
 	e.zone.yieldTo = e.now + yieldFor
 	e.stepOwner(jobs.WantOwnership{Want: false})
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -210,7 +210,7 @@
 // those of that scheduler until they are reclaimed.
 func (e *Engine) adopt(a *attempt) {
 	a.by = e.units.State().Heir(a.by)
-	a.borrowed = a.by != e.opts.Self
+	a.borrowed = !e.retake(a.ID) && a.by != e.opts.Self
 	e.zone.attempts[a.ID] = a
 }
 
--- a/engine/units.go
+++ b/engine/units.go
@@ -98,6 +98,10 @@
 		e.reclaimVoid(cmd.Dead)
 	case ledger.Dethroned:
 		e.dethrone(cmd.By)
+	case ledger.HandedOver:
+		e.handedOver(cmd.ID)
+	case ledger.HandOverVoid:
+		e.handOverVoid(cmd.ID)
 	case ledger.Incomplete:
 		e.note(NoteUnits, "records of the limit units expired before they were written again; no unit can be used until a snapshot or a reset")
 	case ledger.Left:
--- a/entry/core.go
+++ b/entry/core.go
@@ -92,7 +92,7 @@
 		}
 	case engine.ControlTask:
 		h.tasking.TryPush(cmd) // a control is repeated while it is needed
-	case engine.SendDigest, engine.AskUnits, engine.AskPromise, engine.AskLeases:
+	case engine.SendDigest, engine.AskUnits, engine.AskPromise, engine.AskLeases, engine.AskAttempts:
 		h.peering.TryPush(cmd) // repeated by the machine that sent it
 	default:
 		h.carryBack(cmd)
@@ -117,6 +117,8 @@
 		h.waiters.reply(cmd.Call, cmd)
 	case engine.PromiseReply:
 		h.waiters.reply(cmd.Call, cmd)
+	case engine.AttemptsReply:
+		h.waiters.reply(cmd.Call, cmd)
 	case engine.LeasesReply:
 		h.waiters.reply(cmd.Call, cmd)
 	case engine.JobDone:
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -121,6 +121,8 @@
 		h.askPromise(ctx, cmd)
 	case engine.AskLeases:
 		h.askLeases(ctx, cmd)
+	case engine.AskAttempts:
+		h.askAttempts(ctx, cmd)
 	}
 }
 
@@ -203,6 +205,22 @@
 	})
 }
 
+func (h *Host) askAttempts(ctx context.Context, cmd engine.AskAttempts) {
+	res, err := h.peers.At(cmd.Addr).SettleAttempts(ctx, connect.NewRequest(&peerv1.SettleAttemptsRequest{
+		From:     toWireHolder(h.self),
+		Attempts: toWireAttempts(cmd.Attempts),
+	}))
+	if err != nil {
+		h.metrics.peerFailed.Inc(1)
+		return
+	}
+	ev := engine.AttemptsAnswered{From: fromWireHolder(res.Msg.GetFrom()), Attempts: cmd.Attempts}
+	for _, state := range res.Msg.GetStates() {
+		ev.States = append(ev.States, engine.AttemptState(state))
+	}
+	h.push(ev)
+}
+
 func (h *Host) askLeases(ctx context.Context, cmd engine.AskLeases) {
 	res, err := h.peers.At(cmd.Addr).ListLeases(ctx, connect.NewRequest(&peerv1.ListLeasesRequest{}))
 	if err != nil {
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -124,6 +124,26 @@
 	return connect.NewResponse(&peerv1.PromiseResponse{Given: reply.Given, From: toWireHolder(reply.From)}), nil
 }
 
+// SettleAttempts implements peerv1.PeerServiceHandler.
+func (s *peerServer) SettleAttempts(ctx context.Context, req *connect.Request[peerv1.SettleAttemptsRequest]) (*connect.Response[peerv1.SettleAttemptsResponse], error) {
+	asked, err := fromWireAttempts(req.Msg.GetAttempts())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	cmd, err := s.ask(ctx, func(call uint64) engine.Event {
+		return engine.AttemptsAsked{Call: call, From: fromWireHolder(req.Msg.GetFrom()), Attempts: asked}
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply, _ := cmd.(engine.AttemptsReply)
+	res := &peerv1.SettleAttemptsResponse{From: toWireHolder(reply.From)}
+	for _, state := range reply.States {
+		res.States = append(res.States, string(state))
+	}
+	return connect.NewResponse(res), nil
+}
+
 // ListLeases implements peerv1.PeerServiceHandler.
 func (s *peerServer) ListLeases(ctx context.Context, _ *connect.Request[peerv1.ListLeasesRequest]) (*connect.Response[peerv1.ListLeasesResponse], error) {
 	cmd, err := s.ask(ctx, func(call uint64) engine.Event { return engine.LeasesAsked{Call: call} })
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -146,6 +146,28 @@
 	return leases
 }
 
+func toWireAttempts(asked []engine.AskedAttempt) []*peerv1.AskedAttempt {
+	list := make([]*peerv1.AskedAttempt, 0, len(asked))
+	for _, a := range asked {
+		list = append(list, &peerv1.AskedAttempt{Id: a.ID.String(), Service: string(a.Service)})
+	}
+	return list
+}
+
+// fromWireAttempts returns an *ident.MalformedIDError for an identifier that
+// is none.
+func fromWireAttempts(list []*peerv1.AskedAttempt) ([]engine.AskedAttempt, error) {
+	asked := make([]engine.AskedAttempt, 0, len(list))
+	for _, a := range list {
+		id, err := ident.ParseAttemptID(a.GetId())
+		if err != nil {
+			return nil, err
+		}
+		asked = append(asked, engine.AskedAttempt{ID: id, Service: ident.ServiceID(a.GetService())})
+	}
+	return asked, nil
+}
+
 func fromWireJobCall(msg *peerv1.CallJobRequest, now time.Duration) jobCall {
 	return jobCall{
 		verb:     jobVerb(msg.GetVerb()),
--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -50,7 +50,8 @@
 	}
 	h.eng = engine.New(engine.Options{
 		Self: holder, Zone: zone, Zones: zones, Addr: string(holder.Host), Seed: uint64(holder.Incarnation),
-		Lease: lease.Options{TTL: leaseTTL, TaskTTL: taskTTL, Drift: driftMax},
+		Lease:   lease.Options{TTL: leaseTTL, TaskTTL: taskTTL, Drift: driftMax},
+		ListLag: 2 * listLag,
 	})
 	return h
 }
@@ -178,3 +179,6 @@
 	h.die()
 	h.w.list.Change(h.w.Now(), standin.HostChange{GoneHosts: []ident.HostID{h.id}})
 }
+
+// listLag is how far the host list is behind.
+const listLag = time.Second
--- a/faultmatrix/peers.go
+++ b/faultmatrix/peers.go
@@ -24,6 +24,10 @@
 		h.askPromise(cmd)
 	case engine.AskLeases:
 		h.askLeases(cmd)
+	case engine.AskAttempts:
+		h.askAttempts(cmd)
+	case engine.AttemptsReply:
+		h.answered(cmd.Call, cmd)
 	case engine.PromiseReply:
 		h.answered(cmd.Call, cmd)
 	case engine.LeasesReply:
@@ -94,6 +98,16 @@
 	})
 }
 
+func (h *host) askAttempts(cmd engine.AskAttempts) {
+	h.peer(cmd, cmd.Host, func(p *host, answer func(any)) {
+		p.step(engine.AttemptsAsked{Call: p.ask(answer), From: h.holder, Attempts: cmd.Attempts})
+	}, func(v any, err error) {
+		if reply, ok := v.(engine.AttemptsReply); ok && err == nil {
+			h.step(engine.AttemptsAnswered{From: reply.From, Attempts: cmd.Attempts, States: reply.States})
+		}
+	})
+}
+
 func (h *host) askLeases(cmd engine.AskLeases) {
 	h.peer(cmd, cmd.Host, func(p *host, answer func(any)) {
 		p.step(engine.LeasesAsked{Call: p.ask(answer)})
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -65,7 +65,7 @@
 	w := &World{
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		log:     standin.NewLogState(standin.LogConfig{}),
-		list:    standin.NewHostListState(time.Second),
+		list:    standin.NewHostListState(listLag),
 		audit:   standin.NewAudit(),
 		workers: map[ident.WorkerID]*standin.WorkerState{},
 		places:  map[ident.WorkerID]ident.Zone{},
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -47,9 +47,9 @@
 //
 // It guards against units used by two holders: from here on this holder does
 // not use them, whatever becomes of the append.
-func (d *draft) addMoves(m Moves) {
+func (d *draft) addMoves(m Moves) bool {
 	if !d.add(Record{Moves: &m}) {
-		return
+		return false
 	}
 	for _, g := range m.Transfers {
 		d.setAside(g.Team, g.Units)
@@ -57,6 +57,7 @@
 	for _, b := range m.GiveBacks {
 		d.setAside(b.Team, b.Units)
 	}
+	return true
 }
 
 func (d *draft) setAside(team ident.TeamID, units int64) {
@@ -103,6 +104,7 @@
 func (h *Holder) draftMember(d *draft) {
 	h.draftLimits(d)
 	h.draftReclaims(d)
+	h.draftHandOvers(d)
 	h.draftMoves(d)
 	h.draftLeave(d)
 	h.draftSnapshot(d)
@@ -121,7 +123,7 @@
 // urgent reports whether somebody waits for the next append.
 func (h *Holder) urgent() bool {
 	return h.phase == phaseJoining || len(h.groups) > 0 || h.proof.needsRecord() ||
-		len(h.wants.asks) > 0 || len(h.reclaims) > 0 || h.leaving || h.limit.open || h.overLimit()
+		len(h.wants.asks) > 0 || len(h.reclaims) > 0 || len(h.handing) > 0 || h.leaving || h.limit.open || h.overLimit()
 }
 
 // sendReset empties the ledger by an operator's order.
@@ -206,6 +208,7 @@
 		return
 	}
 	h.release(g, g.last)
+	h.unsendHandOvers(g.first)
 	h.groups = h.groups[:len(h.groups)-1]
 	if h.proof.num >= g.first {
 		h.proof.num = 0
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -85,6 +85,7 @@
 	snap  snapshots
 
 	reclaims map[ident.Holder]*pendingReclaim
+	handing  []*pendingHandOver
 	leaving  bool
 	avoid    map[ident.HostID]bool
 	reset    bool
@@ -143,6 +144,8 @@
 		h.leases(ev.Any)
 	case ReclaimProved:
 		h.reclaimProved(ev)
+	case HandOver:
+		h.handing = append(h.handing, &pendingHandOver{HandOver: ev})
 	case Leaving:
 		h.leaving = true
 		for _, host := range ev.Avoid {
--- a/peer/peerv1/peer.connect.go
+++ b/peer/peerv1/peer.connect.go
@@ -49,6 +49,9 @@
 	PeerServiceInspectProcedure = "/fireflyfold.peer.v1.PeerService/Inspect"
 	// PeerServicePromiseProcedure is the fully-qualified name of the PeerService's Promise RPC.
 	PeerServicePromiseProcedure = "/fireflyfold.peer.v1.PeerService/Promise"
+	// PeerServiceSettleAttemptsProcedure is the fully-qualified name of the PeerService's
+	// SettleAttempts RPC.
+	PeerServiceSettleAttemptsProcedure = "/fireflyfold.peer.v1.PeerService/SettleAttempts"
 	// PeerServiceListLeasesProcedure is the fully-qualified name of the PeerService's ListLeases RPC.
 	PeerServiceListLeasesProcedure = "/fireflyfold.peer.v1.PeerService/ListLeases"
 )
@@ -70,6 +73,9 @@
 	Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error)
 	// Promise asks the called host not to hold the compute lease of a worker.
 	Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error)
+	// SettleAttempts tells an earlier scheduler of the zone what became of the
+	// attempts that it started.
+	SettleAttempts(context.Context, *connect.Request[SettleAttemptsRequest]) (*connect.Response[SettleAttemptsResponse], error)
 	// ListLeases tells which control leases the called host holds.
 	ListLeases(context.Context, *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error)
 }
@@ -127,6 +133,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Promise")),
 			connect.WithClientOptions(opts...),
 		),
+		settleAttempts: connect.NewClient[SettleAttemptsRequest, SettleAttemptsResponse](
+			httpClient,
+			baseURL+PeerServiceSettleAttemptsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("SettleAttempts")),
+			connect.WithClientOptions(opts...),
+		),
 		listLeases: connect.NewClient[ListLeasesRequest, ListLeasesResponse](
 			httpClient,
 			baseURL+PeerServiceListLeasesProcedure,
@@ -138,14 +150,15 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange   *connect.Client[ExchangeRequest, ExchangeResponse]
-	forward    *connect.Client[ForwardRequest, ForwardResponse]
-	callJob    *connect.Client[CallJobRequest, CallJobResponse]
-	askUnits   *connect.Client[AskUnitsRequest, AskUnitsResponse]
-	readConfig *connect.Client[ReadConfigRequest, ReadConfigResponse]
-	inspect    *connect.Client[InspectRequest, InspectResponse]
-	promise    *connect.Client[PromiseRequest, PromiseResponse]
-	listLeases *connect.Client[ListLeasesRequest, ListLeasesResponse]
+	exchange       *connect.Client[ExchangeRequest, ExchangeResponse]
+	forward        *connect.Client[ForwardRequest, ForwardResponse]
+	callJob        *connect.Client[CallJobRequest, CallJobResponse]
+	askUnits       *connect.Client[AskUnitsRequest, AskUnitsResponse]
+	readConfig     *connect.Client[ReadConfigRequest, ReadConfigResponse]
+	inspect        *connect.Client[InspectRequest, InspectResponse]
+	promise        *connect.Client[PromiseRequest, PromiseResponse]
+	settleAttempts *connect.Client[SettleAttemptsRequest, SettleAttemptsResponse]
+	listLeases     *connect.Client[ListLeasesRequest, ListLeasesResponse]
 }
 
 // Exchange calls fireflyfold.peer.v1.PeerService.Exchange.
@@ -183,6 +196,11 @@
 	return c.promise.CallUnary(ctx, req)
 }
 
+// SettleAttempts calls fireflyfold.peer.v1.PeerService.SettleAttempts.
+func (c *peerServiceClient) SettleAttempts(ctx context.Context, req *connect.Request[SettleAttemptsRequest]) (*connect.Response[SettleAttemptsResponse], error) {
+	return c.settleAttempts.CallUnary(ctx, req)
+}
+
 // ListLeases calls fireflyfold.peer.v1.PeerService.ListLeases.
 func (c *peerServiceClient) ListLeases(ctx context.Context, req *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error) {
 	return c.listLeases.CallUnary(ctx, req)
@@ -205,6 +223,9 @@
 	Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error)
 	// Promise asks the called host not to hold the compute lease of a worker.
 	Promise(context.Context, *connect.Request[PromiseRequest]) (*connect.Response[PromiseResponse], error)
+	// SettleAttempts tells an earlier scheduler of the zone what became of the
+	// attempts that it started.
+	SettleAttempts(context.Context, *connect.Request[SettleAttemptsRequest]) (*connect.Response[SettleAttemptsResponse], error)
 	// ListLeases tells which control leases the called host holds.
 	ListLeases(context.Context, *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error)
 }
@@ -258,6 +279,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Promise")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSettleAttemptsHandler := connect.NewUnaryHandler(
+		PeerServiceSettleAttemptsProcedure,
+		svc.SettleAttempts,
+		connect.WithSchema(peerServiceMethods.ByName("SettleAttempts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceListLeasesHandler := connect.NewUnaryHandler(
 		PeerServiceListLeasesProcedure,
 		svc.ListLeases,
@@ -280,6 +307,8 @@
 			peerServiceInspectHandler.ServeHTTP(w, r)
 		case PeerServicePromiseProcedure:
 			peerServicePromiseHandler.ServeHTTP(w, r)
+		case PeerServiceSettleAttemptsProcedure:
+			peerServiceSettleAttemptsHandler.ServeHTTP(w, r)
 		case PeerServiceListLeasesProcedure:
 			peerServiceListLeasesHandler.ServeHTTP(w, r)
 		default:
@@ -319,6 +348,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.Promise is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) SettleAttempts(context.Context, *connect.Request[SettleAttemptsRequest]) (*connect.Response[SettleAttemptsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.SettleAttempts is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) ListLeases(context.Context, *connect.Request[ListLeasesRequest]) (*connect.Response[ListLeasesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fireflyfold.peer.v1.PeerService.ListLeases is not implemented"))
 }
