A forwarded request is taken once, also after it has ended

The second copy of a forward came after the first had ended, when nothing remembered it. TestDoubledForwardRunsOnce was red before.

--- a/engine/options.go
+++ b/engine/options.go
@@ -80,5 +80,6 @@
 	o.Member.Addr = o.Addr
 	o.Member.Seed = o.Seed
 	o.Request.Zone = o.Zone
+	o.Request.Remember = 2 * o.MaxRequestTime // as long again for a message on its way
 	return o
 }
--- a/request/router.go
+++ b/request/router.go
@@ -26,6 +26,9 @@
 	MaxTries   int           // sends of one request; default 3
 	MaxHops    int           // forwards of one request; default 2
 	PeerTTL    time.Duration // how long a peer's room is believed; default 3 s
+	// Remember is how long the identifier of a forwarded request is known: the
+	// longest life of a request, on its way included; default 2 min.
+	Remember time.Duration
 }
 
 // Defaults of Options.
@@ -34,6 +37,7 @@
 	defaultMaxTries   = 3
 	defaultMaxHops    = 2
 	defaultPeerTTL    = 3 * time.Second
+	defaultRemember   = 2 * time.Minute
 )
 
 // UnitsOfRequest is what one request uses of its team's limit.
@@ -46,6 +50,7 @@
 	workers  []*worker // sorted by id
 	byID     map[ident.WorkerID]*worker
 	calls    map[ident.TaskID]*call
+	taken    *takenBook
 	teams    map[ident.TeamID]*teamQueue
 	order    []*teamQueue // sorted by team
 	peers    map[ident.HostID]*peer
@@ -77,7 +82,11 @@
 	if opts.PeerTTL <= 0 {
 		opts.PeerTTL = defaultPeerTTL
 	}
+	if opts.Remember <= 0 {
+		opts.Remember = defaultRemember
+	}
 	return &Router{
+		taken:    newTakenBook(opts.Remember),
 		opts:     opts,
 		byID:     map[ident.WorkerID]*worker{},
 		calls:    map[ident.TaskID]*call{},
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// A forwarded approval is doubled on its way. The first copy runs to its end;
+// the second arrives later, when no call of that name is in flight, and must
+// not run again.
+func TestDoubledForwardRunsOnce(t *testing.T) {
+	r := newRouter(newLimits(10), 4, Options{})
+	ev := admitted(1, "t", true)
+	ev.Hops = 1
+	only[Dispatch](t, r.Step(0, ev))
+	only[Complete](t, r.Step(time.Second, Finished{ID: ev.ID, Result: ResultAnswered}))
+	reject := only[Reject](t, r.Step(2*time.Second, ev))
+	if reject.Cause.Outcome() != work.OutcomeUnknown {
+		t.Errorf("outcome %v, want unknown", reject.Cause.Outcome())
+	}
+}
+
 // An idempotent request is lost on its first worker, is to be tried again, and
 // finds too many waiting. Its caller is refused for want of room, but must not
 // be told that it did not run: the first try may have.
--- a/request/step.go
+++ b/request/step.go
@@ -14,7 +14,11 @@
 
 func (r *Router) admit(now time.Duration, ev Admitted) {
 	c := &call{Admitted: ev, at: now}
-	if _, taken := r.calls[ev.ID]; taken {
+	if ev.Hops > 0 && r.taken.full() {
+		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: CauseOverload, RetryAfter: minRetryAfter}})
+		return
+	}
+	if r.duplicate(now, ev) {
 		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: CauseDuplicate}})
 		return
 	}
@@ -29,6 +33,14 @@
 	}
 }
 
+// duplicate reports whether the identifier was taken before.
+func (r *Router) duplicate(now time.Duration, ev Admitted) bool {
+	if _, running := r.calls[ev.ID]; running {
+		return true
+	}
+	return ev.Hops > 0 && !r.taken.take(now, ev.ID)
+}
+
 // enqueue lets c wait, unless too much waits already. The bound is shared in
 // proportion to weight among the teams that wait, so that one team's flood is
 // refused at its own part and leaves the others theirs.
