Bound the memory of a long outage; back off after failed appends

Cause: each append of a log outage kept an entry for every cancellation in it. After: cancellations are found by job and number when they are read; the pause doubles up to 16 times.

--- a/jobs/group.go
+++ b/jobs/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
@@ -15,11 +16,11 @@
 	entries     []entry
 }
 
-// entry is a record of a group that speaks for a proposal.
+// entry is a record of a group that carries a proposal. Cancellations have none:
+// while the log is out of reach for hours they are sent many times.
 type entry struct {
 	num      uint64
 	proposal *proposal
-	cancels  bool // the record cancels the proposed job
 }
 
 // draft collects the records of the next group.
@@ -53,17 +54,24 @@
 	return true
 }
 
-// addFor adds a record that speaks for a proposal: its body, or a cancellation.
-func (d *draft) addFor(p *proposal, body Record, cancels bool) bool {
-	if !d.add(body) {
+// addProposal adds the record that a proposal wants.
+func (d *draft) addProposal(p *proposal) bool {
+	if !d.add(p.body) {
 		return false
 	}
-	if cancels {
-		p.doomed = true
-	} else {
-		p.open = true
+	p.open = true
+	d.group.entries = append(d.group.entries, entry{num: d.owner.num, proposal: p})
+	return true
+}
+
+// addCancellation adds a record that makes sure that an acceptance does not run.
+func (d *draft) addCancellation(p *proposal) bool {
+	if !d.add(p.cancellation()) {
+		return false
+	}
+	if p.doomed == 0 {
+		p.doomed = d.owner.num
 	}
-	d.group.entries = append(d.group.entries, entry{num: d.owner.num, proposal: p, cancels: cancels})
 	return true
 }
 
@@ -112,13 +120,13 @@
 // addProposals adds what waits, oldest first.
 func (o *Owner) addProposals(d *draft) {
 	for _, p := range o.tray.order() {
+		fits := false
 		if p.landed {
-			if !d.addFor(p, p.cancellation(), true) {
-				return
-			}
-			continue
+			fits = d.addCancellation(p)
+		} else {
+			fits = d.addProposal(p)
 		}
-		if !d.addFor(p, p.body, false) {
+		if !fits {
 			return
 		}
 	}
@@ -131,8 +139,8 @@
 		if p.body.Accepted == nil || !p.sent() {
 			continue
 		}
-		over := p.doomed || p.expired && !p.hasLiveFollower()
-		if over && !d.addFor(p, p.cancellation(), true) {
+		over := p.doomed > 0 || p.expired && !p.hasLiveFollower()
+		if over && !d.addCancellation(p) {
 			return
 		}
 	}
@@ -208,6 +216,9 @@
 		o.groups = o.groups[1:]
 		o.takeBack(g)
 	}
+	if c := v.Record.Cancelled; c != nil {
+		o.settleCancelled(c.Job, num)
+	}
 	if len(o.groups) == 0 || num < o.groups[0].first {
 		return
 	}
@@ -222,12 +233,21 @@
 	}
 }
 
+// settleCancelled ends the acceptance that a cancellation of this host followed:
+// it was read before and is cancelled now, or was not and is void.
+func (o *Owner) settleCancelled(job ident.JobID, num uint64) {
+	p := o.tray.jobs[job]
+	if p != nil && p.doomed > 0 && num >= p.doomed {
+		o.void(p, Void{Reason: VoidExpired})
+	}
+}
+
 // takeBack handles a group that is not in the stream and never will be. What it
 // carried goes into a later one, if it is still wanted.
 func (o *Owner) takeBack(g *group) {
 	for _, e := range g.entries {
 		p := e.proposal
-		if p.settled || e.cancels {
+		if p.settled {
 			continue
 		}
 		p.open = false
--- a/jobs/proposal.go
+++ b/jobs/proposal.go
@@ -19,9 +19,9 @@
 	told    bool // Undecided was reported
 	settled bool // its final command was given
 
-	// doomed is set once a cancellation was sent, while its record was open. A
-	// repeat of its key then stands for itself.
-	doomed   bool
+	// doomed is the number of the first cancellation that followed it, while its
+	// record was open; zero for none. A repeat of its key then stands for itself.
+	doomed   uint64
 	landed   bool // its record is in force until the cancellation is
 	landedAt platform.Offset
 
@@ -71,7 +71,7 @@
 	byID      map[ProposalID]*proposal
 	list      []*proposal // leaders, oldest first; settled ones are skipped
 	keys      map[KeyHash]*proposal
-	jobs      map[ident.JobID]bool // whose acceptance is proposed
+	jobs      map[ident.JobID]*proposal // acceptances, by job
 	deadlines deadlines
 }
 
@@ -79,7 +79,7 @@
 	return tray{
 		byID: map[ProposalID]*proposal{},
 		keys: map[KeyHash]*proposal{},
-		jobs: map[ident.JobID]bool{},
+		jobs: map[ident.JobID]*proposal{},
 	}
 }
 
@@ -88,7 +88,7 @@
 func (t *tray) put(p *proposal) {
 	t.byID[p.id] = p
 	if p.body.Accepted != nil {
-		t.jobs[p.body.Accepted.Job] = true
+		t.jobs[p.body.Accepted.Job] = p
 	}
 	if p.deadline > 0 {
 		heap.Push(&t.deadlines, p)
--- a/jobs/propose.go
+++ b/jobs/propose.go
@@ -32,7 +32,7 @@
 		return Void{Reason: VoidFull, RetryAfter: o.cfg.RetryInterval}, true
 	case o.tooLarge(p.body):
 		return Void{Reason: VoidTooLarge}, true
-	case o.tray.jobs[subject(p.body)]:
+	case o.tray.jobs[subject(p.body)] != nil:
 		return Void{Reason: VoidRejected, Reject: RejectNoJob}, true
 	}
 	return Void{}, false
@@ -92,12 +92,12 @@
 		o.emit(Existing{ID: p.id, Job: a.Job})
 		return true
 	}
-	if o.tray.jobs[a.Job] {
+	if o.tray.jobs[a.Job] != nil {
 		o.emit(Void{ID: p.id, Reason: VoidRejected, Reject: RejectKnown})
 		return true
 	}
 	leader := o.tray.keys[a.Key]
-	if a.Key == "" || leader != nil && leader.doomed {
+	if a.Key == "" || leader != nil && leader.doomed > 0 {
 		return false
 	}
 	if j := o.fold.ByKey(a.Key); j != nil {
@@ -207,9 +207,7 @@
 	p := e.proposal
 	switch {
 	case p.settled:
-	case e.cancels:
-		o.void(p, Void{Reason: VoidExpired})
-	case v.Applied && p.doomed:
+	case v.Applied && p.doomed > 0:
 		p.open = false
 		p.landed = true
 		p.landedAt = at
--- a/stream/appender.go
+++ b/stream/appender.go
@@ -9,15 +9,19 @@
 // Appender keeps at most one append open and spaces them.
 type Appender struct {
 	Stream platform.Stream
-	Retry  time.Duration // before the next append after a failure
+	Retry  time.Duration // before the next append after a failure, doubled with each further one
 
 	tag    Tag
 	open   bool
 	sentAt time.Duration
 	sent   bool // any append so far
 	holdTo time.Duration
+	fails  int // in a row
 }
 
+// mostDoublings bounds how the pause after failures grows: to 16 times Retry.
+const mostDoublings = 4
+
 // Ready reports whether a group may be sent now, at least interval after the
 // one before.
 func (a *Appender) Ready(now, interval time.Duration) bool {
@@ -41,6 +45,14 @@
 
 // Done takes the success of an append and reports whether it was the open one.
 func (a *Appender) Done(tag Tag) bool {
+	if !a.close(tag) {
+		return false
+	}
+	a.fails = 0
+	return true
+}
+
+func (a *Appender) close(tag Tag) bool {
 	if !a.open || tag != a.tag {
 		return false
 	}
@@ -50,9 +62,10 @@
 
 // Failed takes the failure of an append and reports whether it was the open one.
 func (a *Appender) Failed(now time.Duration, tag Tag) bool {
-	if !a.Done(tag) {
+	if !a.close(tag) {
 		return false
 	}
-	a.holdTo = now + a.Retry
+	a.holdTo = now + a.Retry<<min(a.fails, mostDoublings)
+	a.fails++
 	return true
 }
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -127,8 +127,12 @@
 	if !a.Failed(10*time.Second, first.Tag) || a.Ready(10500*time.Millisecond, 0) || !a.Ready(11*time.Second, 0) {
 		t.Fatal("wrong pause after a failure")
 	}
-	second := a.Send(11*time.Second, nil)
-	if !a.Done(second.Tag) || a.Ready(11*time.Second, time.Second) || !a.Ready(12*time.Second, time.Second) {
+	again := a.Send(11*time.Second, nil)
+	if !a.Failed(11*time.Second, again.Tag) || a.Ready(12900*time.Millisecond, 0) || !a.Ready(13*time.Second, 0) {
+		t.Fatal("the pause does not grow with failures in a row")
+	}
+	second := a.Send(13*time.Second, nil)
+	if !a.Done(second.Tag) || a.Ready(13*time.Second, time.Second) || !a.Ready(14*time.Second, time.Second) {
 		t.Fatal("wrong pause after a success")
 	}
 }
