--- a/ledger/events.go
+++ b/ledger/events.go
@@ -108,8 +108,9 @@
 // Reclaimed reports that the dead holder's units are this holder's.
 type Reclaimed struct{ Dead ident.Holder }
 
-// ReclaimVoid reports that a reclaim had no effect: somebody else came first.
-// The adopted tasks' units are no longer counted here.
+// ReclaimVoid reports that a reclaim had no effect: somebody else came first, the
+// holder is alive, or this one is no member. The adopted tasks' units are not, or
+// no longer, counted here.
 type ReclaimVoid struct{ Dead ident.Holder }
 
 // Dethroned reports that another member has taken over this holder's units, or
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -188,10 +188,12 @@
 	return true
 }
 
-// Done returns the units of a task that has ended or was not started.
+// Done returns the units of a task that has ended or was not started. Units
+// beyond those in use are ignored: counted below zero they would let work start
+// that no unit covers.
 func (h *Holder) Done(team ident.TeamID, units int64) {
 	h.used[team] -= units
-	if h.used[team] == 0 {
+	if h.used[team] <= 0 {
 		delete(h.used, team)
 	}
 }
--- a/ledger/holder_test.go
+++ b/ledger/holder_test.go
@@ -260,6 +260,25 @@
 	}
 }
 
+// A scheduler that has not joined yet is handed a proof, runs the dead host's
+// tasks, and counts their end as units that it never had: work starts that no
+// unit covers. It must be told that the reclaim had no effect.
+func TestReclaimByStrangerIsVoid(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	stranger := w.birth("a")
+	w.step(stranger, ReclaimProved{Dead: w.hosts[0].name, Adopted: map[ident.TeamID]int64{acme: 7}})
+	if !heard[ReclaimVoid](stranger) || stranger.holder.Used(acme) != 0 {
+		t.Fatalf("uses %d", stranger.holder.Used(acme))
+	}
+	stranger.holder.Done(acme, 7)
+	if used := stranger.holder.Used(acme); used != 0 {
+		t.Fatalf("uses %d", used)
+	}
+}
+
 // The proof that a host is dead stands, and before the reclaim lands the host
 // comes back, gets a lease, reads that nobody took its units, and uses them;
 // then the reclaim lands. The record that the host writes must void it.
--- a/ledger/reclaiming.go
+++ b/ledger/reclaiming.go
@@ -17,13 +17,14 @@
 func compareTeams(a, b ident.TeamID) int { return cmp.Compare(a, b) }
 
 // reclaimProved takes a proof. The adopted tasks count as used at once, before
-// their units are here: that holds back new work, and never allows any.
+// their units are here: that holds back new work, and never allows any. A second
+// proof of the same death is dropped while the first is not settled.
 func (h *Holder) reclaimProved(ev ReclaimProved) {
 	m := h.fold.members[ev.Dead]
-	if h.phase != phaseMember || h.reclaims[ev.Dead] != nil {
+	if h.reclaims[ev.Dead] != nil {
 		return
 	}
-	if m == nil || m.gone {
+	if h.phase != phaseMember || m == nil || m.gone {
 		h.emit(ReclaimVoid{Dead: ev.Dead})
 		return
 	}
