--- a/lease/answer.go
+++ b/lease/answer.go
@@ -13,9 +13,12 @@
 // left of its span, one that comes twice gives nothing, and one of an epoch
 // that was released, refused or replaced is dropped.
 func (m *Manager) granted(now time.Duration, c *control, ev Granted) {
-	m.answered(c, ev.SentAt, true)
+	current := m.answered(c, ev.SentAt, true)
 	until := ev.SentAt + m.span
 	if ev.Grant.Epoch < c.floor || now >= until {
+		if current {
+			m.backOff(now, c) // asking again at once could go on for ever
+		}
 		return
 	}
 	if c.holding() && ev.Grant.Epoch == c.epoch {
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -94,11 +94,13 @@
 		h.After(time.Second, h.disturb)
 		return
 	}
-	switch rapid.SampledFrom([]string{"want", "unwant", "pause", "nothing"}).Draw(h.t, "fault") {
+	switch rapid.SampledFrom([]string{"want", "unwant", "pause", "presume", "nothing"}).Draw(h.t, "fault") {
 	case "want":
 		h.tell(n, Want{Key: rapid.SampledFrom(h.keys).Draw(h.t, "key"), Wanted: true})
 	case "unwant":
 		h.tell(n, Want{Key: rapid.SampledFrom(h.keys).Draw(h.t, "key"), Wanted: false})
+	case "presume":
+		h.tell(n, Presumed{Holder: h.nodes[rapid.IntRange(0, len(h.nodes)-1).Draw(h.t, "gone")].holder, Gone: rapid.Bool().Draw(h.t, "presumed")})
 	case "pause":
 		n.paused = h.Now() + time.Duration(rapid.SampledFrom([]int{500, 3000, 9000}).Draw(h.t, "pause ms"))*time.Millisecond
 	}
@@ -206,6 +208,7 @@
 		}
 	}
 	h.nodes[0].dead = true
+	h.presume()
 	h.play(h.Now() + takeover)
 	for _, key := range h.keys {
 		if !h.held(key) {
@@ -214,6 +217,16 @@
 	}
 }
 
+// presume tells every living host, again and again, who is gone.
+func (h *history) presume() {
+	for _, n := range h.nodes {
+		for _, other := range h.nodes {
+			h.tell(n, Presumed{Holder: other.holder, Gone: other.dead})
+		}
+	}
+	h.After(time.Second, h.presume)
+}
+
 func (h *history) held(key Key) bool {
 	for _, n := range h.nodes {
 		if _, ok := n.arb.Epoch(key, n.local(h.Now())); ok && !n.dead {
--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -186,3 +186,14 @@
 		t.Fatal(diff)
 	}
 }
+
+// A worker that lost its memory grants an epoch that it refused before. Asking
+// again at once would send requests as fast as the network carries them.
+func TestUselessGrantBacksOff(t *testing.T) {
+	m := gainedAt(t, 0)
+	m.Step(time.Second, EpochRefused{Key: testKey, Epoch: 3}) // acquires
+	if cmds := m.Step(1001*time.Millisecond, grant(time.Second, 3)); len(cmds) != 0 {
+		t.Errorf("a grant of a refused epoch caused %#v", cmds)
+	}
+	wantEpoch(t, m, 1001*time.Millisecond, 0)
+}
