--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -17,11 +17,7 @@
 	w.own(w.hosts[0])
 	id := w.propose(w.hosts[0], acceptance(1, "", ""), 0)
 	w.runUntilAppend(w.hosts[0])
-	fence, err := Encode(Record{Fence: &Fence{Owner: w.hosts[1].name}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	w.log.Append([][]byte{fence})
+	w.fence(w.hosts[1])
 	w.answerAppend(w.hosts[0], fakelog.Fine)
 	if len(w.hosts[0].final) != 0 {
 		t.Fatalf("settled before it was read back: %#v", w.hosts[0].final)
@@ -79,7 +75,7 @@
 		w.own(h)
 		id := w.propose(h, acceptance(1, "k", "f"), 300*time.Millisecond)
 		w.runUntilAppend(h)
-		h.open = h.open[:0:0]
+		h.calls.Drop()
 		w.now += time.Second
 		w.step(h, Tick{})
 		if len(h.final) != 0 || !h.told[id] {
@@ -118,7 +114,7 @@
 	first := w.propose(h, acceptance(1, "", ""), 200*time.Millisecond)
 	for range 20 {
 		w.step(h, Tick{})
-		for range len(h.open) {
+		for range h.calls.Len() {
 			w.answer(h, fakelog.Refused)
 		}
 		w.now += 50 * time.Millisecond
@@ -202,3 +198,131 @@
 		t.Fatalf("last command %#v", last)
 	}
 }
+
+// A caller hung up and is told "not run"; its job had landed, nobody knew, and
+// it is assigned while its cancellation is on its way. Order: the group lands
+// without an answer, the deadline passes, the cancellation is sent, the group is
+// read. Until the cancellation is read nothing may be proposed about the job; if
+// ownership is lost before, the job counts and the caller is told so.
+func TestExpiredAcceptanceThatLanded(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		w := newWorld(t, 2)
+		h := w.hosts[0]
+		w.own(h)
+		id := w.propose(h, acceptance(1, "k", "f"), 200*time.Millisecond)
+		w.runUntilAppend(h)
+		append1 := w.takeAppend(h)
+		w.now += time.Second
+		w.step(h, Tick{})
+		w.step(h, w.log.Answer(append1, fakelog.RequestLost))
+		w.now += time.Second
+		w.step(h, Tick{})
+		if h.calls.Append() < 0 {
+			t.Fatal("no cancellation was sent")
+		}
+		w.log.Append(append1.Group)
+		w.answerReads(h)
+		if h.owner.State().Job(jobID(1)) == nil || h.final[id] != nil {
+			t.Fatalf("setting up: %#v", h.final[id])
+		}
+		assigned := w.propose(h, assignment(1, 1, "w"), 0)
+		if void := mustFinal[Void](t, h, assigned); void.Reject != RejectNoJob {
+			t.Fatalf("assigned: %+v", void)
+		}
+		if lost {
+			w.fence(w.hosts[1])
+			w.answerReads(h)
+			if eff := mustFinal[Effective](t, h, id); !eff.Late {
+				t.Fatalf("%+v", eff)
+			}
+			continue
+		}
+		w.run(time.Second)
+		mustFinal[Void](t, h, id)
+		if j := w.truth().Job(jobID(1)); j != nil && j.Outcome != work.OutcomeNotRun {
+			t.Fatalf("told not run: %+v", j)
+		}
+		again := w.propose(h, acceptance(2, "k", "f"), 0)
+		w.run(time.Second)
+		mustFinal[Effective](t, h, again)
+	}
+}
+
+// A job that ended is running again after a takeover. Order: its end is in a
+// group without an answer; the next group writes the job again as it was before;
+// then the first lands. Jobs are not written again beside a lost group.
+func TestNoRefreshBesideLostGroup(t *testing.T) {
+	w := newWorld(t, 1)
+	h := w.hosts[0]
+	w.own(h)
+	w.propose(h, acceptance(1, "", ""), 0)
+	w.run(time.Second)
+	w.propose(h, Record{JobEnded: &JobEnded{Job: jobID(1), Outcome: work.OutcomeRan, Keep: 60_000}}, 0)
+	w.runUntilAppend(h)
+	w.answerAppend(h, fakelog.RequestLost)
+	w.now += 5 * time.Second
+	w.step(h, Tick{})
+	for _, data := range w.takeAppend(h).Group {
+		if rec, err := Decode(data); err != nil || rec.State != nil {
+			t.Fatalf("beside a lost group: %s, %v", data, err)
+		}
+	}
+}
+
+// Two hosts have different host lists and both want the stream: nothing is ever
+// accepted again, since each fence makes the other fence. Between two fences
+// there must be time to work, and everything proposed is answered.
+func TestRivalsLeaveTimeToWork(t *testing.T) {
+	w := newWorld(t, 2)
+	for _, h := range w.hosts {
+		w.step(h, WantOwnership{Want: true})
+	}
+	effective, ids := 0, map[ProposalID]*host{}
+	for range 100 {
+		for _, h := range w.hosts {
+			ids[w.propose(h, acceptance(uint64(w.lastID)+1, "", ""), 0)] = h
+		}
+		w.run(100 * time.Millisecond)
+	}
+	w.step(w.hosts[0], WantOwnership{Want: false})
+	w.run(2 * time.Second)
+	for id, h := range ids {
+		switch h.final[id].(type) {
+		case Effective:
+			effective++
+		case nil:
+			t.Fatalf("proposal %d was never answered", id)
+		}
+	}
+	if changes := len(w.hosts[0].epochs) + len(w.hosts[1].epochs); changes > 30 {
+		t.Fatalf("%d owners in 10 s", changes)
+	}
+	if effective < 50 {
+		t.Fatalf("%d of 200 proposals became effective", effective)
+	}
+}
+
+// A stream with years behind it takes long to take over. The calls to the log
+// from the wish to ownership are few, whatever came before.
+func TestTakeoverNeedsFewCalls(t *testing.T) {
+	w := newWorld(t, 2)
+	first, second := w.hosts[0], w.hosts[1]
+	w.own(first)
+	for seq := uint64(1); seq <= 300; seq++ {
+		w.shortJob(first, seq)
+	}
+	w.step(first, WantOwnership{Want: false})
+	w.run(time.Second)
+	second.owner = NewOwner(DefaultConfig(testZone, second.name))
+	w.step(second, WantOwnership{Want: true})
+	calls := 0
+	for len(second.epochs) == 0 {
+		w.step(second, Tick{})
+		w.answer(second, fakelog.Fine)
+		calls++
+	}
+	if calls > 6 {
+		t.Fatalf("%d calls to take over a stream of %d records", calls, w.log.Last())
+	}
+	t.Logf("%d calls, %d records", calls, w.log.Last())
+}
--- a/jobs/world_test.go
+++ b/jobs/world_test.go
@@ -16,11 +16,12 @@
 type host struct {
 	owner  *Owner
 	name   ident.Holder
-	open   []stream.Command // reads and appends that are not answered
+	calls  fakelog.Calls
 	heard  []stream.Command // everything else, in order
 	final  map[ProposalID]stream.Command
 	told   map[ProposalID]bool // reported undecided
 	epochs []Epoch
+	cut    bool // neither steps nor reaches the log
 }
 
 // world is a few hosts on one stream, with one clock that tests move.
@@ -56,17 +57,25 @@
 func newWorld(t fataler, hosts int) *world {
 	w := &world{t: t, log: &fakelog.Log{}}
 	for i := range hosts {
-		name := ident.Holder{Host: ident.HostID(fmt.Sprintf("h%d", i)), Incarnation: 1}
-		w.hosts = append(w.hosts, &host{
-			owner: NewOwner(testConfig(name)),
-			name:  name,
-			final: map[ProposalID]stream.Command{},
-			told:  map[ProposalID]bool{},
-		})
+		w.owner(ident.HostID(fmt.Sprintf("h%d", i)))
 	}
 	return w
 }
 
+// owner adds a host.
+func (w *world) owner(name ident.HostID) *host {
+	self := ident.Holder{Host: name, Incarnation: 1}
+	h := &host{
+		owner: NewOwner(testConfig(self)),
+		name:  self,
+		calls: fakelog.Calls{Log: w.log},
+		final: map[ProposalID]stream.Command{},
+		told:  map[ProposalID]bool{},
+	}
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
 // step hands an event to a host and sorts its commands.
 func (w *world) step(h *host, ev stream.Event) {
 	w.t.Helper()
@@ -77,10 +86,10 @@
 
 func (w *world) hear(h *host, cmd stream.Command) {
 	w.t.Helper()
-	switch cmd := cmd.(type) {
-	case Append, Read:
-		h.open = append(h.open, cmd)
+	if h.calls.Take(cmd) {
 		return
+	}
+	switch cmd := cmd.(type) {
 	case Effective:
 		w.finish(h, cmd.ID, cmd)
 	case Existing:
@@ -109,23 +118,43 @@
 // answer answers the oldest open call of a host.
 func (w *world) answer(h *host, fate fakelog.Fate) {
 	w.t.Helper()
-	cmd := h.open[0]
-	h.open = h.open[1:]
-	w.step(h, w.log.Answer(cmd, fate))
+	w.step(h, h.calls.Answer(0, fate))
+}
+
+// answerAppend answers the open append of a host.
+func (w *world) answerAppend(h *host, fate fakelog.Fate) {
+	w.t.Helper()
+	w.step(h, h.calls.Answer(h.calls.Append(), fate))
+}
+
+// takeAppend takes the open append of a host out of its calls.
+func (w *world) takeAppend(h *host) Append {
+	w.t.Helper()
+	a, ok := h.calls.TakeAppend()
+	if !ok {
+		w.t.Fatalf("no append is open")
+	}
+	return a
 }
 
-// answerAppend answers the open append of a host, and reports false if there is
-// none.
-func (w *world) answerAppend(h *host, fate fakelog.Fate) bool {
+// answerReads answers the open reads of a host until there is nothing new.
+func (w *world) answerReads(h *host) {
 	w.t.Helper()
-	for i, cmd := range h.open {
-		if _, ok := cmd.(Append); ok {
-			h.open = append(h.open[:i:i], h.open[i+1:]...)
-			w.step(h, w.log.Answer(cmd, fate))
-			return true
+	for range 10 {
+		if i := h.calls.Read(); i >= 0 {
+			w.step(h, h.calls.Answer(i, fakelog.Fine))
 		}
 	}
-	return false
+}
+
+// fence lands a fence of a host.
+func (w *world) fence(h *host) {
+	w.t.Helper()
+	data, err := Encode(Record{Fence: &Fence{Owner: h.name}})
+	if err != nil {
+		w.t.Fatalf("%v", err)
+	}
+	w.log.Append([][]byte{data})
 }
 
 // run lets everything go well for a while.
@@ -134,14 +163,22 @@
 	const pace = 50 * time.Millisecond
 	for end := w.now + d; w.now < end; w.now += pace {
 		for _, h := range w.hosts {
-			w.step(h, Tick{})
-			for range len(h.open) {
-				w.answer(h, fakelog.Fine)
+			if !h.cut {
+				w.turn(h)
 			}
 		}
 	}
 }
 
+// turn lets one host tick and answers its calls.
+func (w *world) turn(h *host) {
+	w.t.Helper()
+	w.step(h, Tick{})
+	for range h.calls.Len() {
+		w.answer(h, fakelog.Fine)
+	}
+}
+
 // runUntilAppend lets time pass, without answering anything but reads, until a
 // host has an append open.
 func (w *world) runUntilAppend(h *host) {
@@ -149,10 +186,10 @@
 	const pace, most = 50 * time.Millisecond, 200
 	for range most {
 		w.step(h, Tick{})
-		if h.appendOpen() {
+		if h.calls.Append() >= 0 {
 			return
 		}
-		for range len(h.open) {
+		for range h.calls.Len() {
 			w.answer(h, fakelog.Fine)
 		}
 		w.now += pace
@@ -160,15 +197,6 @@
 	w.t.Fatalf("no append was sent")
 }
 
-func (h *host) appendOpen() bool {
-	for _, cmd := range h.open {
-		if _, ok := cmd.(Append); ok {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *world) own(h *host) {
 	w.t.Helper()
 	w.step(h, WantOwnership{Want: true})
@@ -208,10 +236,15 @@
 }
 
 // truth folds the whole stream from its first record.
-func (w *world) truth() *Fold {
+func (w *world) truth() *Fold { return w.truthAt(w.log.Last()) }
+
+// truthAt folds the stream up to an offset.
+func (w *world) truthAt(last platform.Offset) *Fold {
 	f := NewFold()
 	for _, rec := range w.log.Records() {
-		f.Apply(rec.Offset, rec.Data)
+		if rec.Offset <= last {
+			f.Apply(rec.Offset, rec.Data)
+		}
 	}
 	return f
 }
