--- a/lease/arbiter_log.go
+++ b/lease/arbiter_log.go
@@ -109,7 +109,7 @@
 		a.want(ev)
 	case Drain:
 		a.draining = true
-		for _, key := range a.sortedKeys() {
+		for _, key := range sortedKeys(a.claims) {
 			a.want(Want{Key: key})
 		}
 	case Presumed:
--- a/lease/claim_log.go
+++ b/lease/claim_log.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -78,7 +77,7 @@
 	if a.proves(now) {
 		return
 	}
-	for _, key := range a.sortedKeys() {
+	for _, key := range sortedKeys(a.claims) {
 		a.suspend(now, a.claims[key])
 	}
 }
@@ -96,7 +95,7 @@
 
 // advance does what is due at now.
 func (a *LogArbiter) advance(now time.Duration) {
-	for _, key := range a.sortedKeys() {
+	for _, key := range sortedKeys(a.claims) {
 		c := a.claims[key]
 		a.follow(now, c)
 		a.decide(now, c)
@@ -168,15 +167,6 @@
 	return !o.held || a.gone[o.holder] || o.holder.Host == a.opts.Self.Host
 }
 
-func (a *LogArbiter) sortedKeys() []Key {
-	keys := make([]Key, 0, len(a.claims))
-	for key := range a.claims {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, compareKeys)
-	return keys
-}
-
 // holds reports whether the lease is held or being handed over.
 func (m *Manager) holds(key Key) bool {
 	c, ok := m.controls[key]
--- a/lease/fence_log.go
+++ b/lease/fence_log.go
@@ -114,7 +114,7 @@
 		return
 	}
 	rec := fenceRecord{Holder: a.opts.Self}
-	for _, key := range a.sortedKeys() {
+	for _, key := range sortedKeys(a.claims) {
 		c := a.claims[key]
 		if !c.fence && c.release == 0 || now < c.writeAt {
 			continue
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -154,7 +154,7 @@
 
 func (m *Manager) drain(now time.Duration) {
 	m.draining = true
-	for _, key := range m.sortedKeys() {
+	for _, key := range sortedKeys(m.controls) {
 		m.want(now, Want{Key: key, Wanted: false})
 	}
 }
@@ -167,9 +167,10 @@
 	}
 }
 
-func (m *Manager) sortedKeys() []Key {
-	keys := make([]Key, 0, len(m.controls))
-	for key := range m.controls {
+// sortedKeys lists the keys of a map in order.
+func sortedKeys[V any](m map[Key]V) []Key {
+	keys := make([]Key, 0, len(m))
+	for key := range m {
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, compareKeys)
