Matrix: wait for a dead holder's units to come back before the end

Cause: with lease TTL 3 s the units of a dead host return about 25 s after its death (suspicion, list lag, proof), and the backlog of its teams ends after it. Before: cells ended 34 s after the fault.

--- a/faultmatrix/cell.go
+++ b/faultmatrix/cell.go
@@ -14,7 +14,7 @@
 	loadFrom   = 8 * time.Second
 	armAt      = 14 * time.Second
 	strikeBy   = 20 * time.Second // after armAt
-	settleFor  = 24 * time.Second // without load, after the fault
+	settleFor  = 60 * time.Second // without load, after the fault
 	probeFor   = 10 * time.Second
 	secondGap  = 2 * time.Second // between the faults of a pair
 	probesEach = 3               // probe requests to each host
