--- a/load/load_test.go
+++ b/load/load_test.go
@@ -93,6 +93,7 @@
 		g.rec.done(op.kind, g.request(context.Background(), op), g.opts.Deadline)
 	}
 	got := g.rec.kinds[KindApproval]
+	got.Examples = nil
 	want := &KindReport{
 		Ran:     1,
 		Failed:  map[string]int{},
--- a/load/render.go
+++ b/load/render.go
@@ -40,21 +40,25 @@
 		if !ok {
 			continue
 		}
-		renderCounts(w, string(kind)+" failed", k.Failed)
-		renderCounts(w, string(kind)+" not run", k.NotRun)
-		renderCounts(w, string(kind)+" unknown", k.Unknown)
-		renderCounts(w, string(kind)+" WRONG", k.Wrong)
+		renderCounts(w, string(kind)+" failed", k.Failed, k.Examples)
+		renderCounts(w, string(kind)+" not run", k.NotRun, k.Examples)
+		renderCounts(w, string(kind)+" unknown", k.Unknown, k.Examples)
+		renderCounts(w, string(kind)+" WRONG", k.Wrong, k.Examples)
 	}
 }
 
-func renderCounts(w io.Writer, title string, counts map[string]int) {
+func renderCounts(w io.Writer, title string, counts map[string]int, examples map[string]string) {
 	reasons := make([]string, 0, len(counts))
 	for reason := range counts {
 		reasons = append(reasons, reason)
 	}
 	slices.Sort(reasons)
 	for _, reason := range reasons {
-		fmt.Fprintf(w, "  %s: %d x %s\n", title, counts[reason], reason)
+		line := fmt.Sprintf("  %s: %d x %s", title, counts[reason], reason)
+		if example := examples[reason]; example != "" {
+			line += ", for example: " + example
+		}
+		fmt.Fprintln(w, line)
 	}
 }
 
--- a/load/report.go
+++ b/load/report.go
@@ -33,17 +33,18 @@
 
 // KindReport is what became of the operations of one kind.
 type KindReport struct {
-	Offered   int            `json:"offered"`
-	Unsent    int            `json:"unsent,omitempty"` // over the bound on operations at once
-	Ran       int            `json:"ran"`              // whole answer, or job ended well, in time
-	Late      int            `json:"late,omitempty"`   // the same after the deadline
-	Failed    map[string]int `json:"failed,omitempty"` // ran and did not succeed
-	NotRun    map[string]int `json:"not_run,omitempty"`
-	Unknown   map[string]int `json:"unknown,omitempty"`
-	Wrong     map[string]int `json:"wrong,omitempty"`    // answers that must never come
-	Latency   Latency        `json:"latency"`            // until the whole answer, from when it was due; for jobs without their run time
-	Accepted  *Latency       `json:"accepted,omitempty"` // of jobs: until the submission was accepted
-	PerSecond float64        `json:"goodput_per_second"`
+	Offered   int               `json:"offered"`
+	Unsent    int               `json:"unsent,omitempty"` // over the bound on operations at once
+	Ran       int               `json:"ran"`              // whole answer, or job ended well, in time
+	Late      int               `json:"late,omitempty"`   // the same after the deadline
+	Failed    map[string]int    `json:"failed,omitempty"` // ran and did not succeed
+	NotRun    map[string]int    `json:"not_run,omitempty"`
+	Unknown   map[string]int    `json:"unknown,omitempty"`
+	Wrong     map[string]int    `json:"wrong,omitempty"`    // answers that must never come
+	Examples  map[string]string `json:"examples,omitempty"` // by reason: the detail of the first
+	Latency   Latency           `json:"latency"`            // until the whole answer, from when it was due; for jobs without their run time
+	Accepted  *Latency          `json:"accepted,omitempty"` // of jobs: until the submission was accepted
+	PerSecond float64           `json:"goodput_per_second"`
 }
 
 // Report is the result of a run.
@@ -84,6 +85,7 @@
 type result struct {
 	class  class
 	reason string        // for every class but classRan
+	detail string        // an example of the reason; may be empty
 	took   time.Duration // from when it was due
 }
 
@@ -120,7 +122,7 @@
 		lag:      newHistogram(),
 	}
 	for _, kind := range Kinds {
-		r.kinds[kind] = &KindReport{Failed: map[string]int{}, NotRun: map[string]int{}, Unknown: map[string]int{}, Wrong: map[string]int{}}
+		r.kinds[kind] = &KindReport{Failed: map[string]int{}, NotRun: map[string]int{}, Unknown: map[string]int{}, Wrong: map[string]int{}, Examples: map[string]string{}}
 		r.latency[kind] = newHistogram()
 		r.accepted[kind] = newHistogram()
 	}
@@ -157,6 +159,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[kind]
+	if _, known := k.Examples[res.reason]; !known && res.detail != "" {
+		k.Examples[res.reason] = res.detail
+	}
 	switch res.class {
 	case classRan:
 		if res.took > deadline {
--- a/load/request.go
+++ b/load/request.go
@@ -89,9 +89,9 @@
 func failed(err error) *result {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &result{class: classNotRun, reason: reasonUnreachable}
+		return &result{class: classNotRun, reason: reasonUnreachable, detail: err.Error()}
 	}
-	return &result{class: classUnknown, reason: reasonNoAnswer}
+	return &result{class: classUnknown, reason: reasonNoAnswer, detail: err.Error()}
 }
 
 // refusal classifies a problem document.
@@ -102,9 +102,9 @@
 	}
 	switch p.Outcome {
 	case work.OutcomeNotRun:
-		return &result{class: classNotRun, reason: string(p.Type)}
+		return &result{class: classNotRun, reason: string(p.Type), detail: p.Detail}
 	case work.OutcomeUnknown:
-		return &result{class: classUnknown, reason: string(p.Type)}
+		return &result{class: classUnknown, reason: string(p.Type), detail: p.Detail}
 	}
-	return &result{class: classFailed, reason: string(p.Type)}
+	return &result{class: classFailed, reason: string(p.Type), detail: p.Detail}
 }
