--- a/entry/admin.go
+++ b/entry/admin.go
@@ -37,12 +37,12 @@
 }
 
 // Plan implements admin.Backend.
-func (b *operatorBackend) Plan(_ context.Context, operator string, intent fleet.Intent) (fleet.Plan, error) {
+func (b *operatorBackend) Plan(ctx context.Context, operator string, intent fleet.Intent) (fleet.Plan, error) {
 	state, err := b.state()
 	if err != nil {
 		return fleet.Plan{}, err
 	}
-	return fleet.MakePlan(state, intent, operator, time.Now().UTC(), &impact{facts: b.h.loadFacts()})
+	return fleet.MakePlan(state, intent, operator, time.Now().UTC(), &impact{survey: b.h.inspect(ctx)})
 }
 
 // Confirm implements admin.Backend. An append whose answer was lost is settled
@@ -124,21 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list := []admin.KeyStatus{}
-	for _, k := range state.Keys() {
-		list = append(list, admin.KeyStatus{Key: k.ID, Team: k.Team, State: keyState(k), Until: k.Until, Changed: k.Revision})
-	}
-	return list, nil
-}
-
-func keyState(k fleet.Key) string {
-	switch {
-	case k.Until.IsZero():
-		return "valid"
-	case time.Now().After(k.Until):
-		return "ended"
-	}
-	return "ending"
+	return admin.KeysOf(state, time.Now().UTC()), nil
 }
 
 // loadFacts returns the last picture of the engine.
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -180,6 +180,22 @@
 	}
 }
 
+// Units are refused twice within a second, then the limit is raised and the
+// word of it is lost. The retry of the first refusal comes before the second
+// one lapses: it must not be the last.
+func TestUpperLimitIsTriedAgainAfterASecondRefusal(t *testing.T) {
+	w := zone(t, 1, Options{})
+	w.units.limit["a"] = 1
+	w.accept(batch("a", 1, 2))
+	w.now += refusalFor / 2
+	w.step(LimitChanged{Team: "a"})
+	w.units.limit["a"] = 2
+	w.pass(refusalFor)
+	if len(w.running) != 2 {
+		t.Errorf("%d run after the limit was raised", len(w.running))
+	}
+}
+
 // A worker is to be removed in a planned change. Callers of the service must
 // never find fewer replicas than declared: the replacement starts first, in
 // another rack if it can, and only then is the old replica stopped.
@@ -213,6 +229,31 @@
 	}
 }
 
+// The worker of a replica is lost while batch work fills the zone. Callers would
+// find one replica less until some batch task ends, which may take hours.
+func TestLostReplicaMakesRoomForItself(t *testing.T) {
+	w := zone(t, 2, Options{KeepRunning: true})
+	service := ident.JobID{Zone: "a", Host: "h", Incarnation: 2, Seq: 1}
+	w.step(ServiceDeclared{Service: "s", Job: service, Team: "a", Replicas: 1, Need: cpu(2)})
+	lost := w.running[0].Worker
+	long := batch("b", 4, 10)
+	long.Displaceable = true
+	w.accept(long)
+	w.remove(lost)
+	if len(w.controls) != 1 {
+		t.Fatalf("%d controls", len(w.controls))
+	}
+	for i, a := range w.running {
+		if w.controls[a.ID] == platform.ControlCheckpoint {
+			w.end(i, AttemptEnded{Stopped: true, Ran: time.Minute})
+			break
+		}
+	}
+	if len(w.runningOf(service)) != 1 {
+		t.Errorf("the replica did not start")
+	}
+}
+
 // A job waits and an operator asks why.
 func TestExplanation(t *testing.T) {
 	w := zone(t, 3, Options{})
@@ -304,3 +345,27 @@
 		t.Errorf("the later deadline went first")
 	}
 }
+
+// A team alone in its zone fills it with long tasks, and then an approval of
+// the same team arrives. Nothing ends before its deadline: a citizen would be
+// told that it did not run although the team had room to give.
+func TestOwnWorkMakesRoomNearADeadline(t *testing.T) {
+	w := zone(t, 1, Options{})
+	long := batch("a", 4, 2)
+	long.Displaceable = true
+	w.accept(long)
+	approval := batch("a", 1, 1)
+	approval.NonIdempotent = true
+	approval.Deadline = 10 * time.Second
+	job := w.accept(approval)
+	w.pass(5 * time.Second)
+	for i, a := range w.running {
+		if w.controls[a.ID] == platform.ControlCheckpoint {
+			w.end(i, AttemptEnded{Stopped: true, Ran: time.Second})
+			break
+		}
+	}
+	if len(w.runningOf(job)) != 1 || len(w.controls) != 1 {
+		t.Errorf("%d approvals run after %d controls", len(w.runningOf(job)), len(w.controls))
+	}
+}
