--- a/cmd/fireflyfold-platform/main.go
+++ b/cmd/fireflyfold-platform/main.go
@@ -35,6 +35,7 @@
 	listen := flags.String("listen", "127.0.0.1:7400", "address (IP and port) of the log and the host list")
 	service := flags.Duration("service-time", 0, "service time of the demo upstream; 0 for the layout's")
 	lag := flags.Duration("host-lag", 0, "lag of the host list; 0 for the layout's")
+	workers := flags.Int("workers", 0, "workers in each zone; 0 for the layout's")
 	var hosts hostFlag
 	flags.Var(&hosts, "host", "entry host to list while it takes connections, as zone/id=IP:port of its peer endpoint; may be repeated")
 	rate := flags.Float64("append-rate", 0, "appends a second that the log takes; 0 for the layout's")
@@ -48,6 +49,11 @@
 	layout.ServiceTime = or(*service, layout.ServiceTime)
 	layout.HostLag = or(*lag, layout.HostLag)
 	layout.Log.AppendRate = or(*rate, layout.Log.AppendRate)
+	if *workers > 0 {
+		for i := range layout.Zones {
+			layout.Zones[i].Workers = *workers
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	p := standin.NewPlatform(layout, *listen)
--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -117,21 +117,36 @@
 sleep "${FLEET_SETTLE:-5}"
 [ -z "${FLEET_BEFORE:-}" ] || sh -c "$FLEET_BEFORE"
 
-# Ticks of processor time and resident KiB of a process.
-usage() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+# Ticks of processor time of a process.
+ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+# Bytes of one kind of traffic so far: platform, peers or workers.
+traffic() { curl -sf "http://127.0.0.1:$base/traffic" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
+
+began=$(date +%s)
 before=
 for pid in $pids; do
-	before="$before $(usage "$pid")"
+	before="$before $(ticks "$pid")"
 done
+bytes="$(traffic platform) $(traffic peers) $(traffic workers)"
 status=0
-FIREFLYFOLD_KEYS="$keys" ./fireflyfold load --hosts "$apis" --audit "127.0.0.1:$base" "$@" || status=$?
+if [ -n "${FLEET_IDLE:-}" ]; then
+	sleep "$FLEET_IDLE"
+else
+	FIREFLYFOLD_KEYS="$keys" ./fireflyfold load --hosts "$apis" --audit "127.0.0.1:$base" "$@" || status=$?
+fi
+took=$(($(date +%s) - began))
+bytes="$bytes $(traffic platform) $(traffic peers) $(traffic workers)"
+
 i=0
 for pid in $pids; do
 	i=$((i + 1))
 	then=$(echo "$before" | awk -v i="$i" '{print $i}')
-	rss=$(awk '/^VmHWM/ {print $2}' "/proc/$pid/status")
+	peak=$(awk '/^VmHWM/ {print $2}' "/proc/$pid/status")
 	name=platform
 	[ "$pid" = "$platform" ] || name=h$((i - 1))
-	echo "$name: $((($(usage "$pid") - then) * 10)) ms of processor time, peak $((rss / 1024)) MiB"
+	echo "$name: $((($(ticks "$pid") - then) * 10)) ms of processor time in $took s, peak $((peak / 1024)) MiB"
 done
+echo "$bytes" | awk -v t="$took" -v n="$count" '{
+	printf "bytes a second for each host: platform %d, peers of other zones %d, workers %d\n", ($4-$1)/t/n, ($5-$2)/t/n, ($6-$3)/t/n
+}'
 exit "$status"
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -26,6 +26,7 @@
 //	GET      /audit/runs?id=         how often an identifier was started
 //	GET      /audit/units?team=      Units of a team
 //	GET      /audit/history?after=   []RunEvent, but for the first so many
+//	GET      /traffic                Traffic
 //
 // Durations are in nanoseconds.
 func (p *Platform) Admin() http.Handler {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -33,14 +34,15 @@
 	Workers []*Worker // in order of zones
 	Network *Network  // between the zones, and between them and the platform
 
-	listen  string
-	clock   Clock
-	addr    string
-	addrs   map[ident.WorkerID]string
-	servers []*http.Server
-	wg      conc.WaitGroup
-	stop    context.CancelFunc
-	closing sync.Once
+	listen      string
+	workerBytes atomic.Int64
+	clock       Clock
+	addr        string
+	addrs       map[ident.WorkerID]string
+	servers     []*http.Server
+	wg          conc.WaitGroup
+	stop        context.CancelFunc
+	closing     sync.Once
 }
 
 // NewPlatform returns a platform that does not listen yet. listen is the
@@ -70,7 +72,7 @@
 	ctx, p.stop = context.WithCancel(ctx)
 	var entries []platform.WorkerEntry
 	for _, worker := range p.Workers {
-		addr, err := p.serve(loopback, worker)
+		addr, err := p.serve(loopback, worker, &p.workerBytes)
 		if err != nil {
 			p.Close()
 			return err
@@ -101,7 +103,8 @@
 	own.Handle("/leaving/", admin)
 	own.Handle("/audit", admin)
 	own.Handle("/audit/", admin)
-	addr, err := p.serve(p.listen, own)
+	own.Handle("/traffic", admin)
+	addr, err := p.serve(p.listen, own, nil)
 	if err != nil {
 		return err
 	}
@@ -122,7 +125,7 @@
 		return err
 	}
 	view := func(listing platform.Listing) platform.Listing { return p.Network.view(zone, listing) }
-	hidden, err := p.serve(loopback, p.front(view))
+	hidden, err := p.serve(loopback, p.front(view), nil)
 	if err != nil {
 		return err
 	}
@@ -142,16 +145,21 @@
 	return mux
 }
 
-// serve starts a server and returns its address.
-func (p *Platform) serve(listen string, handler http.Handler) (string, error) {
+// serve starts a server and returns its address. Its bytes are added to a
+// counter, unless that is nil.
+func (p *Platform) serve(listen string, handler http.Handler, bytes *atomic.Int64) (string, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return "", &ListenError{Addr: listen, Cause: err}
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
 	p.servers = append(p.servers, server)
+	addr := listener.Addr().String()
+	if bytes != nil {
+		listener = countingListener{Listener: listener, bytes: bytes}
+	}
 	p.wg.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
-	return listener.Addr().String(), nil
+	return addr, nil
 }
 
 // tick drives the workers' clocks.
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -32,6 +33,7 @@
 	target   string
 	listener net.Listener
 	wg       conc.WaitGroup
+	bytes    atomic.Int64 // delivered in both directions
 
 	mu      sync.Mutex
 	faults  RelayFaults
@@ -242,6 +244,7 @@
 		if _, err := to.Write(c.data); err != nil {
 			return false
 		}
+		r.bytes.Add(int64(len(c.data)))
 		if faults.ByteRate > 0 {
 			r.wait(time.Duration(len(c.data)) * time.Second / time.Duration(faults.ByteRate))
 		}
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// What entry hosts cost is counted where it passes: a kilobyte into the log
+// counts for the zone's way to the platform, a lease for the workers.
+func TestTrafficIsCountedWhereItPasses(t *testing.T) {
+	p := startPlatform(t)
+	client := platform.NewHTTPClient()
+	record := make([]byte, 1<<10)
+	if _, err := platform.NewHTTPLog(p.ZoneAddr("oberbayern-1"), client).Append(context.Background(), "s", [][]byte{record}); err != nil {
+		t.Fatal(err)
+	}
+	after := p.Traffic()
+	if after.Platform < 1<<10 || after.Workers != 0 {
+		t.Errorf("after an append: %+v", after)
+	}
+	callTo(t, p, platform.NewHTTPWorkers(client))
+	if got := p.Traffic(); got.Workers == 0 || got.Platform != after.Platform {
+		t.Errorf("after a lease: %+v", got)
+	}
+}
+
 // Two zones are cut off from each other and both still reach the platform. A
 // host must see its peer of the other zone at an address that can be cut, and
 // its peers at home at their own.
