--- a/standin/admin.go
+++ b/standin/admin.go
@@ -64,6 +64,7 @@
 		reply(w, Units{Now: now, Peak: peak})
 	})
 	mux.HandleFunc("GET /audit/history", p.auditHistory)
+	mux.HandleFunc("GET /traffic", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Traffic()) })
 	return mux
 }
 
