--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	down    bool
+	version uint64 // counts the changes that are shown
 	pending []pendingChange
 	hosts   map[ident.HostID]platform.HostEntry
 	workers map[ident.WorkerID]platform.WorkerEntry
@@ -65,6 +66,14 @@
 	h.down = down
 }
 
+// Version returns a number that grows with every change that the list shows.
+func (h *HostListState) Version(now time.Duration) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.show(now)
+	return h.version
+}
+
 // List returns what the list shows, in order of names. It returns a *DownError
 // during an outage.
 func (h *HostListState) List(now time.Duration) (platform.Listing, error) {
@@ -95,6 +104,7 @@
 }
 
 func (h *HostListState) apply(change HostChange) {
+	h.version++
 	for _, entry := range change.Hosts {
 		h.hosts[entry.Host] = entry
 	}
--- a/standin/hostlist_http.go
+++ b/standin/hostlist_http.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -10,28 +12,21 @@
 type HostList struct {
 	State *HostListState
 	clock Clock
+	life  uint64                                  // tells the versions of two lives of the list apart
 	view  func(platform.Listing) platform.Listing // what a zone sees of it; nil for all
 }
 
 // NewHostList returns the server of a host list.
 func NewHostList(state *HostListState, clock Clock) *HostList {
-	return &HostList{State: state, clock: clock}
+	return &HostList{State: state, clock: clock, life: rand.Uint64()}
 }
 
-// ServeHTTP answers GET /hosts with the listing and takes a HostChange by
+// ServeHTTP answers GET /hosts with the listing, by condition of its ETag, and takes a HostChange by
 // POST /hosts.
 func (h *HostList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodGet:
-		listing, err := h.State.List(h.clock())
-		if err != nil {
-			replyError(w, r, err)
-			return
-		}
-		if h.view != nil {
-			listing = h.view(listing)
-		}
-		reply(w, listing)
+		h.list(w, r)
 	case http.MethodPost:
 		var change HostChange
 		if !readJSON(w, r, &change) {
@@ -43,3 +38,25 @@
 		problem(w, http.StatusMethodNotAllowed, platform.Problem{Refusal: platform.RefusedMalformed})
 	}
 }
+
+// list answers with the listing, or with 304 if the caller has it.
+func (h *HostList) list(w http.ResponseWriter, r *http.Request) {
+	// The version is read first: if a change shows in between, the caller gets
+	// the new listing with the old tag, and merely asks once more than needed.
+	version := h.State.Version(h.clock())
+	listing, err := h.State.List(h.clock())
+	if err != nil {
+		replyError(w, r, err)
+		return
+	}
+	tag := fmt.Sprintf("\"%x-%x\"", h.life, version)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	if h.view != nil {
+		listing = h.view(listing)
+	}
+	reply(w, listing)
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -141,7 +141,9 @@
 func (p *Platform) front(view func(platform.Listing) platform.Listing) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle(platform.PathLog, NewLog(p.Log, p.clock))
-	mux.Handle(platform.PathHosts, &HostList{State: p.Hosts, clock: p.clock, view: view})
+	hosts := NewHostList(p.Hosts, p.clock)
+	hosts.view = view
+	mux.Handle(platform.PathHosts, hosts)
 	return mux
 }
 
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -241,10 +241,11 @@
 		if answers && faults.DropAnswers {
 			continue
 		}
+		// Counted first, so that whoever got an answer finds it counted.
+		r.bytes.Add(int64(len(c.data)))
 		if _, err := to.Write(c.data); err != nil {
 			return false
 		}
-		r.bytes.Add(int64(len(c.data)))
 		if faults.ByteRate > 0 {
 			r.wait(time.Duration(len(c.data)) * time.Second / time.Duration(faults.ByteRate))
 		}
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -83,6 +83,42 @@
 	}
 }
 
+// A host asks for the list every second, and the list rarely changes. Only a
+// change may be sent, and it must be seen at the next question.
+func TestUnchangedHostListIsNotSentAgain(t *testing.T) {
+	layout := smallLayout()
+	layout.HostLag = 0
+	p := NewPlatform(layout, "")
+	if err := p.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	list := platform.NewHTTPHostList(p.ZoneAddr("oberbayern-1"), platform.NewHTTPClient())
+	ask := func() (platform.Listing, int64) {
+		t.Helper()
+		before := p.Traffic().Platform
+		listing, err := list.List(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return listing, p.Traffic().Platform - before
+	}
+	first, whole := ask()
+	again, spared := ask()
+	if len(first.Workers) != 1 || len(again.Workers) != 1 {
+		t.Fatalf("listed %d and then %d workers", len(first.Workers), len(again.Workers))
+	}
+	if spared >= whole {
+		t.Errorf("%d bytes for an unchanged list after %d for the whole", spared, whole)
+	}
+	if err := p.MarkLeaving(first.Workers[0].Worker); err != nil {
+		t.Fatal(err)
+	}
+	if changed, _ := ask(); changed.Workers[0].State != platform.StateLeaving {
+		t.Errorf("the change was not seen: %+v", changed.Workers)
+	}
+}
+
 // Two zones are cut off from each other and both still reach the platform. A
 // host must see its peer of the other zone at an address that can be cut, and
 // its peers at home at their own.
