--- a/processes/cluster_test.go
+++ b/processes/cluster_test.go
@@ -31,7 +31,8 @@
 	id, zone  string
 	api, peer string // addresses
 	settings  string // file
-	proc      *process
+	lives     int
+	proc      *process // the current life; nil before the first
 }
 
 // url returns the URL of a path of the callers' interface.
@@ -45,7 +46,8 @@
 	hosts []*host
 	keys  map[string]string // by team
 
-	asides int // requests answered outside of a load
+	asides       int // requests answered outside of a load
+	unsureAsides int // requests outside of a load that may have run
 }
 
 // start builds the programs, starts the stand-in and all hosts but those
@@ -157,7 +159,8 @@
 // startHost starts a life of a host.
 func (c *cluster) startHost(t *testing.T, h *host) {
 	t.Helper()
-	h.proc = launch(t, c.dir, h.id, filepath.Join(c.bin, "fireflyfold"), "serve", "--settings", h.settings)
+	h.lives++
+	h.proc = launch(t, c.dir, fmt.Sprintf("%s-life%d", h.id, h.lives), filepath.Join(c.bin, "fireflyfold"), "serve", "--settings", h.settings)
 }
 
 // untilServes waits until a host answers a request of every team.
@@ -166,11 +169,13 @@
 	for _, team := range teams {
 		until(t, h.id+" answers team "+team, func() bool {
 			a := ask(h, c.keys[team], []byte("first"))
-			if a.kind == unsure || a.kind == broken {
-				t.Logf("%s: %s: %s", h.id, a.kind, a.detail)
-			}
-			if a.kind == answered {
+			switch a.kind {
+			case answered:
 				c.asides++
+			case unsure, broken:
+				c.unsureAsides++
+			case wrong:
+				t.Fatalf("%s: %s", h.id, a.detail)
 			}
 			return a.kind == answered
 		})
@@ -222,12 +227,19 @@
 // until polls a condition, and fails the test if it does not come about.
 func until(t *testing.T, what string, holds func() bool) {
 	t.Helper()
+	if !comes(holds) {
+		t.Fatalf("waited in vain until %s", what)
+	}
+}
+
+// comes polls a condition and reports whether it came about.
+func comes(holds func() bool) bool {
 	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(waitPause) {
 		if holds() {
-			return
+			return true
 		}
 	}
-	t.Fatalf("waited in vain until %s", what)
+	return false
 }
 
 // cli runs an operator's command and returns its output and exit code.
--- a/processes/jobs_test.go
+++ b/processes/jobs_test.go
@@ -68,13 +68,17 @@
 func (c *cluster) untilState(t *testing.T, h *host, job, state string) jobReply {
 	t.Helper()
 	var last jobReply
-	until(t, "job "+job+" is "+state, func() bool {
+	came := comes(func() bool {
 		reply, ok := c.job(t, h, job)
 		if ok {
 			last = reply
 		}
 		return ok && reply.State == state
 	})
+	if !came {
+		why, _ := c.cli(t, "explain", job)
+		t.Fatalf("waited in vain until job %s is %s; last %+v\n%s", job, state, last, why)
+	}
 	return last
 }
 
--- a/processes/kill_test.go
+++ b/processes/kill_test.go
@@ -26,7 +26,7 @@
 	c.startHost(t, leader)
 	c.untilServes(t, leader)
 	c.awaitRan(t, leader, jobs...)
-	l.check(t, leader)
+	l.check(t, allowed{unsure: true, cut: []*host{leader}})
 	c.check(t)
 }
 
@@ -49,6 +49,6 @@
 	jobs = append(jobs, c.submit(t, leader, spec))
 	c.awaitRan(t, leader, jobs...)
 	l.untilMore(t, 50)
-	l.check(t, leader)
+	l.check(t, allowed{unsure: true, cut: []*host{leader}})
 	c.check(t)
 }
--- a/processes/load_test.go
+++ b/processes/load_test.go
@@ -234,10 +234,16 @@
 	until(t, fmt.Sprintf("%d more requests are answered", more), func() bool { return l.count(answered) >= target })
 }
 
+// allowed says which bad ends a test's faults excuse. Wrong answers are never
+// excused.
+type allowed struct {
+	unsure bool    // requests under way when a host was lost or cut off
+	cut    []*host // hosts that were killed or stopped cut their callers off
+}
+
 // check ends the load and fails the test if an answer was wrong or came twice,
-// or if a request was cut or left unsure. A host that was killed or stopped may
-// cut its callers off, and leaves unsure what others had forwarded to it.
-func (l *load) check(t *testing.T, excused ...*host) {
+// or if a request was cut or left unsure without an excuse.
+func (l *load) check(t *testing.T, allow allowed) {
 	t.Helper()
 	l.end()
 	t.Logf("requests: %v", l.counts)
@@ -246,7 +252,7 @@
 	}
 	for id, list := range l.bad {
 		for _, a := range list {
-			if !excusable(id, a.kind, excused) {
+			if !allow.excuses(id, a.kind) {
 				t.Errorf("%s: %s: %s", id, a.kind, a.detail)
 			}
 		}
@@ -254,12 +260,11 @@
 	l.checkRuns(t)
 }
 
-// excusable reports whether a bad end may be owed to the hosts that are named.
-func excusable(id string, k kind, excused []*host) bool {
+func (a allowed) excuses(id string, k kind) bool {
 	if k == unsure {
-		return len(excused) > 0
+		return a.unsure
 	}
-	for _, h := range excused {
+	for _, h := range a.cut {
 		if h.id == id && k == broken {
 			return true
 		}
@@ -272,7 +277,7 @@
 // many.
 func (l *load) checkRuns(t *testing.T) {
 	t.Helper()
-	told := l.counts[answered] + l.counts[unsure] + l.counts[broken]
+	told := l.counts[answered] + l.counts[unsure] + l.counts[broken] + l.c.unsureAsides
 	ran := audited[standin.Counts](t, l.c, "").Calls - l.before - l.c.asides
 	if ran < l.counts[answered] || ran > told {
 		t.Errorf("%d calls ran; %d answered, %d told that they did or may have run", ran, l.counts[answered], told)
