A refusal sent while the caller still sends is seen by the caller

Cause: limitedConn hid CloseWrite, which net/http needs to close a connection gracefully while the caller still sends. Ruled out: the header limit itself, 431 was written. Before: an oversize header was answered by a connection reset.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -110,3 +110,14 @@
 	c.once.Do(func() { <-c.slots })
 	return c.Conn.Close()
 }
+
+// CloseWrite ends the host's half of the connection. net/http looks for this
+// method when it closes a connection on which the caller still sends, as after
+// an oversize header. Without it the kernel resets the connection, and the
+// caller may see the reset in place of the refusal.
+func (c *limitedConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
