--- a/entry/api.go
+++ b/entry/api.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -22,7 +20,7 @@
 	headerIdempotency   = "Idempotency-Key"
 	headerNonIdempotent = "Non-Idempotent"
 	headerTimeout       = "Request-Timeout" // a Go duration; at most the configured one
-	bearer              = "Bearer "
+	bearer              = "Bearer"
 )
 
 // maxIdempotencyKey bounds the length of an idempotency key in bytes.
@@ -71,8 +69,8 @@
 	if p := h.checkConfigAge(); p != nil {
 		return "", p
 	}
-	key, ok := strings.CutPrefix(r.Header.Get(headerKey), bearer)
-	if !ok || key == "" {
+	scheme, key, _ := strings.Cut(r.Header.Get(headerKey), " ")
+	if !strings.EqualFold(scheme, bearer) || key == "" {
 		return "", problem.NotRun(problem.TypeUnauthorized, "present the team's key as \"Authorization: Bearer KEY\"")
 	}
 	team, err := state.Authenticate(key, time.Now())
@@ -103,13 +101,12 @@
 		problem.Write(w, p)
 		return
 	}
-	c, p := h.readCall(w, r, params)
+	c, p := h.readCall(w, r, params, team)
 	if p != nil {
 		problem.Write(w, p)
 		return
 	}
-	defer h.bodies.release(int64(len(c.body)))
-	c.team = team
+	defer h.bodies.release(team, int64(cap(c.body)))
 	h.answerCall(w, r.Context(), c)
 }
 
@@ -117,7 +114,7 @@
 // its end.
 func (h *Host) answerCall(w http.ResponseWriter, ctx context.Context, c *call) {
 	started := h.now()
-	p, cut := h.route(ctx, c, &httpSink{w: w})
+	p, cut := h.route(ctx, c, &httpSink{w: w, until: h.started.Add(c.deadline)})
 	h.metrics.latency.RecordDuration(h.now() - started)
 	switch {
 	case cut != nil:
@@ -134,7 +131,10 @@
 }
 
 // readCall checks a request and reads its body.
-func (h *Host) readCall(w http.ResponseWriter, r *http.Request, params httprouter.Params) (*call, *problem.Problem) {
+func (h *Host) readCall(w http.ResponseWriter, r *http.Request, params httprouter.Params, team ident.TeamID) (*call, *problem.Problem) {
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, malformed("protocol", r.Proto, "HTTP/1.1 or later: HTTP/1.0 cannot tell a cut answer from a whole one")
+	}
 	timeout, p := h.requestTimeout(r)
 	if p != nil {
 		return nil, p
@@ -147,12 +147,13 @@
 	if p != nil {
 		return nil, p
 	}
-	body, p := h.readBody(w, r)
+	body, p := h.readBody(w, r, team)
 	if p != nil {
 		return nil, p
 	}
 	return &call{
 		id:            h.mint(h.zone),
+		team:          team,
 		service:       ident.ServiceID(params.ByName("service")),
 		method:        r.Method,
 		path:          requestPath(r, params),
@@ -209,30 +210,3 @@
 		return false, malformed(headerNonIdempotent, text, "true or false")
 	}
 }
-
-// readBody reads at most the configured size, while the memory for all bodies
-// together lasts.
-func (h *Host) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
-	limit := h.opts.Settings.Limits.MaxBody
-	reserved := limit
-	if r.ContentLength >= 0 {
-		reserved = min(r.ContentLength, limit)
-	}
-	if r.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	if !h.bodies.reserve(reserved) {
-		return nil, problem.NotRun(problem.TypeBusy, "this host holds too many request bodies").After(time.Second)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		h.bodies.release(reserved)
-		var over *http.MaxBytesError
-		if errors.As(err, &over) {
-			return nil, tooLarge(limit)
-		}
-		return nil, malformed("body", "", "a body that arrives whole within the time allowed")
-	}
-	h.bodies.release(reserved - int64(len(body)))
-	return body, nil
-}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -52,3 +52,9 @@
 
 // Unwrap returns the cause.
 func (e *NoReplyError) Unwrap() error { return e.Cause }
+
+// BodyMemoryError reports that the memory for request bodies is in use.
+type BodyMemoryError struct{}
+
+// Error implements error.
+func (e *BodyMemoryError) Error() string { return "this host holds too many request bodies" }
--- a/entry/host.go
+++ b/entry/host.go
@@ -104,7 +104,7 @@
 		started: time.Now(),
 		calls:   newRegistry(),
 		waiters: newWaiters(),
-		bodies:  newByteBudget(s.Limits.BodyMemory),
+		bodies:  newByteBudget(s.Limits.BodyMemory, s.Limits.MaxBody),
 		peers:   peer.NewClients(peer.Secret(s.Peers.Secret)),
 		metrics: newMetrics(opts.Telemetry.Metrics),
 		history: newHistory(s.Host.Name),
@@ -267,6 +267,10 @@
 	time.AfterFunc(h.opts.Settings.Limits.DrainTimeout, func() { h.stop(end{reason: "the planned stop took too long"}) })
 }
 
+// writeGrace is how long an answer may take to go out after the latest time at
+// which it can be known.
+const writeGrace = endGrace + 5*time.Second
+
 // server bounds what a slow or malicious caller can hold.
 func (h *Host) server(handler http.Handler) *http.Server {
 	l := h.opts.Settings.Limits
@@ -274,6 +278,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: l.HeaderTimeout,
 		ReadTimeout:       l.HeaderTimeout + l.BodyTimeout,
+		WriteTimeout:      l.BodyTimeout + max(l.RequestTimeout, jobTimeout, confirmTimeout) + writeGrace,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    int(l.MaxHeader),
 		ErrorLog:          discardLog(),
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -34,13 +34,13 @@
 	h := s.h
 	h.metrics.forwardedIn.Inc(1)
 	c, p := h.forwardedCall(req.Msg)
-	if p == nil && !h.bodies.reserve(int64(len(c.body))) {
-		p = problem.NotRun(problem.TypeBusy, "this host holds too many request bodies").After(time.Second)
+	if p == nil && !h.bodies.reserve(c.team, int64(len(c.body))) {
+		p = bodiesFull()
 	}
 	if p != nil {
 		return stream.Send(problemPart(p))
 	}
-	defer h.bodies.release(int64(len(c.body)))
+	defer h.bodies.release(c.team, int64(len(c.body)))
 	ctx, span := h.tel.Tracer.Start(ctx, "forwarded")
 	defer span.End()
 	p, cut := h.route(ctx, c, &streamSink{stream: stream})
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/fireflyfold/fireflyfold/platform"
 )
@@ -107,11 +108,20 @@
 }
 
 // httpSink answers an HTTP caller.
+//
+// A caller that asks for a large answer and does not read it would hold its
+// slot and units for as long as it likes, and a few such callers would leave
+// none to others. The answer must have gone out at the request's deadline;
+// then the connection is cut, and the slot is free.
 type httpSink struct {
-	w http.ResponseWriter
+	w     http.ResponseWriter
+	until time.Time
 }
 
 func (s *httpSink) head(status int, header http.Header, length int64) error {
+	if err := http.NewResponseController(s.w).SetWriteDeadline(s.until); err != nil {
+		return err
+	}
 	dst := s.w.Header()
 	for name, values := range header {
 		dst[name] = values
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -36,6 +36,8 @@
 	Adjust    func(*settings.Settings)                // changes the settings of every host; may be nil
 	Engine    engine.Options                          // base of every engine's options
 	Telemetry func(ident.HostID) *telemetry.Telemetry // nil discards
+	// Entry changes how every host meets the platform; may be nil.
+	Entry func(*entry.Options)
 }
 
 // defaultTeamLimit is the upper limit of each team in units.
@@ -242,7 +244,11 @@
 	if f.opts.Telemetry != nil {
 		tel = f.opts.Telemetry(id)
 	}
-	host, err := entry.New(entry.WithPlatform(entry.Options{Settings: s, Telemetry: tel, Engine: f.opts.Engine}))
+	opts := entry.WithPlatform(entry.Options{Settings: s, Telemetry: tel, Engine: f.opts.Engine})
+	if f.opts.Entry != nil {
+		f.opts.Entry(&opts)
+	}
+	host, err := entry.New(opts)
 	if err != nil {
 		return nil, err
 	}
