engine: a worker's report touches only the attempts on it

Cause: attemptsOn walked all attempts of the zone at each report of a worker, and retryStarts did so at each tick; with 8,000 tasks on 800 workers that was more than half of the engine's time. Ruled out: a slower pace of reports (room that is free would be known later).

--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"hash/fnv"
-	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +34,7 @@
 // attempt is one attempt that this host assigned or adopted.
 type attempt struct {
 	sched.Assign
+	name      string // of the task on its worker
 	phase     phase
 	lease     platform.Epoch // under which it was or is to be started
 	maybeSent bool           // a start was sent and not answered
@@ -90,7 +90,7 @@
 		return
 	}
 	a := &attempt{Assign: cmd, phase: phaseAssigning, lease: epoch, by: e.opts.Self}
-	e.zone.attempts[cmd.ID] = a
+	e.zone.attempts.add(a)
 	if cmd.Service != "" {
 		e.start(a)
 		return
@@ -112,6 +112,7 @@
 		return
 	}
 	a.phase = phaseStarting
+	e.zone.attempts.startSent(a)
 	a.retryAt = e.now + startRetry
 	e.emit(StartTask{
 		ID:     a.ID,
@@ -121,7 +122,7 @@
 			Class:   platform.ClassCompute,
 			Epoch:   epoch,
 			Holder:  e.opts.Self,
-			ID:      taskName(a.Service, a.ID),
+			ID:      a.name,
 			Team:    a.Team,
 			Need:    a.Need,
 			Run:     a.Run,
@@ -138,8 +139,8 @@
 	if e.zone == nil {
 		return
 	}
-	a, ok := e.zone.attempts[ev.ID]
-	if !ok || a.phase != phaseStarting || a.lease != ev.Epoch {
+	a := e.zone.attempts.get(ev.ID)
+	if a == nil || a.phase != phaseStarting || a.lease != ev.Epoch {
 		return
 	}
 	var notSent *platform.NotSentError
@@ -184,7 +185,7 @@
 // endNever closes an attempt that truly did not run.
 func (e *Engine) endNever(a *attempt, refusal platform.Refusal) {
 	if a.Service != "" {
-		delete(e.zone.attempts, a.ID)
+		e.zone.attempts.drop(a)
 		e.stepSched(sched.StartRefused{ID: a.ID, Reason: refusal})
 		return
 	}
@@ -242,7 +243,7 @@
 // closeAttempt tells the scheduler of the end and returns borrowed units to
 // nobody: the dead holder's units come with the reclaim.
 func (e *Engine) closeAttempt(a *attempt, ev sched.Event) {
-	delete(e.zone.attempts, a.ID)
+	e.zone.attempts.drop(a)
 	if a.borrowed {
 		e.zone.limits.borrowed[a.Team] += resource.LimitUnits(a.Need)
 	}
@@ -255,11 +256,11 @@
 }
 
 func (e *Engine) control(cmd sched.Control) {
-	a, ok := e.zone.attempts[cmd.ID]
-	if !ok {
+	a := e.zone.attempts.get(cmd.ID)
+	if a == nil {
 		return
 	}
-	e.controlTask(cmd.Worker, taskName(a.Service, cmd.ID), cmd.Control)
+	e.controlTask(cmd.Worker, a.name, cmd.Control)
 }
 
 func (e *Engine) controlTask(worker ident.WorkerID, name string, control platform.Control) {
@@ -278,15 +279,8 @@
 
 // retryStarts sends starts again that got no answer.
 func (e *Engine) retryStarts() {
-	var due []*attempt
-	for _, a := range e.zone.attempts {
-		if a.phase == phaseStarting && e.now >= a.retryAt {
-			due = append(due, a)
-		}
-	}
-	slices.SortFunc(due, func(a, b *attempt) int { return strings.Compare(a.ID.String(), b.ID.String()) })
-	for _, a := range due {
-		if e.zone.attempts[a.ID] == a && a.phase == phaseStarting {
+	for _, a := range e.zone.attempts.unanswered() {
+		if e.zone.attempts.has(a) && a.phase == phaseStarting && e.now >= a.retryAt {
 			e.start(a)
 		}
 	}
--- a/engine/proposals.go
+++ b/engine/proposals.go
@@ -73,17 +73,17 @@
 }
 
 func (p *assignment) effective(e *Engine, _ bool) {
-	if e.zone == nil || e.zone.attempts[p.a.ID] != p.a {
+	if e.zone == nil || !e.zone.attempts.has(p.a) {
 		return // another life of the scheduler; its recovery finds the record
 	}
 	e.start(p.a)
 }
 
 func (p *assignment) void(e *Engine, _ jobs.Void) {
-	if e.zone == nil || e.zone.attempts[p.a.ID] != p.a {
+	if e.zone == nil || !e.zone.attempts.has(p.a) {
 		return
 	}
-	delete(e.zone.attempts, p.a.ID)
+	e.zone.attempts.drop(p.a)
 	e.stepSched(sched.StartRefused{ID: p.a.ID})
 }
 
@@ -97,7 +97,7 @@
 }
 
 func (p *ending) effective(e *Engine, _ bool) {
-	if e.zone == nil || e.zone.attempts[p.a.ID] != p.a {
+	if e.zone == nil || !e.zone.attempts.has(p.a) {
 		return
 	}
 	if p.ack != "" {
--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -255,7 +255,7 @@
 	e.note(NoteUnits, "takes over the limit units of "+ev.Dead.String())
 	adopted := map[ident.TeamID]int64{}
 	if e.zone != nil {
-		for _, a := range e.zone.attempts {
+		for _, a := range e.zone.attempts.byID {
 			if a.borrowed && a.by == ev.Dead {
 				a.borrowed = false
 				adopted[a.Team] += resource.LimitUnits(a.Need)
@@ -275,7 +275,7 @@
 	if e.zone == nil {
 		return
 	}
-	for _, a := range e.zone.attempts {
+	for _, a := range e.zone.attempts.byID {
 		if a.by == dead {
 			a.borrowed = true
 		}
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -123,7 +123,7 @@
 func (e *Engine) restoredTask(job *jobs.Job, index int, task jobs.Task) sched.RestoredTask {
 	res := sched.RestoredTask{Index: index, Attempts: task.Attempts, Done: task.Done()}
 	id := ident.AttemptID{Job: job.Job, Index: index, Attempt: task.Attempts}
-	if a := e.zone.attempts[id]; a != nil && task.Open {
+	if a := e.zone.attempts.get(id); a != nil && task.Open {
 		res.Running = true
 		res.Started = a.phase == phaseRunning
 		res.Worker = a.Worker
@@ -188,7 +188,7 @@
 // adoptAttempt takes over an attempt that runs on.
 func (e *Engine) adoptAttempt(cmd jobs.Adopt) {
 	id := cmd.Attempt.Attempt
-	if e.zone.attempts[id] != nil {
+	if e.zone.attempts.get(id) != nil {
 		return
 	}
 	w := e.zone.workers[cmd.Attempt.Worker]
@@ -212,7 +212,7 @@
 // resolveAttempt records the end of an attempt that does not run any more.
 func (e *Engine) resolveAttempt(cmd jobs.Resolve) {
 	id := cmd.Attempt.Attempt
-	if a := e.zone.attempts[id]; a != nil {
+	if a := e.zone.attempts.get(id); a != nil {
 		e.resolveOwn(a, cmd)
 		return
 	}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		service, id, ok := parseTaskName(t.ID)
-		if ok && (service != "" || e.zone.attempts[id] != nil) {
+		if ok && (service != "" || e.zone.attempts.get(id) != nil) {
 			continue // known, or restored by applyReport
 		}
 		w.foreign = w.foreign.Add(t.Need)
@@ -80,7 +80,7 @@
 // settleOlderStarts closes attempts whose start was under way under an older
 // epoch and that the worker does not have.
 func (e *Engine) settleOlderStarts(w *zoneWorker) {
-	for _, a := range e.attemptsOn(w.id) {
+	for _, a := range e.zone.attempts.on(w.id) {
 		if a.lease >= w.epoch || a.phase != phaseStarting || reportOf(w.tasks, a) != nil {
 			continue
 		}
@@ -88,22 +88,9 @@
 	}
 }
 
-// attemptsOn lists the attempts on a worker in order of their identifiers.
-func (e *Engine) attemptsOn(worker ident.WorkerID) []*attempt {
-	var list []*attempt
-	for _, a := range e.zone.attempts {
-		if a.Worker == worker {
-			list = append(list, a)
-		}
-	}
-	slices.SortFunc(list, func(a, b *attempt) int { return strings.Compare(a.ID.String(), b.ID.String()) })
-	return list
-}
-
 func reportOf(tasks []platform.TaskReport, a *attempt) *platform.TaskReport {
-	name := taskName(a.Service, a.ID)
 	for i := range tasks {
-		if tasks[i].ID == name {
+		if tasks[i].ID == a.name {
 			return &tasks[i]
 		}
 	}
@@ -117,7 +104,7 @@
 		if !ok {
 			continue
 		}
-		if a := e.zone.attempts[id]; a != nil {
+		if a := e.zone.attempts.get(id); a != nil {
 			e.applyTask(a, t)
 			continue
 		}
@@ -211,13 +198,13 @@
 func (e *Engine) adopt(a *attempt) {
 	a.by = e.units.State().Heir(a.by)
 	a.borrowed = a.by != e.opts.Self
-	e.zone.attempts[a.ID] = a
+	e.zone.attempts.add(a)
 }
 
 // findMissing closes attempts that were running before the report was asked
 // for and that the worker does not have any more: it lost them.
 func (e *Engine) findMissing(w *zoneWorker) {
-	for _, a := range e.attemptsOn(w.id) {
+	for _, a := range e.zone.attempts.on(w.id) {
 		if a.phase != phaseRunning || a.startedAt >= w.sentAt || reportOf(w.tasks, a) != nil {
 			continue
 		}
@@ -261,10 +248,8 @@
 	if w == nil || !w.quiet {
 		return
 	}
-	for _, a := range e.zone.attempts {
-		if a.Worker == worker && a.phase == phaseStarting {
-			return
-		}
+	if e.zone.attempts.startsOn(worker) {
+		return
 	}
 	e.stepLeases(lease.Idle{Key: lease.Key{Worker: worker, Class: platform.ClassCompute}})
 }
@@ -307,7 +292,7 @@
 
 func (e *Engine) bury(w *zoneWorker) {
 	var open []jobs.OpenAttempt
-	for _, a := range e.attemptsOn(w.id) {
+	for _, a := range e.zone.attempts.on(w.id) {
 		if a.Service != "" {
 			e.endLost(a, "its worker cannot be reached")
 			continue
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -22,7 +22,7 @@
 	limits   *zoneLimits
 	epoch    jobs.Epoch // of the owned stream; zero while it is not owned
 	workers  map[ident.WorkerID]*zoneWorker
-	attempts map[ident.AttemptID]*attempt
+	attempts attemptBook
 	services map[ident.ServiceID]fleet.Service
 
 	// opened is set once every listed worker was gained or failed to answer, or
@@ -83,7 +83,7 @@
 		sched:      sched.New(opts),
 		limits:     limits,
 		workers:    map[ident.WorkerID]*zoneWorker{},
-		attempts:   map[ident.AttemptID]*attempt{},
+		attempts:   newAttemptBook(),
 		services:   map[ident.ServiceID]fleet.Service{},
 		recovering: map[ident.JobID]int{},
 		failed:     map[ident.WorkerID]bool{},
