engine, member: a tick no longer walks all hosts and workers

Cause: at each tick of 20 ms publishView sorted all hosts once for each zone, heartbeat chose all peers anew, reportLoad walked all leases, and each gained lease applied the marks of all workers. Now the hosts are kept sorted, the view is worked out when something was heard or after 200 ms, digests when one is due, the load every 100 ms, and a gained lease touches its own worker.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -42,6 +42,9 @@
 	dethroned bool
 	view      View
 	viewSent  bool
+	viewOf    uint64        // changes of membership that the view shows
+	viewNext  time.Duration // when the view is worked out again at the latest
+	loadNext  time.Duration // when the load is told to membership again
 	out       []Command
 
 	proposals  map[jobs.ProposalID]proposal
--- a/engine/leases.go
+++ b/engine/leases.go
@@ -81,7 +81,7 @@
 		e.computeGained(ev)
 		return
 	}
-	entry, _ := e.members.Worker(ev.Worker)
+	entry, listed := e.members.Worker(ev.Worker)
 	e.stepRouter(request.WorkerReady{
 		Worker:      ev.Worker,
 		Rack:        entry.Rack,
@@ -90,7 +90,9 @@
 		Connections: ev.Size.Connections,
 		Occupied:    e.foreignCalls(ev.Worker, ev.SentAt, ev.Tasks),
 	})
-	e.applyMarks()
+	if listed {
+		e.applyMark(entry)
+	}
 	e.ackCalls(ev.Key, ev.Tasks)
 }
 
--- a/engine/membership.go
+++ b/engine/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
@@ -62,8 +63,15 @@
 	e.stepRouter(request.PeerGone{Host: host})
 }
 
+// loadEvery is how old the load in a digest may be.
+const loadEvery = 100 * time.Millisecond
+
 // reportLoad tells membership what digests are to carry.
 func (e *Engine) reportLoad() {
+	if e.now < e.loadNext {
+		return
+	}
+	e.loadNext = e.now + loadEvery
 	load := member.Load{
 		FreeSlots: int(e.router.Free()),
 		Waiting:   e.router.Waiting(),
@@ -87,12 +95,16 @@
 // nothing new, by the host list or by an operator's mark.
 func (e *Engine) applyMarks() {
 	for _, entry := range e.members.Workers() {
-		leaving := entry.State == platform.StateLeaving
-		e.stepRouter(request.WorkerLeaving{Worker: entry.Worker, Leaving: leaving || e.config.upstreamMarked(entry.Worker)})
-		e.markCompute(entry.Worker, leaving)
+		e.applyMark(entry)
 	}
 }
 
+func (e *Engine) applyMark(entry platform.WorkerEntry) {
+	leaving := entry.State == platform.StateLeaving
+	e.stepRouter(request.WorkerLeaving{Worker: entry.Worker, Leaving: leaving || e.config.upstreamMarked(entry.Worker)})
+	e.markCompute(entry.Worker, leaving)
+}
+
 // View is what the edges know of the other hosts. It is immutable.
 type View struct {
 	Schedules bool // this host owns its zone's job stream
@@ -113,13 +125,21 @@
 	Holder    ident.Holder
 }
 
+// viewEvery is how soon the view shows that a host has fallen silent. What is
+// heard of a host, and ownership of the job stream, are shown at once.
+const viewEvery = 200 * time.Millisecond
+
 // publishView gives the edges a new view when it has changed.
 func (e *Engine) publishView() {
+	changes := e.members.Changes()
+	if e.viewSent && e.view.Schedules == e.Schedules() && e.viewOf == changes && e.now < e.viewNext {
+		return
+	}
+	e.viewOf = changes
+	e.viewNext = e.now + viewEvery
 	view := View{Schedules: e.Schedules()}
-	for _, zone := range e.members.Known() {
-		for _, p := range e.members.Hosts(zone, e.now) {
-			view.Hosts = append(view.Hosts, viewHost(p))
-		}
+	for _, p := range e.members.Live(e.now) {
+		view.Hosts = append(view.Hosts, viewHost(p))
 	}
 	if e.viewSent && e.view.Schedules == view.Schedules && slices.Equal(e.view.Hosts, view.Hosts) {
 		return
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -20,7 +20,7 @@
 	if e.zone == nil {
 		return // wished before it was given up; the handover follows
 	}
-	entry, _ := e.members.Worker(ev.Worker)
+	entry, listed := e.members.Worker(ev.Worker)
 	w := e.zone.workers[ev.Worker]
 	if w == nil {
 		w = &zoneWorker{id: ev.Worker}
@@ -39,7 +39,9 @@
 	e.settleOlderStarts(w)
 	e.applyReport(w)
 	e.addWorker(w)
-	e.applyMarks()
+	if listed {
+		e.applyMark(entry)
+	}
 }
 
 func (e *Engine) computeReported(ev lease.Reported) {
--- a/member/assign.go
+++ b/member/assign.go
@@ -24,10 +24,9 @@
 		m.stale = false
 	}
 	m.assignScheduler(now, names)
-	for _, id := range m.order {
-		w := m.workers[id]
-		m.settle(now, &w.slots, w.winner, Want{Worker: id, Class: platform.ClassSlots})
-		m.follow(&w.comp, Want{Worker: id, Class: platform.ClassCompute})
+	for _, w := range m.order {
+		m.settle(now, &w.slots, w.winner, Want{Worker: w.id, Class: platform.ClassSlots})
+		m.follow(&w.comp, Want{Worker: w.id, Class: platform.ClassCompute})
 	}
 }
 
@@ -52,8 +51,8 @@
 }
 
 func (m *Members) rank(names []ident.HostID) {
-	for _, id := range m.order {
-		m.workers[id].winner = Winner(string(id), names)
+	for _, w := range m.order {
+		w.winner = Winner(string(w.id), names)
 	}
 }
 
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -11,10 +11,18 @@
 // jitterFraction spreads digests, so that hosts do not fall into step.
 const jitterFraction = 0.1
 
+// maxBeatWait bounds how long a change of peers can go unseen.
+const maxBeatWait = 200 * time.Millisecond
+
 // heartbeat sends the digests that are due.
 func (m *Members) heartbeat(now time.Duration) {
+	if now < m.nextBeat {
+		return
+	}
+	m.nextBeat = now + maxBeatWait
 	for _, h := range m.peers() {
 		if now < h.nextDigest {
+			m.nextBeat = min(m.nextBeat, h.nextDigest)
 			continue
 		}
 		every := m.opts.HeartbeatEvery
--- a/member/host.go
+++ b/member/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,13 +80,22 @@
 	m.listWorkers(now, listing.Workers)
 	m.forgetHosts(now)
 	m.stale = true
+	m.changes++
+	m.nextBeat = now
+}
+
+func (m *Members) addHost(now time.Duration, id ident.HostID) *host {
+	h := &host{id: id, sinceAt: now, graceAt: now, nextDigest: now}
+	m.hosts[id] = h
+	m.sorted = nil
+	m.nextBeat = now
+	return h
 }
 
 func (m *Members) listHost(now time.Duration, entry platform.HostEntry) {
 	h, ok := m.hosts[entry.Host]
 	if !ok {
-		h = &host{id: entry.Host, sinceAt: now, graceAt: now, nextDigest: now}
-		m.hosts[entry.Host] = h
+		h = m.addHost(now, entry.Host)
 	}
 	h.listed = true
 	h.leaving = entry.State == platform.StateLeaving
@@ -101,6 +111,7 @@
 	for id, h := range m.hosts {
 		if !h.listed && h.silence(now) >= m.opts.ForgetAfter {
 			delete(m.hosts, id)
+			m.sorted = nil
 		}
 	}
 }
@@ -114,12 +125,12 @@
 	}
 	h, ok := m.hosts[d.Holder.Host]
 	if !ok {
-		h = &host{id: d.Holder.Host, sinceAt: now, graceAt: now, nextDigest: now}
-		m.hosts[d.Holder.Host] = h
+		h = m.addHost(now, d.Holder.Host)
 	}
 	if !h.hearLife(now, d) {
 		return
 	}
+	m.changes++
 	h.heard = true
 	h.heardAt = now
 	h.digest = d
@@ -147,14 +158,15 @@
 func (m *Members) peerFailed(id ident.HostID) {
 	if h, ok := m.hosts[id]; ok {
 		h.fails++
+		m.changes++
 	}
 }
 
+// sortedHosts lists the other hosts in order of their names. It must not be
+// changed.
 func (m *Members) sortedHosts() []*host {
-	hosts := make([]*host, 0, len(m.hosts))
-	for _, h := range m.hosts {
-		hosts = append(hosts, h)
+	if m.sorted == nil {
+		m.sorted = slices.SortedFunc(maps.Values(m.hosts), func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 	}
-	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
-	return hosts
+	return m.sorted
 }
--- a/member/members.go
+++ b/member/members.go
@@ -14,8 +14,12 @@
 	rng   *rand.Rand
 	hosts map[ident.HostID]*host
 
+	sorted   []*host       // hosts in order of name; nil after one came or went
+	changes  uint64        // counts what was heard of other hosts
+	nextBeat time.Duration // no digest is due before
+
 	workers   map[ident.WorkerID]*worker
-	order     []ident.WorkerID // own-zone workers, sorted
+	order     []*worker // own-zone workers, in order of name
 	scheduler wish
 
 	listed     bool // a listing was read
@@ -98,6 +102,7 @@
 	for _, h := range m.sortedHosts() {
 		h.nextDigest = now
 	}
+	m.nextBeat = now
 	m.heartbeat(now)
 }
 
--- a/member/view.go
+++ b/member/view.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,13 +23,43 @@
 func (m *Members) Hosts(zone ident.Zone, now time.Duration) []Peer {
 	var peers []Peer
 	for _, h := range m.sortedHosts() {
-		if h.zone == zone && !h.leaves() && !m.unreachable(now, h) {
-			peers = append(peers, Peer{Host: h.id, Zone: h.zone, Addr: h.addr, Heard: h.heard, Digest: h.digest})
+		if h.zone == zone && m.counts(now, h) {
+			peers = append(peers, h.peer())
 		}
 	}
 	return peers
 }
 
+// Live returns the hosts of all zones that count as live at now, this one left
+// out, ordered by zone and name.
+func (m *Members) Live(now time.Duration) []Peer {
+	hosts := make([]*host, 0, len(m.hosts))
+	for _, h := range m.sortedHosts() {
+		if m.counts(now, h) {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortStableFunc(hosts, func(a, b *host) int { return cmp.Compare(a.zone, b.zone) })
+	peers := make([]Peer, len(hosts))
+	for i, h := range hosts {
+		peers[i] = h.peer()
+	}
+	return peers
+}
+
+// Changes counts what was heard of other hosts. While it stays the same, Live
+// differs only by hosts that have fallen silent.
+func (m *Members) Changes() uint64 { return m.changes }
+
+func (h *host) peer() Peer {
+	return Peer{Host: h.id, Zone: h.zone, Addr: h.addr, Heard: h.heard, Digest: h.digest}
+}
+
+// counts reports whether the host counts as live.
+func (m *Members) counts(now time.Duration, h *host) bool {
+	return !h.leaves() && !m.unreachable(now, h)
+}
+
 // unreachable reports whether calls to the host are hopeless. Hosts elsewhere
 // are heard of at a slower pace, if at all.
 func (m *Members) unreachable(now time.Duration, h *host) bool {
@@ -38,16 +69,6 @@
 	return h.fails >= m.opts.FailuresToDead || !h.listed && h.silence(now) >= m.opts.ForgetAfter
 }
 
-// Known returns the zones of all known hosts and the own zone, sorted.
-func (m *Members) Known() []ident.Zone {
-	zones := []ident.Zone{m.opts.Zone}
-	for _, h := range m.hosts {
-		zones = append(zones, h.zone)
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
-
 // Worker returns a worker of the own zone as last listed.
 func (m *Members) Worker(id ident.WorkerID) (platform.WorkerEntry, bool) {
 	w, ok := m.workers[id]
@@ -60,8 +81,8 @@
 // Workers returns the workers of the own zone, ordered by name.
 func (m *Members) Workers() []platform.WorkerEntry {
 	entries := make([]platform.WorkerEntry, len(m.order))
-	for i, id := range m.order {
-		entries[i] = m.workers[id].entry
+	for i, w := range m.order {
+		entries[i] = w.entry
 	}
 	return entries
 }
--- a/member/worker.go
+++ b/member/worker.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 
 // worker is what is known of one worker of the own zone.
 type worker struct {
+	id     ident.WorkerID
 	entry  platform.WorkerEntry
 	listed bool
 	seenAt time.Duration // listed or answered
@@ -35,10 +37,10 @@
 		}
 		w, ok := m.workers[entry.Worker]
 		if !ok {
-			w = &worker{}
+			w = &worker{id: entry.Worker}
 			m.workers[entry.Worker] = w
-			at, _ := slices.BinarySearch(m.order, entry.Worker)
-			m.order = slices.Insert(m.order, at, entry.Worker)
+			at, _ := slices.BinarySearchFunc(m.order, w, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+			m.order = slices.Insert(m.order, at, w)
 		}
 		w.entry = entry
 		w.listed = true
@@ -56,14 +58,13 @@
 // dropped is kept while it answers: its tasks run on, and without a lease it
 // would stop them all.
 func (m *Members) dropWorkers(now time.Duration) {
-	m.order = slices.DeleteFunc(m.order, func(id ident.WorkerID) bool {
-		w := m.workers[id]
+	m.order = slices.DeleteFunc(m.order, func(w *worker) bool {
 		if w.listed || now-w.seenAt < m.opts.DropAfter {
 			return false
 		}
-		m.unwant(id, platform.ClassSlots, &w.slots)
-		m.unwant(id, platform.ClassCompute, &w.comp)
-		delete(m.workers, id)
+		m.unwant(w.id, platform.ClassSlots, &w.slots)
+		m.unwant(w.id, platform.ClassCompute, &w.comp)
+		delete(m.workers, w.id)
 		return true
 	})
 }
