Ended calls, ended jobs and teams under their limit cost a tick nothing

Cause: each tick walked every call that ended in the last 10 s, drafting moves of limit units sorted all teams although none was over its limit, and the picture for operators sorted all jobs remembered for 24 h, five times a second. Commands: go test ./capacity -run xxx -bench 'TickAfter|Facts' -benchtime 20x.

--- a/capacity/engine_test.go
+++ b/capacity/engine_test.go
@@ -142,3 +142,39 @@
 		})
 	}
 }
+
+// BenchmarkFacts is the picture for operators that the daemon takes five times
+// a second, by the jobs that ended in the last 24 hours.
+func BenchmarkFacts(b *testing.B) {
+	for _, s := range []size{today, letter} {
+		for _, ended := range []int{0, 6700} {
+			b.Run(fmt.Sprintf("workers=%d/ended=%d", s.workers, ended), func(b *testing.B) {
+				z := newZone(b, s)
+				z.endJobs(ended)
+				for b.Loop() {
+					z.eng.Facts()
+				}
+			})
+		}
+	}
+}
+
+// endJobs submits and cancels jobs, which stay remembered.
+func (z *zone) endJobs(n int) {
+	const atOnce = 500
+	for n > 0 {
+		first := z.jobs + 1
+		for range min(n, atOnce) {
+			spec := z.spec(1, 0)
+			spec.Need.MilliCPU = workerSize.MilliCPU // does not fit beside what runs
+			z.submit(spec)
+		}
+		z.run(time.Second)
+		for seq := first; seq <= z.jobs; seq++ {
+			id := ident.JobID{Zone: zoneName(0), Host: z.self.Host, Incarnation: z.self.Incarnation, Seq: seq}
+			z.events = append(z.events, engine.JobCancelRequested{Call: seq, Job: id, Deadline: z.now + time.Minute})
+		}
+		z.run(time.Second)
+		n -= atOnce
+	}
+}
--- a/engine/facts.go
+++ b/engine/facts.go
@@ -77,24 +77,11 @@
 	if e.Schedules() {
 		f.Epoch = uint64(e.zone.epoch)
 		f.Recovering = e.zone.recovery != nil
-		f.JobsWaiting, f.JobsRunning = e.countJobs()
+		f.JobsWaiting, f.JobsRunning = e.owner.State().Count()
 	}
 	return f
 }
 
-func (e *Engine) countJobs() (waiting, running int) {
-	for _, job := range e.owner.State().Jobs() {
-		switch {
-		case job.Ended:
-		case job.OpenTasks > 0:
-			running++
-		default:
-			waiting++
-		}
-	}
-	return waiting, running
-}
-
 func (e *Engine) workerFacts() []WorkerFacts {
 	quarantined := map[ident.WorkerID]bool{}
 	for _, id := range e.router.Quarantined() {
--- a/engine/requests.go
+++ b/engine/requests.go
@@ -20,6 +20,13 @@
 type requestBook struct {
 	sent  map[ident.TaskID]sentCall
 	ended map[ident.TaskID]time.Duration
+	order []endedCall // the ended ones, oldest first
+}
+
+// endedCall is a call that ended.
+type endedCall struct {
+	id ident.TaskID
+	at time.Duration
 }
 
 func newRequestBook() requestBook {
@@ -44,12 +51,27 @@
 	return ok && endedAt >= sentAt
 }
 
+// end notes that a call in flight ended.
+func (b *requestBook) end(id ident.TaskID, now time.Duration) {
+	if _, ok := b.sent[id]; !ok {
+		return
+	}
+	delete(b.sent, id)
+	b.ended[id] = now
+	b.order = append(b.order, endedCall{id: id, at: now})
+}
+
+// expire forgets old ended calls. A call that was tried again and ended again
+// is in the order twice and forgotten with the later entry.
 func (b *requestBook) expire(now time.Duration) {
-	for id, at := range b.ended {
-		if now-at > rememberEnded {
-			delete(b.ended, id)
+	n := 0
+	for n < len(b.order) && now-b.order[n].at > rememberEnded {
+		if old := b.order[n]; b.ended[old.id] == old.at {
+			delete(b.ended, old.id)
 		}
+		n++
 	}
+	b.order = b.order[n:]
 }
 
 func (e *Engine) stepRouter(ev request.Event) {
@@ -113,10 +135,7 @@
 // lease is news for the lease manager as well.
 func (e *Engine) requestFinished(ev RequestFinished) {
 	id := ev.Finished.ID
-	if _, ok := e.calls.sent[id]; ok {
-		delete(e.calls.sent, id)
-		e.calls.ended[id] = e.now
-	}
+	e.calls.end(id, e.now)
 	switch ev.Refusal {
 	case platform.RefusedEpoch, platform.RefusedLapsed:
 		key := lease.Key{Worker: ev.Worker, Class: platform.ClassSlots}
--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -308,6 +308,20 @@
 // Len returns the number of jobs, ended ones that are remembered included.
 func (f *Fold) Len() int { return len(f.jobs) }
 
+// Count returns how many jobs have not ended, without and with an open attempt.
+func (f *Fold) Count() (waiting, running int) {
+	for _, j := range f.jobs {
+		switch {
+		case j.Ended:
+		case j.OpenTasks > 0:
+			running++
+		default:
+			waiting++
+		}
+	}
+	return waiting, running
+}
+
 // Jobs returns all jobs in order of their identifiers.
 func (f *Fold) Jobs() []*Job {
 	out := make([]*Job, 0, len(f.jobs))
--- a/ledger/moves.go
+++ b/ledger/moves.go
@@ -47,9 +47,9 @@
 // this holder's part of the limit. One round follows the other until the sum is
 // at the limit, so the parts of holders that are cut off are given by the others.
 func (h *Holder) giveBack(m *Moves) {
-	for _, id := range h.fold.Teams() {
+	for _, id := range h.teamsOver() {
 		t := h.fold.teams[id]
-		if t.sum <= t.limit || h.aside[id] > 0 {
+		if h.aside[id] > 0 {
 			continue
 		}
 		held := t.held[h.cfg.Self]
@@ -60,6 +60,18 @@
 	}
 }
 
+// teamsOver lists the teams that are above their limit, in order of name.
+func (h *Holder) teamsOver() []ident.TeamID {
+	var over []ident.TeamID
+	for id, t := range h.fold.teams {
+		if t.sum > t.limit {
+			over = append(over, id)
+		}
+	}
+	slices.Sort(over)
+	return over
+}
+
 // pendingIn returns what the moves drafted so far take of a team.
 func (m *Moves) pendingIn(id ident.TeamID) int64 {
 	var units int64
