--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -42,7 +42,6 @@
 	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), ev.Epoch, open)
 	for _, o := range open {
 		e.zone.recovering[o.Attempt.Job]++
-		e.cycleLease(o)
 	}
 	e.restoreJobs()
 	e.stepRecovery(e.zoneHosts())
@@ -53,15 +52,14 @@
 }
 
 // cycleLease takes a worker's lease anew if this host holds it under the epoch
-// that an open attempt was to be started under. A start sent before ownership
-// was lost could otherwise still arrive after the worker was found not to have
-// it, and the task would run twice.
-func (e *Engine) cycleLease(o jobs.OpenAttempt) {
-	w := e.zone.workers[o.Worker]
-	if w == nil || !w.held || w.epoch > o.Lease {
+// that a start may be on its way under. After it, that start cannot take
+// effect any more, and the grant shows whether it did.
+func (e *Engine) cycleLease(worker ident.WorkerID, epoch platform.Epoch) {
+	w := e.zone.workers[worker]
+	if w == nil || !w.held || w.epoch > epoch {
 		return
 	}
-	key := lease.Key{Worker: o.Worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: worker, Class: platform.ClassCompute}
 	e.stepLeases(lease.Want{Key: key, Wanted: false})
 	e.stepLeases(lease.Idle{Key: key})
 	e.stepLeases(lease.Want{Key: key, Wanted: true})
@@ -173,9 +171,13 @@
 func (e *Engine) recoveryCommand(cmd jobs.RecoveryCommand) {
 	switch cmd := cmd.(type) {
 	case jobs.AskPromise:
-		e.emitPromise(cmd.Host, cmd.Worker, false)
+		e.emitPromise(cmd.Host, AskPromise{Worker: cmd.Worker, Seq: cmd.Seq})
 	case jobs.ReleasePromise:
-		e.emitPromise(cmd.Host, cmd.Worker, true)
+		e.emitPromise(cmd.Host, AskPromise{Worker: cmd.Worker, Release: true})
+	case jobs.Reacquire:
+		if w := e.zone.workers[cmd.Worker]; w != nil {
+			e.cycleLease(cmd.Worker, w.epoch)
+		}
 	case jobs.Adopt:
 		e.adoptAttempt(cmd)
 	case jobs.Resolve:
--- a/engine/requests.go
+++ b/engine/requests.go
@@ -11,16 +11,19 @@
 
 // sentCall is a call in flight on a worker.
 type sentCall struct {
-	worker ident.WorkerID
-	epoch  platform.Epoch
+	worker   ident.WorkerID
+	epoch    platform.Epoch
+	team     ident.TeamID
+	deadline time.Duration
 }
 
 // requestBook remembers which calls are in flight where, and which ended
 // lately, to tell a worker's report of them from calls of other hosts.
 type requestBook struct {
-	sent  map[ident.TaskID]sentCall
-	ended map[ident.TaskID]time.Duration
-	order []endedCall // the ended ones, oldest first
+	sent      map[ident.TaskID]sentCall
+	ended     map[ident.TaskID]time.Duration
+	order     []endedCall // the ended ones, oldest first
+	lingering map[ident.TaskID]lingeringCall
 }
 
 // endedCall is a call that ended.
@@ -30,7 +33,11 @@
 }
 
 func newRequestBook() requestBook {
-	return requestBook{sent: map[ident.TaskID]sentCall{}, ended: map[ident.TaskID]time.Duration{}}
+	return requestBook{
+		sent:      map[ident.TaskID]sentCall{},
+		ended:     map[ident.TaskID]time.Duration{},
+		lingering: map[ident.TaskID]lingeringCall{},
+	}
 }
 
 // rememberEnded is how long an ended call is remembered: longer than a
@@ -51,14 +58,16 @@
 	return ok && endedAt >= sentAt
 }
 
-// end notes that a call in flight ended.
-func (b *requestBook) end(id ident.TaskID, now time.Duration) {
-	if _, ok := b.sent[id]; !ok {
-		return
+// end notes that a call ended, and returns it if it was in flight.
+func (b *requestBook) end(id ident.TaskID, now time.Duration) (sentCall, bool) {
+	sent, ok := b.sent[id]
+	if !ok {
+		return sentCall{}, false
 	}
 	delete(b.sent, id)
 	b.ended[id] = now
 	b.order = append(b.order, endedCall{id: id, at: now})
+	return sent, true
 }
 
 // expire forgets old ended calls. A call that was tried again and ended again
@@ -105,7 +114,7 @@
 		e.stepRouter(request.Finished{ID: cmd.ID, Result: request.ResultNotRun, Refused: true})
 		return
 	}
-	e.calls.sent[cmd.ID] = sentCall{worker: cmd.Worker, epoch: epoch}
+	e.calls.sent[cmd.ID] = sentCall{worker: cmd.Worker, epoch: epoch, team: cmd.Team, deadline: cmd.Deadline}
 	e.emit(CallWorker{ID: cmd.ID, Worker: cmd.Worker, Addr: entry.Addr, Epoch: epoch, Try: cmd.Try})
 }
 
@@ -135,7 +144,9 @@
 // lease is news for the lease manager as well.
 func (e *Engine) requestFinished(ev RequestFinished) {
 	id := ev.Finished.ID
-	e.calls.end(id, e.now)
+	if sent, ok := e.calls.end(id, e.now); ok && ev.Finished.Result.MayStillRun() {
+		e.linger(id, sent)
+	}
 	switch ev.Refusal {
 	case platform.RefusedEpoch, platform.RefusedLapsed:
 		key := lease.Key{Worker: ev.Worker, Class: platform.ClassSlots}
