--- a/capacity/engine_test.go
+++ b/capacity/engine_test.go
@@ -32,7 +32,11 @@
 // BenchmarkZone is a second in the life of a zone's scheduler in full work.
 // The figures are for each virtual second, and for each step of a kind.
 func BenchmarkZone(b *testing.B) {
-	for _, s := range []size{today, {zones: 33, hosts: 4, workers: 12, tasks: 10, teams: 250, startsPerSec: 2}, {zones: 4, hosts: 4, workers: 100, tasks: 10, teams: 250, startsPerSec: 12}, letter} {
+	manyHosts, slow, empty := today, letter, letter
+	manyHosts.zones, manyHosts.hosts = letter.zones, letter.hosts
+	slow.ttl = 9 * time.Second
+	empty.tasks, empty.startsPerSec = 1, 10
+	for _, s := range []size{today, manyHosts, empty, letter, slow} {
 		b.Run(s.String(), func(b *testing.B) {
 			z := newZone(b, s)
 			z.load(5 * time.Second)
--- a/capacity/zone_test.go
+++ b/capacity/zone_test.go
@@ -12,6 +12,7 @@
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -26,7 +27,8 @@
 	workers      int // of each zone
 	tasks        int // running on each worker of the zone that is driven
 	teams        int
-	startsPerSec int // of the zone
+	startsPerSec int           // of the zone
+	ttl          time.Duration // of control leases; zero for the default of the settings
 }
 
 // today is one of the fleets that run now, letter the one to design for: a
@@ -37,7 +39,18 @@
 )
 
 func (s size) String() string {
-	return fmt.Sprintf("zones=%d/workers=%d/tasks=%d/teams=%d/starts=%d", s.zones, s.workers, s.tasks, s.teams, s.startsPerSec)
+	return fmt.Sprintf("zones=%d/workers=%d/tasks=%d/teams=%d/starts=%d/ttl=%v", s.zones, s.workers, s.tasks, s.teams, s.startsPerSec, s.lease().TTL)
+}
+
+// lease gives the lease times of the settings' defaults, or others in
+// proportion.
+func (s size) lease() lease.Options {
+	const taskTTLs = 4 // task TTL by TTL
+	ttl := s.ttl
+	if ttl == 0 {
+		ttl = 3 * time.Second
+	}
+	return lease.Options{TTL: ttl, TaskTTL: taskTTLs * ttl}
 }
 
 // The times of the driver, as in package entry.
@@ -136,7 +149,7 @@
 	for i := range zones {
 		zones[i] = zoneName(i)
 	}
-	z.eng = engine.New(engine.Options{Self: z.self, Zone: zoneName(0), Zones: zones, Addr: "10.0.0.1:7000", Seed: 1})
+	z.eng = engine.New(engine.Options{Self: z.self, Zone: zoneName(0), Zones: zones, Addr: "10.0.0.1:7000", Seed: 1, Lease: s.lease()})
 	z.run(20 * time.Second) // leases gained, ledger joined, stream owned
 	if !z.eng.Schedules() {
 		tb.Fatal("the host does not schedule its zone")
@@ -190,6 +203,10 @@
 	}
 }
 
+// unitsPerHost is what each host gets of each team's limit: enough for every
+// task of its zone.
+const unitsPerHost = 100_000
+
 // services is the number of services whose replicas run.
 const services = 20
 
@@ -210,7 +227,7 @@
 	source := rand.New(rand.NewSource(1))
 	intent := fleet.Intent{}
 	for i := range s.teams {
-		limit, share := int64(s.zones*s.hosts*1000), int64(1)
+		limit, share := int64(s.zones*s.hosts)*unitsPerHost, int64(1)
 		team := teamName(i)
 		_, id, hash, err := fleet.NewKey(source)
 		if err != nil {
@@ -219,7 +236,7 @@
 		intent.Teams = append(intent.Teams, fleet.WantTeam{Team: team, Share: &share, Limit: &limit})
 		intent.Keys = append(intent.Keys, fleet.WantKey{Action: fleet.KeyGive, Team: team, Key: id, Hash: hash})
 	}
-	for i := range services {
+	for i := range min(services, servicesAtOnce) {
 		replicas, team := s.zones*s.workers*s.tasks/serviceShare/services, teamName(i%s.teams)
 		intent.Services = append(intent.Services, fleet.WantService{
 			Service: ident.ServiceID(fmt.Sprintf("service-%03d", i)), Team: &team, Replicas: &replicas, Need: &taskNeed,
@@ -233,6 +250,9 @@
 	return [][]byte{data}, err
 }
 
+// servicesAtOnce keeps a configuration within one change.
+const servicesAtOnce = 250
+
 var wallStart = time.Unix(1_800_000_000, 0).UTC()
 
 // joinLedger makes every other host a member of the ledger of limit units.
