--- a/engine/handover.go
+++ b/engine/handover.go
@@ -58,7 +58,7 @@
 
 // leave notes the attempts of a scheduler that this host stops being.
 func (e *Engine) leave(z *zoneScheduler) {
-	for id, a := range z.attempts {
+	for id, a := range z.attempts.byID {
 		if a.borrowed {
 			continue
 		}
@@ -140,7 +140,7 @@
 	if !e.Schedules() || e.zone.recovery != nil || !e.sizesKnown() {
 		return AttemptOpen
 	}
-	a := e.zone.attempts[asked.ID]
+	a := e.zone.attempts.get(asked.ID)
 	switch {
 	case a != nil && a.borrowed && a.by == asker:
 		a.borrowed = false
--- a/engine/requests.go
+++ b/engine/requests.go
@@ -22,9 +22,16 @@
 type requestBook struct {
 	sent      map[ident.TaskID]sentCall
 	ended     map[ident.TaskID]time.Duration
+	order     []endedCall // the ended ones, oldest first
 	lingering map[ident.TaskID]lingeringCall
 }
 
+// endedCall is a call that ended.
+type endedCall struct {
+	id ident.TaskID
+	at time.Duration
+}
+
 func newRequestBook() requestBook {
 	return requestBook{
 		sent:      map[ident.TaskID]sentCall{},
@@ -51,12 +58,29 @@
 	return ok && endedAt >= sentAt
 }
 
+// end notes that a call ended, and returns it if it was in flight.
+func (b *requestBook) end(id ident.TaskID, now time.Duration) (sentCall, bool) {
+	sent, ok := b.sent[id]
+	if !ok {
+		return sentCall{}, false
+	}
+	delete(b.sent, id)
+	b.ended[id] = now
+	b.order = append(b.order, endedCall{id: id, at: now})
+	return sent, true
+}
+
+// expire forgets old ended calls. A call that was tried again and ended again
+// is in the order twice and forgotten with the later entry.
 func (b *requestBook) expire(now time.Duration) {
-	for id, at := range b.ended {
-		if now-at > rememberEnded {
-			delete(b.ended, id)
+	n := 0
+	for n < len(b.order) && now-b.order[n].at > rememberEnded {
+		if old := b.order[n]; b.ended[old.id] == old.at {
+			delete(b.ended, old.id)
 		}
+		n++
 	}
+	b.order = b.order[n:]
 }
 
 func (e *Engine) stepRouter(ev request.Event) {
@@ -120,12 +144,8 @@
 // lease is news for the lease manager as well.
 func (e *Engine) requestFinished(ev RequestFinished) {
 	id := ev.Finished.ID
-	if sent, ok := e.calls.sent[id]; ok {
-		delete(e.calls.sent, id)
-		e.calls.ended[id] = e.now
-		if ev.Finished.Result.MayStillRun() {
-			e.linger(id, sent)
-		}
+	if sent, ok := e.calls.end(id, e.now); ok && ev.Finished.Result.MayStillRun() {
+		e.linger(id, sent)
 	}
 	switch ev.Refusal {
 	case platform.RefusedEpoch, platform.RefusedLapsed:
