Forwards never go back to where a request came from; refusals are remembered

Now a forward passes over the host that minted the identifier, and a second copy of a refused forward is refused as not run again, and not run.

--- a/request/peers.go
+++ b/request/peers.go
@@ -32,7 +32,9 @@
 		if now-p.at > r.opts.PeerTTL || p.Draining || p.Free-p.sent <= 0 {
 			continue
 		}
-		if slices.Contains(c.refusers, host) || !slices.Contains(p.Services, c.Service) {
+		// The host that minted the identifier has the call open already and
+		// could only call it a duplicate.
+		if host == c.ID.Host || slices.Contains(c.refusers, host) || !slices.Contains(p.Services, c.Service) {
 			continue
 		}
 		if best == nil || r.preferred(p, best) {
--- a/request/router.go
+++ b/request/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/work"
 )
 
 // Limits accounts for units of teams' upper limits held by this host.
@@ -213,9 +214,13 @@
 
 // reject ends a call with a cause and frees all it holds.
 func (r *Router) reject(c *call, cause Cause, after time.Duration) {
+	err := &RejectedError{Cause: cause, RetryAfter: after, MayHaveRun: c.mayRun}
 	r.counters.Rejected[cause]++
 	r.forget(c)
-	r.emit(Reject{ID: c.ID, Cause: &RejectedError{Cause: cause, RetryAfter: after, MayHaveRun: c.mayRun}})
+	if err.Outcome() == work.OutcomeNotRun {
+		r.taken.refuse(c.ID)
+	}
+	r.emit(Reject{ID: c.ID, Cause: err})
 }
 
 func (r *Router) forget(c *call) {
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// A forwarded request is refused as not run by a host that stops, and its
+// sender tries elsewhere. A second copy of the forward that arrives late must
+// not run either, and is truthfully refused as not run once more.
+func TestRefusedForwardStaysRefused(t *testing.T) {
+	r := newRouter(newLimits(10), 0, Options{})
+	ev := admitted(1, "t", true)
+	ev.Hops = 2
+	ev.Deadline = time.Second
+	r.Step(0, ev)
+	only[Reject](t, r.Step(2*time.Second, Tick{}))
+	r.Step(2*time.Second, WorkerReady{Worker: workerID(0), Services: []ident.ServiceID{testService}, Slots: 2, Connections: 8})
+	ev.Deadline = time.Minute
+	reject := only[Reject](t, r.Step(3*time.Second, ev))
+	if reject.Cause.Outcome() != work.OutcomeNotRun {
+		t.Errorf("outcome %v, want not run", reject.Cause.Outcome())
+	}
+}
+
 // An idempotent request is lost on its first worker, is to be tried again, and
 // finds too many waiting. Its caller is refused for want of room, but must not
 // be told that it did not run: the first try may have.
--- a/request/step.go
+++ b/request/step.go
@@ -18,8 +18,8 @@
 		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: CauseOverload, RetryAfter: minRetryAfter}})
 		return
 	}
-	if r.duplicate(now, ev) {
-		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: CauseDuplicate}})
+	if cause := r.duplicate(now, ev); cause != "" {
+		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: cause, RetryAfter: minRetryAfter}})
 		return
 	}
 	r.calls[ev.ID] = c
@@ -33,12 +33,21 @@
 	}
 }
 
-// duplicate reports whether the identifier was taken before.
-func (r *Router) duplicate(now time.Duration, ev Admitted) bool {
+// duplicate returns why an identifier that was taken before is rejected, or "".
+func (r *Router) duplicate(now time.Duration, ev Admitted) Cause {
 	if _, running := r.calls[ev.ID]; running {
-		return true
+		return CauseDuplicate
+	}
+	if ev.Hops == 0 {
+		return ""
+	}
+	switch r.taken.take(now, ev.ID) {
+	case takenAway:
+		return CauseDuplicate
+	case takenRefused:
+		return CauseOverload
 	}
-	return ev.Hops > 0 && !r.taken.take(now, ev.ID)
+	return ""
 }
 
 // enqueue lets c wait, unless too much waits already. The bound is shared in
