--- a/faultmatrix/caller.go
+++ b/faultmatrix/caller.go
@@ -114,6 +114,9 @@
 	left := c.deadline - h.w.Now()
 	h.w.send(exchange{
 		from: h, to: placeOf(h.w.places[cmd.Worker]), step: StepStart, back: StepAnswer, timeout: max(left, 0),
+		// A call has a connection to itself, and the adapter never sends it again,
+		// so only non-idempotent calls, which the worker knows again, are doubled.
+		single: !c.ev.Request.NonIdempotent,
 		serve: func(answer func(reply)) { h.serveCall(c, cmd, answer) },
 		done:  func(r reply) { h.workerAnswered(c, cmd, r) },
 	})
@@ -122,6 +125,9 @@
 // serveCall is the worker's side of a call.
 func (h *host) serveCall(c *call, cmd engine.CallWorker, answer func(reply)) {
 	w := h.w.workers[cmd.Worker]
+	if h.w.Now() >= c.deadline {
+		return // its connection was closed before it arrived; see Assumptions in docs/FAULTS.md
+	}
 	req := c.ev.Request
 	stopped := false
 	ticket, err := w.BeginCall(h.w.Now(), platform.Call{
--- a/faultmatrix/network.go
+++ b/faultmatrix/network.go
@@ -98,6 +98,8 @@
 	step    Step // of the request
 	back    Step // of the answer
 	timeout time.Duration
+	// single tells that the request cannot be doubled on its way.
+	single bool
 	// serve handles the request at the other side, once for each copy that
 	// arrives. It may answer later.
 	serve func(answer func(reply))
@@ -117,6 +119,9 @@
 	}
 	arrived := false
 	w.deliver(x.from, x.to, x.step, func() {
+		if arrived && x.single {
+			return
+		}
 		// Only the first copy came on a connection that its sender reads.
 		heard := !arrived
 		arrived = true
