--- a/standin/admin.go
+++ b/standin/admin.go
@@ -26,6 +26,7 @@
 //	GET      /audit/runs?id=         how often an identifier was started
 //	GET      /audit/units?team=      Units of a team
 //	GET      /audit/history?after=   []RunEvent, but for the first so many
+//	GET      /traffic                Traffic
 //
 // Durations are in nanoseconds.
 func (p *Platform) Admin() http.Handler {
@@ -63,6 +64,7 @@
 		reply(w, Units{Now: now, Peak: peak})
 	})
 	mux.HandleFunc("GET /audit/history", p.auditHistory)
+	mux.HandleFunc("GET /traffic", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Traffic()) })
 	return mux
 }
 
