Old questions for promises are dropped; an own second fence is no rival

Cause: fault matrix, take over/message doubled: a question for a promise that came after its release kept a worker's lease from its owner for two minutes; and a host whose fence was doubled took its own second fence for a rival's and left the stream alone.

--- a/engine/command.go
+++ b/engine/command.go
@@ -160,6 +160,8 @@
 	Addr    string
 	Worker  ident.WorkerID
 	Seq     uint64 // to be returned with the answer
+	From    ident.Holder
+	Order   uint64 // rises with every question of this host
 	Release bool
 }
 
--- a/engine/event.go
+++ b/engine/event.go
@@ -161,6 +161,8 @@
 // frees it from that promise. The answer is a PromiseReply.
 type PromiseAsked struct {
 	Call    uint64
+	From    ident.Holder
+	Order   uint64 // rises with every question of From
 	Worker  ident.WorkerID
 	Release bool
 }
--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -29,6 +29,8 @@
 type reclaimWatch struct {
 	promises  map[ident.WorkerID]time.Duration // until when
 	wishes    map[ident.WorkerID]bool          // what membership wants of promised workers
+	newest    map[promiseSource]uint64         // order of the newest question
+	asks      uint64                           // own questions so far
 	zoneHosts []ident.HostID                   // of the own zone, as listed
 	listed    map[ident.HostID]bool            // all hosts, as listed
 
@@ -39,10 +41,17 @@
 	left    bool          // the ledger membership has ended as asked
 }
 
+// promiseSource is who asked for a promise about which worker.
+type promiseSource struct {
+	from   ident.Holder
+	worker ident.WorkerID
+}
+
 func newReclaimWatch(opts Options) *reclaimWatch {
 	return &reclaimWatch{
 		promises: map[ident.WorkerID]time.Duration{},
 		wishes:   map[ident.WorkerID]bool{},
+		newest:   map[promiseSource]uint64{},
 		listed:   map[ident.HostID]bool{},
 		proof:    ledger.NewReclaimer(opts.Self, opts.ListLag),
 	}
@@ -72,8 +81,11 @@
 func (e *Engine) emitPromise(host ident.HostID, ask AskPromise) {
 	for _, p := range e.view.Hosts {
 		if p.Host == host {
+			e.reclaim.asks++
 			ask.Host = host
 			ask.Addr = p.Addr
+			ask.From = e.opts.Self
+			ask.Order = e.reclaim.asks
 			e.emit(ask)
 			return
 		}
@@ -83,7 +95,17 @@
 // promiseAsked gives up the compute lease of a worker for a peer that settles
 // what ran there, and promises not to take it again until it is released. The
 // promise is given only once the lease is not held.
+//
+// A question that comes late or twice, after the release that followed it,
+// would keep the lease from this host for as long as a promise lasts, and
+// nobody would release it; so older questions of the same host are dropped.
 func (e *Engine) promiseAsked(ev PromiseAsked) {
+	source := promiseSource{from: ev.From, worker: ev.Worker}
+	if ev.Order <= e.reclaim.newest[source] {
+		e.emit(PromiseReply{Call: ev.Call, From: e.opts.Self})
+		return
+	}
+	e.reclaim.newest[source] = ev.Order
 	key := lease.Key{Worker: ev.Worker, Class: platform.ClassCompute}
 	if ev.Release {
 		e.endPromise(ev.Worker)
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -300,8 +300,10 @@
 	old := e.zone
 	e.leave(old)
 	e.zone = e.newZone()
-	e.zone.yieldTo = e.now + yieldFor
-	e.stepOwner(jobs.WantOwnership{Want: false})
+	if ev.Owner != e.opts.Self {
+		e.zone.yieldTo = e.now + yieldFor
+		e.stepOwner(jobs.WantOwnership{Want: false})
+	}
 	e.zone.failed = old.failed
 	for id, w := range old.workers {
 		if w.held {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -192,6 +192,8 @@
 	res, err := h.peers.At(cmd.Addr).Promise(ctx, connect.NewRequest(&peerv1.PromiseRequest{
 		Worker:  string(cmd.Worker),
 		Release: cmd.Release,
+		From:    toWireHolder(cmd.From),
+		Order:   cmd.Order,
 	}))
 	if err != nil {
 		h.metrics.peerFailed.Inc(1)
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -115,7 +115,13 @@
 // Promise implements peerv1.PeerServiceHandler.
 func (s *peerServer) Promise(ctx context.Context, req *connect.Request[peerv1.PromiseRequest]) (*connect.Response[peerv1.PromiseResponse], error) {
 	cmd, err := s.ask(ctx, func(call uint64) engine.Event {
-		return engine.PromiseAsked{Call: call, Worker: ident.WorkerID(req.Msg.GetWorker()), Release: req.Msg.GetRelease()}
+		return engine.PromiseAsked{
+			Call:    call,
+			From:    fromWireHolder(req.Msg.GetFrom()),
+			Order:   req.Msg.GetOrder(),
+			Worker:  ident.WorkerID(req.Msg.GetWorker()),
+			Release: req.Msg.GetRelease(),
+		}
 	})
 	if err != nil {
 		return nil, err
--- a/faultmatrix/peers.go
+++ b/faultmatrix/peers.go
@@ -90,7 +90,7 @@
 
 func (h *host) askPromise(cmd engine.AskPromise) {
 	h.peer(cmd, cmd.Host, func(p *host, answer func(any)) {
-		p.step(engine.PromiseAsked{Call: p.ask(answer), Worker: cmd.Worker, Release: cmd.Release})
+		p.step(engine.PromiseAsked{Call: p.ask(answer), From: cmd.From, Order: cmd.Order, Worker: cmd.Worker, Release: cmd.Release})
 	}, func(v any, err error) {
 		if reply, ok := v.(engine.PromiseReply); ok && err == nil && !cmd.Release {
 			h.step(engine.PromiseAnswered{From: reply.From, Worker: cmd.Worker, Seq: cmd.Seq, Given: reply.Given})
