--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -265,6 +265,20 @@
 	e.restoreJob(job)
 }
 
+// abandonRecovery frees the peers from the promises that an unfinished recovery
+// holds. Its successor may be one of them, and would wait for its own promise.
+func (e *Engine) abandonRecovery() {
+	if e.zone.recovery == nil {
+		return
+	}
+	for _, worker := range e.zone.recovery.Workers() {
+		for _, host := range e.zoneHosts().Hosts {
+			e.emitPromise(host, AskPromise{Worker: worker, Release: true})
+		}
+	}
+	e.zone.recovery = nil
+}
+
 // recoverAttempts settles the attempts of a worker that cannot be reached.
 func (e *Engine) recoverAttempts(w *zoneWorker, open []jobs.OpenAttempt) {
 	if e.zone.recovery != nil || e.zone.epoch == 0 {
@@ -297,6 +311,7 @@
 		return
 	}
 	e.note(NoteScheduler, "no longer schedules zone "+string(e.opts.Zone)+", "+ev.Owner.String()+" does")
+	e.abandonRecovery()
 	old := e.zone
 	e.leave(old)
 	e.zone = e.newZone()
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -140,6 +140,7 @@
 		e.configureZone()
 	case !wanted && e.zone != nil:
 		e.note(NoteScheduler, "gives up scheduling zone "+string(e.opts.Zone))
+		e.abandonRecovery()
 		e.leave(e.zone)
 		e.zone = nil
 	}
