--- a/faultmatrix/caller.go
+++ b/faultmatrix/caller.go
@@ -117,8 +117,8 @@
 		// A call has a connection to itself, and the adapter never sends it again,
 		// so only non-idempotent calls, which the worker knows again, are doubled.
 		single: !c.ev.Request.NonIdempotent,
-		serve: func(answer func(reply)) { h.serveCall(c, cmd, answer) },
-		done:  func(r reply) { h.workerAnswered(c, cmd, r) },
+		serve:  func(answer func(reply)) { h.serveCall(c, cmd, answer) },
+		done:   func(r reply) { h.workerAnswered(c, cmd, r) },
 	})
 }
 
