Matrix: a worker counts a call's time from its arrival and stops at the closed connection

Cause: the deadline of a call was compared across clocks in the harness, which hid overlaps that a real worker has. Before: time left taken at the arrival. After: as sent, and the connection is closed at the deadline.

--- a/faultmatrix/caller.go
+++ b/faultmatrix/caller.go
@@ -117,13 +117,14 @@
 		// A call has a connection to itself, and the adapter never sends it again,
 		// so only non-idempotent calls, which the worker knows again, are doubled.
 		single: !c.ev.Request.NonIdempotent,
-		serve:  func(answer func(reply)) { h.serveCall(c, cmd, answer) },
+		serve:  func(answer func(reply)) { h.serveCall(c, cmd, left, answer) },
 		done:   func(r reply) { h.workerAnswered(c, cmd, r) },
 	})
 }
 
-// serveCall is the worker's side of a call.
-func (h *host) serveCall(c *call, cmd engine.CallWorker, answer func(reply)) {
+// serveCall is the worker's side of a call. It counts the time left from the
+// arrival, and stops a call whose connection is closed.
+func (h *host) serveCall(c *call, cmd engine.CallWorker, left time.Duration, answer func(reply)) {
 	w := h.w.workers[cmd.Worker]
 	if h.w.Now() >= c.deadline {
 		return // its connection was closed before it arrived; see Assumptions in docs/FAULTS.md
@@ -132,7 +133,7 @@
 	stopped := false
 	ticket, err := w.BeginCall(h.w.Now(), platform.Call{
 		Epoch: cmd.Epoch, Holder: h.holder, ID: req.ID, Team: req.Team, Service: req.Service,
-		Deadline: max(c.deadline-h.w.Now(), time.Millisecond), NonIdempotent: req.NonIdempotent,
+		Deadline: left, NonIdempotent: req.NonIdempotent,
 	}, func() { stopped = true })
 	var silent *standin.NoAnswerError
 	if errors.As(err, &silent) {
@@ -145,6 +146,7 @@
 		answer(reply{err: err})
 		return
 	}
+	h.w.deliverAt(c.deadline, h, placeOf(h.w.places[cmd.Worker]), func() { w.EndCall(h.w.Now(), ticket, standin.EndAborted) })
 	h.w.After(h.w.load.serviceTime(), func() {
 		if stopped || w.Faults().Killed {
 			return
--- a/faultmatrix/network.go
+++ b/faultmatrix/network.go
@@ -148,3 +148,14 @@
 		})
 	}
 }
+
+// deliverAt carries the closing of a connection at a time, unless its host is
+// paused then or cut off.
+func (w *World) deliverAt(at time.Duration, from *host, to place, do func()) {
+	w.After(at-w.Now(), func() {
+		if from.alive && from.paused {
+			return
+		}
+		w.deliver(from, to, "", do)
+	})
+}
