--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -21,18 +21,22 @@
 base=${FLEET_BASE_PORT:-7400}
 root=$(cd "$(dirname "$0")/.." && pwd)
 dir=$(mktemp -d)
-pids=
+platform=
+hosts=
 stop() {
-	for pid in $pids; do
+	# The hosts go first: a planned stop hands its leases back to the platform.
+	for pid in $hosts; do
 		kill "$pid" 2>/dev/null || true
 	done
-	for pid in $pids; do
+	for pid in $hosts; do
 		wait "$pid" 2>/dev/null || true
 	done
+	[ -z "$platform" ] || kill "$platform" 2>/dev/null || true
+	[ -z "${FLEET_LOGS:-}" ] || cp "$dir"/*.log "$FLEET_LOGS"
 	rm -rf "$dir"
 }
 trap stop EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP PIPE
 
 (cd "$root" && go build -o "$dir/" ./cmd/fireflyfold ./cmd/fireflyfold-platform)
 
@@ -82,11 +86,10 @@
 # shellcheck disable=SC2086 # the flags are words
 "$dir/fireflyfold-platform" --layout "$layout" --listen "127.0.0.1:$base" $flags ${FLEET_PLATFORM_FLAGS:-} >"$dir/platform.log" 2>&1 &
 platform=$!
-pids=$platform
 n=1
 while [ "$n" -le "$count" ]; do
 	"$dir/fireflyfold" serve --settings "$dir/h$n.ini" >"$dir/h$n.log" 2>&1 &
-	pids="$pids $!"
+	hosts="$hosts $!"
 	n=$((n + 1))
 done
 
@@ -117,6 +120,8 @@
 sleep "${FLEET_SETTLE:-5}"
 [ -z "${FLEET_BEFORE:-}" ] || sh -c "$FLEET_BEFORE"
 
+pids="$platform $hosts"
+
 # Ticks of processor time of a process.
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 # Bytes of one kind of traffic so far: platform, peers or workers.
