--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -85,11 +85,13 @@
 	snap  snapshots
 
 	reclaims map[ident.Holder]*pendingReclaim
+	handing  []*pendingHandOver
 	leaving  bool
 	avoid    map[ident.HostID]bool
 	reset    bool
 
-	driftAt time.Duration // no gift without a request before this
+	driftAt time.Duration  // no gift without a request before this
+	touched []ident.TeamID // of which more may be free since the last report
 
 	now time.Duration
 	out []Command
@@ -142,6 +144,8 @@
 		h.leases(ev.Any)
 	case ReclaimProved:
 		h.reclaimProved(ev)
+	case HandOver:
+		h.handing = append(h.handing, &pendingHandOver{HandOver: ev})
 	case Leaving:
 		h.leaving = true
 		for _, host := range ev.Avoid {
@@ -187,10 +191,12 @@
 	return true
 }
 
-// Done returns the units of a task that has ended or was not started.
+// Done returns the units of a task that has ended or was not started. Units
+// beyond those in use are ignored: counted below zero they would let work start
+// that no unit covers.
 func (h *Holder) Done(team ident.TeamID, units int64) {
 	h.used[team] -= units
-	if h.used[team] == 0 {
+	if h.used[team] <= 0 {
 		delete(h.used, team)
 	}
 }
