--- a/load/report.go
+++ b/load/report.go
@@ -87,6 +87,7 @@
 	reason string        // for every class but classRan
 	detail string        // an example of the reason; may be empty
 	took   time.Duration // from when it was due
+	within bool          // ended before the last arrival
 }
 
 // class is the class of a result.
@@ -107,6 +108,7 @@
 	kinds    map[Kind]*KindReport
 	latency  map[Kind]*hdrhistogram.Histogram
 	accepted map[Kind]*hdrhistogram.Histogram
+	within   map[Kind]int // ran before the last arrival
 	lag      *hdrhistogram.Histogram
 }
 
@@ -119,6 +121,7 @@
 		kinds:    make(map[Kind]*KindReport),
 		latency:  make(map[Kind]*hdrhistogram.Histogram),
 		accepted: make(map[Kind]*hdrhistogram.Histogram),
+		within:   make(map[Kind]int),
 		lag:      newHistogram(),
 	}
 	for _, kind := range Kinds {
@@ -168,6 +171,7 @@
 			k.Late++
 		} else {
 			k.Ran++
+			r.countWithin(kind, res)
 		}
 		record(r.latency[kind], res.took)
 	case classFailed:
@@ -181,6 +185,14 @@
 	}
 }
 
+// countWithin counts what ran while work arrived. What is answered after the
+// last arrival comes from the queue and says nothing of what is sustained.
+func (r *recorder) countWithin(kind Kind, res result) {
+	if res.within {
+		r.within[kind]++
+	}
+}
+
 // report sums up.
 func (r *recorder) report(opts Options) *Report {
 	r.mu.Lock()
@@ -199,7 +211,7 @@
 			accepted := latencyOf(r.accepted[kind])
 			k.Accepted = &accepted
 		}
-		k.PerSecond = float64(k.Ran) / opts.Time.Seconds()
+		k.PerSecond = float64(r.within[kind]) / opts.Time.Seconds()
 		out.Goodput += k.PerSecond
 		out.Kinds[kind] = k
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -39,6 +39,7 @@
 	rec     *recorder
 	checker *checker
 	slots   chan struct{} // one token for each operation at once
+	start   time.Time     // of the arrivals
 }
 
 // Run sends the load and returns when every operation has ended. The error is
@@ -79,12 +80,12 @@
 	random := rand.New(rand.NewPCG(g.opts.Seed, 0))
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	start := time.Now()
-	next := start
+	g.start = time.Now()
+	next := g.start
 	for number := uint64(0); ; number++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / g.opts.Rate * float64(time.Second)))
 		kind := g.opts.Mix.pick(random.IntN(g.opts.Mix.total()))
-		if next.Sub(start) > g.opts.Time || !sleepUntil(ctx, next) {
+		if next.Sub(g.start) > g.opts.Time || !sleepUntil(ctx, next) {
 			return
 		}
 		op := operation{
@@ -121,11 +122,13 @@
 // run carries out one operation.
 func (g *generator) run(ctx context.Context, op operation) {
 	defer func() { <-g.slots }()
+	carry, deadline := g.request, g.opts.Deadline
 	if op.kind.durable() {
-		g.rec.done(op.kind, g.job(ctx, op), g.opts.JobDeadline)
-		return
+		carry, deadline = g.job, g.opts.JobDeadline
 	}
-	g.rec.done(op.kind, g.request(ctx, op), g.opts.Deadline)
+	res := carry(ctx, op)
+	res.within = time.Since(g.start) <= g.opts.Time
+	g.rec.done(op.kind, res, deadline)
 }
 
 // addAudit asks the stand-in platform what really ran.
