Repeats of a request under its key are told apart from conflicts

Cause: a repeat of work that had run was refused with the type and title of a conflict, "belongs to other work", though its outcome said ran. A script could not tell the two. Now urn:fireflyfold:repeated.

--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -334,5 +334,8 @@
 }
 
 func claimProblem(e *engine.ClaimError) *problem.Problem {
-	return problem.New(problem.TypeConflict, e.Outcome, e.Error())
+	if e.Conflict {
+		return problem.New(problem.TypeConflict, e.Outcome, e.Error())
+	}
+	return problem.New(problem.TypeRepeated, e.Outcome, e.Error())
 }
--- a/problem/classes.go
+++ b/problem/classes.go
@@ -15,6 +15,7 @@
 	TypeForbidden:    {http.StatusForbidden, "The key does not allow this"},
 	TypeNotFound:     {http.StatusNotFound, "There is no such thing here"},
 	TypeConflict:     {http.StatusConflict, "The idempotency key belongs to other work"},
+	TypeRepeated:     {http.StatusConflict, "The idempotency key was used before"},
 	TypeStalePlan:    {http.StatusConflict, "The plan is stale"},
 	TypeRefused:      {http.StatusUnprocessableEntity, "The change cannot be made"},
 	TypeNoFit:        {http.StatusUnprocessableEntity, "The work can never fit"},
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -25,6 +25,7 @@
 	TypeForbidden    Type = "urn:fireflyfold:forbidden"       // the key is valid, but not for this
 	TypeNotFound     Type = "urn:fireflyfold:not-found"       // no such job, service or path
 	TypeConflict     Type = "urn:fireflyfold:conflict"        // the idempotency key was used for other work
+	TypeRepeated     Type = "urn:fireflyfold:repeated"        // a repeat of work under its idempotency key
 	TypeStalePlan    Type = "urn:fireflyfold:stale-plan"      // what the plan touches has changed since
 	TypeRefused      Type = "urn:fireflyfold:refused"         // a change that cannot be made
 	TypeNoFit        Type = "urn:fireflyfold:no-fit"          // can never fit any worker
