A planned stop tells everybody, and cuts no answer on its way out

Cause: (1) Run closed its servers as soon as the engine was done; an answer still on its way out, or a caller who waited for a job, was cut. (2) Only some peers heard of the stop; others went on forwarding to a host that had gone, and their callers got "unknown". (3) A stranger at the peers' port kept its connection for ever after the refusal. Mended: servers are shut down, not closed; a stop lasts a second at least, tells every known host, answers those who wait for a job, and asks callers to close their connections; the peers' port closes on strangers and on idle peers. Ruled out: the workers, whose audit shows no call ended but as done.

--- a/engine/drain.go
+++ b/engine/drain.go
@@ -14,6 +14,12 @@
 // reclaim, later.
 const leaveWait = 5 * time.Second
 
+// drainNotice is how long a planned stop lasts at least. Meanwhile whatever
+// arrives is refused as "not run", and peers and the platform's balancer learn
+// that this host takes nothing. What they sent to a host that had gone already
+// would break on its way, and nobody could tell whether it ran.
+const drainNotice = time.Second
+
 // drain starts the planned stop: nothing new is admitted, leases go to other
 // hosts, requests in flight end, and the units are given away.
 func (e *Engine) drain() {
@@ -21,6 +27,7 @@
 		return
 	}
 	e.draining = true
+	e.drainBy = e.now + drainNotice
 	e.note(NoteDrain, "is stopping: takes nothing new and finishes what is in flight")
 	e.stepRouter(request.DrainStarted{})
 	e.stepMembers(member.Drain{})
@@ -30,7 +37,7 @@
 // tickDrain reports when the planned stop is complete. Units are given away
 // only after the last request has ended, or they would be used twice.
 func (e *Engine) tickDrain() {
-	if !e.draining || e.drained {
+	if !e.draining || e.drained || e.now < e.drainBy {
 		return
 	}
 	if e.router.InFlight("") > 0 || len(e.proposals) > 0 || !e.leases.Drained(e.now) {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -39,6 +39,7 @@
 
 	reports   map[lease.Key][]platform.TaskReport // of held leases, the last
 	draining  bool
+	drainBy   time.Duration // a planned stop is not complete before this
 	leaving   bool          // the units are being given away
 	leaveBy   time.Duration // when to stop all the same
 	drained   bool
--- a/entry/api.go
+++ b/entry/api.go
@@ -56,10 +56,18 @@
 		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := h.tel.Tracer.Start(ctx, "admit", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
+		if h.leaving() {
+			// Otherwise a caller could send its next request on a connection
+			// that the host is about to close.
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+// leaving reports whether the planned stop has begun.
+func (h *Host) leaving() bool { return h.leaves.Err() != nil }
+
 // authenticate returns the team of the presented key.
 func (h *Host) authenticate(r *http.Request) (ident.TeamID, *problem.Problem) {
 	state := h.config.Load()
--- a/entry/host.go
+++ b/entry/host.go
@@ -82,7 +82,9 @@
 	view   atomic.Pointer[engine.View]
 	digest atomic.Pointer[member.Digest]
 	facts  atomic.Pointer[engine.Facts]
-	end    chan end // how the core ended the host
+	end    chan end        // how the core ended the host
+	leaves context.Context // ends when the planned stop begins
+	leave  context.CancelFunc
 
 	api, peerAPI net.Listener
 }
@@ -119,6 +121,7 @@
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
+	h.leaves, h.leave = context.WithCancel(context.Background())
 	h.engine = engine.New(h.engineOptions())
 	return h, nil
 }
@@ -221,16 +224,24 @@
 // Error implements error.
 func (e *ReincarnateError) Error() string { return "this life of the host is over: " + e.Reason }
 
+// peerIdle is how long a peer's connection may stay idle. It is above the time
+// after which peers close idle connections themselves, so that no call meets a
+// connection that is being closed. Without a bound, strangers could hold as
+// many connections as they like.
+const peerIdle = time.Minute
+
 // Run serves until ctx ends, and then stops at once, or until a drain that
 // Drain began is complete. It returns a *ReincarnateError if the host has to
 // be started anew.
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer h.leave()
 	api := h.server(h.routes())
 	peers := &http.Server{
 		Handler:           peer.NewHandler(&peerServer{h: h}, peer.Secret(h.opts.Settings.Peers.Secret)),
 		ReadHeaderTimeout: h.opts.Settings.Limits.HeaderTimeout,
+		IdleTimeout:       peerIdle,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	api.BaseContext = peers.BaseContext
@@ -239,14 +250,35 @@
 	duties.Go(func() { h.serveAPI(api) })
 	duties.Go(func() { _ = peers.Serve(h.peerAPI) }) // returns when closed below
 	err := h.wait(ctx)
-	_ = api.Close()
-	_ = peers.Close()
+	if err != nil {
+		cancel() // what is in flight belongs to a life that is over
+	}
+	h.shut(ctx, api, peers)
 	cancel()
 	duties.Wait()
 	h.peers.Close()
 	return err
 }
 
+// shutTimeout bounds how long the last answers may take to go out.
+const shutTimeout = 5 * time.Second
+
+// shut ends the servers. Unless ctx has ended, calls that are being answered
+// are answered first: the engine's part of a planned stop is complete before
+// the last byte has left, and closing at once would cut these answers.
+func (h *Host) shut(ctx context.Context, servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, shutTimeout)
+	defer cancel()
+	var both conc.WaitGroup
+	for _, s := range servers {
+		both.Go(func() {
+			_ = s.Shutdown(ctx) // what is left is closed below
+			_ = s.Close()
+		})
+	}
+	both.Wait()
+}
+
 // wait blocks until the host is told to stop or stops by itself.
 func (h *Host) wait(ctx context.Context) error {
 	select {
@@ -263,6 +295,7 @@
 // Drain begins the planned stop. Run returns when it is complete, or when the
 // time that the settings allow for it is over.
 func (h *Host) Drain() {
+	h.leave()
 	h.push(engine.DrainRequested{})
 	time.AfterFunc(h.opts.Settings.Limits.DrainTimeout, func() { h.stop(end{reason: "the planned stop took too long"}) })
 }
--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -168,6 +168,11 @@
 func (h *Host) sendJobCall(ctx context.Context, c jobCall, addr string) ([]byte, *problem.Problem, bool) {
 	ctx, cancel := context.WithTimeout(ctx, max(c.deadline-h.now(), 0))
 	defer cancel()
+	if c.verb == verbWait {
+		// A host that stops must not keep its callers waiting.
+		stop := context.AfterFunc(h.leaves, cancel)
+		defer stop()
+	}
 	res, err := h.peers.At(addr).CallJob(ctx, connect.NewRequest(&peerv1.CallJobRequest{
 		Verb:           string(c.verb),
 		Team:           string(c.team),
@@ -237,7 +242,8 @@
 const waitPoll = time.Second
 
 // localWait answers when the job has ended, or at the deadline with how it
-// stands.
+// stands. A host that stops answers at once, so that its callers can ask
+// another.
 func (h *Host) localWait(ctx context.Context, c jobCall, job ident.JobID) ([]byte, *problem.Problem) {
 	done, forget := h.waiters.end(job)
 	defer forget()
@@ -254,6 +260,9 @@
 		select {
 		case <-done:
 		case <-timer.C:
+		case <-h.leaves.Done():
+			timer.Stop()
+			return body, p
 		case <-ctx.Done():
 		}
 		timer.Stop()
--- a/member/members.go
+++ b/member/members.go
@@ -96,14 +96,16 @@
 	m.lastStep = now
 }
 
+// drain tells every known host at once, not only those that get the usual
+// digests: any of them may be about to forward a request to this one, and a
+// forward that meets a host which has just gone ends as unknown.
 func (m *Members) drain(now time.Duration) {
 	m.draining = true
 	m.stale = true
 	for _, h := range m.sortedHosts() {
-		h.nextDigest = now
+		m.emit(SendDigest{Host: h.id, Addr: h.addr, Digest: m.digest()})
 	}
-	m.nextBeat = now
-	m.heartbeat(now)
+	m.nextBeat = now + maxBeatWait
 }
 
 // outgoing reports whether this host should own nothing.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -51,6 +51,7 @@
 	mux.Handle(path, service)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !secret.matches(r.Header.Get(authHeader)) {
+			w.Header().Set("Connection", "close") // a stranger holds no connection
 			http.Error(w, "unauthenticated", http.StatusUnauthorized)
 			return
 		}
--- a/processes/stop_test.go
+++ b/processes/stop_test.go
@@ -1,6 +1,7 @@
 package processes_test
 
 import (
+	"net/http"
 	"strconv"
 	"testing"
 
@@ -21,7 +22,15 @@
 		jobs = append(jobs, c.submit(t, h, spec))
 	}
 	for _, h := range c.hosts {
+		waiting := make(chan int, 1)
+		go func() {
+			status, _ := callJobs(h, c.keys[teams[0]], http.MethodGet, "/v1/jobs/"+jobs[4]+"?wait=8s", "")
+			waiting <- status
+		}()
 		h.proc.terminate(t)
+		if status := <-waiting; status == 0 {
+			t.Errorf("%s cut off a caller who waited for a job", h.id)
+		}
 		l.untilMore(t, 50)
 		c.startHost(t, h)
 		c.untilServes(t, h)
