sched: at most four new plans of a round, and a pause for jobs that fit nowhere

Cause: a bulky job that fits on no worker while services run there is planned anew every second, for each of 250 teams, and each plan walks all running tasks. Ruled out: a slower round of planning, which would also delay jobs that do fit. Command: go test ./capacity -run xxx -bench 'Memory/zones=33/workers=800/tasks=10/teams=250/starts=100/ttl=3s/waiting=10000' -benchtime 1x. go test ./sched ./measure is green.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -17,6 +17,13 @@
 	maxHolds  = 4
 	planEvery = time.Second // shortest time between two rounds of planning
 	bulkyPart = 4           // a task is bulky from this part of the largest worker
+
+	// A plan walks through the ends of everything that runs. In a zone of 8,000
+	// tasks where the first jobs of 250 teams fit on no worker that services
+	// leave free, planning for all of them each second took a third of a
+	// processor, and nothing came of it.
+	maxPlans  = maxHolds         // new plans of one round
+	planPause = 10 * time.Second // before a job is planned again that fits nowhere
 )
 
 // hold keeps workers for one job.
@@ -53,7 +60,7 @@
 		}
 	}
 	largest := s.largest()
-	ripens := false
+	ripens, plans := false, 0
 	for _, t := range s.queue.Ordered() {
 		class := t.First(s.unlimited)
 		if class == nil {
@@ -64,7 +71,8 @@
 			continue
 		}
 		ripens = true
-		if s.ripe(j) {
+		if s.ripe(j) && plans < maxPlans {
+			plans++
 			s.plan(j)
 		}
 	}
@@ -94,6 +102,7 @@
 func (s *Scheduler) plan(j *job) {
 	at, workers, ok := s.planner.earliest(s, j, 0)
 	if !ok {
+		j.noHold = s.now + planPause
 		return
 	}
 	held := len(workers)
