--- a/capacity/bytes_test.go
+++ b/capacity/bytes_test.go
@@ -60,6 +60,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
+			b.ReportAllocs()
 			for b.Loop() {
 				var got platform.Listing
 				if err := json.Unmarshal(data, &got); err != nil {
--- a/capacity/engine_test.go
+++ b/capacity/engine_test.go
@@ -32,11 +32,12 @@
 // BenchmarkZone is a second in the life of a zone's scheduler in full work.
 // The figures are for each virtual second, and for each step of a kind.
 func BenchmarkZone(b *testing.B) {
-	manyHosts, slow, empty := today, letter, letter
+	manyHosts, slow, empty, rare := today, letter, letter, letter
 	manyHosts.zones, manyHosts.hosts = letter.zones, letter.hosts
 	slow.ttl = 9 * time.Second
 	empty.tasks, empty.startsPerSec = 1, 10
-	for _, s := range []size{today, manyHosts, empty, letter, slow} {
+	rare.appendEvery = 100 * time.Millisecond
+	for _, s := range []size{today, manyHosts, empty, letter, slow, rare} {
 		b.Run(s.String(), func(b *testing.B) {
 			z := newZone(b, s)
 			z.load(5 * time.Second)
@@ -167,14 +168,14 @@
 func (z *zone) endJobs(n int) {
 	const atOnce = 500
 	for n > 0 {
-		first := z.jobs + 1
+		first := z.jobSeq + 1
 		for range min(n, atOnce) {
 			spec := z.spec(1, 0)
 			spec.Need.MilliCPU = workerSize.MilliCPU // does not fit beside what runs
 			z.submit(spec)
 		}
 		z.run(time.Second)
-		for seq := first; seq <= z.jobs; seq++ {
+		for seq := first; seq <= z.jobSeq; seq++ {
 			id := ident.JobID{Zone: zoneName(0), Host: z.self.Host, Incarnation: z.self.Incarnation, Seq: seq}
 			z.events = append(z.events, engine.JobCancelRequested{Call: seq, Job: id, Deadline: z.now + time.Minute})
 		}
@@ -182,3 +183,45 @@
 		n -= atOnce
 	}
 }
+
+// BenchmarkWaiting is a second of a full zone in which so many jobs wait that
+// fit on no worker while its services run.
+func BenchmarkWaiting(b *testing.B) {
+	for _, waiting := range []int{0, 1000, 10_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			z := newZone(b, letter)
+			z.queue(waiting)
+			z.resetCosts()
+			seconds := 0
+			for b.Loop() {
+				z.load(time.Second)
+				seconds++
+			}
+			z.reportCosts(b, seconds)
+		})
+	}
+}
+
+// BenchmarkConfigInForce is a change of one team's limit, from its record to
+// the last part of the engine that it is put in force in.
+func BenchmarkConfigInForce(b *testing.B) {
+	for _, s := range []size{today, letter} {
+		b.Run(fmt.Sprintf("workers=%d/teams=%d", s.workers, s.teams), func(b *testing.B) {
+			z := newZone(b, s)
+			z.run(time.Second)
+			state := z.config
+			for n := int64(1); b.Loop(); n++ {
+				b.StopTimer()
+				next, data := z.changeLimit(b, state, n)
+				state = next
+				z.append(engine.ConfigStream, [][]byte{data})
+				b.StartTimer()
+				z.answerReads()
+				z.settle()
+				b.StopTimer()
+				z.run(tickEvery)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/capacity/zone_test.go
+++ b/capacity/zone_test.go
@@ -12,6 +12,7 @@
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
@@ -29,6 +30,7 @@
 	teams        int
 	startsPerSec int           // of the zone
 	ttl          time.Duration // of control leases; zero for the default of the settings
+	appendEvery  time.Duration // least time between appends of jobs; zero for the default
 }
 
 // today is one of the fleets that run now, letter the one to design for: a
@@ -39,7 +41,8 @@
 )
 
 func (s size) String() string {
-	return fmt.Sprintf("zones=%d/workers=%d/tasks=%d/teams=%d/starts=%d/ttl=%v", s.zones, s.workers, s.tasks, s.teams, s.startsPerSec, s.lease().TTL)
+	return fmt.Sprintf("zones=%d/workers=%d/tasks=%d/teams=%d/starts=%d/ttl=%v/append=%v",
+		s.zones, s.workers, s.tasks, s.teams, s.startsPerSec, s.lease().TTL, s.jobs(ident.Holder{}).AppendInterval)
 }
 
 // lease gives the lease times of the settings' defaults, or others in
@@ -53,6 +56,15 @@
 	return lease.Options{TTL: ttl, TaskTTL: taskTTLs * ttl}
 }
 
+// jobs gives the pace of the owner of the zone's job stream.
+func (s size) jobs(self ident.Holder) jobs.Config {
+	cfg := jobs.DefaultConfig(zoneName(0), self)
+	if s.appendEvery > 0 {
+		cfg.AppendInterval = s.appendEvery
+	}
+	return cfg
+}
+
 // The times of the driver, as in package entry.
 const (
 	tickEvery = 20 * time.Millisecond
@@ -88,7 +100,8 @@
 	logs    map[platform.Stream][]platform.Record
 	reads   []openRead
 	events  []engine.Event
-	jobs    uint64
+	jobSeq  uint64
+	config  *fleet.State
 	rng     *rand.Rand
 	costs   map[reflect.Type]*cost
 	sent    traffic
@@ -149,7 +162,7 @@
 	for i := range zones {
 		zones[i] = zoneName(i)
 	}
-	z.eng = engine.New(engine.Options{Self: z.self, Zone: zoneName(0), Zones: zones, Addr: "10.0.0.1:7000", Seed: 1, Lease: s.lease()})
+	z.eng = engine.New(engine.Options{Self: z.self, Zone: zoneName(0), Zones: zones, Addr: "10.0.0.1:7000", Seed: 1, Lease: s.lease(), Jobs: s.jobs(z.self)})
 	z.run(20 * time.Second) // leases gained, ledger joined, stream owned
 	if !z.eng.Schedules() {
 		tb.Fatal("the host does not schedule its zone")
@@ -217,9 +230,36 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
+	z.config = fleet.Empty()
 	for _, data := range state {
 		z.append(engine.ConfigStream, [][]byte{data})
+		z.config = applied(tb, z.config, data)
+	}
+}
+
+// applied folds a change.
+func applied(tb testing.TB, state *fleet.State, data []byte) *fleet.State {
+	tb.Helper()
+	next, result, err := fleet.Apply(state, platform.Record{Offset: state.Offset() + 1, Data: data})
+	if err != nil || result.Status != fleet.StatusApplied {
+		tb.Fatal(err, result.Reason)
+	}
+	return next
+}
+
+// changeLimit makes the record of a raised limit.
+func (z *zone) changeLimit(tb testing.TB, state *fleet.State, by int64) (*fleet.State, []byte) {
+	tb.Helper()
+	limit := int64(z.size.zones*z.size.hosts)*unitsPerHost + by
+	plan, err := fleet.MakePlan(state, fleet.Intent{Teams: []fleet.WantTeam{{Team: teamName(1), Limit: &limit}}}, "asha", wallStart, fleet.NoImpact{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	data, err := fleet.EncodeChange(plan.Change("asha", wallStart))
+	if err != nil {
+		tb.Fatal(err)
 	}
+	return applied(tb, state, data), data
 }
 
 // configuration returns the records of a configuration.
@@ -277,9 +317,9 @@
 
 // submit hands in a job.
 func (z *zone) submit(spec work.Spec) {
-	z.jobs++
-	id := ident.JobID{Zone: zoneName(0), Host: z.self.Host, Incarnation: z.self.Incarnation, Seq: z.jobs}
-	z.events = append(z.events, engine.JobSubmitted{Call: z.jobs, ID: id, Spec: spec, Deadline: z.now + time.Minute})
+	z.jobSeq++
+	id := ident.JobID{Zone: zoneName(0), Host: z.self.Host, Incarnation: z.self.Incarnation, Seq: z.jobSeq}
+	z.events = append(z.events, engine.JobSubmitted{Call: z.jobSeq, ID: id, Spec: spec, Deadline: z.now + time.Minute})
 }
 
 // fill starts as many tasks as are meant to run, with run times spread so that
