--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -75,7 +75,7 @@
 		w.own(h)
 		id := w.propose(h, acceptance(1, "k", "f"), 300*time.Millisecond)
 		w.runUntilAppend(h)
-		h.open = h.open[:0:0]
+		h.calls.Drop()
 		w.now += time.Second
 		w.step(h, Tick{})
 		if len(h.final) != 0 || !h.told[id] {
@@ -114,7 +114,7 @@
 	first := w.propose(h, acceptance(1, "", ""), 200*time.Millisecond)
 	for range 20 {
 		w.step(h, Tick{})
-		for range len(h.open) {
+		for range h.calls.Len() {
 			w.answer(h, fakelog.Refused)
 		}
 		w.now += 50 * time.Millisecond
@@ -217,7 +217,7 @@
 		w.step(h, w.log.Answer(append1, fakelog.RequestLost))
 		w.now += time.Second
 		w.step(h, Tick{})
-		if !h.appendOpen() {
+		if h.calls.Append() < 0 {
 			t.Fatal("no cancellation was sent")
 		}
 		w.log.Append(append1.Group)
@@ -268,3 +268,61 @@
 		}
 	}
 }
+
+// Two hosts have different host lists and both want the stream: nothing is ever
+// accepted again, since each fence makes the other fence. Between two fences
+// there must be time to work, and everything proposed is answered.
+func TestRivalsLeaveTimeToWork(t *testing.T) {
+	w := newWorld(t, 2)
+	for _, h := range w.hosts {
+		w.step(h, WantOwnership{Want: true})
+	}
+	effective, ids := 0, map[ProposalID]*host{}
+	for range 100 {
+		for _, h := range w.hosts {
+			ids[w.propose(h, acceptance(uint64(w.lastID)+1, "", ""), 0)] = h
+		}
+		w.run(100 * time.Millisecond)
+	}
+	w.step(w.hosts[0], WantOwnership{Want: false})
+	w.run(2 * time.Second)
+	for id, h := range ids {
+		switch h.final[id].(type) {
+		case Effective:
+			effective++
+		case nil:
+			t.Fatalf("proposal %d was never answered", id)
+		}
+	}
+	if changes := len(w.hosts[0].epochs) + len(w.hosts[1].epochs); changes > 30 {
+		t.Fatalf("%d owners in 10 s", changes)
+	}
+	if effective < 50 {
+		t.Fatalf("%d of 200 proposals became effective", effective)
+	}
+}
+
+// A stream with years behind it takes long to take over. The calls to the log
+// from the wish to ownership are few, whatever came before.
+func TestTakeoverNeedsFewCalls(t *testing.T) {
+	w := newWorld(t, 2)
+	first, second := w.hosts[0], w.hosts[1]
+	w.own(first)
+	for seq := uint64(1); seq <= 300; seq++ {
+		w.shortJob(first, seq)
+	}
+	w.step(first, WantOwnership{Want: false})
+	w.run(time.Second)
+	second.owner = NewOwner(DefaultConfig(testZone, second.name))
+	w.step(second, WantOwnership{Want: true})
+	calls := 0
+	for len(second.epochs) == 0 {
+		w.step(second, Tick{})
+		w.answer(second, fakelog.Fine)
+		calls++
+	}
+	if calls > 6 {
+		t.Fatalf("%d calls to take over a stream of %d records", calls, w.log.Last())
+	}
+	t.Logf("%d calls, %d records", calls, w.log.Last())
+}
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -21,7 +21,8 @@
 type Configured struct{ Teams []TeamLimit }
 
 // Waiting tells how many units the work that waits on this host needs, by team;
-// a team that is absent needs none. It replaces what was told before.
+// a team that is absent needs none. It replaces what was told before. The holder
+// keeps the map; the caller must not change it any more.
 type Waiting struct{ Units map[ident.TeamID]int64 }
 
 // Asked is another member's request, as its Ask command said.
@@ -100,15 +101,16 @@
 // Joined reports that this holder is a member.
 type Joined struct{}
 
-// Changed reports teams of which this holder can use more than before, in
-// order of name.
+// Changed reports teams of which this holder may use more than before, in order
+// of name.
 type Changed struct{ Teams []ident.TeamID }
 
 // Reclaimed reports that the dead holder's units are this holder's.
 type Reclaimed struct{ Dead ident.Holder }
 
-// ReclaimVoid reports that a reclaim had no effect: somebody else came first.
-// The adopted tasks' units are no longer counted here.
+// ReclaimVoid reports that a reclaim had no effect: somebody else came first, the
+// holder is alive, or this one is no member. The adopted tasks' units are not, or
+// no longer, counted here.
 type ReclaimVoid struct{ Dead ident.Holder }
 
 // Dethroned reports that another member has taken over this holder's units, or
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -47,9 +47,9 @@
 //
 // It guards against units used by two holders: from here on this holder does
 // not use them, whatever becomes of the append.
-func (d *draft) addMoves(m Moves) {
+func (d *draft) addMoves(m Moves) bool {
 	if !d.add(Record{Moves: &m}) {
-		return
+		return false
 	}
 	for _, g := range m.Transfers {
 		d.setAside(g.Team, g.Units)
@@ -57,6 +57,7 @@
 	for _, b := range m.GiveBacks {
 		d.setAside(b.Team, b.Units)
 	}
+	return true
 }
 
 func (d *draft) setAside(team ident.TeamID, units int64) {
@@ -103,6 +104,7 @@
 func (h *Holder) draftMember(d *draft) {
 	h.draftLimits(d)
 	h.draftReclaims(d)
+	h.draftHandOvers(d)
 	h.draftMoves(d)
 	h.draftLeave(d)
 	h.draftSnapshot(d)
@@ -121,7 +123,7 @@
 // urgent reports whether somebody waits for the next append.
 func (h *Holder) urgent() bool {
 	return h.phase == phaseJoining || len(h.groups) > 0 || h.proof.needsRecord() ||
-		len(h.wants.asks) > 0 || len(h.reclaims) > 0 || h.leaving || h.limit.open || h.overLimit()
+		len(h.wants.asks) > 0 || len(h.reclaims) > 0 || len(h.handing) > 0 || h.leaving || h.limit.open || h.overLimit()
 }
 
 // sendReset empties the ledger by an operator's order.
@@ -141,7 +143,9 @@
 // the stream, so every group below it that was not read is void.
 func (h *Holder) settle(v Verdict) {
 	num := v.Record.Num
-	h.proof.read(num)
+	if h.proof.read(num) {
+		h.touched = append(h.touched, h.fold.Teams()...)
+	}
 	for len(h.groups) > 0 && h.groups[0].last < num {
 		h.release(h.groups[0], h.groups[0].last)
 		h.groups = h.groups[1:]
@@ -164,10 +168,12 @@
 func (h *Holder) release(g *group, upTo uint64) {
 	n := 0
 	for n < len(g.gifts) && g.gifts[n].num <= upTo {
-		h.aside[g.gifts[n].team] -= g.gifts[n].units
-		if h.aside[g.gifts[n].team] == 0 {
-			delete(h.aside, g.gifts[n].team)
+		team := g.gifts[n].team
+		h.aside[team] -= g.gifts[n].units
+		if h.aside[team] == 0 {
+			delete(h.aside, team)
 		}
+		h.touched = append(h.touched, team)
 		n++
 	}
 	g.gifts = g.gifts[n:]
@@ -202,6 +208,7 @@
 		return
 	}
 	h.release(g, g.last)
+	h.unsendHandOvers(g.first)
 	h.groups = h.groups[:len(h.groups)-1]
 	if h.proof.num >= g.first {
 		h.proof.num = 0
--- a/ledger/holder_test.go
+++ b/ledger/holder_test.go
@@ -83,7 +83,8 @@
 		w.step(giver, Asked{From: taker.name, Team: acme, Units: 30, Seq: 1})
 		for range 20 {
 			w.step(giver, Tick{})
-			if w.answerAppend(giver, fate) {
+			if i := giver.calls.Append(); i >= 0 {
+				w.answer(giver, i, fate)
 				break
 			}
 			w.now += 50 * time.Millisecond
@@ -251,11 +252,30 @@
 	if n := w.use(paused, 5); n != 0 {
 		t.Fatalf("%d started after the end", n)
 	}
-	paused.open = nil
+	paused.calls.Drop()
 	w.now += time.Minute
 	w.step(paused, Tick{})
-	if len(paused.open) != 0 {
-		t.Fatalf("goes on after the end: %#v", paused.open)
+	if paused.calls.Len() != 0 {
+		t.Fatal("goes on after the end")
+	}
+}
+
+// A scheduler that has not joined yet is handed a proof, runs the dead host's
+// tasks, and counts their end as units that it never had: work starts that no
+// unit covers. It must be told that the reclaim had no effect.
+func TestReclaimByStrangerIsVoid(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(2 * time.Second)
+	w.configure(acme, 100)
+	w.run(2 * time.Second)
+	stranger := w.birth("a")
+	w.step(stranger, ReclaimProved{Dead: w.hosts[0].name, Adopted: map[ident.TeamID]int64{acme: 7}})
+	if !heard[ReclaimVoid](stranger) || stranger.holder.Used(acme) != 0 {
+		t.Fatalf("uses %d", stranger.holder.Used(acme))
+	}
+	stranger.holder.Done(acme, 7)
+	if used := stranger.holder.Used(acme); used != 0 {
+		t.Fatalf("uses %d", used)
 	}
 }
 
@@ -271,8 +291,12 @@
 	w.lease(back, false)
 	w.prove(other, back)
 	other.dead = true
+	back.heard = nil
 	w.lease(back, true)
 	w.run(2 * time.Second)
+	if !heard[Changed](back) {
+		t.Fatal("work that waits is not told that units can be used again")
+	}
 	w.mustUse(back, 50)
 	w.wake(other)
 	w.run(2 * time.Second)
--- a/request/step.go
+++ b/request/step.go
@@ -14,8 +14,12 @@
 
 func (r *Router) admit(now time.Duration, ev Admitted) {
 	c := &call{Admitted: ev, at: now}
-	if _, taken := r.calls[ev.ID]; taken {
-		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: CauseDuplicate}})
+	if ev.Hops > 0 && r.taken.full() {
+		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: CauseOverload, RetryAfter: minRetryAfter}})
+		return
+	}
+	if cause := r.duplicate(now, ev); cause != "" {
+		r.emit(Reject{ID: ev.ID, Cause: &RejectedError{Cause: cause, RetryAfter: minRetryAfter}})
 		return
 	}
 	r.calls[ev.ID] = c
@@ -29,6 +33,23 @@
 	}
 }
 
+// duplicate returns why an identifier that was taken before is rejected, or "".
+func (r *Router) duplicate(now time.Duration, ev Admitted) Cause {
+	if _, running := r.calls[ev.ID]; running {
+		return CauseDuplicate
+	}
+	if ev.Hops == 0 {
+		return ""
+	}
+	switch r.taken.take(now, ev.ID) {
+	case takenAway:
+		return CauseDuplicate
+	case takenRefused:
+		return CauseOverload
+	}
+	return ""
+}
+
 // enqueue lets c wait, unless too much waits already. The bound is shared in
 // proportion to weight among the teams that wait, so that one team's flood is
 // refused at its own part and leaves the others theirs.
