Matrix: calls and durable starts apart, workers out of reach, withdrawn keys in use

Cause: sabotage showed guards that no cell caught: the worker's epoch check, the wait for an unreachable worker, withdrawn keys. Before: start hit calls only; nobody used a withdrawn key. After: a step of its own for each, one more fault, callers that keep a withdrawn key.

--- a/faultmatrix/caller.go
+++ b/faultmatrix/caller.go
@@ -113,7 +113,7 @@
 	}
 	left := c.deadline - h.w.Now()
 	h.w.send(exchange{
-		from: h, to: placeOf(h.w.places[cmd.Worker]), step: StepStart, back: StepAnswer, timeout: max(left, 0),
+		from: h, to: placeOf(h.w.places[cmd.Worker]), step: StepCall, back: StepAnswer, timeout: max(left, 0),
 		// A call has a connection to itself, and the adapter never sends it again,
 		// so only non-idempotent calls, which the worker knows again, are doubled.
 		single: !c.ev.Request.NonIdempotent,
@@ -198,7 +198,7 @@
 		return
 	}
 	h.w.send(exchange{
-		from: h, to: h.w.placeOfHost(cmd.Peer), step: StepStart, back: StepAnswer, timeout: max(c.deadline-h.w.Now(), 0),
+		from: h, to: h.w.placeOfHost(cmd.Peer), step: StepCall, back: StepAnswer, timeout: max(c.deadline-h.w.Now(), 0),
 		serve: func(answer func(reply)) {
 			p := h.w.live(cmd.Peer)
 			if p == nil {
--- a/faultmatrix/fault.go
+++ b/faultmatrix/fault.go
@@ -18,6 +18,7 @@
 	FaultDies       Fault = "process dies"
 	FaultPauses     Fault = "process pauses past its lease"
 	FaultWorkerDies Fault = "worker dies"
+	FaultWorkerGone Fault = "worker out of reach"
 	FaultWorkerFail Fault = "worker fails everything"
 	FaultLost       Fault = "message lost"
 	FaultDoubled    Fault = "message doubled"
@@ -38,7 +39,7 @@
 
 // Faults lists every fault of the brief.
 var Faults = []Fault{
-	FaultDies, FaultPauses, FaultWorkerDies, FaultWorkerFail,
+	FaultDies, FaultPauses, FaultWorkerDies, FaultWorkerGone, FaultWorkerFail,
 	FaultLost, FaultDoubled, FaultLate, FaultDisorder,
 	FaultLogDown, FaultLogSlow, FaultLogLost,
 	FaultCutZone, FaultCutLog, FaultCutBoth,
@@ -73,6 +74,8 @@
 		})
 	case FaultWorkerDies:
 		w.workerFault(worker, standin.WorkerFaults{Killed: true})
+	case FaultWorkerGone:
+		w.workerFault(worker, standin.WorkerFaults{Paused: true})
 	case FaultWorkerFail:
 		w.workerFault(worker, standin.WorkerFaults{FailAll: true})
 	case FaultLost, FaultDoubled, FaultLate, FaultDisorder:
--- a/faultmatrix/load.go
+++ b/faultmatrix/load.go
@@ -19,6 +19,7 @@
 	jobDeadline     = 3 * time.Second
 	repeatAfter     = 700 * time.Millisecond
 	maxRepeats      = 4
+	oldKeyShare     = 3  // one request in so many still comes with a withdrawn key
 	cancelShare     = 10 // one job in so many is cancelled by its caller
 )
 
@@ -59,6 +60,9 @@
 func (l *load) request() {
 	l.n++
 	rec := &RequestRecord{Sub: l.n, Team: teams[l.n%len(teams)], Secret: l.w.ops.key(teams[l.n%len(teams)])}
+	if old, ok := l.w.ops.old[rec.Team]; ok && l.n%oldKeyShare == 0 {
+		rec.Secret = old
+	}
 	rec.NonIdempotent = l.n%5 == 0
 	if l.n%10 == 0 {
 		rec.Key = fmt.Sprintf("key-%d", l.n)
--- a/faultmatrix/matrix.go
+++ b/faultmatrix/matrix.go
@@ -27,6 +27,8 @@
 	{Step: StepRenew, Faults: []Fault{FaultCutBoth, FaultPauses}},
 	{Step: StepTakeOver, Faults: []Fault{FaultDies, FaultPauses}},
 	{Step: StepTakeOver, Faults: []Fault{FaultLogSlow, FaultPauses}},
+	{Step: StepTakeOver, Faults: []Fault{FaultWorkerGone, FaultDies}},
+	{Step: StepStart, Faults: []Fault{FaultPauses, FaultWorkerGone}},
 	{Step: StepGive, Faults: []Fault{FaultLogLost, FaultDies}},
 	{Step: StepGive, Faults: []Fault{FaultCutLog, FaultRace}},
 	{Step: StepClaim, Faults: []Fault{FaultLogLost, FaultPauses}},
--- a/faultmatrix/operators.go
+++ b/faultmatrix/operators.go
@@ -26,6 +26,7 @@
 	w    *World
 	rand *rand.Rand // of keys; an io.Reader
 	keys map[ident.TeamID]string
+	old  map[ident.TeamID]string // withdrawn, and still used by somebody
 
 	changes []configChange // that the log took
 }
@@ -37,7 +38,7 @@
 }
 
 func newOperators(w *World) *operators {
-	return &operators{w: w, rand: rand.New(rand.NewSource(1)), keys: map[ident.TeamID]string{}}
+	return &operators{w: w, rand: rand.New(rand.NewSource(1)), keys: map[ident.TeamID]string{}, old: map[ident.TeamID]string{}}
 }
 
 func (o *operators) key(team ident.TeamID) string { return o.keys[team] }
@@ -119,6 +120,7 @@
 	withdraw := fleet.WantKey{Action: fleet.KeyWithdraw, Key: fleet.KeyIDOf(old)}
 	o.change(fleet.Intent{Keys: []fleet.WantKey{want, withdraw}}, func() {
 		o.keys[team] = key
+		o.old[team] = old
 		o.w.hist.withdrawn(o.w.Now(), old)
 	})
 }
--- a/faultmatrix/step.go
+++ b/faultmatrix/step.go
@@ -19,7 +19,8 @@
 	StepClaim    Step = "claim"
 	StepQueue    Step = "queue"
 	StepReserve  Step = "reserve"
-	StepStart    Step = "start"
+	StepStart    Step = "start" // of a durable task
+	StepCall     Step = "call"  // the start of a request, on a worker or by a peer
 	StepRenew    Step = "renew"
 	StepAnswer   Step = "answer"
 	StepReturn   Step = "return"
@@ -32,7 +33,7 @@
 
 // Steps lists every step in the order of the life of work.
 var Steps = []Step{
-	StepAdmit, StepClaim, StepQueue, StepReserve, StepStart, StepRenew, StepAnswer, StepReturn,
+	StepAdmit, StepClaim, StepQueue, StepReserve, StepStart, StepCall, StepRenew, StepAnswer, StepReturn,
 	StepRelease, StepGive, StepTakeOver, StepApply, StepDrain,
 }
 
@@ -55,8 +56,10 @@
 		return StepRenew
 	case engine.SendRelease:
 		return StepRelease
-	case engine.StartTask, engine.CallWorker, engine.ForwardCall:
+	case engine.StartTask:
 		return StepStart
+	case engine.CallWorker, engine.ForwardCall:
+		return StepCall
 	case engine.AppendGroup:
 		return stepOfAppend(cmd)
 	}
