--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -189,7 +189,9 @@
 	if t.Open && t.Attempts == a.Attempt.Attempt && t.Worker == a.Worker {
 		return RejectKnown
 	}
-	if t.Open || t.Done() || a.Attempt.Attempt != t.Attempts+1 {
+	// Numbers may leave gaps: an attempt that was given up before its record was
+	// written has used its number up.
+	if t.Open || t.Done() || a.Attempt.Attempt <= t.Attempts {
 		return RejectAttempt
 	}
 	if a.Attempt.Index < 0 || a.Attempt.Index >= j.Spec.Tasks {
--- a/member/host.go
+++ b/member/host.go
@@ -34,6 +34,7 @@
 	digest  Digest        // the last one
 	lives   []life        // most recently heard last
 	fails   int           // calls in a row without an answer
+	failed  time.Duration // when the last of them failed
 
 	nextDigest time.Duration
 }
@@ -77,6 +78,9 @@
 		}
 		m.listHost(now, entry)
 	}
+	for _, h := range m.hosts {
+		m.forgive(now, h)
+	}
 	m.listWorkers(now, listing.Workers)
 	m.forgetHosts(now)
 	m.stale = true
@@ -155,13 +159,33 @@
 	return true
 }
 
-func (m *Members) peerFailed(id ident.HostID) {
+func (m *Members) peerFailed(now time.Duration, id ident.HostID) {
 	if h, ok := m.hosts[id]; ok {
 		h.fails++
+		h.failed = now
 		m.changes++
 	}
 }
 
+// forgive gives a host elsewhere whose calls failed another chance after a
+// while. No digests go to it while another host stands for its zone, so nothing
+// else would ever show that it answers again, after a network partition for
+// instance, and no work or units would ever be asked of it.
+func (m *Members) forgive(now time.Duration, h *host) {
+	if h.zone == m.opts.Zone || h.fails < m.opts.FailuresToDead {
+		return
+	}
+	if now-h.failed >= forgiveEvery*m.opts.RemoteEvery {
+		h.fails = m.opts.FailuresToDead - 1
+		h.failed = now
+		m.changes++
+	}
+}
+
+// forgiveEvery is after how many intervals between remote digests a failed host
+// elsewhere is tried again.
+const forgiveEvery = 3
+
 // sortedHosts lists the other hosts in order of their names. It must not be
 // changed.
 func (m *Members) sortedHosts() []*host {
