--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -28,6 +28,8 @@
 type openWorker struct {
 	attempts []OpenAttempt
 	promises map[ident.HostID]*promise
+	held     bool          // this process keeps off it as well
+	heldAt   time.Duration // since when
 }
 
 // zoneHost is a host that might hold the lease of a worker.
@@ -145,10 +147,13 @@
 	return ResultSucceeded
 }
 
-// close frees the peers from their promises for a worker.
+// close frees everybody from their promises for a worker.
 func (r *Recovery) close(id ident.WorkerID) {
 	w := r.workers[id]
 	delete(r.workers, id)
+	if w.held {
+		r.emit(Resume{Worker: id})
+	}
 	for _, host := range slices.Sorted(maps.Keys(w.promises)) {
 		r.emit(ReleasePromise{Host: host, Worker: id})
 	}
@@ -202,9 +207,7 @@
 	for _, id := range r.Workers() {
 		w := r.workers[id]
 		r.ask(id, w)
-		if r.waitedOut(w) {
-			r.giveUp(id, w)
-		}
+		r.wait(id, w)
 	}
 	if len(r.workers) == 0 && !r.over {
 		r.over = true
@@ -230,33 +233,53 @@
 	}
 }
 
-// waitedOut reports whether the tasks on a worker that cannot be reached must
-// have been stopped by the worker itself.
+// wait waits until the tasks on a worker that cannot be reached must have been
+// stopped by the worker itself.
 //
 // It guards against an attempt assigned again while the first one runs: the
 // tasks live for the task TTL after the last renewal, so the wait begins when
-// nobody could renew any more, and is as long as the TTL on a slow clock plus
-// the time that a renewal may be on its way. Every listed host must have kept
-// its promise throughout, up to the end. A host that is not listed counts as cut
-// off from workers once it was silent for the task TTL; so does every host that
-// this process never heard of.
-func (r *Recovery) waitedOut(w *openWorker) bool {
+// nobody renews any more, this process included, and is as long as the TTL on a
+// slow clock plus the time that a renewal may be on its way. Every listed host
+// must have kept its promise throughout, up to the end.
+func (r *Recovery) wait(id ident.WorkerID, w *openWorker) {
+	quiet, ok := r.quietSince(w)
+	if !ok || r.now < quiet {
+		return
+	}
+	if !w.held {
+		w.held = true
+		w.heldAt = r.now
+		r.emit(HoldOff{Worker: id})
+	}
+	end := max(quiet, w.heldAt) + r.cfg.TaskTTL + r.cfg.Drift + r.cfg.InFlight
+	if r.now >= end && r.keptUntil(w, end) {
+		r.giveUp(id, w)
+	}
+}
+
+// quietSince returns since when no other host can renew the lease of a worker,
+// if all listed ones have promised. A host that is not listed counts as cut off
+// from workers once it was silent for the task TTL; so does every host that this
+// process never heard of.
+func (r *Recovery) quietSince(w *openWorker) (time.Duration, bool) {
 	quiet := r.started + r.cfg.TaskTTL
 	for id, h := range r.hosts {
 		p := w.promises[id]
 		switch {
 		case h.listed && (p == nil || p.by.IsZero()):
-			return false
+			return 0, false
 		case h.listed:
 			quiet = max(quiet, p.since)
 		default:
 			quiet = max(quiet, h.silence+r.cfg.TaskTTL)
 		}
 	}
-	end := quiet + r.cfg.TaskTTL + r.cfg.Drift + r.cfg.InFlight
-	if r.now < end {
-		return false
-	}
+	return quiet, true
+}
+
+// keptUntil reports whether every listed host is known to have kept its promise
+// up to the given time.
+func (r *Recovery) keptUntil(w *openWorker, end time.Duration) bool {
 	for id, h := range r.hosts {
 		if h.listed && w.promises[id].held < end {
 			return false
--- a/jobs/recovery_events.go
+++ b/jobs/recovery_events.go
@@ -68,6 +68,13 @@
 	Worker ident.WorkerID
 }
 
+// HoldOff asks this process to send no lease call to a worker, until Resume: a
+// call without an answer could let the worker's tasks live on.
+type HoldOff struct{ Worker ident.WorkerID }
+
+// Resume ends HoldOff.
+type Resume struct{ Worker ident.WorkerID }
+
 // Reacquire asks to give the worker's compute lease back and to take it again:
 // under the lease held now a start could still be on its way.
 type Reacquire struct{ Worker ident.WorkerID }
@@ -91,6 +98,8 @@
 
 func (AskPromise) recoveryCommand()     {}
 func (ReleasePromise) recoveryCommand() {}
+func (HoldOff) recoveryCommand()        {}
+func (Resume) recoveryCommand()         {}
 func (Reacquire) recoveryCommand()      {}
 func (Adopt) recoveryCommand()          {}
 func (Resolve) recoveryCommand()        {}
--- a/jobs/recovery_test.go
+++ b/jobs/recovery_test.go
@@ -38,6 +38,10 @@
 			got[cmd.Attempt.Attempt.String()] = string(cmd.Result)
 		case Recovered:
 			got["all"] = "recovered"
+		case HoldOff:
+			got["off"] = string(cmd.Worker)
+		case Resume:
+			delete(got, "off")
 		case Reacquire:
 			got["reacquire"] = string(cmd.Worker)
 		}
@@ -131,9 +135,13 @@
 	// 30 s of silence of unlisted hosts, 30 s task TTL, 1 s drift, 2 s in flight.
 	const shortest = 63 * time.Second
 	t.Run("all promise", func(t *testing.T) {
-		if at := newZone("p", "q").runTo(5 * time.Minute); at != shortest {
+		z := newZone("p", "q")
+		z.runTo(31 * time.Second)
+		z.got.want(t, resolved{"off": "w"})
+		if at := z.runTo(5 * time.Minute); at != shortest {
 			t.Fatalf("resolved after %v, want %v", at, shortest)
 		}
+		z.got.want(t, resolved{"a.h.1.1/0/1": "lost", "all": "recovered"})
 	})
 	t.Run("one is late", func(t *testing.T) {
 		z := newZone("p")
