Tell a cancellation of this owner from somebody else's, tested

Cause: only 9,000 random histories caught the guard. After: TestExpiredAcceptanceThatLanded is red without it.

--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -209,7 +209,11 @@
 		w := newWorld(t, 2)
 		h := w.hosts[0]
 		w.own(h)
-		id := w.propose(h, acceptance(1, "k", "f"), 200*time.Millisecond)
+		w.propose(h, acceptance(9, "", ""), 0)
+		w.propose(h, cancelling(1), 0) // somebody else's, too early to count
+		id := w.propose(h, acceptance(1, "k", "f"), 400*time.Millisecond)
+		w.answerAppend(h, fakelog.Fine)
+		w.answerReads(h)
 		w.runUntilAppend(h)
 		append1 := w.takeAppend(h)
 		w.now += time.Second
