--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -174,6 +174,10 @@
 		e.emitPromise(cmd.Host, AskPromise{Worker: cmd.Worker, Seq: cmd.Seq})
 	case jobs.ReleasePromise:
 		e.emitPromise(cmd.Host, AskPromise{Worker: cmd.Worker, Release: true})
+	case jobs.HoldOff:
+		e.holdOff(cmd.Worker)
+	case jobs.Resume:
+		e.resume(cmd.Worker)
 	case jobs.Reacquire:
 		if w := e.zone.workers[cmd.Worker]; w != nil {
 			e.cycleLease(cmd.Worker, w.epoch)
@@ -275,6 +279,7 @@
 		for _, host := range e.zoneHosts().Hosts {
 			e.emitPromise(host, AskPromise{Worker: worker, Release: true})
 		}
+		e.resume(worker)
 	}
 	e.zone.recovery = nil
 }
