--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -6,7 +6,10 @@
 #   load/fleet.sh N [layout] -- --mix rosenau-requests --rate 500,1000 --time 5s
 #
 # FLEET_BASE_PORT (7400) is the first of some 30 ports. FLEET_PLATFORM_FLAGS are
-# handed to fireflyfold-platform, FLEET_BEFORE is a command that runs before the load.
+# handed to fireflyfold-platform, FLEET_SETTINGS is added to the settings of every host,
+# FLEET_BEFORE is a command that runs before the load, FLEET_LOGS is a directory that the
+# logs are copied to. FLEET_IDLE is for how many seconds the fleet is measured without
+# any load; the load then does not run. FLEET_SETTLE (5) is how many seconds pass first.
 set -eu
 
 count=$1
@@ -79,6 +82,7 @@
 secret = secret-of-the-measured-fleet
 [operators]
 tour = $hash
+${FLEET_SETTINGS:-}
 INI
 	n=$((n + 1))
 done
