--- a/standin/worker_task.go
+++ b/standin/worker_task.go
@@ -184,9 +184,6 @@
 
 // finish ends a task and keeps its report until it is acknowledged.
 func (w *WorkerState) finish(now, local time.Duration, t *task, end End) {
-	if _, running := w.tasks[t.key]; !running {
-		return
-	}
 	report := w.report(local, t)
 	report.Ended = true
 	report.Failed = end == EndFailed
