--- a/standin/adapter_test.go
+++ b/standin/adapter_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -150,6 +152,35 @@
 	}
 }
 
+// An operator follows a slow request through its trace. The upstream must see
+// the trace of the call, and nothing of what was meant for the worker alone.
+func TestUpstreamSeesTheTraceAndNoControlHeaders(t *testing.T) {
+	p := startPlatform(t)
+	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	addr, call := callTo(t, p, workers)
+	seen := make(chan http.Header, 1)
+	p.Worker("oberbayern-1-w01").upstream = func(req UpstreamRequest) UpstreamAnswer {
+		seen <- req.Header
+		return UpstreamAnswer{Status: http.StatusOK}
+	}
+	span := trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}, TraceFlags: trace.FlagsSampled})
+	answer, err := workers.Call(trace.ContextWithSpanContext(context.Background(), span), addr, call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	header := <-seen
+	want := "00-" + span.TraceID().String() + "-" + span.SpanID().String() + "-01"
+	if got := header.Get("Traceparent"); got != want {
+		t.Errorf("trace %q, want %q", got, want)
+	}
+	for name := range header {
+		if strings.HasPrefix(name, platform.HeaderPrefix) {
+			t.Errorf("the upstream sees %s", name)
+		}
+	}
+}
+
 // A worker dies in the middle of an approval. The adapter must not send the
 // call again over a new connection, although it is a GET with an
 // Idempotency-Key, which net/http repeats by itself on a broken pooled
