--- a/load/command.go
+++ b/load/command.go
@@ -1,10 +1,12 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"strconv"
@@ -56,7 +58,7 @@
 // SetFlags implements subcommands.Command.
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.hosts, "hosts", "", "API addresses of entry hosts, used in turn")
-	f.StringVar(&c.keys, "keys", os.Getenv(keysVariable), "team keys, used in turn")
+	f.StringVar(&c.keys, "keys", "", "team keys, used in turn; without it those in "+keysVariable)
 	f.StringVar(&c.mix, "mix", "rosenau", "what to send: "+MixNames)
 	f.StringVar(&c.rates, "rate", "200", "operations a second, one or several")
 	f.BoolVar(&c.asJSON, "json", false, "write one JSON document a run")
@@ -66,7 +68,7 @@
 	f.IntVar(&c.opts.Body, "body", 512, "bytes of a request's body")
 	f.IntVar(&c.opts.InFlight, "in-flight", 8192, "operations at once; arrivals beyond are counted and not sent")
 	f.IntVar(&c.opts.Connections, "connections", 1024, "to each host")
-	f.Uint64Var(&c.opts.Seed, "seed", 1, "of the arrivals and bodies; a repeat with the same seed repeats the idempotency keys")
+	f.Uint64Var(&c.opts.Seed, "seed", 0, "of the arrivals and bodies, 0 for a random one; a repeat with the same seed repeats the idempotency keys")
 	f.StringVar(&c.opts.Audit, "audit", "", "address of fireflyfold-platform, whose audit is added to the report")
 }
 
@@ -98,7 +100,9 @@
 // prepare reads the flags.
 func (c *Command) prepare() ([]float64, error) {
 	c.opts.Hosts = list(c.hosts)
-	c.opts.Keys = list(c.keys)
+	// The variable is no default of the flag: help would print the keys.
+	c.opts.Keys = list(cmp.Or(c.keys, os.Getenv(keysVariable)))
+	c.opts.Seed = cmp.Or(c.opts.Seed, uint64(rand.Uint32()))
 	var err error
 	if c.opts.Mix, err = MixByName(c.mix); err != nil {
 		return nil, err
--- a/load/render.go
+++ b/load/render.go
@@ -9,8 +9,8 @@
 
 // Render writes a report for people.
 func Render(w io.Writer, r *Report) error {
-	fmt.Fprintf(w, "%s: %.0f/s for %.0f s to %d hosts, goodput %.0f/s, sent late p99 %.1f ms\n",
-		r.Mix, r.Rate, r.Seconds, r.Hosts, r.Goodput, r.Lag.P99)
+	fmt.Fprintf(w, "%s: %.0f/s for %.0f s to %d hosts, goodput %.0f/s, sent late p99 %.1f ms, seed %d\n",
+		r.Mix, r.Rate, r.Seconds, r.Hosts, r.Goodput, r.Lag.P99, r.Seed)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "kind\toffered\tran\tlate\tfailed\tnot run\tunknown\twrong\tunsent\tp50 ms\tp90 ms\tp99 ms\tmax ms\taccepted p99\t")
 	for _, kind := range Kinds {
--- a/load/report.go
+++ b/load/report.go
@@ -50,6 +50,7 @@
 // Report is the result of a run.
 type Report struct {
 	Mix      string               `json:"mix"`
+	Seed     uint64               `json:"seed"`
 	Hosts    int                  `json:"hosts"`
 	Rate     float64              `json:"rate_per_second"` // wanted
 	Seconds  float64              `json:"seconds"`         // of arrivals
@@ -198,7 +199,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := &Report{
-		Mix: opts.Mix.Name, Hosts: len(opts.Hosts), Rate: opts.Rate, Seconds: opts.Time.Seconds(),
+		Mix: opts.Mix.Name, Seed: opts.Seed, Hosts: len(opts.Hosts), Rate: opts.Rate, Seconds: opts.Time.Seconds(),
 		Lag: latencyOf(r.lag), Kinds: make(map[Kind]*KindReport),
 	}
 	for _, kind := range Kinds {
