--- a/faultmatrix/cell.go
+++ b/faultmatrix/cell.go
@@ -14,6 +14,7 @@
 	loadFrom   = 8 * time.Second
 	armAt      = 14 * time.Second
 	strikeBy   = 20 * time.Second // after armAt
+	loadAfter  = 3 * time.Second  // with the newest configuration in force
 	settleFor  = 60 * time.Second // without load, after the fault
 	probeFor   = 10 * time.Second
 	secondGap  = 2 * time.Second // between the faults of a pair
@@ -50,14 +51,19 @@
 	healAt := w.Now() + faultFor + time.Duration(len(c.Faults)-1)*c.gap()
 	w.RunUntil(healAt, nil)
 	w.heal()
-	w.RunUntil(healAt+2*time.Second, nil)
+	w.RunUntil(healAt+loadAfter, nil)
+	w.load.jobsRunning = false // what waits must end before the cell does
+	w.RunUntil(healAt+configWithin+loadAfter, nil)
 	w.load.stop()
 	w.RunUntil(healAt+settleFor, nil)
 	w.load.probe()
 	w.RunUntil(w.Now()+probeFor, nil)
 	w.load.query()
 	w.RunUntil(w.Now()+time.Second, nil)
-	check := checker{w: w, struck: r.At, healed: healAt, cutsAnswers: c.cutsAnswers()}
+	check := checker{w: w, struck: r.At, healed: r.At, cutsAnswers: c.cutsAnswers()}
+	if c.hindersNews() {
+		check.healed = healAt
+	}
 	r.Broken = check.check()
 	return r
 }
@@ -140,5 +146,17 @@
 	return false
 }
 
+// hindersNews tells whether a fault may keep a host from news until it is over.
+func (c Cell) hindersNews() bool {
+	for _, f := range c.Faults {
+		switch f {
+		case FaultNone, FaultDies, FaultWorkerDies, FaultWorkerGone, FaultWorkerFail, FaultDrift, FaultCancels, FaultRace, FaultKey:
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // limitUnits is what a run uses of its team's limit.
 func limitUnits(run standin.RunEvent) int64 { return resource.LimitUnits(run.Need) }
--- a/faultmatrix/check.go
+++ b/faultmatrix/check.go
@@ -68,6 +68,7 @@
 	c.limits()
 	c.answers()
 	c.notRun()
+	c.records()
 	c.once()
 	c.leaving()
 	c.graceful()
--- a/faultmatrix/load.go
+++ b/faultmatrix/load.go
@@ -27,7 +27,9 @@
 type load struct {
 	w       *World
 	running bool
-	n       int
+
+	jobsRunning bool
+	n           int
 
 	probes    []*RequestRecord // sent when everything is well again
 	jobProbes []*JobRecord
@@ -37,6 +39,7 @@
 
 func (l *load) start() {
 	l.running = true
+	l.jobsRunning = true
 	l.requests()
 	l.jobs()
 }
@@ -154,7 +157,7 @@
 }
 
 func (l *load) jobs() {
-	if !l.running {
+	if !l.jobsRunning {
 		return
 	}
 	l.job(zones[l.n%len(zones)])
