--- a/member/exchange.go
+++ b/member/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
 )
 
 // jitterFraction spreads digests, so that hosts do not fall into step.
@@ -34,6 +35,21 @@
 	}
 }
 
+// tellConfig makes a digest due to every peer when the configuration in force
+// has grown. A zone that cannot reach the log learns of a change from peers
+// alone; if most zones are in that state, the change goes from zone to zone,
+// and at the beat of RemoteEvery it would be in force in the last of them only
+// after minutes.
+func (m *Members) tellConfig(now time.Duration, config platform.Offset) {
+	if config <= m.load.Config {
+		return
+	}
+	m.nextBeat = now
+	for _, h := range m.peers() {
+		h.nextDigest = now
+	}
+}
+
 // peers returns whom to exchange digests with: every host of the own zone, and
 // RemotePeers elsewhere. Silent hosts of the own zone stay peers, so that they
 // are found again.
--- a/member/members.go
+++ b/member/members.go
@@ -71,6 +71,7 @@
 		m.workerAnswered(now, ev.Worker)
 		return nil
 	case LoadChanged:
+		m.tellConfig(now, ev.Load.Config)
 		m.load = ev.Load
 		return nil
 	case Drain:
