engine: replicas of two schedulers of one host never share a name

Cause: replicas are named by the host's life and the service. A host whose stream was taken by its own late fence starts a new scheduler, which did not know of a replica started 0.13 s before and gave its name to another, on another worker. The number of the scheduler is in the name.

--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/binary"
 	"errors"
 	"hash/fnv"
 	"strings"
@@ -72,10 +73,11 @@
 	return ident.ServiceID(service), id, err == nil
 }
 
-// serviceSeq numbers a service by its name.
-func serviceSeq(id ident.ServiceID) uint64 {
+// serviceSeq numbers a service by its name and the scheduler's life.
+func serviceSeq(id ident.ServiceID, life uint64) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(id)) // a hash never fails
+	_, _ = sum.Write(binary.BigEndian.AppendUint64(nil, life))
 	return sum.Sum64()
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,13 +29,14 @@
 
 	requestUnits *requestLimits
 
-	config  configFollower
-	calls   requestBook
-	demand  demand
-	zone    *zoneScheduler // nil unless this host is the zone's scheduler
-	claims  claimBook
-	reclaim *reclaimWatch
-	left    leftBook
+	config   configFollower
+	calls    requestBook
+	demand   demand
+	zone     *zoneScheduler // nil unless this host is the zone's scheduler
+	zoneLife uint64         // of the newest zone
+	claims   claimBook
+	reclaim  *reclaimWatch
+	left     leftBook
 
 	reports   map[lease.Key][]platform.TaskReport // of held leases, the last
 	draining  bool
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -21,6 +21,7 @@
 	sched    *sched.Scheduler
 	limits   *zoneLimits
 	epoch    jobs.Epoch // of the owned stream; zero while it is not owned
+	life     uint64     // tells the schedulers of one life of the host apart
 	workers  map[ident.WorkerID]*zoneWorker
 	attempts attemptBook
 	services map[ident.ServiceID]fleet.Service
@@ -79,7 +80,9 @@
 	limits := &zoneLimits{units: e.units, borrowed: map[ident.TeamID]int64{}}
 	opts := e.opts.Sched
 	opts.Limits = limits
+	e.zoneLife++
 	return &zoneScheduler{
+		life:       e.zoneLife,
 		sched:      sched.New(opts),
 		limits:     limits,
 		workers:    map[ident.WorkerID]*zoneWorker{},
@@ -214,10 +217,15 @@
 	}
 }
 
-// serviceJob names the replicas that this life of the host starts. The name of
-// the service stands in for the number, so that it is the same at every call.
+// serviceJob names the replicas that this scheduler starts. The name of the
+// service stands in for the number, so that it is the same at every call.
+//
+// It guards against a replica that runs in two places under one name: a host
+// that loses the stream and wins it back has a new scheduler, which does not
+// know of replicas started a moment before and numbers its own from the start.
+// The number of the scheduler in the name keeps them apart.
 func (e *Engine) serviceJob(id ident.ServiceID) ident.JobID {
-	return ident.JobID{Zone: e.opts.Zone, Host: e.opts.Self.Host, Incarnation: e.opts.Self.Incarnation, Seq: serviceSeq(id)}
+	return ident.JobID{Zone: e.opts.Zone, Host: e.opts.Self.Host, Incarnation: e.opts.Self.Incarnation, Seq: serviceSeq(id, e.zone.life)}
 }
 
 // markCompute tells the scheduler that a worker takes nothing new.
