member: a host elsewhere that did not answer is tried again

Cause: after a cut between two zones both sides counted three failed calls, chose another host of the other zone to exchange digests with, and never heard each other again: the count is reset by a digest alone. Ruled out: the hold planner and the view's pace (b1's view lacked a2 with both well). Seen red: the new test with the retry removed.

--- a/member/exchange.go
+++ b/member/exchange.go
@@ -21,7 +21,7 @@
 		return
 	}
 	m.nextBeat = now + maxBeatWait
-	for _, h := range m.peers() {
+	for _, h := range m.peers(now) {
 		if now < h.nextDigest {
 			m.nextBeat = min(m.nextBeat, h.nextDigest)
 			continue
@@ -45,7 +45,7 @@
 		return
 	}
 	m.nextBeat = now
-	for _, h := range m.peers() {
+	for _, h := range m.peers(now) {
 		h.nextDigest = now
 	}
 }
@@ -53,7 +53,7 @@
 // peers returns whom to exchange digests with: every host of the own zone, and
 // RemotePeers elsewhere. Silent hosts of the own zone stay peers, so that they
 // are found again.
-func (m *Members) peers() []*host {
+func (m *Members) peers(now time.Duration) []*host {
 	var own, remote []*host
 	for _, h := range m.sortedHosts() {
 		if h.zone == m.opts.Zone {
@@ -62,14 +62,14 @@
 			remote = append(remote, h)
 		}
 	}
-	return append(own, m.chooseRemote(remote)...)
+	return append(own, m.chooseRemote(now, remote)...)
 }
 
 // chooseRemote picks the hosts elsewhere. The first is of the next zone in the
 // order of names, so that the zones form a ring and news reaches all of them.
 // The others are picked by rendezvous hashing over the zones, which gives each
 // host its own few and changes few of them when hosts come and go.
-func (m *Members) chooseRemote(remote []*host) []*host {
+func (m *Members) chooseRemote(now time.Duration, remote []*host) []*host {
 	byZone := make(map[ident.Zone][]*host)
 	var zones []ident.Zone
 	for _, h := range remote {
@@ -85,7 +85,7 @@
 		if len(chosen) == m.opts.RemotePeers {
 			break
 		}
-		chosen = append(chosen, m.representative(byZone[zone]))
+		chosen = append(chosen, m.representative(now, byZone[zone]))
 	}
 	return chosen
 }
@@ -108,9 +108,9 @@
 // representative picks the host of another zone that this host exchanges
 // digests with: the highest by hash among those that answer, or among all if
 // none does.
-func (m *Members) representative(hosts []*host) *host {
+func (m *Members) representative(now time.Duration, hosts []*host) *host {
 	alive := slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool {
-		return h.fails >= m.opts.FailuresToDead || h.leaves()
+		return h.failing(now, m.opts) || h.leaves()
 	})
 	if len(alive) == 0 {
 		alive = hosts
--- a/member/host.go
+++ b/member/host.go
@@ -34,6 +34,7 @@
 	digest  Digest        // the last one
 	lives   []life        // most recently heard last
 	fails   int           // calls in a row without an answer
+	failAt  time.Duration // the last of them
 
 	nextDigest time.Duration
 }
@@ -53,6 +54,21 @@
 	return h.silence(now) >= opts.PeerTTL || (!h.listed && !h.heard)
 }
 
+// retryBeats is after how many beats between zones a failing host elsewhere is
+// given another chance.
+const retryBeats = 2
+
+// failing reports whether calls to a host of another zone are
+// hopeless for now.
+//
+// It guards against two hosts that lose each other for good: a cut between two
+// zones makes their calls fail, each then exchanges digests with another host
+// of the other zone, and neither hears the other again when the cut is mended.
+// A team's limit units that the one holds would never reach the other.
+func (h *host) failing(now time.Duration, opts Options) bool {
+	return h.fails >= opts.FailuresToDead && now-h.failAt < retryBeats*opts.RemoteEvery
+}
+
 // leaves reports whether the host gives up its workers. Its own word is newer
 // than the list: a host that restarted at the same address may still be listed
 // as leaving from its former life.
@@ -155,9 +171,10 @@
 	return true
 }
 
-func (m *Members) peerFailed(id ident.HostID) {
+func (m *Members) peerFailed(now time.Duration, id ident.HostID) {
 	if h, ok := m.hosts[id]; ok {
 		h.fails++
+		h.failAt = now
 		m.changes++
 	}
 }
--- a/member/members.go
+++ b/member/members.go
@@ -66,7 +66,7 @@
 	case DigestReceived:
 		m.hear(now, ev.Digest)
 	case PeerFailed:
-		m.peerFailed(ev.Host)
+		m.peerFailed(now, ev.Host)
 	case WorkerAnswered:
 		m.workerAnswered(now, ev.Worker)
 		return nil
--- a/member/tell_test.go
+++ b/member/tell_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/fireflyfold/fireflyfold/ident"
+	"github.com/fireflyfold/fireflyfold/platform"
 )
 
 // An operator withdraws a key while most zones cannot reach the log. The key
@@ -35,3 +38,27 @@
 		}
 	}
 }
+
+// Two zones are cut from each other for a while. Afterwards a team's work in one
+// of them waits for units that a host of the other holds, although both zones
+// are well: each had found another host to talk to, and counted this one as dead
+// for ever.
+func TestHostElsewhereIsTriedAgain(t *testing.T) {
+	w := newWorld(t, "a")
+	l := listing(0, "a")
+	for _, host := range []ident.HostID{"x", "y"} {
+		l.Hosts = append(l.Hosts, platform.HostEntry{Host: host, Zone: "z2", Addr: "x:1", State: platform.StateLive})
+	}
+	w.step(ListRead{Listing: l})
+	for range defaultFailuresToDead {
+		w.step(PeerFailed{Host: "x"})
+	}
+	if hosts := w.m.Hosts("z2", w.now); len(hosts) != 1 {
+		t.Errorf("%d hosts of the other zone count as live while calls to one fail, want 1", len(hosts))
+	}
+	w.now += retryBeats * defaultRemoteEvery
+	w.step(Tick{})
+	if hosts := w.m.Hosts("z2", w.now); len(hosts) != 2 {
+		t.Errorf("%d hosts of the other zone count as live after a pause, want 2", len(hosts))
+	}
+}
--- a/member/view.go
+++ b/member/view.go
@@ -66,7 +66,7 @@
 	if h.zone == m.opts.Zone {
 		return h.dead(now, m.opts)
 	}
-	return h.fails >= m.opts.FailuresToDead || !h.listed && h.silence(now) >= m.opts.ForgetAfter
+	return h.failing(now, m.opts) || !h.listed && h.silence(now) >= m.opts.ForgetAfter
 }
 
 // Worker returns a worker of the own zone as last listed.
