--- a/member/host.go
+++ b/member/host.go
@@ -34,7 +34,7 @@
 	digest  Digest        // the last one
 	lives   []life        // most recently heard last
 	fails   int           // calls in a row without an answer
-	failed  time.Duration // when the last of them failed
+	failAt  time.Duration // the last of them
 
 	nextDigest time.Duration
 }
@@ -54,6 +54,21 @@
 	return h.silence(now) >= opts.PeerTTL || (!h.listed && !h.heard)
 }
 
+// retryBeats is after how many beats between zones a failing host elsewhere is
+// given another chance.
+const retryBeats = 2
+
+// failing reports whether calls to a host of another zone are
+// hopeless for now.
+//
+// It guards against two hosts that lose each other for good: a cut between two
+// zones makes their calls fail, each then exchanges digests with another host
+// of the other zone, and neither hears the other again when the cut is mended.
+// A team's limit units that the one holds would never reach the other.
+func (h *host) failing(now time.Duration, opts Options) bool {
+	return h.fails >= opts.FailuresToDead && now-h.failAt < retryBeats*opts.RemoteEvery
+}
+
 // leaves reports whether the host gives up its workers. Its own word is newer
 // than the list: a host that restarted at the same address may still be listed
 // as leaving from its former life.
@@ -78,9 +93,6 @@
 		}
 		m.listHost(now, entry)
 	}
-	for _, h := range m.hosts {
-		m.forgive(now, h)
-	}
 	m.listWorkers(now, listing.Workers)
 	m.forgetHosts(now)
 	m.stale = true
@@ -162,30 +174,11 @@
 func (m *Members) peerFailed(now time.Duration, id ident.HostID) {
 	if h, ok := m.hosts[id]; ok {
 		h.fails++
-		h.failed = now
+		h.failAt = now
 		m.changes++
 	}
 }
 
-// forgive gives a host elsewhere whose calls failed another chance after a
-// while. No digests go to it while another host stands for its zone, so nothing
-// else would ever show that it answers again, after a network partition for
-// instance, and no work or units would ever be asked of it.
-func (m *Members) forgive(now time.Duration, h *host) {
-	if h.zone == m.opts.Zone || h.fails < m.opts.FailuresToDead {
-		return
-	}
-	if now-h.failed >= forgiveEvery*m.opts.RemoteEvery {
-		h.fails = m.opts.FailuresToDead - 1
-		h.failed = now
-		m.changes++
-	}
-}
-
-// forgiveEvery is after how many intervals between remote digests a failed host
-// elsewhere is tried again.
-const forgiveEvery = 3
-
 // sortedHosts lists the other hosts in order of their names. It must not be
 // changed.
 func (m *Members) sortedHosts() []*host {
