--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -166,6 +166,20 @@
 	c.expect(c.run("submit"), ExitOK, "a.b.1.2")
 }
 
+// The first host's process is stopped: it takes connections and never answers.
+// A question must go on to the next host, for an operator would otherwise see
+// nothing of a fleet that works.
+func TestHangingHostIsPassedOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	host := answers(t, http.StatusOK, []admin.HostStatus{{Host: "north-h1", Zone: "north"}})
+	host.hosts = listener.Addr().String() + "," + host.hosts
+	host.expect(host.run("hosts"), ExitOK, "north-h1")
+}
+
 // Story: the zone that a drawn idempotency key belongs to is cut off. The job
 // truly did not run, so another key, of another zone, is tried; a key that the
 // caller chose is never replaced.
--- a/cli/client.go
+++ b/cli/client.go
@@ -21,7 +21,9 @@
 const (
 	callTimeout = 30 * time.Second // of one call, besides what the caller waits for
 	dialTimeout = 3 * time.Second
-	maxAnswer   = 64 << 20 // bytes of an answer
+	// askTimeout bounds a question to one host while there are others to ask.
+	askTimeout = 3 * time.Second
+	maxAnswer  = 64 << 20 // bytes of an answer
 )
 
 // client calls entry hosts.
@@ -96,8 +98,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+req.extra)
 	defer cancel()
 	var last error
-	for _, host := range c.hosts {
-		last = c.once(ctx, host, req, body, out)
+	for i, host := range c.hosts {
+		last = c.ask(ctx, host, req, body, out, i == len(c.hosts)-1)
 		var unreachable *UnreachableError
 		if !errors.As(last, &unreachable) {
 			return last
@@ -106,6 +108,18 @@
 	return last
 }
 
+// ask makes a call to one host, and leaves time for the others if it is a
+// question. A host whose process is stopped or hangs still takes connections:
+// without the bound it would use up the time for all.
+func (c *client) ask(ctx context.Context, host string, req call, body []byte, out any, last bool) error {
+	if req.method == http.MethodGet && !last {
+		bounded, cancel := context.WithTimeout(ctx, askTimeout+req.extra)
+		defer cancel()
+		ctx = bounded
+	}
+	return c.once(ctx, host, req, body, out)
+}
+
 // once makes a call to one host.
 func (c *client) once(ctx context.Context, host string, req call, body []byte, out any) error {
 	r, err := http.NewRequestWithContext(ctx, req.method, host+req.path, bytes.NewReader(body))
