A peer answers a job call before its caller gives up

Cause: both gave up at the same instant, so what the home zone said of a job while the log is down came too late and was told as "no answer came back". Seen in the tour by hand. TestLogDown now judges every refusal while the log is down and repeats each job under its key afterwards: each runs once.

--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -160,6 +160,11 @@
 	return nil, noScheduler(job.Zone)
 }
 
+// answerMargin is how much earlier than this host the peer gives up. A refusal
+// that the peer can only give at the deadline, such as "not run" while the log
+// is down, would otherwise come too late and be told as "unknown".
+const answerMargin = 500 * time.Millisecond
+
 // sendJobCall reports false if the call certainly did not reach the peer.
 //
 // A submission whose answer was lost may have been accepted. Its identifier
@@ -179,7 +184,7 @@
 		Job:            c.jobText,
 		IdempotencyKey: c.key,
 		Spec:           c.spec,
-		DeadlineLeftMs: (c.deadline - h.now()).Milliseconds(),
+		DeadlineLeftMs: (c.deadline - answerMargin - h.now()).Milliseconds(),
 		Hops:           int32(c.hops) + 1,
 	}))
 	if err == nil && res.Msg.GetProblem() == nil {
--- a/processes/jobs_test.go
+++ b/processes/jobs_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // jobReply is what tests read of an answer about a job.
@@ -15,15 +16,24 @@
 	Failed                      bool
 }
 
+// header is a header of a request.
+type header struct{ name, value string }
+
+// jobTimeout bounds a call about a job; a submission may wait for the log.
+const jobTimeout = 20 * time.Second
+
 // callJobs calls the interface for jobs. The status is 0 if no answer came.
-func callJobs(h *host, key, method, path, body string) (int, []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+func callJobs(h *host, key, method, path, body string, headers ...header) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), jobTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, h.url(path), bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, []byte(err.Error())
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
+	for _, h := range headers {
+		req.Header.Set(h.name, h.value)
+	}
 	res, err := client.Do(req)
 	if err != nil {
 		return 0, []byte(err.Error())
@@ -37,11 +47,11 @@
 }
 
 // submit submits a job, again while it is refused as not run.
-func (c *cluster) submit(t *testing.T, h *host, spec string) string {
+func (c *cluster) submit(t *testing.T, h *host, spec string, headers ...header) string {
 	t.Helper()
 	var reply jobReply
 	until(t, "a job is accepted by "+h.id, func() bool {
-		status, data := callJobs(h, c.keys[teams[0]], http.MethodPost, "/v1/jobs", spec)
+		status, data := callJobs(h, c.keys[teams[0]], http.MethodPost, "/v1/jobs", spec, headers...)
 		if status == http.StatusAccepted {
 			return json.Unmarshal(data, &reply) == nil
 		}
--- a/processes/outage_test.go
+++ b/processes/outage_test.go
@@ -1,6 +1,7 @@
 package processes_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -47,10 +48,10 @@
 	c.check(t)
 }
 
-// The platform's log is down. Requests go on and jobs are refused as not run.
-// A process that starts meanwhile has no disk and nobody to read from but its
-// peers; it must come to serve. Nothing of the fault may remain when the log
-// is back.
+// The platform's log is down. Requests go on; a job is refused as not run, or
+// as unknown if its record was on its way when the log went down, and repeated
+// later it runs once. A process that starts meanwhile has no disk and nobody to
+// read from but its peers; it must come to serve.
 func TestLogDown(t *testing.T) {
 	fresh := region + "-1-h2"
 	c := start(t, fresh)
@@ -58,17 +59,30 @@
 	c.scheduler(t, region+"-1")
 	c.fault(t, "log", standin.LogFaults{Down: true})
 	l.untilMore(t, 100)
-	status, data := callJobs(c.hosts[0], c.keys[teams[0]], http.MethodPost, "/v1/jobs", shortJob)
-	if status == http.StatusAccepted {
-		t.Errorf("a job was accepted while the log is down: %s", data)
-	}
+	refusals := c.submitEverywhere(c.hosts[0])
 	h := c.hosts[1]
 	c.startHost(t, h)
 	until(t, h.id+" is ready", func() bool { return isReady(h) })
 	c.untilServes(t, h)
 	l.untilMore(t, 100)
+	refused := 0
+	for range submissions {
+		a := <-refusals
+		if a.kind == notRun {
+			refused++
+		} else if a.kind != unsure {
+			t.Errorf("a job while the log is down: %s: %s", a.kind, a.detail)
+		}
+	}
+	if refused == 0 {
+		t.Error("no job was refused as not run")
+	}
 	c.fault(t, "log", standin.LogFaults{})
-	c.awaitRan(t, h, c.submit(t, h, shortJob), c.submit(t, c.hosts[0], shortJob))
+	var jobs []string
+	for n := range submissions {
+		jobs = append(jobs, c.submit(t, h, shortJob, submissionKey(n)))
+	}
+	c.awaitRan(t, h, jobs...)
 	l.check(t, allowed{})
 	c.check(t)
 }
@@ -98,3 +112,28 @@
 	l.check(t, allowed{})
 	c.check(t)
 }
+
+// submissions is how many jobs submitEverywhere hands in.
+const submissions = 8
+
+// submissionKey is the idempotency key of one of them.
+func submissionKey(n int) header {
+	return header{"Idempotency-Key", fmt.Sprint("while the log is down ", n)}
+}
+
+// submitEverywhere hands in jobs under idempotency keys, whose home zones
+// differ, through one host. The ends come when they are known.
+func (c *cluster) submitEverywhere(h *host) <-chan answer {
+	ends := make(chan answer, submissions)
+	for n := range submissions {
+		go func() {
+			status, data := callJobs(h, c.keys[teams[0]], http.MethodPost, "/v1/jobs", shortJob, submissionKey(n))
+			if status == 0 || status == http.StatusAccepted {
+				ends <- answer{kind: wrong, detail: string(data)}
+				return
+			}
+			ends <- judgeProblem(status, data)
+		}()
+	}
+	return ends
+}
