A worker that restarted cannot prove that nothing ran

The worker had died and come back under a higher lease epoch without its memory, and what it did not list was taken for never started; a non-idempotent task would have run twice. Grants now carry a boot that changes with the memory, records keep it, and under another boot the attempt counts as lost.

--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -38,6 +38,7 @@
 	name      string // of the task on its worker
 	phase     phase
 	lease     platform.Epoch // under which it was or is to be started
+	boot      uint64         // of the worker then
 	maybeSent bool           // a start was sent and not answered
 	unsent    int            // starts in a row that were not sent
 	retryAt   time.Duration
@@ -91,13 +92,18 @@
 		e.stepSched(sched.StartRefused{ID: cmd.ID})
 		return
 	}
-	a := &attempt{Assign: cmd, phase: phaseAssigning, lease: epoch, by: e.opts.Self}
+	a := &attempt{Assign: cmd, phase: phaseAssigning, lease: epoch, boot: w.boot, by: e.opts.Self}
 	e.zone.attempts.add(a)
 	if cmd.Service != "" {
 		e.start(a)
 		return
 	}
-	e.propose(&assignment{a: a}, jobs.Record{Assigned: &jobs.Assigned{Attempt: cmd.ID, Worker: cmd.Worker, Lease: epoch}}, 0)
+	e.propose(&assignment{a: a}, jobs.Record{Assigned: &jobs.Assigned{
+		Attempt: cmd.ID,
+		Worker:  cmd.Worker,
+		Lease:   epoch,
+		Boot:    w.boot,
+	}}, 0)
 }
 
 // start sends the start under the epoch that the record names. With another
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -46,7 +46,7 @@
 	e.restoreJobs()
 	e.stepRecovery(e.zoneHosts())
 	for _, w := range e.heldWorkers() {
-		e.stepRecovery(jobs.WorkerReport{Worker: w.id, Epoch: w.epoch, Tasks: w.tasks})
+		e.stepRecovery(jobs.WorkerReport{Worker: w.id, Epoch: w.epoch, Boot: w.boot, Tasks: w.tasks})
 	}
 	e.stepRecovery(jobs.RecoveryTick{})
 }
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -32,6 +32,7 @@
 	w.quiet = false
 	w.marked = false
 	w.epoch = ev.Epoch
+	w.boot = ev.Boot
 	w.tasks = ev.Tasks
 	w.sentAt = ev.SentAt
 	e.countForeign(w)
@@ -80,12 +81,17 @@
 }
 
 // settleOlderStarts closes attempts whose start was under way under an older
-// epoch and that the worker does not have.
+// epoch and that the worker does not have. A worker that restarted since may
+// have run them and forgotten it.
 func (e *Engine) settleOlderStarts(w *zoneWorker) {
 	for _, a := range e.zone.attempts.on(w.id) {
 		if a.lease >= w.epoch || a.phase != phaseStarting || reportOf(w.tasks, a) != nil {
 			continue
 		}
+		if a.boot != w.boot {
+			e.endLost(a, "its worker restarted")
+			continue
+		}
 		e.endNever(a, platform.RefusedEpoch)
 	}
 }
@@ -113,7 +119,7 @@
 		e.unknownTask(w, service, id, t)
 	}
 	e.findMissing(w)
-	e.stepRecovery(jobs.WorkerReport{Worker: w.id, Epoch: w.epoch, Tasks: w.tasks})
+	e.stepRecovery(jobs.WorkerReport{Worker: w.id, Epoch: w.epoch, Boot: w.boot, Tasks: w.tasks})
 }
 
 func (e *Engine) applyTask(a *attempt, t platform.TaskReport) {
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -47,6 +47,7 @@
 	size   resource.Vector
 	held   bool // the compute lease is held
 	epoch  platform.Epoch
+	boot   uint64
 	tasks  []platform.TaskReport // of the last report
 	sentAt time.Duration         // when that report was asked for
 	lostAt time.Duration         // when the lease was lost, while it is not held
--- a/jobs/bodies.go
+++ b/jobs/bodies.go
@@ -67,6 +67,7 @@
 		Worker:   a.Worker,
 		Epoch:    f.at.Epoch,
 		Lease:    a.Lease,
+		Boot:     a.Boot,
 	}
 	j.OpenTasks++
 	return accepted
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -99,6 +99,8 @@
 	// Lease is the epoch of the compute lease under which the start will be
 	// sent. A worker that later grants a lower one has lost its memory.
 	Lease platform.Epoch `json:"l,omitempty"`
+	// Boot is that of the worker when the attempt was assigned.
+	Boot uint64 `json:"b,omitempty"`
 }
 
 // Ended closes an attempt. The worker's report of the end is acknowledged only
--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -120,6 +120,8 @@
 			r.emit(Adopt{Attempt: a, Report: t})
 		case found:
 			r.emit(Resolve{Attempt: a, Result: resultOf(t), Reason: t.Reason})
+		case ev.Boot != a.Boot:
+			r.emit(Resolve{Attempt: a, Result: ResultLost, Reason: "the worker restarted and lost its memory"})
 		case ev.Epoch > a.Lease:
 			r.emit(Resolve{Attempt: a, Result: ResultNeverStarted, Reason: "the worker never saw it"})
 		case ev.Epoch < a.Lease:
--- a/jobs/recovery_events.go
+++ b/jobs/recovery_events.go
@@ -26,6 +26,7 @@
 type WorkerReport struct {
 	Worker ident.WorkerID
 	Epoch  platform.Epoch
+	Boot   uint64 // as platform.LeaseGrant
 	Tasks  []platform.TaskReport
 }
 
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -18,6 +18,7 @@
 	Worker   ident.WorkerID `json:"w,omitempty"` // of the open attempt
 	Epoch    Epoch          `json:"e,omitempty"` // in which the open attempt was assigned
 	Lease    platform.Epoch `json:"l,omitempty"` // as in Assigned
+	Boot     uint64         `json:"b,omitempty"` // as in Assigned
 	Result   Result         `json:"r,omitempty"` // of the newest closed attempt
 }
 
@@ -59,6 +60,7 @@
 			Worker:  t.Worker,
 			Epoch:   t.Epoch,
 			Lease:   t.Lease,
+			Boot:    t.Boot,
 		})
 	}
 	return out
@@ -70,6 +72,7 @@
 	Worker  ident.WorkerID
 	Epoch   Epoch
 	Lease   platform.Epoch
+	Boot    uint64
 }
 
 // JobState writes a job again, whole, before its older records expire. A
--- a/lease/answer.go
+++ b/lease/answer.go
@@ -49,7 +49,7 @@
 	c.until = until
 	c.next = max(now, ev.SentAt+m.jitter(m.opts.RenewEvery))
 	c.reported = ev.SentAt
-	m.emit(Reported{Key: c.key, Epoch: c.epoch, SentAt: ev.SentAt, Size: ev.Grant.Size, Tasks: ev.Grant.Tasks})
+	m.emit(Reported{Key: c.key, Epoch: c.epoch, SentAt: ev.SentAt, Boot: ev.Grant.Boot, Size: ev.Grant.Size, Tasks: ev.Grant.Tasks})
 }
 
 // gained takes in a new epoch. A host that no longer wants the lease when the
@@ -70,7 +70,7 @@
 	}
 	c.phase = phaseHeld
 	c.next = max(now, ev.SentAt+m.jitter(m.opts.RenewEvery))
-	m.emit(Gained{Key: c.key, Epoch: c.epoch, SentAt: ev.SentAt, Size: ev.Grant.Size, Tasks: ev.Grant.Tasks})
+	m.emit(Gained{Key: c.key, Epoch: c.epoch, SentAt: ev.SentAt, Boot: ev.Grant.Boot, Size: ev.Grant.Size, Tasks: ev.Grant.Tasks})
 }
 
 func (m *Manager) refused(now time.Duration, c *control, ev Refused) {
--- a/lease/command.go
+++ b/lease/command.go
@@ -37,6 +37,7 @@
 	Key
 	Epoch  platform.Epoch
 	SentAt time.Duration // Tasks is not older than this
+	Boot   uint64        // as platform.LeaseGrant
 	Size   resource.Vector
 	Tasks  []platform.TaskReport
 }
@@ -48,6 +49,7 @@
 	Key
 	Epoch  platform.Epoch
 	SentAt time.Duration
+	Boot   uint64 // as platform.LeaseGrant
 	Size   resource.Vector
 	Tasks  []platform.TaskReport
 }
--- a/standin/worker_state.go
+++ b/standin/worker_state.go
@@ -138,7 +138,7 @@
 	lease.expires = local + req.TTL
 	lease.outlives = local + req.TaskTTL
 	w.forgetEnded(req.Class, req.AckedEnds)
-	return platform.LeaseGrant{Epoch: lease.epoch, Size: w.cfg.Size, Tasks: w.reports(local, req.Class)}, nil
+	return platform.LeaseGrant{Epoch: lease.epoch, Boot: w.boots, Size: w.cfg.Size, Tasks: w.reports(local, req.Class)}, nil
 }
 
 // admit decides whether a request may take or renew the lease.
