--- a/engine/membership.go
+++ b/engine/membership.go
@@ -55,7 +55,9 @@
 		Draining: d.Draining,
 	})
 	e.config.peerSeen(e.now, d)
-	e.stepRecovery(jobs.HostHeard{Host: d.Holder.Host})
+	if d.Zone == e.opts.Zone { // others never touch this zone's workers
+		e.stepRecovery(jobs.HostHeard{Host: d.Holder.Host})
+	}
 }
 
 func (e *Engine) peerFailed(host ident.HostID) {
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -33,13 +33,32 @@
 	if e.zone == nil {
 		return // gave up meanwhile; the wish has been withdrawn
 	}
+	e.takeStream(ev, ev.Epoch)
+}
+
+// resumeStream takes the stream over again if this host still owns it: it gave
+// the scheduling up and took it back before the log could settle what was on
+// its way, so no new ownership is reported. Attempts of its own epoch are open
+// then as well, and nothing more of that former life may be on its way.
+func (e *Engine) resumeStream() {
+	epoch, owns := e.owner.Epoch()
+	if e.zone.epoch != 0 || !owns || len(e.proposals) > 0 || len(e.refusedEnds) > 0 {
+		return
+	}
+	const ofNoEpoch = 0
+	e.takeStream(jobs.BecameOwner{Epoch: epoch, Whole: true}, ofNoEpoch)
+}
+
+// takeStream restores the stream's jobs. Open attempts of other epochs than own
+// are settled first.
+func (e *Engine) takeStream(ev jobs.BecameOwner, own jobs.Epoch) {
 	e.note(NoteScheduler, "schedules zone "+string(e.opts.Zone))
 	if !ev.Whole {
 		e.note(NoteScheduler, "records of the zone's jobs had expired before they were written again: jobs may be missing")
 	}
 	e.zone.epoch = ev.Epoch
 	open := e.owner.State().Open()
-	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), ev.Epoch, open)
+	e.zone.recovery = jobs.NewRecovery(e.recoveryConfig(), own, open)
 	for _, o := range open {
 		e.zone.recovering[o.Attempt.Job]++
 	}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -269,6 +269,7 @@
 	}
 	e.tryOpen()
 	e.tickYield()
+	e.resumeStream()
 	e.stepSched(sched.Tick{})
 	e.retryStarts()
 	e.stepRecovery(jobs.RecoveryTick{})
