--- a/member/tell_test.go
+++ b/member/tell_test.go
@@ -56,8 +56,8 @@
 	if hosts := w.m.Hosts("z2", w.now); len(hosts) != 1 {
 		t.Errorf("%d hosts of the other zone count as live while calls to one fail, want 1", len(hosts))
 	}
-	w.now += retryBeats * defaultRemoteEvery
-	w.step(Tick{})
+	w.now += forgiveEvery * defaultRemoteEvery
+	w.step(ListRead{Listing: l})
 	if hosts := w.m.Hosts("z2", w.now); len(hosts) != 2 {
 		t.Errorf("%d hosts of the other zone count as live after a pause, want 2", len(hosts))
 	}
