jobs: a round of a gang may assign again what succeeded in the one before

Ruled out: keeping what succeeded (the others may need it to run beside them). A gang that may run only once is still refused. Seen red: 'gang, assigned after success' with the old condition.

--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -191,7 +191,7 @@
 	}
 	// Numbers may leave gaps: an attempt that was given up before its record was
 	// written has used its number up.
-	if t.Open || t.Done() || a.Attempt.Attempt <= t.Attempts {
+	if t.Open || settled(j, t) || a.Attempt.Attempt <= t.Attempts {
 		return RejectAttempt
 	}
 	if a.Attempt.Index < 0 || a.Attempt.Index >= j.Spec.Tasks {
@@ -211,6 +211,15 @@
 	return accepted
 }
 
+// settled reports whether a task may have no further attempt because it
+// succeeded. A gang is worth nothing without all its tasks: when one of them
+// fails, the next round assigns them all again, those that succeeded too. If
+// their assignments were void, the round would end before it began, and so
+// would every further one.
+func settled(j *Job, t Task) bool {
+	return t.Done() && j.Spec.Kind != work.KindGang
+}
+
 func (f *Fold) end(e *Ended) RejectReason {
 	j := f.jobs[e.Attempt.Job]
 	if j == nil {
--- a/jobs/fold_test.go
+++ b/jobs/fold_test.go
@@ -57,6 +57,18 @@
 	return r
 }
 
+func gang(seq uint64) Record {
+	r := acceptance(seq, "", "")
+	r.Accepted.Spec.Kind = work.KindGang
+	return r
+}
+
+func onceGang(seq uint64) Record {
+	r := once(seq)
+	r.Accepted.Spec.Kind = work.KindGang
+	return r
+}
+
 // An approval runs twice, or a job ends while a task of it runs, because the
 // owner decided on what it had believed a moment before. Whatever an owner
 // writes, the stream lets count only what fits the job's state at that point.
@@ -72,6 +84,8 @@
 		{"assigned the same", []Record{acceptance(1, "", ""), assignment(1, 1, "w")}, assignment(1, 1, "w"), RejectKnown},
 		{"assigned out of turn", []Record{acceptance(1, "", "")}, assignment(1, 2, "w"), RejectAttempt},
 		{"assigned after success", []Record{acceptance(1, "", ""), assignment(1, 1, "w"), ending(1, 1, ResultSucceeded)}, assignment(1, 2, "w"), RejectAttempt},
+		{"gang, assigned after success", []Record{gang(1), assignment(1, 1, "w"), ending(1, 1, ResultSucceeded)}, assignment(1, 2, "w"), accepted},
+		{"gang, once, assigned after success", []Record{onceGang(1), assignment(1, 1, "w"), ending(1, 1, ResultSucceeded)}, assignment(1, 2, "w"), RejectAttempt},
 		{"assigned after a failure", []Record{acceptance(1, "", ""), assignment(1, 1, "w"), ending(1, 1, ResultFailed)}, assignment(1, 2, "w"), accepted},
 		{"assigned after cancel", []Record{acceptance(1, "", ""), cancelling(1)}, assignment(1, 1, "w"), RejectClosed},
 		{"assigned unknown", nil, assignment(1, 1, "w"), RejectNoJob},
