--- a/capacity/zone_test.go
+++ b/capacity/zone_test.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"reflect"
@@ -14,7 +13,6 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/resource"
@@ -181,135 +179,6 @@
 	z.sent = traffic{}
 }
 
-// layOut lists hosts and workers. The driven host is the one that schedules.
-func (z *zone) layOut() {
-	for i := range z.size.zones {
-		name := zoneName(i)
-		var hosts []ident.HostID
-		for h := range z.size.hosts {
-			host := hostName(name, h)
-			hosts = append(hosts, host)
-			addr := fmt.Sprintf("10.%d.%d.1:7000", i, h)
-			z.listing.Hosts = append(z.listing.Hosts, platform.HostEntry{Host: host, Zone: name, Addr: addr, State: platform.StateLive})
-			z.peers[host] = &member.Digest{Holder: ident.Holder{Host: host, Incarnation: 1}, Zone: name, Addr: addr, Services: []ident.ServiceID{"invoicing"}}
-		}
-		if i == 0 {
-			z.self = ident.Holder{Host: member.Winner("scheduler/"+string(name), hosts), Incarnation: 1}
-		}
-		for w := range z.size.workers {
-			z.listWorker(i, w)
-		}
-	}
-	delete(z.peers, z.self.Host)
-}
-
-func (z *zone) listWorker(zone, n int) {
-	const rack = 20
-	name := zoneName(zone)
-	id := ident.WorkerID(fmt.Sprintf("%s-worker-%03d", name, n))
-	z.listing.Workers = append(z.listing.Workers, platform.WorkerEntry{
-		Worker: id, Zone: name, Rack: fmt.Sprintf("%s-rack-%02d", name, n/rack), Addr: fmt.Sprintf("10.%d.%d.%d:8000", zone, n/250, n%250),
-		Size: workerSize, Service: []ident.ServiceID{"invoicing"}, State: platform.StateLive,
-	})
-	if zone == 0 {
-		z.workers[id] = &stubWorker{epoch: map[platform.LeaseClass]platform.Epoch{}}
-	}
-}
-
-// unitsPerHost is what each host gets of each team's limit: enough for every
-// task of its zone.
-const unitsPerHost = 100_000
-
-// services is the number of services whose replicas run.
-const services = 20
-
-// configure writes the configuration: teams with a key each, and services.
-func (z *zone) configure(tb testing.TB) {
-	tb.Helper()
-	state, err := configuration(z.size, services)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	z.config = fleet.Empty()
-	for _, data := range state {
-		z.append(engine.ConfigStream, [][]byte{data})
-		z.config = applied(tb, z.config, data)
-	}
-}
-
-// applied folds a change.
-func applied(tb testing.TB, state *fleet.State, data []byte) *fleet.State {
-	tb.Helper()
-	next, result, err := fleet.Apply(state, platform.Record{Offset: state.Offset() + 1, Data: data})
-	if err != nil || result.Status != fleet.StatusApplied {
-		tb.Fatal(err, result.Reason)
-	}
-	return next
-}
-
-// changeLimit makes the record of a raised limit.
-func (z *zone) changeLimit(tb testing.TB, state *fleet.State, by int64) (*fleet.State, []byte) {
-	tb.Helper()
-	limit := int64(z.size.zones*z.size.hosts)*unitsPerHost + by
-	plan, err := fleet.MakePlan(state, fleet.Intent{Teams: []fleet.WantTeam{{Team: teamName(1), Limit: &limit}}}, "asha", wallStart, fleet.NoImpact{})
-	if err != nil {
-		tb.Fatal(err)
-	}
-	data, err := fleet.EncodeChange(plan.Change("asha", wallStart))
-	if err != nil {
-		tb.Fatal(err)
-	}
-	return applied(tb, state, data), data
-}
-
-// configuration returns the records of a configuration.
-func configuration(s size, services int) ([][]byte, error) {
-	source := rand.New(rand.NewSource(1))
-	intent := fleet.Intent{}
-	for i := range s.teams {
-		limit, share := int64(s.zones*s.hosts)*unitsPerHost, int64(1)
-		team := teamName(i)
-		_, id, hash, err := fleet.NewKey(source)
-		if err != nil {
-			return nil, err
-		}
-		intent.Teams = append(intent.Teams, fleet.WantTeam{Team: team, Share: &share, Limit: &limit})
-		intent.Keys = append(intent.Keys, fleet.WantKey{Action: fleet.KeyGive, Team: team, Key: id, Hash: hash})
-	}
-	for i := range min(services, servicesAtOnce) {
-		replicas, team := s.zones*s.workers*s.tasks/serviceShare/services, teamName(i%s.teams)
-		intent.Services = append(intent.Services, fleet.WantService{
-			Service: ident.ServiceID(fmt.Sprintf("service-%03d", i)), Team: &team, Replicas: &replicas, Need: &taskNeed,
-		})
-	}
-	plan, err := fleet.MakePlan(fleet.Empty(), intent, "asha", wallStart, fleet.NoImpact{})
-	if err != nil {
-		return nil, err
-	}
-	data, err := fleet.EncodeChange(plan.Change("asha", wallStart))
-	return [][]byte{data}, err
-}
-
-// servicesAtOnce keeps a configuration within one change.
-const servicesAtOnce = 250
-
-var wallStart = time.Unix(1_800_000_000, 0).UTC()
-
-// joinLedger makes every other host a member of the ledger of limit units.
-func (z *zone) joinLedger(tb testing.TB) {
-	tb.Helper()
-	for _, h := range z.listing.Hosts {
-		if h.Host == z.self.Host {
-			continue
-		}
-		data, err := ledger.Encode(ledger.Record{Writer: ident.Holder{Host: h.Host, Incarnation: 1}, Num: 1, Join: &ledger.Join{Zone: h.Zone}})
-		if err != nil {
-			tb.Fatal(err)
-		}
-		z.append(ledger.StreamName, [][]byte{data})
-	}
-}
-
 // spec is a job of n tasks.
 func (z *zone) spec(n int, run time.Duration) work.Spec {
 	return work.Spec{Kind: work.KindBatch, Team: teamName(z.rng.Intn(z.size.teams)), Name: "nightly-statements", Need: taskNeed, Tasks: n, Run: run, MaxAttempts: 3}
@@ -446,96 +315,3 @@
 		z.done++
 	}
 }
-
-func (z *zone) append(stream platform.Stream, group [][]byte) {
-	z.sent.appends++
-	z.sent.records += len(group)
-	for _, data := range group {
-		z.sent.recordBytes += len(data)
-		z.logs[stream] = append(z.logs[stream], platform.Record{Offset: platform.Offset(len(z.logs[stream]) + 1), Data: data})
-	}
-}
-
-// answerReads answers reads that found something or waited long enough.
-func (z *zone) answerReads() {
-	open := z.reads
-	z.reads = nil
-	for _, r := range open {
-		records := z.logs[r.Stream]
-		page := platform.Page{Last: platform.Offset(len(records))}
-		if len(records) > 0 {
-			page.First = 1
-		}
-		if from := int(min(r.After, page.Last)); from < len(records) {
-			page.Records = records[from:min(from+r.Limit, len(records))]
-		}
-		if len(page.Records) == 0 && z.now < r.until {
-			z.reads = append(z.reads, r)
-			continue
-		}
-		z.events = append(z.events, engine.StreamRead{Stream: r.Stream, Tag: r.Tag, Page: page})
-	}
-}
-
-// lease grants or renews a lease.
-func (z *zone) lease(cmd engine.SendLease) {
-	w := z.workers[cmd.Key.Worker]
-	if cmd.Request.Epoch == 0 {
-		w.epoch[cmd.Key.Class]++
-	}
-	w.forget(cmd.Request.AckedEnds)
-	grant := platform.LeaseGrant{Epoch: w.epoch[cmd.Key.Class], Size: workerSize}
-	if cmd.Key.Class == platform.ClassCompute {
-		grant.Tasks = w.report(z.now)
-	}
-	z.sent.leases++
-	z.sent.leaseBytes += jsonBytes(cmd.Request) + jsonBytes(grant)
-	z.events = append(z.events, engine.LeaseAnswered{Key: cmd.Key, SentAt: cmd.SentAt, Epoch: cmd.Request.Epoch, Grant: grant})
-}
-
-func (z *zone) start(cmd engine.StartTask) {
-	w := z.workers[cmd.Worker]
-	w.tasks = append(w.tasks, stubTask{
-		report: platform.TaskReport{ID: cmd.Request.ID, Team: cmd.Request.Team, Need: cmd.Request.Need, Holder: cmd.Request.Holder, Usage: cmd.Request.Need},
-		began:  z.now, run: cmd.Request.Run,
-	})
-	z.sent.starts++
-	z.sent.startBytes += jsonBytes(cmd.Request)
-	z.events = append(z.events, engine.StartAnswered{ID: cmd.ID, Worker: cmd.Worker, Epoch: cmd.Request.Epoch})
-}
-
-// report lists the tasks of a worker.
-func (w *stubWorker) report(now time.Duration) []platform.TaskReport {
-	list := make([]platform.TaskReport, len(w.tasks))
-	for i := range w.tasks {
-		t := &w.tasks[i]
-		if !t.report.Ended {
-			t.report.Ran = now - t.began
-			t.report.Ended = t.run > 0 && t.report.Ran >= t.run
-		}
-		list[i] = t.report
-	}
-	return list
-}
-
-// forget drops acknowledged ends.
-func (w *stubWorker) forget(ids []string) {
-	w.tasks = slices.DeleteFunc(w.tasks, func(t stubTask) bool { return t.report.Ended && slices.Contains(ids, t.report.ID) })
-}
-
-func (w *stubWorker) stop(id string) {
-	for i := range w.tasks {
-		if w.tasks[i].report.ID == id {
-			w.tasks[i].report.Ended = true
-			w.tasks[i].report.Stopped = true
-		}
-	}
-}
-
-func jsonBytes(v any) int {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // types of the wire can be rendered
-	}
-	return len(data)
-}
