--- a/engine/reports.go
+++ b/engine/reports.go
@@ -173,14 +173,22 @@
 	}
 }
 
-// closedInLog reports whether the log has no open attempt of this name.
+// closedInLog reports whether the log says that an attempt is over.
+//
+// It guards against a host that was paused and still takes itself for the
+// owner: what it has not read yet may have opened the attempt. What is not
+// known is therefore not closed; stopping the task and having its worker forget
+// it would make the true owner believe that it never started.
 func (e *Engine) closedInLog(id ident.AttemptID) bool {
 	job := e.owner.State().Job(id.Job)
 	if job == nil {
+		return false
+	}
+	if job.Ended {
 		return true
 	}
 	task := job.Tasks[id.Index]
-	return !task.Open || task.Attempts != id.Attempt
+	return task.Attempts > id.Attempt || (task.Attempts == id.Attempt && !task.Open)
 }
 
 func (e *Engine) adoptReplica(w *zoneWorker, service ident.ServiceID, id ident.AttemptID, t platform.TaskReport) {
