--- a/faultmatrix/random_test.go
+++ b/faultmatrix/random_test.go
@@ -14,6 +14,21 @@
 	histories = flag.Uint64("histories", fixedSeeds, "random histories to play")
 )
 
+// keptSeeds once failed; each found a fault that has been mended.
+var keptSeeds = []uint64{
+	69, 72, 81, 87, 142, 152, 154, 163, 174, 195, 223, 310, 318, 327, 367, 368, 377, 1218,
+}
+
+// Seeds that once failed are played in every run.
+func TestKeptHistories(t *testing.T) {
+	for _, seed := range keptSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runCell(t, RandomCell(seed))
+		})
+	}
+}
+
 // Several faults strike at random, at a random step. The seeds are fixed;
 // -first-seed and -histories play others.
 func TestRandomHistories(t *testing.T) {
