Batch work is packed or spread by the settings, and settings that did nothing are gone

Cause: [policy] named placements for requests, services, batch and gangs and a hedge-rate; only displace and backfill reached the scheduler, so an operator who set spread or a hedge-rate got neither. Before: batch = spread (Rosenau's file) packed as well. After: place.Emptiest searches the index from its other end; sched.Options.Batch chooses it for batch work and [policy] batch sets it. Ruled out: a placement setting for gangs (rooms for several tasks are scarce) and services (racks come first in any deployment). Conclusion: pack stays the default; Rosenau spreads.

--- a/entry/host.go
+++ b/entry/host.go
@@ -159,6 +159,9 @@
 
 // schedOptions puts the deployment's policy into the scheduler's options.
 func schedOptions(opts sched.Options, p settings.Policy) sched.Options {
+	if p.Batch == settings.PlacementSpread {
+		opts.Batch = sched.BatchSpread
+	}
 	if !p.Backfill {
 		opts.Hold = sched.HoldDrain
 	}
--- a/measure/replay.go
+++ b/measure/replay.go
@@ -27,13 +27,15 @@
 }
 
 // Policies are the compared ways of deciding: the one in use, the same with
-// other ways of holding room, and first in, first out on the first worker that
+// other ways of holding room, with tasks spread and
+// without displacement for shares, and first in, first out on the first worker that
 // fits.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "planned", Options: sched.Options{Hold: sched.HoldPlanned}},
 		{Name: "drain", Options: sched.Options{Hold: sched.HoldDrain}},
 		{Name: "no-hold", Options: sched.Options{Hold: sched.HoldNone}},
+		{Name: "spread", Options: sched.Options{Batch: sched.BatchSpread}},
 		{Name: "keep-running", Options: sched.Options{KeepRunning: true}},
 		{Name: "fifo", Options: sched.Options{FirstFit: true}, Blind: true},
 	}
--- a/place/limit.go
+++ b/place/limit.go
@@ -1,6 +1,6 @@
 package place
 
-// enough is how many feasible workers a packing search compares.
+// enough is how many feasible workers a search of the index compares.
 const enough = 16
 
 // limit ends the search after a number of workers.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -26,6 +26,9 @@
 			if ref := placer.Pack(need, None); (ref != None) != (fitting > 0) {
 				t.Fatalf("%d workers fit %s, the index gave %d", fitting, need, ref)
 			}
+			if ref := placer.Emptiest(need, None); (ref != None) != (fitting > 0) {
+				t.Fatalf("%d workers fit %s, the index from its end gave %d", fitting, need, ref)
+			}
 		}
 		checkOpen(t, cell)
 	})
@@ -99,6 +102,51 @@
 	}
 }
 
+// Equal tasks that are spread fill alike workers evenly; packed, they fill one
+// after the other.
+func TestEmptiestFillsEvenly(t *testing.T) {
+	need := resource.Vector{MilliCPU: 1000, MemoryMiB: 512}
+	const workers, tasks = 6, 12
+	busy := func(choose func(*Placer, resource.Vector, Ref) Ref) (n int) {
+		cell := NewCell()
+		placer := NewPlacer(cell)
+		for i := range workers {
+			cell.Add(ident.WorkerID(fmt.Sprint(i)), "r", resource.Vector{MilliCPU: 16000, MemoryMiB: 32768})
+		}
+		for range tasks {
+			cell.Reserve(choose(placer, need, None), need)
+		}
+		for ref := range Ref(workers) {
+			if cell.Worker(ref).Tasks == tasks/workers {
+				n++
+			}
+		}
+		return n
+	}
+	if n := busy((*Placer).Emptiest); n != workers {
+		t.Errorf("%d of %d workers have their even part when tasks are spread", n, workers)
+	}
+	if n := busy((*Placer).Pack); n != 0 {
+		t.Errorf("%d workers have an even part when tasks are packed", n)
+	}
+}
+
+// The one empty worker among many that are half full gets the next task.
+func TestEmptiestFindsTheOneEmptyWorker(t *testing.T) {
+	cell := NewCell()
+	placer := NewPlacer(cell)
+	const workers, empty = 64, Ref(40)
+	for i := range workers {
+		ref := cell.Add(ident.WorkerID(fmt.Sprint(i)), "r", resource.Vector{MilliCPU: 16000, MemoryMiB: 32768})
+		if ref != empty {
+			cell.Reserve(ref, resource.Vector{MilliCPU: 8000, MemoryMiB: 16384})
+		}
+	}
+	if ref := placer.Emptiest(resource.Vector{MilliCPU: 1000, MemoryMiB: 512}, None); ref != empty {
+		t.Errorf("placed on worker %d, want %d", ref, empty)
+	}
+}
+
 // Work without accelerators leaves workers with accelerators alone while there
 // are others.
 func TestAcceleratorsAreLeftForThoseWhoNeedThem(t *testing.T) {
--- a/place/rank.go
+++ b/place/rank.go
@@ -32,6 +32,19 @@
 	return score
 }
 
+// emptiest prefers workers with the most room in the resource that is scarcer
+// there. Idle accelerators count against a worker as they do in packed.
+func emptiest(r *ranking, ref Ref, w *Worker) int64 {
+	cpu := part(w.Free.MilliCPU, w.Size.MilliCPU)
+	memory := part(w.Free.MemoryMiB, w.Size.MemoryMiB)
+	idle := part(w.Free.Accelerators-r.need.Accelerators, w.Size.Accelerators)
+	score := idle - min(cpu, memory) + part(w.Excess, w.Size.MilliCPU)
+	if ref == r.avoid {
+		score += avoidPenalty
+	}
+	return score
+}
+
 // spread prefers workers with fewer replicas of the same service, then those
 // with more room.
 func spread(r *ranking, ref Ref, w *Worker) int64 {
--- a/place/select.go
+++ b/place/select.go
@@ -33,12 +33,25 @@
 // Pack returns a worker that the need fills well, or None if it fits nowhere.
 // The worker avoid is taken only if there is no other.
 func (p *Placer) Pack(need resource.Vector, avoid Ref) Ref {
+	p.index.down = false
+	return p.searchIndex(need, avoid, packed)
+}
+
+// Emptiest returns a worker with much free room, or None if the need fits
+// nowhere. The worker avoid is taken only if there is no other.
+func (p *Placer) Emptiest(need resource.Vector, avoid Ref) Ref {
+	p.index.down = true
+	return p.searchIndex(need, avoid, emptiest)
+}
+
+// searchIndex looks at a sample of each bucket, and at all if none fits.
+func (p *Placer) searchIndex(need resource.Vector, avoid Ref, by rank) Ref {
 	p.ranking = ranking{need: need, avoid: avoid}
 	p.index.reset(&need, sampleOf)
-	best := p.search(need, &p.index, 0, enough, packed)
+	best := p.search(need, &p.index, 0, enough, by)
 	if best == None && p.index.cut {
 		p.index.reset(&need, everyOne)
-		best = p.search(need, &p.index, 0, enough, packed)
+		best = p.search(need, &p.index, 0, enough, by)
 	}
 	return best
 }
--- a/place/source.go
+++ b/place/source.go
@@ -49,10 +49,12 @@
 const sampleOf = 32
 
 // indexSource yields the workers of the index that may have room, those with
-// the least room first. At most `most` workers of each bucket are yielded,
-// starting at a place that turn moves on.
+// the least room first, or with the most if down is set. Workers without free
+// accelerators come first either way if the need has none. At most `most`
+// workers of each bucket are yielded, starting at a place that turn moves on.
 type indexSource struct {
 	index *index
+	down  bool
 	most  int
 	turn  int
 
@@ -68,6 +70,9 @@
 	s.most = most
 	s.cpu, s.memory = level(need.MilliCPU), level(need.MemoryMiB)
 	s.row = layer(need.Accelerators)*levels + s.cpu
+	if s.down {
+		s.row += levels - 1 - s.cpu
+	}
 	s.mask = s.rowMask()
 	s.left = 0
 	s.cut = false
@@ -92,17 +97,17 @@
 
 func (s *indexSource) nextBucket() bool {
 	for s.mask == 0 {
-		s.row++
-		if s.row%levels == 0 {
-			s.row += s.cpu
-		}
+		s.nextRow()
 		if s.row >= len(s.index.rows) {
 			return false
 		}
 		s.mask = s.rowMask()
 	}
 	memory := bits.TrailingZeros32(s.mask)
-	s.mask &= s.mask - 1
+	if s.down {
+		memory = bits.Len32(s.mask) - 1
+	}
+	s.mask &^= 1 << memory
 	s.bucket = s.index.buckets[s.row*levels+memory]
 	s.left = min(len(s.bucket), s.most)
 	s.at = 0
@@ -113,3 +118,19 @@
 	}
 	return true
 }
+
+// nextRow moves on to the next level of processors, and behind the last one to
+// the first of the next layer.
+func (s *indexSource) nextRow() {
+	switch {
+	case !s.down:
+		s.row++
+		if s.row%levels == 0 {
+			s.row += s.cpu
+		}
+	case s.row%levels == s.cpu:
+		s.row += 2*levels - 1 - s.cpu
+	default:
+		s.row--
+	}
+}
--- a/sched/dispatch.go
+++ b/sched/dispatch.go
@@ -127,6 +127,9 @@
 	if s.opts.FirstFit {
 		return s.placer.FirstFit(j.need)
 	}
+	if s.opts.Batch == BatchSpread && !j.gang() {
+		return s.placer.Emptiest(j.need, avoid)
+	}
 	return s.placer.Pack(j.need, avoid)
 }
 
--- a/sched/options.go
+++ b/sched/options.go
@@ -34,11 +34,23 @@
 	HoldNone                // never keep room
 )
 
+// Batch says which worker a task of a batch job gets, of those with room. Tasks
+// that start together are always packed, since rooms for several are scarce.
+type Batch int
+
+// The placements of batch work.
+const (
+	BatchPack   Batch = iota // the one it fills best; leaves room for large tasks
+	BatchSpread              // the one with the most room; a lost worker costs least
+)
+
 // Options are the settings of a Scheduler. The zero value of each field means
 // its default.
 type Options struct {
 	Limits Limits // default Unlimited
 
+	Batch Batch
+
 	Hold      Hold
 	HoldAfter time.Duration // wait of a job before room is held for it; default 2 s
 	HoldFor   time.Duration // longest hold; default 10 min
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -31,7 +31,7 @@
 	allowedName      = "a name of 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit"
 	allowedAddr      = "an IP number with a port, such as 10.0.0.1:7000 or [fd00::1]:7000; host names are not resolved"
 	allowedBool      = "yes or no"
-	allowedPlacement = "spread, pack or rack"
+	allowedPlacement = "pack or spread"
 )
 
 // fields documents every key outside the open section, in the order in which
@@ -105,20 +105,12 @@
 	{section: sectionTLS, key: "key", allowed: "a path without control characters",
 		set: path(func(s *Settings) *string { return &s.TLS.Key })},
 
-	{section: sectionPolicy, key: "request", standard: "spread", allowed: allowedPlacement,
-		set: placement(func(s *Settings) *Placement { return &s.Policy.Request })},
-	{section: sectionPolicy, key: "service", standard: "spread", allowed: allowedPlacement,
-		set: placement(func(s *Settings) *Placement { return &s.Policy.Service })},
 	{section: sectionPolicy, key: "batch", standard: "pack", allowed: allowedPlacement,
 		set: placement(func(s *Settings) *Placement { return &s.Policy.Batch })},
-	{section: sectionPolicy, key: "gang", standard: "rack", allowed: allowedPlacement,
-		set: placement(func(s *Settings) *Placement { return &s.Policy.Gang })},
 	{section: sectionPolicy, key: "displace", standard: "yes", allowed: allowedBool,
 		set: flag(func(s *Settings) *bool { return &s.Policy.Displace })},
 	{section: sectionPolicy, key: "backfill", standard: "yes", allowed: allowedBool,
 		set: flag(func(s *Settings) *bool { return &s.Policy.Backfill })},
-	{section: sectionPolicy, key: "hedge-rate", standard: "0", allowed: "a fraction from 0 to 0.2",
-		set: fraction(0, maxHedge, func(s *Settings) *float64 { return &s.Policy.HedgeRate })},
 
 	{section: sectionLog, key: "level", standard: "info", allowed: "error, warn, info or debug", set: setLevel},
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,25 +102,21 @@
 // Enabled reports whether callers are served over TLS.
 func (t TLS) Enabled() bool { return t.Certificate != "" }
 
-// Placement is the policy by which a worker is chosen among those that fit.
+// Placement is the policy by which a task of a batch job gets one of the workers
+// that it fits.
 type Placement string
 
 // The placement policies.
 const (
 	PlacementSpread Placement = "spread" // most free first; failures cost least
 	PlacementPack   Placement = "pack"   // least free first; leaves room for large tasks
-	PlacementRack   Placement = "rack"   // as few racks as possible
 )
 
-// Policy chooses how each kind of work is placed.
+// Policy chooses among the ways of placing durable work.
 type Policy struct {
-	Request   Placement
-	Service   Placement
-	Batch     Placement
-	Gang      Placement
-	Displace  bool    // urgent jobs may displace displaceable tasks
-	Backfill  bool    // small jobs may pass a large one that waits, if they do not delay it
-	HedgeRate float64 // greatest share of idempotent requests sent a second time; zero for none
+	Batch    Placement
+	Displace bool // urgent jobs may displace displaceable tasks
+	Backfill bool // small jobs may pass a large one that waits, if they do not delay it
 }
 
 // Log governs log lines.
--- a/settings/values.go
+++ b/settings/values.go
@@ -42,7 +42,6 @@
 	maxMaxAge         = 24 * time.Hour
 
 	maxDrift = 0.2 // fraction
-	maxHedge = 0.2 // fraction
 )
 
 // Short names that keep the table of fields readable.
@@ -176,7 +175,7 @@
 func placement(at func(*Settings) *Placement) setter {
 	return func(s *Settings, value string) bool {
 		switch p := Placement(value); p {
-		case PlacementSpread, PlacementPack, PlacementRack:
+		case PlacementSpread, PlacementPack:
 			*at(s) = p
 			return true
 		}
