Requests go to the least loaded of all open workers

Cause: the less loaded of two random workers leaves slots of the others idle, and a host has only 4 to 6 workers that nobody else sends to. At most 16 are compared. Seen red: TestCallsGoToTheLeastLoaded with two random workers.

--- a/request/workers.go
+++ b/request/workers.go
@@ -46,45 +46,43 @@
 	r.workers = append(r.workers[:at], r.workers[at+1:]...)
 }
 
-// pick chooses a worker for c: the less loaded of two drawn at random, or the
-// first open one after a random start if the draws are not open.
+// pickMost bounds the open workers that are compared for one call.
+const pickMost = 16
+
+// pick chooses a worker for c: the least loaded of all that are open, or of the
+// first pickMost after a random start. No other host sends calls to them, so
+// their loads are known and hosts cannot all choose the same one. The worker on
+// which c failed last is taken only if no other is open.
 func (r *Router) pick(now time.Duration, c *call) *worker {
 	n := len(r.workers)
 	if n == 0 {
 		return nil
 	}
-	a := r.workers[r.opts.Rand.IntN(n)]
-	b := r.workers[r.opts.Rand.IntN(n)]
-	if best := better(now, c, a, b); best != nil {
-		return best
-	}
 	start := r.opts.Rand.IntN(n)
-	var fallback *worker
-	for i := range n {
+	seen := 0
+	var best, fallback *worker
+	for i := 0; i < n && seen < pickMost; i++ {
 		w := r.workers[(start+i)%n]
-		if !w.open(now, c.Service) {
-			continue
-		}
-		if w.id != c.avoid {
-			return w
+		switch {
+		case !w.open(now, c.Service):
+		case w.id == c.avoid:
+			fallback = w
+		default:
+			seen++
+			best = lessLoaded(best, w)
 		}
-		fallback = w
 	}
-	return fallback
+	if best == nil {
+		return fallback
+	}
+	return best
 }
 
-// better returns the less loaded of two workers that are open and not avoided,
-// or nil if neither is.
-func better(now time.Duration, c *call, a, b *worker) *worker {
-	okA := a.id != c.avoid && a.open(now, c.Service)
-	okB := b.id != c.avoid && b.open(now, c.Service)
-	switch {
-	case okA && okB && b.load() < a.load():
-		return b
-	case okA:
-		return a
-	case okB:
+// lessLoaded returns the less loaded of two workers, the first if they are
+// equal or the second if there is no first.
+func lessLoaded(a, b *worker) *worker {
+	if a == nil || b.load() < a.load() {
 		return b
 	}
-	return nil
+	return a
 }
