--- a/request/doc.go
+++ b/request/doc.go
@@ -9,6 +9,6 @@
 // or the request is idempotent and the retry budget allows it.
 //
 // Requests are placed on workers whose slots lease this host holds. A worker
-// is chosen as the less loaded of two drawn at random, weighted by the latency
+// is chosen as the least loaded of all that are open, weighted by the latency
 // it showed. A host without room forwards to a peer, its own zone first.
 package request
