--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -41,6 +41,7 @@
 	unsent    int            // starts in a row that were not sent
 	retryAt   time.Duration
 	startedAt time.Duration // when the start was known to have taken effect
+	stop      stopOrder
 	// borrowed means that the units it uses are still held by the dead holder
 	// that started it.
 	borrowed bool
@@ -102,6 +103,10 @@
 // epoch the worker may have been another host's meanwhile, and a recovery that
 // trusted the record would look for the attempt under the wrong lease.
 func (e *Engine) start(a *attempt) {
+	if a.phase == phaseAssigning && a.stop.control != "" {
+		e.endNever(a, "")
+		return
+	}
 	epoch, held := e.leases.Epoch(lease.Key{Worker: a.Worker, Class: platform.ClassCompute}, e.now)
 	entry, listed := e.members.Worker(a.Worker)
 	if !held || !listed || epoch != a.lease {
@@ -164,6 +169,10 @@
 	a.phase = phaseRunning
 	a.startedAt = e.now
 	e.stepSched(sched.AttemptStarted{ID: a.ID})
+	if a.stop.control != "" {
+		e.sendStop(a)
+		return
+	}
 	e.expectEnd(a, 0)
 }
 
@@ -265,6 +274,9 @@
 		return
 	}
 	e.controlTask(cmd.Worker, a.name, cmd.Control)
+	if cmd.Control == platform.ControlStop || cmd.Control == platform.ControlCheckpoint {
+		e.stopOrdered(a, cmd.Control)
+	}
 }
 
 func (e *Engine) controlTask(worker ident.WorkerID, name string, control platform.Control) {
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -125,6 +125,10 @@
 		e.started(a)
 	}
 	e.stepSched(sched.UsageReported{ID: a.ID, Ran: t.Ran, Usage: t.Usage})
+	if a.stop.control != "" {
+		e.stillRuns(a)
+		return
+	}
 	e.expectEnd(a, t.Ran)
 }
 
--- a/localfleet/faults_test.go
+++ b/localfleet/faults_test.go
@@ -19,13 +19,13 @@
 	Job, State, Outcome, Reason string
 }
 
-func submit(t *testing.T, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, spec string) string {
+func submit(t testing.TB, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, spec string) string {
 	t.Helper()
 	data := do(t, http.MethodPost, "http://"+m.Host.APIAddr()+"/v1/jobs", f.Keys[team], spec, http.StatusAccepted)
 	return parseJob(t, data).Job
 }
 
-func parseJob(t *testing.T, data []byte) jobReply {
+func parseJob(t testing.TB, data []byte) jobReply {
 	t.Helper()
 	var reply jobReply
 	if err := json.Unmarshal(data, &reply); err != nil {
@@ -35,7 +35,7 @@
 }
 
 // await asks a host until the job has ended.
-func await(t *testing.T, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, job string) jobReply {
+func await(t testing.TB, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, job string) jobReply {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
@@ -55,7 +55,7 @@
 }
 
 // untilRunning waits until a task of the job runs.
-func untilRunning(t *testing.T, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, job string) {
+func untilRunning(t testing.TB, f *localfleet.Fleet, m *localfleet.Member, team ident.TeamID, job string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
@@ -70,7 +70,7 @@
 }
 
 // scheduler returns the host that schedules a zone, once one does.
-func scheduler(t *testing.T, f *localfleet.Fleet, zone ident.Zone) *localfleet.Member {
+func scheduler(t testing.TB, f *localfleet.Fleet, zone ident.Zone) *localfleet.Member {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
@@ -87,7 +87,7 @@
 }
 
 // checkAudit fails the test if the workers saw a broken promise.
-func checkAudit(t *testing.T, f *localfleet.Fleet) {
+func checkAudit(t testing.TB, f *localfleet.Fleet) {
 	t.Helper()
 	counts := f.Platform.Audit.Counts()
 	if counts.Doubled != 0 || counts.Overlapped != 0 || counts.OverCapacity != 0 {
--- a/localfleet/localfleet_test.go
+++ b/localfleet/localfleet_test.go
@@ -22,7 +22,7 @@
 	return l
 }
 
-func start(t *testing.T, layout standin.Layout) *localfleet.Fleet {
+func start(t testing.TB, layout standin.Layout) *localfleet.Fleet {
 	t.Helper()
 	f, err := localfleet.Start(context.Background(), localfleet.Options{Layout: layout})
 	if err != nil {
@@ -39,7 +39,7 @@
 const retryPause = 50 * time.Millisecond
 
 // do sends a request and repeats it while the answer says that it did not run.
-func do(t *testing.T, method, url, key string, body string, want int) []byte {
+func do(t testing.TB, method, url, key string, body string, want int) []byte {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
@@ -59,7 +59,7 @@
 	}
 }
 
-func once(ctx context.Context, t *testing.T, method, url, key, body string) (int, []byte) {
+func once(ctx context.Context, t testing.TB, method, url, key, body string) (int, []byte) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
--- a/sched/displace.go
+++ b/sched/displace.go
@@ -127,6 +127,7 @@
 func (s *Scheduler) empty(workers []place.Ref, use emptying) {
 	use.until = s.now + emptyMost
 	s.after(timer{at: use.until, kind: timerWake})
+	s.after(timer{at: s.now + comingFor, kind: timerWake})
 	for _, ref := range workers {
 		s.cell.Bar(ref, place.BarHeld)
 		use.worker = ref
@@ -146,8 +147,16 @@
 	}
 }
 
+// comingFor is how long after its checkpoint was sent the room of a task is
+// counted on.
+const comingFor = time.Second
+
 // comingRoom returns how many tasks of the job fit on the workers where room is
 // being made for it, once it is.
+//
+// It guards against a task that does not stop: urgent work would wait for its
+// room, for as long as the worker is held, while other tasks could be displaced.
+// Room that has not come in a second is counted on no more.
 func (s *Scheduler) comingRoom(j *job, most int64) int64 {
 	coming := int64(0)
 	for _, e := range s.making {
@@ -156,7 +165,7 @@
 		}
 		room := s.cell.Worker(e.worker).Free
 		for _, a := range s.host(e.worker).attempts {
-			if a.stopping != "" {
+			if a.stopping != "" && s.now < a.stopAt+comingFor {
 				room = room.Add(a.need)
 			}
 		}
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -398,3 +398,23 @@
 		t.Errorf("the worker is still held")
 	}
 }
+
+// A task is checkpointed for urgent work and does not stop. The urgent work
+// must not wait until its worker is given up: after a second another task makes
+// room for it.
+func TestUrgentWorkDoesNotWaitForATaskThatDoesNotStop(t *testing.T) {
+	w := zone(t, 2, Options{KeepRunning: true})
+	plain := batch("a", 8, 2)
+	plain.Displaceable = true
+	w.accept(plain)
+	urgent := batch("b", 8, 1)
+	urgent.Urgent = true
+	w.accept(urgent)
+	if n := len(w.controls); n != 1 {
+		t.Fatalf("%d tasks were told to stop at once, want 1", n)
+	}
+	w.pass(comingFor)
+	if n := len(w.controls); n != 2 {
+		t.Errorf("%d tasks were told to stop after %s, want 2", n, comingFor)
+	}
+}
