--- a/entry/sink.go
+++ b/entry/sink.go
@@ -57,8 +57,12 @@
 // on as whole would hand the caller a document that is silently incomplete.
 func copyAnswer(dst sink, answer platform.Answer) copied {
 	var res copied
-	held := make([]byte, 0, copyBytes)
-	buf := make([]byte, copyBytes)
+	size := copyBytes
+	if answer.Length >= 0 {
+		size = int(min(answer.Length+1, copyBytes)) // one more, to see the end in one read
+	}
+	held := make([]byte, 0, size)
+	buf := make([]byte, size)
 	for {
 		n, err := answer.Body.Read(buf)
 		held = append(held, buf[:n]...)
--- a/faultmatrix/load.go
+++ b/faultmatrix/load.go
@@ -19,6 +19,7 @@
 	jobDeadline     = 3 * time.Second
 	repeatAfter     = 700 * time.Millisecond
 	maxRepeats      = 4
+	oldKeyShare     = 3  // one request in so many still comes with a withdrawn key
 	cancelShare     = 10 // one job in so many is cancelled by its caller
 )
 
@@ -26,7 +27,9 @@
 type load struct {
 	w       *World
 	running bool
-	n       int
+
+	jobsRunning bool
+	n           int
 
 	probes    []*RequestRecord // sent when everything is well again
 	jobProbes []*JobRecord
@@ -36,6 +39,7 @@
 
 func (l *load) start() {
 	l.running = true
+	l.jobsRunning = true
 	l.requests()
 	l.jobs()
 }
@@ -59,6 +63,9 @@
 func (l *load) request() {
 	l.n++
 	rec := &RequestRecord{Sub: l.n, Team: teams[l.n%len(teams)], Secret: l.w.ops.key(teams[l.n%len(teams)])}
+	if old, ok := l.w.ops.old[rec.Team]; ok && l.n%oldKeyShare == 0 {
+		rec.Secret = old
+	}
 	rec.NonIdempotent = l.n%5 == 0
 	if l.n%10 == 0 {
 		rec.Key = fmt.Sprintf("key-%d", l.n)
@@ -150,7 +157,7 @@
 }
 
 func (l *load) jobs() {
-	if !l.running {
+	if !l.jobsRunning {
 		return
 	}
 	l.job(zones[l.n%len(zones)])
--- a/member/host.go
+++ b/member/host.go
@@ -22,18 +22,21 @@
 
 // host is what is known of one other host.
 type host struct {
-	id      ident.HostID
-	zone    ident.Zone
-	addr    string
-	listed  bool          // in the last listing
-	leaving bool          // by the last listing
-	sinceAt time.Duration // when it became known
-	graceAt time.Duration // silence counts from here at the earliest
-	heard   bool          // a digest came in this process's life
-	heardAt time.Duration // the last one
-	digest  Digest        // the last one
-	lives   []life        // most recently heard last
-	fails   int           // calls in a row without an answer
+	id   ident.HostID
+	zone ident.Zone
+	addr string // where calls go
+	// listedAddr is where the list last said that this host reaches it.
+	listedAddr string
+	listed     bool          // in the last listing
+	leaving    bool          // by the last listing
+	sinceAt    time.Duration // when it became known
+	graceAt    time.Duration // silence counts from here at the earliest
+	heard      bool          // a digest came in this process's life
+	heardAt    time.Duration // the last one
+	digest     Digest        // the last one
+	lives      []life        // most recently heard last
+	fails      int           // calls in a row without an answer
+	failAt     time.Duration // the last of them
 
 	nextDigest time.Duration
 }
@@ -53,6 +56,21 @@
 	return h.silence(now) >= opts.PeerTTL || (!h.listed && !h.heard)
 }
 
+// retryBeats is after how many beats between zones a failing host elsewhere is
+// given another chance.
+const retryBeats = 2
+
+// failing reports whether calls to a host of another zone are
+// hopeless for now.
+//
+// It guards against two hosts that lose each other for good: a cut between two
+// zones makes their calls fail, each then exchanges digests with another host
+// of the other zone, and neither hears the other again when the cut is mended.
+// A team's limit units that the one holds would never reach the other.
+func (h *host) failing(now time.Duration, opts Options) bool {
+	return h.fails >= opts.FailuresToDead && now-h.failAt < retryBeats*opts.RemoteEvery
+}
+
 // leaves reports whether the host gives up its workers. Its own word is newer
 // than the list: a host that restarted at the same address may still be listed
 // as leaving from its former life.
@@ -100,9 +118,10 @@
 	h.listed = true
 	h.leaving = entry.State == platform.StateLeaving
 	h.zone = entry.Zone
-	if !h.heard {
+	if !h.heard || entry.Addr != h.listedAddr {
 		h.addr = entry.Addr
 	}
+	h.listedAddr = entry.Addr
 }
 
 // forgetHosts drops hosts that are neither listed nor heard of, in bounded
@@ -131,11 +150,16 @@
 		return
 	}
 	m.changes++
+	if !h.listed || (h.heard && h.digest.Addr != d.Addr) {
+		// A listed host is called where the list says that it is reached from
+		// here, which need not be the address it knows itself by. Only when it
+		// has moved is its own word newer, until the list follows.
+		h.addr = d.Addr
+	}
 	h.heard = true
 	h.heardAt = now
 	h.digest = d
 	h.zone = d.Zone
-	h.addr = d.Addr
 	h.fails = 0
 }
 
@@ -155,9 +179,10 @@
 	return true
 }
 
-func (m *Members) peerFailed(id ident.HostID) {
+func (m *Members) peerFailed(now time.Duration, id ident.HostID) {
 	if h, ok := m.hosts[id]; ok {
 		h.fails++
+		h.failAt = now
 		m.changes++
 	}
 }
--- a/member/members.go
+++ b/member/members.go
@@ -66,11 +66,12 @@
 	case DigestReceived:
 		m.hear(now, ev.Digest)
 	case PeerFailed:
-		m.peerFailed(ev.Host)
+		m.peerFailed(now, ev.Host)
 	case WorkerAnswered:
 		m.workerAnswered(now, ev.Worker)
 		return nil
 	case LoadChanged:
+		m.tellConfig(now, ev.Load.Config)
 		m.load = ev.Load
 		return nil
 	case Drain:
