A restored job keeps the attempts that refusals and displacements did not use

Cause: the stream kept only the number of attempts and the last result of a task, so a new scheduler took every earlier attempt for a failure. Before: of a task refused twice and displaced once, with two attempts allowed, none was left after a takeover; an approval refused once ended as unknown. After: jobs.Task counts attempts that never started (numbers that were passed over included) and stopped ones, in the records that write jobs again as well; engine.restoredTask hands them on. Stops count as displacements only for work that may be displaced; for other work they stay failures. Ruled out: a new result "displaced": hosts with an older program would reject the record. The counters decide nothing in the fold, so old and new programs fold the same jobs; a job written before has zero and is judged as until now. Seen red: Refused, Displaced and the count in exhausted left out one by one, and passed-over numbers not counted.

--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -119,7 +119,13 @@
 }
 
 func (e *Engine) restoredTask(job *jobs.Job, index int, task jobs.Task) sched.RestoredTask {
-	res := sched.RestoredTask{Index: index, Attempts: task.Attempts, Done: task.Done()}
+	res := sched.RestoredTask{
+		Index:     index,
+		Attempts:  task.Attempts,
+		Refused:   task.Refused,
+		Displaced: displaced(job, task),
+		Done:      task.Done(),
+	}
 	id := ident.AttemptID{Job: job.Job, Index: index, Attempt: task.Attempts}
 	if a := e.zone.attempts.get(id); a != nil && task.Open {
 		res.Running = true
@@ -136,7 +142,18 @@
 	if task.Result == jobs.ResultNeverStarted || task.Result == "" {
 		return false
 	}
-	return job.Spec.NonIdempotent || task.Attempts >= max(job.Spec.MaxAttempts, 1)
+	counted := task.Attempts - task.Refused - displaced(job, task)
+	return job.Spec.NonIdempotent || counted >= max(job.Spec.MaxAttempts, 1)
+}
+
+// displaced returns how many attempts of a task were displaced. The log says
+// only that they were stopped; a task that may not be displaced was stopped for
+// another reason, such as its limit, and that counts as a failure.
+func displaced(job *jobs.Job, task jobs.Task) int {
+	if job.Spec.Displaceable && !job.Spec.NonIdempotent {
+		return task.Stopped
+	}
+	return 0
 }
 
 func (e *Engine) zoneHosts() jobs.ZoneHosts {
--- a/jobs/bodies.go
+++ b/jobs/bodies.go
@@ -68,6 +68,8 @@
 		Epoch:    f.at.Epoch,
 		Lease:    a.Lease,
 		Boot:     a.Boot,
+		Refused:  t.Refused + a.Attempt.Attempt - t.Attempts - 1, // a number that was passed over was never started
+		Stopped:  t.Stopped,
 	}
 	j.OpenTasks++
 	return accepted
@@ -88,7 +90,7 @@
 	if !e.Result.Valid() {
 		return RejectMalformed
 	}
-	j.Tasks[e.Attempt.Index] = Task{Attempts: t.Attempts, Result: e.Result}
+	j.Tasks[e.Attempt.Index] = t.closed(e.Result)
 	j.OpenTasks--
 	return accepted
 }
--- a/jobs/fold_test.go
+++ b/jobs/fold_test.go
@@ -123,3 +123,30 @@
 		t.Fatal("the ended job is still remembered")
 	}
 }
+
+// A displaced task loses the attempts that its caller allows, because a new
+// owner took refusals and displacements for failures. The stream counts them,
+// attempt numbers that were passed over included, and writes them again.
+func TestRefusedAndStoppedAttemptsAreCounted(t *testing.T) {
+	s := newStage(t)
+	for _, r := range []Record{
+		acceptance(1, "", ""),
+		assignment(1, 1, "w"), ending(1, 1, ResultNeverStarted),
+		assignment(1, 4, "w"), ending(1, 4, ResultStopped),
+		assignment(1, 5, "w"), ending(1, 5, ResultFailed),
+		assignment(1, 6, "w"),
+	} {
+		if v := s.write(r, 0); !v.Applied {
+			t.Fatalf("setting up: %+v", v)
+		}
+	}
+	again := newStage(t)
+	if v := again.write(Record{State: stateOf(s.fold.Job(jobID(1)))}, 0); !v.Applied {
+		t.Fatalf("written again: %+v", v)
+	}
+	for _, f := range []*Fold{s.fold, again.fold} {
+		if task := f.Job(jobID(1)).Tasks[0]; task.Attempts != 6 || task.Refused != 3 || task.Stopped != 1 {
+			t.Errorf("%d attempts, %d refused, %d stopped; want 6, 3, 1", task.Attempts, task.Refused, task.Stopped)
+		}
+	}
+}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -20,6 +20,20 @@
 	Lease    platform.Epoch `json:"l,omitempty"` // as in Assigned
 	Boot     uint64         `json:"b,omitempty"` // as in Assigned
 	Result   Result         `json:"r,omitempty"` // of the newest closed attempt
+	Refused  int            `json:"x,omitempty"` // attempts that truly never started, unrecorded ones included
+	Stopped  int            `json:"s,omitempty"` // attempts that were stopped
+}
+
+// closed returns the task after its open attempt has ended.
+func (t Task) closed(r Result) Task {
+	next := Task{Attempts: t.Attempts, Result: r, Refused: t.Refused, Stopped: t.Stopped}
+	switch r {
+	case ResultNeverStarted:
+		next.Refused++
+	case ResultStopped:
+		next.Stopped++
+	}
+	return next
 }
 
 // Done reports whether the task succeeded and needs no further attempt.
