--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -29,6 +29,7 @@
 type reclaimWatch struct {
 	promises  map[ident.WorkerID]time.Duration // until when
 	wishes    map[ident.WorkerID]bool          // what membership wants of promised workers
+	heldOff   map[ident.WorkerID]bool          // waited out by this host
 	newest    map[promiseSource]uint64         // order of the newest question
 	asks      uint64                           // own questions so far
 	zoneHosts []ident.HostID                   // of the own zone, as listed
@@ -51,15 +52,47 @@
 	return &reclaimWatch{
 		promises: map[ident.WorkerID]time.Duration{},
 		wishes:   map[ident.WorkerID]bool{},
+		heldOff:  map[ident.WorkerID]bool{},
 		newest:   map[promiseSource]uint64{},
 		listed:   map[ident.HostID]bool{},
 		proof:    ledger.NewReclaimer(opts.Self, opts.ListLag),
 	}
 }
 
+// promised reports whether the compute lease of a worker must not be asked for:
+// a peer was promised so, or this host waits for the end of what runs there.
 func (r *reclaimWatch) promised(worker ident.WorkerID) bool {
 	_, ok := r.promises[worker]
-	return ok
+	return ok || r.heldOff[worker]
+}
+
+// holdOff keeps this host itself from sending lease calls to a worker whose
+// tasks are waited out: one without an answer could let them live on.
+func (e *Engine) holdOff(worker ident.WorkerID) {
+	if !e.reclaim.promised(worker) {
+		e.reclaim.wishes[worker] = e.members.Scheduler()
+	}
+	e.reclaim.heldOff[worker] = true
+	e.stepLeases(lease.Want{Key: lease.Key{Worker: worker, Class: platform.ClassCompute}, Wanted: false})
+}
+
+// resume ends holdOff.
+func (e *Engine) resume(worker ident.WorkerID) {
+	if !e.reclaim.heldOff[worker] {
+		return
+	}
+	delete(e.reclaim.heldOff, worker)
+	e.regain(worker)
+}
+
+// regain passes on what membership wants of a worker, once nothing forbids it.
+func (e *Engine) regain(worker ident.WorkerID) {
+	if e.reclaim.promised(worker) {
+		return
+	}
+	wanted := e.reclaim.wishes[worker]
+	delete(e.reclaim.wishes, worker)
+	e.want(lease.Key{Worker: worker, Class: platform.ClassCompute}, wanted)
 }
 
 func (e *Engine) listedHosts(l platform.Listing) {
@@ -121,13 +154,11 @@
 }
 
 func (e *Engine) endPromise(worker ident.WorkerID) {
-	if !e.reclaim.promised(worker) {
+	if _, ok := e.reclaim.promises[worker]; !ok {
 		return
 	}
 	delete(e.reclaim.promises, worker)
-	wanted := e.reclaim.wishes[worker]
-	delete(e.reclaim.wishes, worker)
-	e.want(lease.Key{Worker: worker, Class: platform.ClassCompute}, wanted)
+	e.regain(worker)
 }
 
 func (e *Engine) promiseAnswered(ev PromiseAnswered) {
