--- a/entry/calls.go
+++ b/entry/calls.go
@@ -64,9 +64,3 @@
 	r.mu.Unlock()
 	return ok && c.steps.TryPush(cmd)
 }
-
-func (r *registry) len() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.calls)
-}
