--- a/processes/kill_test.go
+++ b/processes/kill_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"syscall"
 	"testing"
+
+	"github.com/fireflyfold/fireflyfold/standin"
 )
 
 // A month-end batch runs and citizens' requests flow when the process that
@@ -30,6 +32,35 @@
 	c.check(t)
 }
 
+// Workers die and come back empty while they run requests. What they had begun
+// has run for all that anybody knows: a caller who is told "not run" may send an
+// approval a second time. The audit counts what was begun.
+func TestKilledWorkers(t *testing.T) {
+	c := start(t)
+	l := startLoad(t, c)
+	const rounds, workers = 12, 12
+	round := func() {
+		for n := range workers {
+			path := fmt.Sprintf("worker/%s-2-w%02d", region, n+1)
+			c.fault(t, path, standin.WorkerFaults{Killed: true})
+			c.fault(t, path, standin.WorkerFaults{})
+		}
+		l.untilMore(t, 30)
+	}
+	for range rounds {
+		round()
+	}
+	until(t, "a request was lost with its worker", func() bool {
+		if l.count(unsure) == 0 {
+			round()
+		}
+		return l.count(unsure) > 0
+	})
+	c.untilServes(t, c.hosts[2])
+	l.check(t, allowed{unsure: true})
+	c.check(t)
+}
+
 // The process that schedules a zone is stopped by SIGSTOP for longer than its
 // leases last, and its peer takes over. When it wakes it still believes that
 // the workers are its own. It must start nothing, and serve again once it has
