--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -99,7 +99,7 @@
 		e.start(a)
 		return
 	}
-	e.propose(&assignment{a: a}, jobs.Record{Assigned: &jobs.Assigned{
+	e.propose(&assignment{a: a, zone: e.zone}, jobs.Record{Assigned: &jobs.Assigned{
 		Attempt: cmd.ID,
 		Worker:  cmd.Worker,
 		Lease:   epoch,
--- a/engine/command.go
+++ b/engine/command.go
@@ -174,8 +174,9 @@
 
 // AskLeases asks a peer which leases it holds. The answer is a LeasesAnswered.
 type AskLeases struct {
-	Host ident.HostID
-	Addr string
+	Host   ident.HostID
+	Addr   string
+	SentAt time.Duration // to be returned with the answer
 }
 
 // LeasesReply answers a LeasesAsked.
--- a/engine/event.go
+++ b/engine/event.go
@@ -183,6 +183,7 @@
 // LeasesAnswered answers an AskLeases.
 type LeasesAnswered struct {
 	Host   ident.HostID
+	SentAt time.Duration // of the AskLeases
 	Leases []ledger.LeaseSeen
 }
 
--- a/engine/proposals.go
+++ b/engine/proposals.go
@@ -39,7 +39,7 @@
 // the stream.
 func reportsEnd(p proposal) bool {
 	switch p.(type) {
-	case *ending, *jobEnding, *resolution:
+	case *ending, *jobEnding, *resolution, *dropped:
 		return true
 	}
 	return false
@@ -113,16 +113,31 @@
 
 // assignment is the record that must be in force before an attempt starts.
 type assignment struct {
-	a *attempt
+	a    *attempt
+	zone *zoneScheduler
 }
 
+// effective starts the attempt. One that was dropped while its record was on
+// its way was not started and never will be; without the record of that it
+// would stay open, and its job unfinished, for as long as this host owns the
+// stream. In another life of the scheduler its recovery finds the record.
 func (p *assignment) effective(e *Engine, _ bool) {
-	if e.zone == nil || !e.zone.attempts.has(p.a) {
-		return // another life of the scheduler; its recovery finds the record
+	switch {
+	case e.zone == nil || e.zone != p.zone:
+	case e.zone.attempts.has(p.a):
+		e.start(p.a)
+	default:
+		e.propose(&dropped{}, endedRecord(p.a.ID, jobs.ResultNeverStarted, "given up before its start"), 0)
 	}
-	e.start(p.a)
 }
 
+// dropped is the record that closes an attempt nobody waits for any more.
+type dropped struct{}
+
+func (*dropped) effective(*Engine, bool) {}
+func (*dropped) void(*Engine, jobs.Void) {}
+func (*dropped) undecided(*Engine)       {}
+
 func (p *assignment) void(e *Engine, _ jobs.Void) {
 	if e.zone == nil || !e.zone.attempts.has(p.a) {
 		return
--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -38,8 +38,7 @@
 	proof   *ledger.Reclaimer
 	workers map[ident.WorkerID]bool // of the zone, as last told to the reclaimer
 	nextAt  time.Duration
-	askedAt time.Duration // when peers were last asked for their leases
-	left    bool          // the ledger membership has ended as asked
+	left    bool // the ledger membership has ended as asked
 }
 
 // promiseSource is who asked for a promise about which worker.
@@ -208,9 +207,8 @@
 	for _, seen := range e.heldLeases() {
 		e.stepReclaimer(seen)
 	}
-	e.reclaim.askedAt = e.now
 	for _, p := range e.members.Hosts(e.opts.Zone, e.now) {
-		e.emit(AskLeases{Host: p.Host, Addr: p.Addr})
+		e.emit(AskLeases{Host: p.Host, Addr: p.Addr, SentAt: e.now})
 	}
 	e.stepReclaimer(ledger.ReclaimTick{})
 }
@@ -304,7 +302,7 @@
 		return
 	}
 	for _, seen := range ev.Leases {
-		seen.Left -= e.now - e.reclaim.askedAt
+		seen.Left -= e.now - ev.SentAt
 		e.stepReclaimer(seen)
 	}
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -229,7 +229,7 @@
 		h.metrics.peerFailed.Inc(1)
 		return
 	}
-	h.push(engine.LeasesAnswered{Host: cmd.Host, Leases: fromWireLeases(res.Msg)})
+	h.push(engine.LeasesAnswered{Host: cmd.Host, SentAt: cmd.SentAt, Leases: fromWireLeases(res.Msg)})
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/faultmatrix/peers.go
+++ b/faultmatrix/peers.go
@@ -113,7 +113,7 @@
 		p.step(engine.LeasesAsked{Call: p.ask(answer)})
 	}, func(v any, err error) {
 		if seen, ok := v.([]ledger.LeaseSeen); ok && err == nil {
-			h.step(engine.LeasesAnswered{Host: cmd.Host, Leases: seen})
+			h.step(engine.LeasesAnswered{Host: cmd.Host, SentAt: cmd.SentAt, Leases: seen})
 		}
 	})
 }
--- a/faultmatrix/random_test.go
+++ b/faultmatrix/random_test.go
@@ -16,7 +16,8 @@
 
 // keptSeeds once failed; each found a fault that has been mended.
 var keptSeeds = []uint64{
-	69, 72, 81, 87, 142, 152, 154, 163, 174, 195, 223, 310, 318, 327, 367, 368, 377, 1218,
+	69, 72, 81, 87, 142, 152, 154, 163, 174, 195, 223, 288, 310, 318, 327, 367, 368, 377,
+	1159, 1168, 1184, 1218, 1283, 1371, 1645, 11932,
 }
 
 // Seeds that once failed are played in every run.
