--- a/ledger/group.go
+++ b/ledger/group.go
@@ -146,6 +146,7 @@
 	if h.proof.read(num) {
 		h.touched = append(h.touched, h.fold.Teams()...)
 	}
+	h.settleHandOvers(num, v.Applied)
 	for len(h.groups) > 0 && h.groups[0].last < num {
 		h.release(h.groups[0], h.groups[0].last)
 		h.groups = h.groups[1:]
