--- a/entry/host.go
+++ b/entry/host.go
@@ -151,6 +151,7 @@
 	opts.Lease.Drift = s.Lease.Drift
 	opts.Request.MaxWaiting = s.Limits.MaxWaiting
 	opts.ConfigPoll = s.Config.Poll
+	opts.ListLag = s.Platform.ListLag
 	opts.SnapshotEvery = s.Config.Snapshot
 	opts.Sched = schedOptions(opts.Sched, s.Policy)
 	opts.MaxRequestTime = s.Limits.RequestTimeout
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -48,6 +48,8 @@
 		set: addr(func(s *Settings) *addrPort { return &s.Platform.Log })},
 	{section: sectionPlatform, key: "hosts", required: true, allowed: allowedAddr,
 		set: addr(func(s *Settings) *addrPort { return &s.Platform.Hosts })},
+	{section: sectionPlatform, key: "list-lag", standard: "10s", allowed: "a duration from 100ms to 5m",
+		set: duration(minListLag, maxListLag, func(s *Settings) *dur { return &s.Platform.ListLag })},
 
 	{section: sectionZones, key: "configured", required: true,
 		allowed: "zones separated by commas, each once, as zone or region/zone", set: setZones},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,9 @@
 type Platform struct {
 	Log   netip.AddrPort // append-only log
 	Hosts netip.AddrPort // host list
+	// ListLag is how far the host list may be behind. Limit units of a dead
+	// host are taken over no sooner than twice this.
+	ListLag time.Duration
 }
 
 // Zone is one configured availability zone. Home zones of idempotency keys are
--- a/settings/values.go
+++ b/settings/values.go
@@ -35,6 +35,8 @@
 	maxTimeout        = 5 * time.Minute
 	maxRequestTimeout = time.Hour
 	minPoll           = 50 * time.Millisecond
+	minListLag        = 100 * time.Millisecond
+	maxListLag        = 5 * time.Minute
 	maxPoll           = 5 * time.Second // a change must be in force within 9 s
 	minSnapshot       = time.Minute
 	maxSnapshot       = 24 * time.Hour
