--- a/entry/host.go
+++ b/entry/host.go
@@ -219,6 +219,14 @@
 // Scheduling reports whether this host schedules its zone's durable work.
 func (h *Host) Scheduling() bool { return h.schedules() }
 
+// ConfigOffset returns the offset of the configuration in force, or zero.
+func (h *Host) ConfigOffset() platform.Offset {
+	if state := h.config.Load(); state != nil {
+		return state.Offset()
+	}
+	return 0
+}
+
 // ReincarnateError ends a life whose limit units were taken over while it was
 // paused or cut off. The host is to be started anew.
 type ReincarnateError struct {
