A wish for units tells how short the host is altogether

Cause: read-through: the ledger divides units between two short hosts by their whole demand, and the wire left that out, so a giver took the asker's demand for what it asked of this one peer.

--- a/engine/command.go
+++ b/engine/command.go
@@ -150,6 +150,7 @@
 	Addr  string
 	Team  ident.TeamID
 	Units int64
+	Lack  int64 // how short this host is altogether
 	Seq   uint64
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -139,7 +139,7 @@
 	case StartAnswered:
 		e.startAnswered(ev)
 	case UnitsAsked:
-		e.stepUnits(ledger.Asked{From: ev.From, Team: ev.Team, Units: ev.Units, Seq: ev.Seq})
+		e.stepUnits(ledger.Asked{From: ev.From, Team: ev.Team, Units: ev.Units, Lack: ev.Lack, Seq: ev.Seq})
 	case PromiseAsked:
 		e.promiseAsked(ev)
 	case PromiseAnswered:
--- a/engine/event.go
+++ b/engine/event.go
@@ -154,6 +154,7 @@
 	From  ident.Holder
 	Team  ident.TeamID
 	Units int64
+	Lack  int64  // how short the peer is altogether
 	Seq   uint64 // rises with every wish of this peer
 }
 
--- a/engine/units.go
+++ b/engine/units.go
@@ -112,7 +112,7 @@
 func (e *Engine) askUnits(cmd ledger.Ask) {
 	for _, p := range e.view.Hosts {
 		if p.Host == cmd.Peer.Host {
-			e.emit(AskUnits{Peer: cmd.Peer, Addr: p.Addr, Team: cmd.Team, Units: cmd.Units, Seq: cmd.Seq})
+			e.emit(AskUnits{Peer: cmd.Peer, Addr: p.Addr, Team: cmd.Team, Units: cmd.Units, Lack: cmd.Lack, Seq: cmd.Seq})
 			return
 		}
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -181,6 +181,7 @@
 		Holder: toWireHolder(h.self),
 		Team:   string(cmd.Team),
 		Units:  cmd.Units,
+		Lack:   cmd.Lack,
 		Seq:    cmd.Seq,
 	}))
 	if err != nil {
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -95,6 +95,7 @@
 		From:  fromWireHolder(req.Msg.GetHolder()),
 		Team:  ident.TeamID(req.Msg.GetTeam()),
 		Units: req.Msg.GetUnits(),
+		Lack:  req.Msg.GetLack(),
 		Seq:   req.Msg.GetSeq(),
 	})
 	return connect.NewResponse(&peerv1.AskUnitsResponse{}), nil
--- a/faultmatrix/peers.go
+++ b/faultmatrix/peers.go
@@ -17,7 +17,7 @@
 		h.readPeer(cmd)
 	case engine.AskUnits:
 		h.peer(cmd, cmd.Peer.Host, func(p *host, answer func(any)) {
-			p.step(engine.UnitsAsked{From: h.holder, Team: cmd.Team, Units: cmd.Units, Seq: cmd.Seq})
+			p.step(engine.UnitsAsked{From: h.holder, Team: cmd.Team, Units: cmd.Units, Lack: cmd.Lack, Seq: cmd.Seq})
 			answer(nil)
 		}, func(any, error) {})
 	case engine.AskPromise:
