--- a/engine/proposals.go
+++ b/engine/proposals.go
@@ -120,15 +120,13 @@
 // effective starts the attempt. One that was dropped while its record was on
 // its way was not started and never will be; without the record of that it
 // would stay open, and its job unfinished, for as long as this host owns the
-// stream. In another life of the scheduler its recovery finds the record.
+// stream.
 func (p *assignment) effective(e *Engine, _ bool) {
-	switch {
-	case e.zone == nil || e.zone != p.zone:
-	case e.zone.attempts.has(p.a):
+	if e.zone != nil && e.zone == p.zone && e.zone.attempts.has(p.a) {
 		e.start(p.a)
-	default:
-		e.propose(&dropped{}, endedRecord(p.a.ID, jobs.ResultNeverStarted, "given up before its start"), 0)
+		return
 	}
+	e.propose(&dropped{}, endedRecord(p.a.ID, jobs.ResultNeverStarted, "given up before its start"), 0)
 }
 
 // dropped is the record that closes an attempt nobody waits for any more.
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -33,6 +33,9 @@
 	if e.zone == nil {
 		return // gave up meanwhile; the wish has been withdrawn
 	}
+	if epoch, owns := e.owner.Epoch(); !owns || epoch != ev.Epoch {
+		return // over again already: another fence was read in the same step
+	}
 	e.takeStream(ev, ev.Epoch)
 }
 
--- a/faultmatrix/operators.go
+++ b/faultmatrix/operators.go
@@ -74,7 +74,8 @@
 func (o *operators) change(intent fleet.Intent, then func()) {
 	plan, err := o.plan("asha", intent)
 	var nothing *fleet.NothingError
-	if errors.As(err, &nothing) {
+	var missing *fleet.MissingError // a key that was withdrawn by an earlier fault
+	if errors.As(err, &nothing) || errors.As(err, &missing) {
 		then()
 		return
 	}
