--- a/faultmatrix/operators.go
+++ b/faultmatrix/operators.go
@@ -27,7 +27,9 @@
 	w    *World
 	rand *rand.Rand // of keys; an io.Reader
 	keys map[ident.TeamID]string
-	old  map[ident.TeamID]string // withdrawn, and still used by somebody
+	// leaving holds the key of a team that is being withdrawn.
+	leaving map[ident.TeamID]string
+	old     map[ident.TeamID]string // withdrawn, and still used by somebody
 
 	changes []configChange // that the log took
 }
@@ -39,7 +41,7 @@
 }
 
 func newOperators(w *World) *operators {
-	return &operators{w: w, rand: rand.New(rand.NewSource(1)), keys: map[ident.TeamID]string{}, old: map[ident.TeamID]string{}}
+	return &operators{w: w, rand: rand.New(rand.NewSource(1)), keys: map[ident.TeamID]string{}, leaving: map[ident.TeamID]string{}, old: map[ident.TeamID]string{}}
 }
 
 func (o *operators) key(team ident.TeamID) string { return o.keys[team] }
@@ -74,8 +76,7 @@
 func (o *operators) change(intent fleet.Intent, then func()) {
 	plan, err := o.plan("asha", intent)
 	var nothing *fleet.NothingError
-	var missing *fleet.MissingError // a key that was withdrawn by an earlier fault
-	if errors.As(err, &nothing) || errors.As(err, &missing) {
+	if errors.As(err, &nothing) {
 		then()
 		return
 	}
@@ -118,6 +119,10 @@
 // withdrawKey gives a team a new key and withdraws the old one.
 func (o *operators) withdrawKey(team ident.TeamID) {
 	old := o.keys[team]
+	if o.leaving[team] == old {
+		return // an earlier fault withdraws it already, as soon as the log takes it
+	}
+	o.leaving[team] = old
 	key, want := o.newKey(team)
 	withdraw := fleet.WantKey{Action: fleet.KeyWithdraw, Key: fleet.KeyIDOf(old)}
 	o.change(fleet.Intent{Keys: []fleet.WantKey{want, withdraw}}, func() {
