Spans for place and upstream; quarantines and displacements in the history

Cause: the trace of a request lacked two of its hops, and operators were not told of workers that the request path keeps out of choice nor of tasks that urgent work displaces.

--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -282,6 +282,9 @@
 		return
 	}
 	e.controlTask(cmd.Worker, a.name, cmd.Control)
+	if cmd.Control == platform.ControlCheckpoint {
+		e.note(NoteDisplacement, "displaces "+a.name+" of team "+string(a.Team)+" from worker "+string(cmd.Worker))
+	}
 	if cmd.Control == platform.ControlStop || cmd.Control == platform.ControlCheckpoint {
 		e.stopOrdered(a, cmd.Control)
 	}
--- a/engine/command.go
+++ b/engine/command.go
@@ -235,13 +235,13 @@
 
 // The kinds of notes.
 const (
-	NoteLease      NoteKind = "lease"
-	NoteScheduler  NoteKind = "scheduler"
-	NoteQuarantine NoteKind = "quarantine"
-	NoteUnits      NoteKind = "units"
-	NoteConfig     NoteKind = "config"
-	NotePeer       NoteKind = "peer"
-	NoteDrain      NoteKind = "drain"
+	NoteLease        NoteKind = "lease"
+	NoteScheduler    NoteKind = "scheduler"
+	NoteQuarantine   NoteKind = "quarantine"
+	NoteDisplacement NoteKind = "displacement"
+	NoteUnits        NoteKind = "units"
+	NoteConfig       NoteKind = "config"
+	NoteDrain        NoteKind = "drain"
 )
 
 // Reincarnate tells the driver to stop, and to start anew under another
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,14 +29,15 @@
 
 	requestUnits *requestLimits
 
-	config   configFollower
-	calls    requestBook
-	demand   demand
-	zone     *zoneScheduler // nil unless this host is the zone's scheduler
-	zoneLife uint64         // of the newest zone
-	claims   claimBook
-	reclaim  *reclaimWatch
-	left     leftBook
+	config     configFollower
+	calls      requestBook
+	demand     demand
+	zone       *zoneScheduler // nil unless this host is the zone's scheduler
+	zoneLife   uint64         // of the newest zone
+	claims     claimBook
+	reclaim    *reclaimWatch
+	left       leftBook
+	quarantine quarantineWatch
 
 	reports   map[lease.Key][]platform.TaskReport // of held leases, the last
 	draining  bool
@@ -178,6 +179,7 @@
 	e.stepRouter(request.Tick{})
 	e.tickZone()
 	e.tickReclaim()
+	e.tickQuarantine()
 	e.tickDrain()
 	e.publishView()
 }
--- a/entry/runcall.go
+++ b/entry/runcall.go
@@ -78,6 +78,7 @@
 	left := c.deadline - h.now()
 	ctx, cancel := context.WithTimeout(ctx, max(left, 0))
 	defer cancel()
+	h.placed(ctx, cmd)
 	switch cmd := cmd.(type) {
 	case engine.CallWorker:
 		return h.callWorker(ctx, c, cmd, left, dst)
@@ -87,12 +88,26 @@
 	return nil
 }
 
+// placed marks in the trace where the engine decided to send a call. The
+// decision itself takes microseconds, within the core's goroutine.
+func (h *Host) placed(ctx context.Context, cmd engine.Command) {
+	_, span := h.tel.Tracer.Start(ctx, "place")
+	defer span.End()
+	switch cmd := cmd.(type) {
+	case engine.CallWorker:
+		span.SetAttributes(attribute.String("worker", string(cmd.Worker)))
+	case engine.ForwardCall:
+		span.SetAttributes(attribute.String("peer", string(cmd.Peer)))
+	}
+}
+
 func (h *Host) callWorker(ctx context.Context, c *call, cmd engine.CallWorker, left time.Duration, dst sink) error {
 	ctx, span := h.tel.Tracer.Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	span.SetAttributes(attribute.String("worker", string(cmd.Worker)), attribute.Int("try", cmd.Try))
 	report := engine.RequestFinished{Worker: cmd.Worker, Epoch: cmd.Epoch}
-	answer, err := h.opts.Workers.Call(ctx, cmd.Addr, platform.Call{
+	upstreamCtx, upstream := h.tel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
+	answer, err := h.opts.Workers.Call(upstreamCtx, cmd.Addr, platform.Call{
 		Epoch:         cmd.Epoch,
 		Holder:        h.self,
 		ID:            c.id,
@@ -105,6 +120,7 @@
 		Body:          c.body,
 		NonIdempotent: c.nonIdempotent,
 	})
+	upstream.End() // the head of the answer is here
 	if err != nil {
 		report.Finished = request.Finished{ID: c.id, Result: resultOf(ctx, err)}
 		report.Refusal = refusalOf(err)
