--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// maxQuestions bounds the questions that are remembered.
+const maxQuestions = 4096
+
+// remember notes the newest question of a host about a worker. Hosts come and
+// go, so beyond the bound those without a promise in force are forgotten.
+func (r *reclaimWatch) remember(source promiseSource, order uint64) {
+	if len(r.newest) >= maxQuestions {
+		maps.DeleteFunc(r.newest, func(s promiseSource, _ uint64) bool { return !r.promised(s.worker) })
+	}
+	r.newest[source] = order
+}
+
 // promiseAsked gives up the compute lease of a worker for a peer that settles
 // what ran there, and promises not to take it again until it is released. The
 // promise is given only once the lease is not held.
@@ -137,7 +149,7 @@
 		e.emit(PromiseReply{Call: ev.Call, From: e.opts.Self})
 		return
 	}
-	e.reclaim.newest[source] = ev.Order
+	e.reclaim.remember(source, ev.Order)
 	key := lease.Key{Worker: ev.Worker, Class: platform.ClassCompute}
 	if ev.Release {
 		e.endPromise(ev.Worker)
