Short forwarded answers are held back until they are whole

Ruled out: the healthy host itself, which stopped nothing. A host that calls a worker already holds the first 64 KiB back; a forwarded answer is now held back alike. TestCrashOfPeerInShortAnswerIsNotSeen is red without it.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -59,6 +59,7 @@
 // receive reads a peer's answer. Without an end whose length matches, the
 // answer was cut.
 func (h *Host) receive(ctx context.Context, c *call, stream forwardStream, dst sink) (request.Finished, error) {
+	held := &heldSink{dst: dst}
 	fin := request.Finished{ID: c.id}
 	var length int64
 	for stream.Receive() {
@@ -70,20 +71,21 @@
 			fin.RetryAfter = time.Duration(part.Problem.GetRetryAfterMs()) * time.Millisecond
 			return fin, nil
 		case *peerv1.ForwardResponse_Head:
-			fin.Committed = true
 			fin.ServerFail = part.Head.GetStatus() >= http.StatusInternalServerError
-			err = dst.head(int(part.Head.GetStatus()), fromWireHeader(part.Head.GetHeaders()), -1)
+			err = held.head(int(part.Head.GetStatus()), fromWireHeader(part.Head.GetHeaders()), -1)
 		case *peerv1.ForwardResponse_Chunk:
 			length += int64(len(part.Chunk))
-			err = dst.chunk(part.Chunk)
+			err = held.chunk(part.Chunk)
 		case *peerv1.ForwardResponse_End:
 			if part.End.GetLength() != length {
-				fin.Result = request.ResultFailed
-				return fin, &CutAnswerError{Declared: part.End.GetLength(), Received: length}
+				return broken(ctx, fin, &CutAnswerError{Declared: part.End.GetLength(), Received: length})
 			}
 			fin.Result = request.ResultAnswered
-			return fin, dst.end(length)
+			err = held.end(length)
+			fin.Committed = held.committed
+			return fin, err
 		}
+		fin.Committed = held.committed
 		if err != nil {
 			fin.Result = request.ResultAbandoned
 			return fin, err
