--- a/admin/answers.go
+++ b/admin/answers.go
@@ -8,7 +8,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/fireflyfold/fireflyfold/fleet"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/problem"
 )
 
@@ -26,9 +26,9 @@
 	var (
 		told        *problem.Problem
 		rejection   fleet.Rejection
-		unavailable *platform.UnavailableError
-		notSent     *platform.NotSentError
-		uncertain   *platform.UncertainError
+		unavailable *ports.UnavailableError
+		notSent     *ports.NotSentError
+		uncertain   *ports.UncertainError
 	)
 	switch {
 	case errors.As(err, &told):
--- a/admin/handler_test.go
+++ b/admin/handler_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/problem"
 	"github.com/fireflyfold/fireflyfold/settings"
 	"github.com/fireflyfold/fireflyfold/work"
@@ -36,13 +36,13 @@
 	if err != nil {
 		return Confirmation{}, err
 	}
-	next, result, err := fleet.Apply(b.state, platform.Record{Offset: b.state.Offset() + 1, Data: data})
+	next, result, err := fleet.Apply(b.state, ports.Record{Offset: b.state.Offset() + 1, Data: data})
 	if err != nil {
 		return Confirmation{}, err
 	}
 	b.state = next
 	if b.lost {
-		return Confirmation{}, &platform.UncertainError{Op: "append"}
+		return Confirmation{}, &ports.UncertainError{Op: "append"}
 	}
 	if result.Status == fleet.StatusRejected {
 		return Confirmation{}, result.Reason
@@ -52,7 +52,7 @@
 
 func (b *folded) Status(context.Context) (Status, error) { return Status{Host: "a1"}, nil }
 func (b *folded) Teams(context.Context) ([]TeamStatus, error) {
-	return nil, &platform.UnavailableError{RetryAfter: 3 * time.Second}
+	return nil, &ports.UnavailableError{RetryAfter: 3 * time.Second}
 }
 func (b *folded) Keys(context.Context) ([]KeyStatus, error)       { return nil, nil }
 func (b *folded) Workers(context.Context) ([]WorkerStatus, error) { return nil, nil }
--- a/admin/keys_test.go
+++ b/admin/keys_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Story: a caller says that its key is refused. The page of keys tells the
@@ -25,7 +25,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		next, _, err := fleet.Apply(state, platform.Record{Offset: state.Offset() + 1, Data: data})
+		next, _, err := fleet.Apply(state, ports.Record{Offset: state.Offset() + 1, Data: data})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/admin/status.go
+++ b/admin/status.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -21,9 +21,9 @@
 
 // Confirmation tells what became of a confirmed plan.
 type Confirmation struct {
-	Plan    fleet.PlanID    `json:"plan"`
-	Offset  platform.Offset `json:"offset"`            // where it stands in the stream
-	Already bool            `json:"already,omitempty"` // it was in force before this confirmation
+	Plan    fleet.PlanID `json:"plan"`
+	Offset  ports.Offset `json:"offset"`            // where it stands in the stream
+	Already bool         `json:"already,omitempty"` // it was in force before this confirmation
 }
 
 // Status is the whole fleet as one entry host sees it.
@@ -52,10 +52,10 @@
 
 // ConfigStatus says how new the host's configuration is.
 type ConfigStatus struct {
-	Offset       platform.Offset `json:"offset"`
-	Age          Seconds         `json:"age_seconds"` // since the host last knew it to be the newest
-	Source       Source          `json:"source"`
-	LogReachable bool            `json:"log_reachable"`
+	Offset       ports.Offset `json:"offset"`
+	Age          Seconds      `json:"age_seconds"` // since the host last knew it to be the newest
+	Source       Source       `json:"source"`
+	LogReachable bool         `json:"log_reachable"`
 }
 
 // ZoneStatus is one availability zone.
@@ -79,7 +79,7 @@
 	Zone      ident.Zone        `json:"zone"`
 	State     string            `json:"state"` // live, leaving, draining or silent
 	Age       Seconds           `json:"age_seconds"`
-	Config    platform.Offset   `json:"config"` // offset of its configuration
+	Config    ports.Offset      `json:"config"` // offset of its configuration
 	InFlight  int               `json:"in_flight"`
 	Waiting   int               `json:"waiting"`
 	Workers   int               `json:"workers"` // whose slots lease it holds
@@ -142,13 +142,13 @@
 
 // KeyStatus is one key; never the key itself.
 type KeyStatus struct {
-	Key     fleet.KeyID     `json:"key"`
-	Team    ident.TeamID    `json:"team,omitempty"` // empty for a withdrawn key
-	State   KeyState        `json:"state"`
-	Until   time.Time       `json:"until,omitzero"`
-	Changed platform.Offset `json:"changed"` // offset of the last change
-	By      string          `json:"by,omitempty"`
-	Plan    fleet.PlanID    `json:"plan,omitempty"`
+	Key     fleet.KeyID  `json:"key"`
+	Team    ident.TeamID `json:"team,omitempty"` // empty for a withdrawn key
+	State   KeyState     `json:"state"`
+	Until   time.Time    `json:"until,omitzero"`
+	Changed ports.Offset `json:"changed"` // offset of the last change
+	By      string       `json:"by,omitempty"`
+	Plan    fleet.PlanID `json:"plan,omitempty"`
 }
 
 // Degradation is something that does not work as it should.
@@ -161,14 +161,14 @@
 
 // HistoryEntry is one thing that the system or an operator did.
 type HistoryEntry struct {
-	At     time.Time       `json:"at"`
-	Host   ident.HostID    `json:"host,omitempty"` // who did it
-	Event  string          `json:"event"`          // takeover, quarantine, displacement, change, rejection ...
-	Object string          `json:"object"`
-	Reason string          `json:"reason"`
-	By     string          `json:"by,omitempty"` // operator, for a change
-	Plan   fleet.PlanID    `json:"plan,omitempty"`
-	Offset platform.Offset `json:"offset,omitempty"`
+	At     time.Time    `json:"at"`
+	Host   ident.HostID `json:"host,omitempty"` // who did it
+	Event  string       `json:"event"`          // takeover, quarantine, displacement, change, rejection ...
+	Object string       `json:"object"`
+	Reason string       `json:"reason"`
+	By     string       `json:"by,omitempty"` // operator, for a change
+	Plan   fleet.PlanID `json:"plan,omitempty"`
+	Offset ports.Offset `json:"offset,omitempty"`
 }
 
 // Explanation says where a job stands and why.
--- a/capacity/bytes_test.go
+++ b/capacity/bytes_test.go
@@ -8,18 +8,18 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // grantOf is a worker's answer with n running tasks, and the request that it
 // answers.
-func grantOf(n int) (platform.LeaseRequest, platform.LeaseGrant) {
+func grantOf(n int) (ports.LeaseRequest, ports.LeaseGrant) {
 	holder := ident.Holder{Host: hostName(zoneName(0), 1), Incarnation: 1 << 62}
-	req := platform.LeaseRequest{Class: platform.ClassCompute, Holder: holder, Epoch: 17, TTL: 3 * time.Second, TaskTTL: 12 * time.Second}
-	grant := platform.LeaseGrant{Epoch: 17, Size: workerSize}
+	req := ports.LeaseRequest{Class: ports.ClassCompute, Holder: holder, Epoch: 17, TTL: 3 * time.Second, TaskTTL: 12 * time.Second}
+	grant := ports.LeaseGrant{Epoch: 17, Size: workerSize}
 	for i := range n {
 		id := ident.AttemptID{Job: ident.JobID{Zone: zoneName(0), Host: holder.Host, Incarnation: holder.Incarnation, Seq: uint64(1000 + i)}, Index: i, Attempt: 1}
-		grant.Tasks = append(grant.Tasks, platform.TaskReport{
+		grant.Tasks = append(grant.Tasks, ports.TaskReport{
 			ID: id.String(), Team: teamName(i), Need: taskNeed, Holder: holder, Ran: 37 * time.Second, Usage: taskNeed,
 		})
 	}
@@ -38,7 +38,7 @@
 			}
 			for b.Loop() {
 				jsonBytes(req)
-				var got platform.LeaseGrant
+				var got ports.LeaseGrant
 				if err := json.Unmarshal(answer, &got); err != nil {
 					b.Fatal(err)
 				}
@@ -62,7 +62,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				var got platform.Listing
+				var got ports.Listing
 				if err := json.Unmarshal(data, &got); err != nil {
 					b.Fatal(err)
 				}
--- a/capacity/layout_test.go
+++ b/capacity/layout_test.go
@@ -11,7 +11,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // layOut lists hosts and workers. The driven host is the one that schedules.
@@ -23,7 +23,7 @@
 			host := hostName(name, h)
 			hosts = append(hosts, host)
 			addr := fmt.Sprintf("10.%d.%d.1:7000", i, h)
-			z.listing.Hosts = append(z.listing.Hosts, platform.HostEntry{Host: host, Zone: name, Addr: addr, State: platform.StateLive})
+			z.listing.Hosts = append(z.listing.Hosts, ports.HostEntry{Host: host, Zone: name, Addr: addr, State: ports.StateLive})
 			z.peers[host] = &member.Digest{Holder: ident.Holder{Host: host, Incarnation: 1}, Zone: name, Addr: addr, Services: []ident.ServiceID{"invoicing"}}
 		}
 		if i == 0 {
@@ -40,12 +40,12 @@
 	const rack = 20
 	name := zoneName(zone)
 	id := ident.WorkerID(fmt.Sprintf("%s-worker-%03d", name, n))
-	z.listing.Workers = append(z.listing.Workers, platform.WorkerEntry{
+	z.listing.Workers = append(z.listing.Workers, ports.WorkerEntry{
 		Worker: id, Zone: name, Rack: fmt.Sprintf("%s-rack-%02d", name, n/rack), Addr: fmt.Sprintf("10.%d.%d.%d:8000", zone, n/250, n%250),
-		Size: workerSize, Service: []ident.ServiceID{"invoicing"}, State: platform.StateLive,
+		Size: workerSize, Service: []ident.ServiceID{"invoicing"}, State: ports.StateLive,
 	})
 	if zone == 0 {
-		z.workers[id] = &stubWorker{epoch: map[platform.LeaseClass]platform.Epoch{}}
+		z.workers[id] = &stubWorker{epoch: map[ports.LeaseClass]ports.Epoch{}}
 	}
 }
 
@@ -73,7 +73,7 @@
 // applied folds a change.
 func applied(tb testing.TB, state *fleet.State, data []byte) *fleet.State {
 	tb.Helper()
-	next, result, err := fleet.Apply(state, platform.Record{Offset: state.Offset() + 1, Data: data})
+	next, result, err := fleet.Apply(state, ports.Record{Offset: state.Offset() + 1, Data: data})
 	if err != nil || result.Status != fleet.StatusApplied {
 		tb.Fatal(err, result.Reason)
 	}
--- a/capacity/platform_test.go
+++ b/capacity/platform_test.go
@@ -6,15 +6,15 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/engine"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
-func (z *zone) append(stream platform.Stream, group [][]byte) {
+func (z *zone) append(stream ports.Stream, group [][]byte) {
 	z.sent.appends++
 	z.sent.records += len(group)
 	for _, data := range group {
 		z.sent.recordBytes += len(data)
-		z.logs[stream] = append(z.logs[stream], platform.Record{Offset: platform.Offset(len(z.logs[stream]) + 1), Data: data})
+		z.logs[stream] = append(z.logs[stream], ports.Record{Offset: ports.Offset(len(z.logs[stream]) + 1), Data: data})
 	}
 }
 
@@ -24,7 +24,7 @@
 	z.reads = nil
 	for _, r := range open {
 		records := z.logs[r.Stream]
-		page := platform.Page{Last: platform.Offset(len(records))}
+		page := ports.Page{Last: ports.Offset(len(records))}
 		if len(records) > 0 {
 			page.First = 1
 		}
@@ -46,8 +46,8 @@
 		w.epoch[cmd.Key.Class]++
 	}
 	w.forget(cmd.Request.AckedEnds)
-	grant := platform.LeaseGrant{Epoch: w.epoch[cmd.Key.Class], Size: workerSize}
-	if cmd.Key.Class == platform.ClassCompute {
+	grant := ports.LeaseGrant{Epoch: w.epoch[cmd.Key.Class], Size: workerSize}
+	if cmd.Key.Class == ports.ClassCompute {
 		grant.Tasks = w.report(z.now)
 	}
 	z.sent.leases++
@@ -58,7 +58,7 @@
 func (z *zone) start(cmd engine.StartTask) {
 	w := z.workers[cmd.Worker]
 	w.tasks = append(w.tasks, stubTask{
-		report: platform.TaskReport{ID: cmd.Request.ID, Team: cmd.Request.Team, Need: cmd.Request.Need, Holder: cmd.Request.Holder, Usage: cmd.Request.Need},
+		report: ports.TaskReport{ID: cmd.Request.ID, Team: cmd.Request.Team, Need: cmd.Request.Need, Holder: cmd.Request.Holder, Usage: cmd.Request.Need},
 		began:  z.now, run: cmd.Request.Run,
 	})
 	z.sent.starts++
@@ -67,8 +67,8 @@
 }
 
 // report lists the tasks of a worker.
-func (w *stubWorker) report(now time.Duration) []platform.TaskReport {
-	list := make([]platform.TaskReport, len(w.tasks))
+func (w *stubWorker) report(now time.Duration) []ports.TaskReport {
+	list := make([]ports.TaskReport, len(w.tasks))
 	for i := range w.tasks {
 		t := &w.tasks[i]
 		if !t.report.Ended {
--- a/capacity/process_test.go
+++ b/capacity/process_test.go
@@ -18,7 +18,7 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/load"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // BenchmarkProcess runs one entry host as a process, the scheduler of a zone of
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
 	defer cancel()
-	if _, err := platform.NewHTTPLog(log, platform.NewHTTPClient()).Append(ctx, engine.ConfigStream, [][]byte{data}); err != nil {
+	if _, err := ports.NewHTTPLog(log, ports.NewHTTPClient()).Append(ctx, engine.ConfigStream, [][]byte{data}); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/capacity/records_test.go
+++ b/capacity/records_test.go
@@ -9,7 +9,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/ledger"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -35,7 +35,7 @@
 		b.Fatal(err)
 	}
 	fold.Apply(1, fence)
-	at, num, size := platform.Offset(1), uint64(0), 0
+	at, num, size := ports.Offset(1), uint64(0), 0
 	for b.Loop() {
 		size = 0
 		for _, body := range jobRecords(num + 1) {
@@ -79,7 +79,7 @@
 	tb    testing.TB
 	fold  *ledger.Fold
 	nums  map[ident.Holder]uint64
-	at    platform.Offset
+	at    ports.Offset
 	bytes int
 }
 
@@ -138,7 +138,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			state, _, err := fleet.Apply(fleet.Empty(), platform.Record{Offset: 1, Data: records[0]})
+			state, _, err := fleet.Apply(fleet.Empty(), ports.Record{Offset: 1, Data: records[0]})
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -152,14 +152,14 @@
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				if _, result, _ := fleet.Apply(state, platform.Record{Offset: 2, Data: data}); result.Status != fleet.StatusApplied {
+				if _, result, _ := fleet.Apply(state, ports.Record{Offset: 2, Data: data}); result.Status != fleet.StatusApplied {
 					b.Fatal(result.Reason)
 				}
 			}
 			b.ReportMetric(float64(len(data)), "record-B")
 			b.ReportMetric(float64(len(fleet.Encode(state)))/1024, "state-KiB")
-			b.ReportMetric(float64(jsonBytes(platform.Page{Records: []platform.Record{{Offset: 2, Data: data}}, First: 1, Last: 2})), "page-B")
-			b.ReportMetric(float64(jsonBytes(platform.Page{First: 1, Last: 2})), "empty-page-B")
+			b.ReportMetric(float64(jsonBytes(ports.Page{Records: []ports.Record{{Offset: 2, Data: data}}, First: 1, Last: 2})), "page-B")
+			b.ReportMetric(float64(jsonBytes(ports.Page{First: 1, Last: 2})), "empty-page-B")
 		})
 	}
 }
--- a/capacity/spread_test.go
+++ b/capacity/spread_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // BenchmarkSpread counts in how many steps from host to host news of one host
@@ -31,11 +31,11 @@
 }
 
 // peersOf lists to whom each host sends its digests.
-func peersOf(listing platform.Listing) map[ident.HostID][]ident.HostID {
+func peersOf(listing ports.Listing) map[ident.HostID][]ident.HostID {
 	to := map[ident.HostID][]ident.HostID{}
 	for _, h := range listing.Hosts {
 		m := member.New(member.Options{Self: ident.Holder{Host: h.Host, Incarnation: 1}, Zone: h.Zone})
-		m.Step(0, member.ListRead{Listing: platform.Listing{Hosts: listing.Hosts}})
+		m.Step(0, member.ListRead{Listing: ports.Listing{Hosts: listing.Hosts}})
 		for _, cmd := range m.Step(tickEvery, member.Tick{}) {
 			if d, ok := cmd.(member.SendDigest); ok {
 				to[h.Host] = append(to[h.Host], d.Host)
--- a/capacity/zone_test.go
+++ b/capacity/zone_test.go
@@ -14,7 +14,7 @@
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -92,10 +92,10 @@
 	eng     *engine.Engine
 	self    ident.Holder
 	now     time.Duration
-	listing platform.Listing
+	listing ports.Listing
 	workers map[ident.WorkerID]*stubWorker
 	peers   map[ident.HostID]*member.Digest
-	logs    map[platform.Stream][]platform.Record
+	logs    map[ports.Stream][]ports.Record
 	reads   []openRead
 	events  []engine.Event
 	jobSeq  uint64
@@ -124,12 +124,12 @@
 
 // stubWorker grants every lease and runs every task.
 type stubWorker struct {
-	epoch map[platform.LeaseClass]platform.Epoch
+	epoch map[ports.LeaseClass]ports.Epoch
 	tasks []stubTask
 }
 
 type stubTask struct {
-	report platform.TaskReport
+	report ports.TaskReport
 	began  time.Duration
 	run    time.Duration // zero for a replica
 }
@@ -149,7 +149,7 @@
 		size:    s,
 		workers: map[ident.WorkerID]*stubWorker{},
 		peers:   map[ident.HostID]*member.Digest{},
-		logs:    map[platform.Stream][]platform.Record{},
+		logs:    map[ports.Stream][]ports.Record{},
 		rng:     rand.New(rand.NewSource(1)),
 		costs:   map[reflect.Type]*cost{},
 	}
--- a/cmd/fireflyfold-platform/main.go
+++ b/cmd/fireflyfold-platform/main.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
 
@@ -75,7 +75,7 @@
 }
 
 // hostFlag collects entry hosts.
-type hostFlag []platform.HostEntry
+type hostFlag []ports.HostEntry
 
 // String implements flag.Value.
 func (h *hostFlag) String() string { return fmt.Sprintf("%d hosts", len(*h)) }
@@ -90,7 +90,7 @@
 	if _, err := netip.ParseAddrPort(addr); err != nil {
 		return &hostFlagError{text: text}
 	}
-	*h = append(*h, platform.HostEntry{Host: ident.HostID(id), Zone: ident.Zone(zone), Addr: addr})
+	*h = append(*h, ports.HostEntry{Host: ident.HostID(id), Zone: ident.Zone(zone), Addr: addr})
 	return nil
 }
 
--- a/engine/attempts.go
+++ b/engine/attempts.go
@@ -10,7 +10,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/sched"
 )
@@ -37,10 +37,10 @@
 	sched.Assign
 	name      string // of the task on its worker
 	phase     phase
-	lease     platform.Epoch // under which it was or is to be started
-	boot      uint64         // of the worker then
-	maybeSent bool           // a start was sent and not answered
-	unsent    int            // starts in a row that were not sent
+	lease     ports.Epoch // under which it was or is to be started
+	boot      uint64      // of the worker then
+	maybeSent bool        // a start was sent and not answered
+	unsent    int         // starts in a row that were not sent
 	retryAt   time.Duration
 	startedAt time.Duration // when the start was known to have taken effect
 	stop      stopOrder
@@ -86,7 +86,7 @@
 // assign begins an attempt. A replica is started at once; a job's attempt
 // after its record has been read back.
 func (e *Engine) assign(cmd sched.Assign) {
-	key := lease.Key{Worker: cmd.Worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: cmd.Worker, Class: ports.ClassCompute}
 	epoch, held := e.leases.Epoch(key, e.now)
 	w := e.zone.workers[cmd.Worker]
 	if !held || w == nil || w.quiet {
@@ -115,7 +115,7 @@
 		e.endNever(a, "")
 		return
 	}
-	epoch, held := e.leases.Epoch(lease.Key{Worker: a.Worker, Class: platform.ClassCompute}, e.now)
+	epoch, held := e.leases.Epoch(lease.Key{Worker: a.Worker, Class: ports.ClassCompute}, e.now)
 	entry, listed := e.members.Worker(a.Worker)
 	if !held || !listed || epoch != a.lease {
 		if a.maybeSent {
@@ -131,8 +131,8 @@
 		ID:     a.ID,
 		Worker: a.Worker,
 		Addr:   entry.Addr,
-		Request: platform.StartRequest{
-			Class:   platform.ClassCompute,
+		Request: ports.StartRequest{
+			Class:   ports.ClassCompute,
 			Epoch:   epoch,
 			Holder:  e.opts.Self,
 			ID:      a.name,
@@ -156,9 +156,9 @@
 	if a == nil || a.phase != phaseStarting || a.lease != ev.Epoch {
 		return
 	}
-	var notSent *platform.NotSentError
+	var notSent *ports.NotSentError
 	switch refusal := refusalOf(ev.Err); {
-	case ev.Err == nil || refusal == platform.RefusedDuplicate:
+	case ev.Err == nil || refusal == ports.RefusedDuplicate:
 		e.started(a)
 	case refusal != "":
 		e.startRefused(a, refusal)
@@ -191,9 +191,9 @@
 // first then finds room. A refusal therefore settles an attempt only if no
 // earlier start is unanswered; otherwise the lease is taken anew, since the
 // worker refuses the old epoch from then on and its grant tells what it has.
-func (e *Engine) startRefused(a *attempt, refusal platform.Refusal) {
-	if refusal == platform.RefusedEpoch || refusal == platform.RefusedLapsed {
-		key := lease.Key{Worker: a.Worker, Class: platform.ClassCompute}
+func (e *Engine) startRefused(a *attempt, refusal ports.Refusal) {
+	if refusal == ports.RefusedEpoch || refusal == ports.RefusedLapsed {
+		key := lease.Key{Worker: a.Worker, Class: ports.ClassCompute}
 		e.stepLeases(lease.EpochRefused{Key: key, Epoch: a.lease})
 	}
 	if a.maybeSent {
@@ -204,7 +204,7 @@
 }
 
 // endNever closes an attempt that truly did not run.
-func (e *Engine) endNever(a *attempt, refusal platform.Refusal) {
+func (e *Engine) endNever(a *attempt, refusal ports.Refusal) {
 	if a.Service != "" {
 		e.zone.attempts.drop(a)
 		e.stepSched(sched.StartRefused{ID: a.ID, Reason: refusal})
@@ -223,7 +223,7 @@
 
 // endReported closes an attempt that its worker reports as ended. The worker
 // keeps the report until the record of it is in the log.
-func (e *Engine) endReported(a *attempt, t platform.TaskReport) {
+func (e *Engine) endReported(a *attempt, t ports.TaskReport) {
 	if a.phase == phaseEnding {
 		return
 	}
@@ -251,7 +251,7 @@
 	e.propose(&ending{a: a, then: ended}, endedRecord(a.ID, jobs.ResultLost, reason), 0)
 }
 
-func resultOfReport(t platform.TaskReport) jobs.Result {
+func resultOfReport(t ports.TaskReport) jobs.Result {
 	switch {
 	case t.Stopped:
 		return jobs.ResultStopped
@@ -272,7 +272,7 @@
 }
 
 func (e *Engine) ackTask(worker ident.WorkerID, name string) {
-	key := lease.Key{Worker: worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: worker, Class: ports.ClassCompute}
 	e.stepLeases(lease.Acked{Key: key, IDs: []string{name}})
 }
 
@@ -282,22 +282,22 @@
 		return
 	}
 	e.controlTask(cmd.Worker, a.name, cmd.Control)
-	if cmd.Control == platform.ControlCheckpoint {
+	if cmd.Control == ports.ControlCheckpoint {
 		e.note(NoteDisplacement, "displaces "+a.name+" of team "+string(a.Team)+" from worker "+string(cmd.Worker))
 	}
-	if cmd.Control == platform.ControlStop || cmd.Control == platform.ControlCheckpoint {
+	if cmd.Control == ports.ControlStop || cmd.Control == ports.ControlCheckpoint {
 		e.stopOrdered(a, cmd.Control)
 	}
 }
 
-func (e *Engine) controlTask(worker ident.WorkerID, name string, control platform.Control) {
-	epoch, held := e.leases.Epoch(lease.Key{Worker: worker, Class: platform.ClassCompute}, e.now)
+func (e *Engine) controlTask(worker ident.WorkerID, name string, control ports.Control) {
+	epoch, held := e.leases.Epoch(lease.Key{Worker: worker, Class: ports.ClassCompute}, e.now)
 	entry, listed := e.members.Worker(worker)
 	if !held || !listed {
 		return
 	}
-	e.emit(ControlTask{Worker: worker, Addr: entry.Addr, Request: platform.ControlRequest{
-		Class:   platform.ClassCompute,
+	e.emit(ControlTask{Worker: worker, Addr: entry.Addr, Request: ports.ControlRequest{
+		Class:   ports.ClassCompute,
 		Epoch:   epoch,
 		ID:      name,
 		Control: control,
--- a/engine/command.go
+++ b/engine/command.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/sched"
 	"github.com/fireflyfold/fireflyfold/stream"
@@ -24,14 +24,14 @@
 	Key     lease.Key
 	Addr    string
 	SentAt  time.Duration
-	Request platform.LeaseRequest
+	Request ports.LeaseRequest
 }
 
 // SendRelease gives a control lease back. The answer is a ReleaseAnswered.
 type SendRelease struct {
 	Key   lease.Key
 	Addr  string
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 }
 
 // CallWorker sends a request to a worker. The answer is a RequestFinished.
@@ -39,7 +39,7 @@
 	ID     ident.TaskID
 	Worker ident.WorkerID
 	Addr   string
-	Epoch  platform.Epoch
+	Epoch  ports.Epoch
 	Try    int
 }
 
@@ -82,7 +82,7 @@
 type ReadPeer struct {
 	Host  ident.HostID
 	Addr  string
-	After platform.Offset
+	After ports.Offset
 	Limit int
 }
 
@@ -96,7 +96,7 @@
 	ID      ident.AttemptID
 	Worker  ident.WorkerID
 	Addr    string
-	Request platform.StartRequest
+	Request ports.StartRequest
 }
 
 // ControlTask controls a running attempt. Nothing answers it: the worker's
@@ -104,7 +104,7 @@
 type ControlTask struct {
 	Worker  ident.WorkerID
 	Addr    string
-	Request platform.ControlRequest
+	Request ports.ControlRequest
 }
 
 // JobAnswered ends a call of a caller about a job.
@@ -205,7 +205,7 @@
 // whole configuration, or with neither if there is none.
 type ConfigReply struct {
 	Call  uint64
-	Page  *platform.Page
+	Page  *ports.Page
 	State *fleet.State
 	Age   time.Duration
 }
--- a/engine/config.go
+++ b/engine/config.go
@@ -8,13 +8,13 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
 // ConfigStream is the stream that operators publish configuration in.
-const ConfigStream platform.Stream = "config"
+const ConfigStream ports.Stream = "config"
 
 const (
 	configPage  = 256                    // records of one read
@@ -36,7 +36,7 @@
 	logFails bool          // the last read of the log failed
 	peerOpen bool          // a ReadPeer is under way
 	peerNext time.Duration // when the next may be sent
-	newest   platform.Offset
+	newest   ports.Offset
 	newestAt ident.HostID // peer that told of newest
 	noState  bool         // the log's records hold no whole configuration
 }
@@ -173,7 +173,7 @@
 }
 
 // addConfig folds a page and publishes the new state.
-func (e *Engine) addConfig(page platform.Page) {
+func (e *Engine) addConfig(page ports.Page) {
 	before := e.config.state()
 	results, err := e.config.follower.Add(page)
 	e.config.noState = false
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -9,7 +9,7 @@
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/sched"
 	"github.com/fireflyfold/fireflyfold/stream"
@@ -39,7 +39,7 @@
 	left       leftBook
 	quarantine quarantineWatch
 
-	reports   map[lease.Key][]platform.TaskReport // of held leases, the last
+	reports   map[lease.Key][]ports.TaskReport // of held leases, the last
 	draining  bool
 	drainBy   time.Duration // a planned stop is not complete before this
 	leaving   bool          // the units are being given away
@@ -78,7 +78,7 @@
 		claims:  newClaimBook(),
 		reclaim: newReclaimWatch(opts),
 		left:    newLeftBook(),
-		reports: map[lease.Key][]platform.TaskReport{},
+		reports: map[lease.Key][]ports.TaskReport{},
 
 		proposals: map[jobs.ProposalID]sentProposal{},
 	}
--- a/engine/event.go
+++ b/engine/event.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/work"
@@ -26,7 +26,7 @@
 
 // Listed is an answer of the host list.
 type Listed struct {
-	Listing platform.Listing
+	Listing ports.Listing
 }
 
 // ListFailed reports that the host list did not answer.
@@ -43,19 +43,19 @@
 }
 
 // LeaseAnswered is the answer to a SendLease. Err is nil, or as the errors of
-// platform.Workers.
+// ports.Workers.
 type LeaseAnswered struct {
 	Key    lease.Key
 	SentAt time.Duration
-	Epoch  platform.Epoch // of the request; zero for an acquire
-	Grant  platform.LeaseGrant
+	Epoch  ports.Epoch // of the request; zero for an acquire
+	Grant  ports.LeaseGrant
 	Err    error
 }
 
 // ReleaseAnswered is the answer to a SendRelease.
 type ReleaseAnswered struct {
 	Key   lease.Key
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 	Err   error
 }
 
@@ -72,9 +72,9 @@
 type RequestFinished struct {
 	Finished request.Finished
 	// Refusal is the worker's refusal, if that is what ended the call.
-	Refusal platform.Refusal
+	Refusal ports.Refusal
 	Worker  ident.WorkerID
-	Epoch   platform.Epoch
+	Epoch   ports.Epoch
 }
 
 // RequestCancelled withdraws a request whose caller went away.
@@ -84,15 +84,15 @@
 
 // StreamRead answers the ReadStream of the same stream and tag.
 type StreamRead struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Tag    stream.Tag
-	Page   platform.Page
+	Page   ports.Page
 }
 
 // StreamFailed reports that the ReadStream of the same stream and tag brought
 // nothing.
 type StreamFailed struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Tag    stream.Tag
 }
 
@@ -100,7 +100,7 @@
 // if the peer did not answer.
 type PeerConfig struct {
 	Host  ident.HostID
-	Page  *platform.Page
+	Page  *ports.Page
 	State *fleet.State // the whole configuration
 	// Age is how long ago the peer knew its configuration to be the newest, as
 	// of now.
@@ -108,9 +108,9 @@
 }
 
 // Appended answers the AppendGroup of the same stream and tag. Err is nil, or
-// as the errors of platform.Log.
+// as the errors of ports.Log.
 type Appended struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Tag    stream.Tag
 	Err    error
 }
@@ -119,7 +119,7 @@
 type StartAnswered struct {
 	ID     ident.AttemptID
 	Worker ident.WorkerID
-	Epoch  platform.Epoch
+	Epoch  ports.Epoch
 	Err    error
 }
 
@@ -192,7 +192,7 @@
 // cannot reach the log. The answer is a ConfigReply.
 type ConfigAsked struct {
 	Call  uint64
-	After platform.Offset
+	After ports.Offset
 }
 
 // AttemptsAsked is the question of an earlier scheduler of the zone about
--- a/engine/facts.go
+++ b/engine/facts.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
@@ -36,7 +36,7 @@
 
 // WorkerFacts is what this host knows of one worker.
 type WorkerFacts struct {
-	Entry       platform.WorkerEntry
+	Entry       ports.WorkerEntry
 	SlotsHeld   bool
 	ComputeHeld bool
 	Quarantined bool // requests fail there
@@ -90,8 +90,8 @@
 	entries := e.members.Workers()
 	list := make([]WorkerFacts, 0, len(entries))
 	for _, entry := range entries {
-		slots := lease.Key{Worker: entry.Worker, Class: platform.ClassSlots}
-		compute := lease.Key{Worker: entry.Worker, Class: platform.ClassCompute}
+		slots := lease.Key{Worker: entry.Worker, Class: ports.ClassSlots}
+		compute := lease.Key{Worker: entry.Worker, Class: ports.ClassCompute}
 		w := WorkerFacts{
 			Entry:       entry,
 			SlotsHeld:   e.leases.Left(slots, e.now) > 0,
--- a/engine/leases.go
+++ b/engine/leases.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 )
 
@@ -39,7 +39,7 @@
 	}
 }
 
-func (e *Engine) sendLease(key lease.Key, sentAt time.Duration, req platform.LeaseRequest) {
+func (e *Engine) sendLease(key lease.Key, sentAt time.Duration, req ports.LeaseRequest) {
 	entry, ok := e.members.Worker(key.Worker)
 	if !ok {
 		return // dropped from the list; the request times out in the manager
@@ -49,7 +49,7 @@
 
 // leaseAnswered hands a worker's answer to the lease manager.
 func (e *Engine) leaseAnswered(ev LeaseAnswered) {
-	var refused *platform.RefusedError
+	var refused *ports.RefusedError
 	switch {
 	case ev.Err == nil:
 		e.stepMembers(member.WorkerAnswered{Worker: ev.Key.Worker})
@@ -58,15 +58,15 @@
 		e.stepMembers(member.WorkerAnswered{Worker: ev.Key.Worker})
 		e.stepLeases(lease.Refused{Key: ev.Key, SentAt: ev.SentAt, Epoch: ev.Epoch, Refusal: refused.Refusal, Left: refused.Left})
 	default:
-		if e.zone != nil && ev.Key.Class == platform.ClassCompute {
+		if e.zone != nil && ev.Key.Class == ports.ClassCompute {
 			e.zone.failed[ev.Key.Worker] = true
 		}
 		e.stepLeases(lease.Failed{Key: ev.Key, SentAt: ev.SentAt})
 	}
 }
 
-func refusalOf(err error) platform.Refusal {
-	var refused *platform.RefusedError
+func refusalOf(err error) ports.Refusal {
+	var refused *ports.RefusedError
 	if errors.As(err, &refused) {
 		return refused.Refusal
 	}
@@ -77,7 +77,7 @@
 	e.note(NoteLease, "holds the "+string(ev.Class)+" lease of worker "+string(ev.Worker))
 	e.reports[ev.Key] = ev.Tasks
 	e.stepUnits(ledger.LeasesHeld{Any: true})
-	if ev.Class == platform.ClassCompute {
+	if ev.Class == ports.ClassCompute {
 		e.computeGained(ev)
 		return
 	}
@@ -98,7 +98,7 @@
 
 func (e *Engine) reported(ev lease.Reported) {
 	e.reports[ev.Key] = ev.Tasks
-	if ev.Class == platform.ClassCompute {
+	if ev.Class == ports.ClassCompute {
 		e.computeReported(ev)
 		return
 	}
@@ -113,7 +113,7 @@
 // does not count as in flight: those of earlier holders of the lease, and own
 // ones that were given up and have not stopped yet. A call that ended here
 // after the report was asked for may be in it and is not counted.
-func (e *Engine) foreignCalls(worker ident.WorkerID, sentAt time.Duration, tasks []platform.TaskReport) int64 {
+func (e *Engine) foreignCalls(worker ident.WorkerID, sentAt time.Duration, tasks []ports.TaskReport) int64 {
 	var n int64
 	for _, t := range tasks {
 		if !t.Ended && !e.calls.accounted(worker, t.ID, sentAt) {
@@ -125,7 +125,7 @@
 
 // ackCalls lets the worker forget calls that ended: their answers went to the
 // callers themselves.
-func (e *Engine) ackCalls(key lease.Key, tasks []platform.TaskReport) {
+func (e *Engine) ackCalls(key lease.Key, tasks []ports.TaskReport) {
 	var ids []string
 	for _, t := range tasks {
 		if t.Ended {
@@ -140,7 +140,7 @@
 // quiesce stops starts on a worker that moves to another host, and reports
 // idle once none is on its way.
 func (e *Engine) quiesce(key lease.Key) {
-	if key.Class == platform.ClassCompute {
+	if key.Class == ports.ClassCompute {
 		e.computeQuiesced(key)
 		return
 	}
@@ -159,7 +159,7 @@
 	if len(e.reports) == 0 {
 		e.stepUnits(ledger.LeasesHeld{Any: false})
 	}
-	if ev.Class == platform.ClassCompute {
+	if ev.Class == ports.ClassCompute {
 		e.computeLost(ev)
 		return
 	}
--- a/engine/linger.go
+++ b/engine/linger.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/ledger"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 )
 
@@ -60,7 +60,7 @@
 }
 
 // reportLingering frees the units of calls that a worker no longer runs.
-func (e *Engine) reportLingering(worker ident.WorkerID, sentAt time.Duration, tasks []platform.TaskReport) {
+func (e *Engine) reportLingering(worker ident.WorkerID, sentAt time.Duration, tasks []ports.TaskReport) {
 	running := map[string]bool{}
 	for _, t := range tasks {
 		if !t.Ended {
--- a/engine/membership.go
+++ b/engine/membership.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 )
 
@@ -28,7 +28,7 @@
 // want passes a wish for a lease on, unless a promise to another host forbids
 // to hold it.
 func (e *Engine) want(key lease.Key, wanted bool) {
-	if key.Class == platform.ClassCompute && e.reclaim.promised(key.Worker) {
+	if key.Class == ports.ClassCompute && e.reclaim.promised(key.Worker) {
 		e.reclaim.wishes[key.Worker] = wanted
 		wanted = false
 	}
@@ -101,8 +101,8 @@
 	}
 }
 
-func (e *Engine) applyMark(entry platform.WorkerEntry) {
-	leaving := entry.State == platform.StateLeaving
+func (e *Engine) applyMark(entry ports.WorkerEntry) {
+	leaving := entry.State == ports.StateLeaving
 	e.stepRouter(request.WorkerLeaving{Worker: entry.Worker, Leaving: leaving || e.config.upstreamMarked(entry.Worker)})
 	e.markCompute(entry.Worker, leaving)
 }
@@ -120,7 +120,7 @@
 	Addr      string
 	Scheduler bool // by its last digest
 	Heard     bool
-	Config    platform.Offset
+	Config    ports.Offset
 	Waiting   int
 	Leases    int
 	Free      int
--- a/engine/reclaim.go
+++ b/engine/reclaim.go
@@ -9,7 +9,7 @@
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -72,7 +72,7 @@
 		e.reclaim.wishes[worker] = e.members.Scheduler()
 	}
 	e.reclaim.heldOff[worker] = true
-	e.stepLeases(lease.Want{Key: lease.Key{Worker: worker, Class: platform.ClassCompute}, Wanted: false})
+	e.stepLeases(lease.Want{Key: lease.Key{Worker: worker, Class: ports.ClassCompute}, Wanted: false})
 }
 
 // resume ends holdOff.
@@ -91,10 +91,10 @@
 	}
 	wanted := e.reclaim.wishes[worker]
 	delete(e.reclaim.wishes, worker)
-	e.want(lease.Key{Worker: worker, Class: platform.ClassCompute}, wanted)
+	e.want(lease.Key{Worker: worker, Class: ports.ClassCompute}, wanted)
 }
 
-func (e *Engine) listedHosts(l platform.Listing) {
+func (e *Engine) listedHosts(l ports.Listing) {
 	r := e.reclaim
 	r.zoneHosts = r.zoneHosts[:0]
 	clear(r.listed)
@@ -150,7 +150,7 @@
 		return
 	}
 	e.reclaim.remember(source, ev.Order)
-	key := lease.Key{Worker: ev.Worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: ev.Worker, Class: ports.ClassCompute}
 	if ev.Release {
 		e.endPromise(ev.Worker)
 		e.emit(PromiseReply{Call: ev.Call})
@@ -269,7 +269,7 @@
 func (e *Engine) heldLeases() []ledger.LeaseSeen {
 	var seen []ledger.LeaseSeen
 	for _, entry := range e.members.Workers() {
-		for _, class := range []platform.LeaseClass{platform.ClassSlots, platform.ClassCompute} {
+		for _, class := range []ports.LeaseClass{ports.ClassSlots, ports.ClassCompute} {
 			key := lease.Key{Worker: entry.Worker, Class: class}
 			left := e.leases.Left(key, e.now)
 			if left == 0 {
@@ -288,7 +288,7 @@
 }
 
 // runningTasks lists running tasks with the holder whose units they use.
-func (e *Engine) runningTasks(tasks []platform.TaskReport) []ledger.RunningTask {
+func (e *Engine) runningTasks(tasks []ports.TaskReport) []ledger.RunningTask {
 	var list []ledger.RunningTask
 	for _, t := range tasks {
 		if !t.Ended {
--- a/engine/recovery.go
+++ b/engine/recovery.go
@@ -6,7 +6,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/sched"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -76,12 +76,12 @@
 // cycleLease takes a worker's lease anew if this host holds it under the epoch
 // that a start may be on its way under. After it, that start cannot take
 // effect any more, and the grant shows whether it did.
-func (e *Engine) cycleLease(worker ident.WorkerID, epoch platform.Epoch) {
+func (e *Engine) cycleLease(worker ident.WorkerID, epoch ports.Epoch) {
 	w := e.zone.workers[worker]
 	if w == nil || !w.held || w.epoch > epoch {
 		return
 	}
-	key := lease.Key{Worker: worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: worker, Class: ports.ClassCompute}
 	e.stepLeases(lease.Want{Key: key, Wanted: false})
 	e.stepLeases(lease.Idle{Key: key})
 	e.stepLeases(lease.Want{Key: key, Wanted: true})
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/sched"
 )
@@ -92,11 +92,11 @@
 			e.endLost(a, "its worker restarted")
 			continue
 		}
-		e.endNever(a, platform.RefusedEpoch)
+		e.endNever(a, ports.RefusedEpoch)
 	}
 }
 
-func reportOf(tasks []platform.TaskReport, a *attempt) *platform.TaskReport {
+func reportOf(tasks []ports.TaskReport, a *attempt) *ports.TaskReport {
 	for i := range tasks {
 		if tasks[i].ID == a.name {
 			return &tasks[i]
@@ -122,7 +122,7 @@
 	e.stepRecovery(jobs.WorkerReport{Worker: w.id, Epoch: w.epoch, Boot: w.boot, Tasks: w.tasks})
 }
 
-func (e *Engine) applyTask(a *attempt, t platform.TaskReport) {
+func (e *Engine) applyTask(a *attempt, t ports.TaskReport) {
 	if t.Ended {
 		e.endReported(a, t)
 		return
@@ -154,14 +154,14 @@
 	if left < 0 {
 		left = -left / 2
 	}
-	key := lease.Key{Worker: a.Worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: a.Worker, Class: ports.ClassCompute}
 	e.stepLeases(lease.Hasten{Key: key, At: e.now + max(left, minLook)})
 }
 
 // unknownTask deals with a task that this host did not start. Replicas are
 // adopted, or stopped if their service is not declared any more. A job's
 // attempt is left to the recovery; one that the log says is over is stopped.
-func (e *Engine) unknownTask(w *zoneWorker, service ident.ServiceID, id ident.AttemptID, t platform.TaskReport) {
+func (e *Engine) unknownTask(w *zoneWorker, service ident.ServiceID, id ident.AttemptID, t ports.TaskReport) {
 	switch {
 	case service != "" && t.Ended:
 		e.ackTask(w.id, t.ID)
@@ -173,7 +173,7 @@
 			e.ackTask(w.id, t.ID)
 		}
 	case e.closedInLog(id):
-		e.controlTask(w.id, t.ID, platform.ControlStop)
+		e.controlTask(w.id, t.ID, ports.ControlStop)
 	}
 }
 
@@ -195,10 +195,10 @@
 	return task.Attempts > id.Attempt || (task.Attempts == id.Attempt && !task.Open)
 }
 
-func (e *Engine) adoptReplica(w *zoneWorker, service ident.ServiceID, id ident.AttemptID, t platform.TaskReport) {
+func (e *Engine) adoptReplica(w *zoneWorker, service ident.ServiceID, id ident.AttemptID, t ports.TaskReport) {
 	if _, declared := e.zone.services[service]; !declared {
 		if e.config.state() != nil {
-			e.controlTask(w.id, t.ID, platform.ControlStop)
+			e.controlTask(w.id, t.ID, ports.ControlStop)
 		}
 		return
 	}
@@ -271,7 +271,7 @@
 	if e.zone.attempts.startsOn(worker) {
 		return
 	}
-	e.stepLeases(lease.Idle{Key: lease.Key{Worker: worker, Class: platform.ClassCompute}})
+	e.stepLeases(lease.Idle{Key: lease.Key{Worker: worker, Class: ports.ClassCompute}})
 }
 
 // tickZone lets time pass in the zone's work.
--- a/engine/requests.go
+++ b/engine/requests.go
@@ -5,14 +5,14 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 )
 
 // sentCall is a call in flight on a worker.
 type sentCall struct {
 	worker   ident.WorkerID
-	epoch    platform.Epoch
+	epoch    ports.Epoch
 	team     ident.TeamID
 	deadline time.Duration
 }
@@ -107,7 +107,7 @@
 // out while its holder was paused has no epoch to send under, so the call goes
 // back to the router as not run.
 func (e *Engine) dispatch(cmd request.Dispatch) {
-	key := lease.Key{Worker: cmd.Worker, Class: platform.ClassSlots}
+	key := lease.Key{Worker: cmd.Worker, Class: ports.ClassSlots}
 	epoch, held := e.leases.Epoch(key, e.now)
 	entry, listed := e.members.Worker(cmd.Worker)
 	if !held || !listed {
@@ -148,8 +148,8 @@
 		e.linger(id, sent)
 	}
 	switch ev.Refusal {
-	case platform.RefusedEpoch, platform.RefusedLapsed:
-		key := lease.Key{Worker: ev.Worker, Class: platform.ClassSlots}
+	case ports.RefusedEpoch, ports.RefusedLapsed:
+		key := lease.Key{Worker: ev.Worker, Class: ports.ClassSlots}
 		e.stepLeases(lease.EpochRefused{Key: key, Epoch: ev.Epoch})
 		ev.Finished.Refused = true
 	case "":
@@ -166,6 +166,6 @@
 // idleIfQuiet lets a handover of a worker go on once no call is on its way.
 func (e *Engine) idleIfQuiet(worker ident.WorkerID) {
 	if worker != "" && e.router.InFlight(worker) == 0 {
-		e.stepLeases(lease.Idle{Key: lease.Key{Worker: worker, Class: platform.ClassSlots}})
+		e.stepLeases(lease.Idle{Key: lease.Key{Worker: worker, Class: ports.ClassSlots}})
 	}
 }
--- a/engine/stop.go
+++ b/engine/stop.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // stopOrder is the stop or checkpoint that was sent for an attempt.
 type stopOrder struct {
-	control platform.Control // empty if none was
-	first   time.Duration    // when it was first sent
+	control ports.Control // empty if none was
+	first   time.Duration // when it was first sent
 	last    time.Duration
 }
 
@@ -24,7 +24,7 @@
 // its room until the scheduler repeats the order seconds later. So an attempt
 // whose start was not sent is never started, and one whose start was under way
 // is told again as soon as it runs.
-func (e *Engine) stopOrdered(a *attempt, control platform.Control) {
+func (e *Engine) stopOrdered(a *attempt, control ports.Control) {
 	if a.stop.control == "" {
 		a.stop.first = e.now
 	}
@@ -55,7 +55,7 @@
 // displaced would wait for the next renewal, which may be seconds away. A task
 // that takes long to stop is looked for at growing intervals.
 func (e *Engine) expectStop(a *attempt) {
-	key := lease.Key{Worker: a.Worker, Class: platform.ClassCompute}
+	key := lease.Key{Worker: a.Worker, Class: ports.ClassCompute}
 	waited := e.now - a.stop.first
 	e.stepLeases(lease.Hasten{Key: key, At: e.now + max(waited/2, minLook)})
 }
--- a/engine/streams.go
+++ b/engine/streams.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/ledger"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -30,7 +30,7 @@
 	}
 }
 
-func (e *Engine) stepMachine(name platform.Stream, ev stream.Event) {
+func (e *Engine) stepMachine(name ports.Stream, ev stream.Event) {
 	switch name {
 	case ledger.StreamName:
 		e.stepUnits(ev)
@@ -51,9 +51,9 @@
 }
 
 func certainFailure(err error) bool {
-	var notSent *platform.NotSentError
-	var unavailable *platform.UnavailableError
-	var refused *platform.RefusedError
+	var notSent *ports.NotSentError
+	var unavailable *ports.UnavailableError
+	var refused *ports.RefusedError
 	return errors.As(err, &notSent) || errors.As(err, &unavailable) || errors.As(err, &refused)
 }
 
--- a/engine/zone.go
+++ b/engine/zone.go
@@ -9,7 +9,7 @@
 	"github.com/fireflyfold/fireflyfold/jobs"
 	"github.com/fireflyfold/fireflyfold/lease"
 	"github.com/fireflyfold/fireflyfold/ledger"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/sched"
 )
@@ -46,11 +46,11 @@
 	rack   string
 	size   resource.Vector
 	held   bool // the compute lease is held
-	epoch  platform.Epoch
+	epoch  ports.Epoch
 	boot   uint64
-	tasks  []platform.TaskReport // of the last report
-	sentAt time.Duration         // when that report was asked for
-	lostAt time.Duration         // when the lease was lost, while it is not held
+	tasks  []ports.TaskReport // of the last report
+	sentAt time.Duration      // when that report was asked for
+	lostAt time.Duration      // when the lease was lost, while it is not held
 	// foreign are running tasks that the scheduler does not know yet: of jobs
 	// that are not restored, or of another owner. Their room is taken.
 	foreign resource.Vector
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -13,7 +13,7 @@
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/problem"
 )
 
@@ -79,7 +79,7 @@
 }
 
 func uncertain(err error) bool {
-	var u *platform.UncertainError
+	var u *ports.UncertainError
 	return errors.As(err, &u)
 }
 
--- a/entry/core.go
+++ b/entry/core.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/engine"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // digestEvery is how often the core renews the digest that peers are answered
@@ -100,7 +100,7 @@
 	return nil
 }
 
-func ringFull(op string) error { return &platform.NotSentError{Op: op, Cause: &RingFullError{}} }
+func ringFull(op string) error { return &ports.NotSentError{Op: op, Cause: &RingFullError{}} }
 
 // carryBack hands a command to the goroutine that waits for it.
 func (h *Host) carryBack(cmd engine.Command) {
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/fireflyfold/fireflyfold/entry"
 	"github.com/fireflyfold/fireflyfold/localfleet"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -26,12 +26,12 @@
 // /cut/HOW/BYTES: HOW is "short" for an end that looks clean, "reset" for an
 // error, and "unsized" for an error in an answer of unknown length.
 type cuttingWorkers struct {
-	platform.Workers
+	ports.Workers
 	mu   sync.Mutex
 	done map[string]bool
 }
 
-func (w *cuttingWorkers) Call(ctx context.Context, addr string, call platform.Call) (platform.Answer, error) {
+func (w *cuttingWorkers) Call(ctx context.Context, addr string, call ports.Call) (ports.Answer, error) {
 	answer, err := w.Workers.Call(ctx, addr, call)
 	_, how, found := strings.Cut(call.Path, "/cut/")
 	if err != nil || !found || !w.first(call.Path) {
@@ -40,7 +40,7 @@
 	kind, count, _ := strings.Cut(how, "/")
 	var n int64
 	if _, err := fmt.Sscan(count, &n); err != nil {
-		return platform.Answer{}, err
+		return ports.Answer{}, err
 	}
 	part := &cutBody{Reader: io.LimitReader(answer.Body, n), Closer: answer.Body, err: &cutError{}}
 	switch kind {
--- a/entry/host.go
+++ b/entry/host.go
@@ -23,7 +23,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/peer"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/ring"
 	"github.com/fireflyfold/fireflyfold/sched"
 	"github.com/fireflyfold/fireflyfold/settings"
@@ -45,9 +45,9 @@
 type Options struct {
 	Settings  *settings.Settings
 	Telemetry *telemetry.Telemetry
-	Log       platform.Log
-	HostList  platform.HostList
-	Workers   platform.Workers
+	Log       ports.Log
+	HostList  ports.HostList
+	Workers   ports.Workers
 	// Engine is the base of the engine's options, for tests that need other
 	// timings. Identity and leases are filled in from the settings.
 	Engine engine.Options
@@ -220,7 +220,7 @@
 func (h *Host) Scheduling() bool { return h.schedules() }
 
 // ConfigOffset returns the offset of the configuration in force, or zero.
-func (h *Host) ConfigOffset() platform.Offset {
+func (h *Host) ConfigOffset() ports.Offset {
 	if state := h.config.Load(); state != nil {
 		return state.Offset()
 	}
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -11,7 +11,7 @@
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/peer/peerv1"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/problem"
 )
 
@@ -104,7 +104,7 @@
 // ReadConfig implements peerv1.PeerServiceHandler.
 func (s *peerServer) ReadConfig(ctx context.Context, req *connect.Request[peerv1.ReadConfigRequest]) (*connect.Response[peerv1.ReadConfigResponse], error) {
 	cmd, err := s.ask(ctx, func(call uint64) engine.Event {
-		return engine.ConfigAsked{Call: call, After: platform.Offset(req.Msg.GetAfter())}
+		return engine.ConfigAsked{Call: call, After: ports.Offset(req.Msg.GetAfter())}
 	})
 	if err != nil {
 		return nil, err
--- a/entry/runcall.go
+++ b/entry/runcall.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/fireflyfold/fireflyfold/engine"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/problem"
 	"github.com/fireflyfold/fireflyfold/request"
 )
@@ -107,7 +107,7 @@
 	span.SetAttributes(attribute.String("worker", string(cmd.Worker)), attribute.Int("try", cmd.Try))
 	report := engine.RequestFinished{Worker: cmd.Worker, Epoch: cmd.Epoch}
 	upstreamCtx, upstream := h.tel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
-	answer, err := h.opts.Workers.Call(upstreamCtx, cmd.Addr, platform.Call{
+	answer, err := h.opts.Workers.Call(upstreamCtx, cmd.Addr, ports.Call{
 		Epoch:         cmd.Epoch,
 		Holder:        h.self,
 		ID:            c.id,
@@ -164,10 +164,10 @@
 // resultOf classifies a call that brought no answer. Only a refusal by the
 // worker and a call that was never sent are certain not to have run.
 func resultOf(ctx context.Context, err error) request.Result {
-	var refused *platform.RefusedError
-	var notSent *platform.NotSentError
+	var refused *ports.RefusedError
+	var notSent *ports.NotSentError
 	switch {
-	case errors.As(err, &refused) && refused.Refusal != platform.RefusedDuplicate:
+	case errors.As(err, &refused) && refused.Refusal != ports.RefusedDuplicate:
 		return request.ResultNotRun
 	case errors.As(err, &notSent):
 		return request.ResultNotRun
@@ -180,8 +180,8 @@
 	}
 }
 
-func refusalOf(err error) platform.Refusal {
-	var refused *platform.RefusedError
+func refusalOf(err error) ports.Refusal {
+	var refused *ports.RefusedError
 	if errors.As(err, &refused) {
 		return refused.Refusal
 	}
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Answer sizes.
@@ -55,7 +55,7 @@
 // copyAnswer passes an answer on to a sink and checks its length against the
 // declared one. An answer shorter than declared was cut on its way; passing it
 // on as whole would hand the caller a document that is silently incomplete.
-func copyAnswer(dst sink, answer platform.Answer) copied {
+func copyAnswer(dst sink, answer ports.Answer) copied {
 	var res copied
 	size := copyBytes
 	if answer.Length >= 0 {
@@ -84,7 +84,7 @@
 	}
 }
 
-func finishCopy(dst sink, answer platform.Answer, held []byte, res copied) copied {
+func finishCopy(dst sink, answer ports.Answer, held []byte, res copied) copied {
 	if answer.Length >= 0 && res.length != answer.Length {
 		res.source = &CutAnswerError{Declared: answer.Length, Received: res.length}
 		return res
@@ -97,7 +97,7 @@
 }
 
 // flush sends the head before the first chunk, and the chunk.
-func flush(dst sink, answer platform.Answer, chunk []byte, res *copied) bool {
+func flush(dst sink, answer ports.Answer, chunk []byte, res *copied) bool {
 	if !res.committed {
 		res.committed = true
 		if res.caller = dst.head(answer.Status, passHeader(answer.Header), answer.Length); res.caller != nil {
--- a/entry/status.go
+++ b/entry/status.go
@@ -10,7 +10,7 @@
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -87,7 +87,7 @@
 		if w.SlotsHeld {
 			zs.Used.Slots += w.Requests
 		}
-		if w.Quarantined || (w.SlotsHeld && w.Entry.State == platform.StateLeaving) {
+		if w.Quarantined || (w.SlotsHeld && w.Entry.State == ports.StateLeaving) {
 			zs.Impaired++
 		}
 	}
@@ -137,7 +137,7 @@
 		InFlight:  int(f.Facts.InFlight),
 		Waiting:   f.Facts.WaitingReqs,
 		Scheduler: f.Facts.Scheduler,
-		Config:    platform.Offset(f.Config),
+		Config:    ports.Offset(f.Config),
 		Started:   admin.SecondsOf(f.Up),
 		Life:      f.Life,
 	}
@@ -239,7 +239,7 @@
 		ws.State = "quarantined"
 		ws.Why = "requests fail there"
 	}
-	if w.Entry.State == platform.StateLeaving && ws.State == "" {
+	if w.Entry.State == ports.StateLeaving && ws.State == "" {
 		ws.State = "leaving"
 	}
 	if state != nil {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -9,7 +9,7 @@
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
 	"github.com/fireflyfold/fireflyfold/peer/peerv1"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 func toWireHolder(h ident.Holder) *peerv1.Holder {
@@ -56,7 +56,7 @@
 		Zone:      ident.Zone(d.GetZone()),
 		Addr:      d.GetAddr(),
 		Seq:       d.GetSeq(),
-		Config:    platform.Offset(d.GetConfigOffset()),
+		Config:    ports.Offset(d.GetConfigOffset()),
 		FreeSlots: int(d.GetFreeSlots()),
 		Waiting:   int(d.GetWaiting()),
 		Leases:    int(d.GetLeases()),
@@ -99,9 +99,9 @@
 	if res.GetLast() == 0 {
 		return ev
 	}
-	page := platform.Page{First: platform.Offset(res.GetFirst()), Last: platform.Offset(res.GetLast())}
+	page := ports.Page{First: ports.Offset(res.GetFirst()), Last: ports.Offset(res.GetLast())}
 	for _, r := range res.GetRecords() {
-		page.Records = append(page.Records, platform.Record{Offset: platform.Offset(r.GetOffset()), Data: r.GetData()})
+		page.Records = append(page.Records, ports.Record{Offset: ports.Offset(r.GetOffset()), Data: r.GetData()})
 	}
 	ev.Page = &page
 	return ev
@@ -129,7 +129,7 @@
 	for _, info := range res.GetLeases() {
 		seen := ledger.LeaseSeen{
 			Worker: ident.WorkerID(info.GetWorker()),
-			Class:  platform.LeaseClass(info.GetClass()),
+			Class:  ports.LeaseClass(info.GetClass()),
 			Holder: fromWireHolder(info.GetHolder()),
 			Left:   time.Duration(info.GetLeftMs()) * time.Millisecond,
 		}
--- a/faultmatrix/caller.go
+++ b/faultmatrix/caller.go
@@ -8,7 +8,7 @@
 
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/standin"
 	"github.com/fireflyfold/fireflyfold/work"
@@ -131,14 +131,14 @@
 	}
 	req := c.ev.Request
 	stopped := false
-	ticket, err := w.BeginCall(h.w.Now(), platform.Call{
+	ticket, err := w.BeginCall(h.w.Now(), ports.Call{
 		Epoch: cmd.Epoch, Holder: h.holder, ID: req.ID, Team: req.Team, Service: req.Service,
 		Deadline: left, NonIdempotent: req.NonIdempotent,
 	}, func() { stopped = true })
 	var silent *standin.NoAnswerError
 	if errors.As(err, &silent) {
 		if silent.Dead {
-			answer(reply{err: &platform.NotSentError{Op: silent.Op, Cause: err}})
+			answer(reply{err: &ports.NotSentError{Op: silent.Op, Cause: err}})
 		}
 		return
 	}
@@ -167,8 +167,8 @@
 // workerAnswered classifies the end of a call as package entry does.
 func (h *host) workerAnswered(c *call, cmd engine.CallWorker, r reply) {
 	report := engine.RequestFinished{Worker: cmd.Worker, Epoch: cmd.Epoch, Finished: request.Finished{ID: cmd.ID}}
-	var refused *platform.RefusedError
-	var notSent *platform.NotSentError
+	var refused *ports.RefusedError
+	var notSent *ports.NotSentError
 	switch {
 	case r.err == nil:
 		got := r.value.(served)
@@ -178,7 +178,7 @@
 	case errors.As(r.err, &refused):
 		report.Refusal = refused.Refusal
 		report.Finished.Result = request.ResultNotRun
-		if refused.Refusal == platform.RefusedDuplicate {
+		if refused.Refusal == ports.RefusedDuplicate {
 			report.Finished.Result = request.ResultUncertain
 		}
 	case errors.As(r.err, &notSent):
@@ -202,7 +202,7 @@
 		serve: func(answer func(reply)) {
 			p := h.w.live(cmd.Peer)
 			if p == nil {
-				answer(reply{err: &platform.NotSentError{Op: "forward", Cause: errNoAnswer}})
+				answer(reply{err: &ports.NotSentError{Op: "forward", Cause: errNoAnswer}})
 				return
 			}
 			p.wake(func() { p.takeForward(c, func(e callEnd) { answer(reply{value: e}) }) })
@@ -220,7 +220,7 @@
 
 func (h *host) forwardAnswered(c *call, cmd engine.ForwardCall, r reply) {
 	fin := request.Finished{ID: cmd.ID, Result: request.ResultUncertain}
-	var notSent *platform.NotSentError
+	var notSent *ports.NotSentError
 	switch {
 	case errors.As(r.err, &notSent):
 		fin.Result = request.ResultNotRun
--- a/faultmatrix/carry.go
+++ b/faultmatrix/carry.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
@@ -54,7 +54,7 @@
 			var silent *standin.NoAnswerError
 			if errors.As(err, &silent) {
 				if silent.Dead {
-					answer(reply{err: &platform.NotSentError{Op: silent.Op, Cause: err}})
+					answer(reply{err: &ports.NotSentError{Op: silent.Op, Cause: err}})
 				}
 				return
 			}
@@ -68,7 +68,7 @@
 	h.worker(cmd, cmd.Key.Worker, func(w *standin.WorkerState) (any, error) {
 		return w.Lease(h.w.Now(), cmd.Request)
 	}, func(r reply) {
-		grant, _ := r.value.(platform.LeaseGrant)
+		grant, _ := r.value.(ports.LeaseGrant)
 		h.step(engine.LeaseAnswered{Key: cmd.Key, SentAt: cmd.SentAt, Epoch: cmd.Request.Epoch, Grant: grant, Err: r.err})
 	})
 }
@@ -111,7 +111,7 @@
 	var down *standin.DownError
 	var lost *standin.LostAnswerError
 	if errors.As(err, &down) || errors.As(err, &lost) {
-		return &platform.UncertainError{Op: op, Cause: err}
+		return &ports.UncertainError{Op: op, Cause: err}
 	}
 	return err
 }
@@ -127,7 +127,7 @@
 				})
 				return
 			}
-			page := r.value.(platform.Page)
+			page := r.value.(ports.Page)
 			if cmd.Stream == configStream && len(page.Records) > 0 {
 				h.w.reached(StepApply, h, "")
 			}
--- a/faultmatrix/check.go
+++ b/faultmatrix/check.go
@@ -8,7 +8,7 @@
 
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -219,7 +219,7 @@
 	c.onceEach()
 	attempts := map[string]map[string]bool{}
 	for _, run := range c.runs {
-		if run.Class == platform.ClassCompute {
+		if run.Class == ports.ClassCompute {
 			task := standin.JobTask(run.ID)
 			if attempts[task] == nil {
 				attempts[task] = map[string]bool{}
@@ -314,7 +314,7 @@
 // config checks that every live host came to each offset in time.
 func (c *checker) config() {
 	newest := c.w.config().Offset()
-	reached := map[ident.Holder]platform.Offset{}
+	reached := map[ident.Holder]ports.Offset{}
 	for _, seen := range c.w.hist.configs {
 		reached[seen.holder] = seen.offset
 	}
@@ -333,7 +333,7 @@
 	}
 }
 
-func (c *checker) inForce(holder ident.Holder, offset platform.Offset, due time.Duration) bool {
+func (c *checker) inForce(holder ident.Holder, offset ports.Offset, due time.Duration) bool {
 	return slices.ContainsFunc(c.w.hist.configs, func(s configSeen) bool {
 		return s.holder == holder && s.offset >= offset && s.at <= due
 	})
--- a/faultmatrix/fault.go
+++ b/faultmatrix/fault.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
 
@@ -182,7 +182,7 @@
 	for _, h := range w.hosts {
 		if h.alive {
 			h.setRate(1)
-			w.list.Change(w.Now(), standin.HostChange{Hosts: []platform.HostEntry{h.entry(platform.StateLive)}})
+			w.list.Change(w.Now(), standin.HostChange{Hosts: []ports.HostEntry{h.entry(ports.StateLive)}})
 		}
 	}
 	for _, id := range w.ids {
--- a/faultmatrix/history.go
+++ b/faultmatrix/history.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/request"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -24,8 +24,8 @@
 	ID         ident.TaskID
 	Admitted   bool
 	AdmittedAt time.Duration
-	As         ident.TeamID    // whose work it was taken for
-	Config     platform.Offset // in force at its admission
+	As         ident.TeamID // whose work it was taken for
+	Config     ports.Offset // in force at its admission
 
 	Ended   bool // the host decided
 	EndedAt time.Duration
@@ -109,7 +109,7 @@
 type configSeen struct {
 	at     time.Duration
 	holder ident.Holder
-	offset platform.Offset
+	offset ports.Offset
 }
 
 type limitSet struct {
@@ -132,7 +132,7 @@
 	h.Notes = append(h.Notes, fmt.Sprintf("%v %v %s", at, who, text))
 }
 
-func (h *History) configured(at time.Duration, who ident.Holder, offset platform.Offset) {
+func (h *History) configured(at time.Duration, who ident.Holder, offset ports.Offset) {
 	for i := len(h.configs) - 1; i >= 0; i-- {
 		if h.configs[i].holder == who {
 			if offset < h.configs[i].offset {
--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/lease"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
 
@@ -56,8 +56,8 @@
 	return h
 }
 
-func (h *host) entry(state platform.State) platform.HostEntry {
-	return platform.HostEntry{Host: h.id, Zone: h.zone, Addr: string(h.id), State: state}
+func (h *host) entry(state ports.State) ports.HostEntry {
+	return ports.HostEntry{Host: h.id, Zone: h.zone, Addr: string(h.id), State: state}
 }
 
 // now is the host's own clock.
@@ -147,7 +147,7 @@
 			if r.err != nil {
 				h.step(engine.ListFailed{})
 			} else {
-				h.step(engine.Listed{Listing: r.value.(platform.Listing)})
+				h.step(engine.Listed{Listing: r.value.(ports.Listing)})
 			}
 		},
 	})
--- a/faultmatrix/network.go
+++ b/faultmatrix/network.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // place is a side of a network partition: an availability zone, or the
@@ -85,7 +85,7 @@
 // reply is what comes back from an exchange.
 type reply struct {
 	value any
-	err   error // nil, *platform.NotSentError, *platform.UncertainError or what the other side says
+	err   error // nil, *ports.NotSentError, *ports.UncertainError or what the other side says
 }
 
 // errNoAnswer is the cause of an uncertain exchange.
@@ -133,7 +133,7 @@
 	})
 	w.After(x.timeout, func() {
 		x.from.wake(func() {
-			finish(reply{err: &platform.UncertainError{Op: string(x.step), Cause: errNoAnswer}})
+			finish(reply{err: &ports.UncertainError{Op: string(x.step), Cause: errNoAnswer}})
 		})
 	})
 }
--- a/faultmatrix/operators.go
+++ b/faultmatrix/operators.go
@@ -7,7 +7,7 @@
 
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
@@ -37,7 +37,7 @@
 // configChange is a change that is to be in force everywhere.
 type configChange struct {
 	at     time.Duration
-	offset platform.Offset
+	offset ports.Offset
 }
 
 func newOperators(w *World) *operators {
@@ -161,7 +161,7 @@
 // drainUpstream marks a worker as leaving and lists it so.
 func (o *operators) drainUpstream(worker ident.WorkerID) {
 	entry := o.w.workers[worker].Config().Entry(string(worker))
-	entry.State = platform.StateLeaving
-	o.w.list.Change(o.w.Now(), standin.HostChange{Workers: []platform.WorkerEntry{entry}})
+	entry.State = ports.StateLeaving
+	o.w.list.Change(o.w.Now(), standin.HostChange{Workers: []ports.WorkerEntry{entry}})
 	o.w.hist.leaves(o.w.Now(), worker)
 }
--- a/faultmatrix/peers.go
+++ b/faultmatrix/peers.go
@@ -5,7 +5,7 @@
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/ledger"
 	"github.com/fireflyfold/fireflyfold/member"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // carryPeer carries out what concerns peers, callers and the host itself.
@@ -47,7 +47,7 @@
 		serve: func(answer func(reply)) {
 			p := h.w.live(id)
 			if p == nil {
-				answer(reply{err: &platform.NotSentError{Op: "peer", Cause: errNoAnswer}})
+				answer(reply{err: &ports.NotSentError{Op: "peer", Cause: errNoAnswer}})
 				return
 			}
 			p.wake(func() { serve(p, func(v any) { answer(reply{value: v}) }) })
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -8,7 +8,7 @@
 	"github.com/fireflyfold/fireflyfold/faultmatrix/agenda"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
@@ -96,7 +96,7 @@
 		w.workers[id] = state
 		w.places[id] = zone
 		w.ids = append(w.ids, id)
-		w.list.Change(0, standin.HostChange{Workers: []platform.WorkerEntry{state.Config().Entry(string(id))}})
+		w.list.Change(0, standin.HostChange{Workers: []ports.WorkerEntry{state.Config().Entry(string(id))}})
 	}
 }
 
@@ -115,7 +115,7 @@
 	w.lives++
 	h := newHost(w, ident.Holder{Host: id, Incarnation: w.lives}, zone)
 	w.hosts = append(w.hosts, h)
-	w.list.Change(w.Now(), standin.HostChange{Hosts: []platform.HostEntry{h.entry(platform.StateLive)}})
+	w.list.Change(w.Now(), standin.HostChange{Hosts: []ports.HostEntry{h.entry(ports.StateLive)}})
 	h.start()
 	return h
 }
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Status says what a record did to the State.
@@ -22,21 +22,21 @@
 
 // Result is what became of one record.
 type Result struct {
-	Offset platform.Offset
+	Offset ports.Offset
 	Status Status
-	Change *Change         // nil if the record held none that could be read
-	Reason Rejection       // for StatusRejected
-	First  platform.Offset // for StatusDuplicate: where the change was applied
+	Change *Change      // nil if the record held none that could be read
+	Reason Rejection    // for StatusRejected
+	First  ports.Offset // for StatusDuplicate: where the change was applied
 }
 
 // Applied is an accepted change as the State remembers it.
 type Applied struct {
-	Offset   platform.Offset `json:"offset"`
-	Plan     PlanID          `json:"plan"`
-	Planner  string          `json:"planner"`
-	Operator string          `json:"operator"`
-	At       time.Time       `json:"at"`
-	Objects  []Ref           `json:"objects"`
+	Offset   ports.Offset `json:"offset"`
+	Plan     PlanID       `json:"plan"`
+	Planner  string       `json:"planner"`
+	Operator string       `json:"operator"`
+	At       time.Time    `json:"at"`
+	Objects  []Ref        `json:"objects"`
 }
 
 // Apply gives the State after one record. s itself does not change.
@@ -45,7 +45,7 @@
 // *NewerFormatError if this program is too old for the record; in both cases
 // the State returned is s. Everything else that can be wrong with a record is
 // a Result with StatusRejected, and the State moves on to its offset.
-func Apply(s *State, r platform.Record) (*State, Result, error) {
+func Apply(s *State, r ports.Record) (*State, Result, error) {
 	result := Result{Offset: r.Offset, Status: StatusKnown}
 	if r.Offset <= s.offset {
 		return s, result, nil
@@ -153,7 +153,7 @@
 }
 
 // applied returns the offset at which a plan was applied, or zero.
-func (s *State) applied(plan PlanID) platform.Offset {
+func (s *State) applied(plan PlanID) ports.Offset {
 	i := slices.IndexFunc(s.recent, func(a Applied) bool { return a.Plan == plan })
 	if i < 0 {
 		return 0
@@ -162,9 +162,9 @@
 }
 
 // changedSince lists the objects of ops that changed after base, each once.
-func (s *State) changedSince(base platform.Offset, ops Ops) []Changed {
+func (s *State) changedSince(base ports.Offset, ops Ops) []Changed {
 	var changes []Changed
-	note := func(ref Ref, at platform.Offset) {
+	note := func(ref Ref, at ports.Offset) {
 		known := slices.ContainsFunc(changes, func(c Changed) bool { return c.Object == ref })
 		if at > base && !known {
 			changes = append(changes, s.describe(ref, at))
@@ -180,7 +180,7 @@
 }
 
 // describe says who changed an object at an offset, if that is remembered.
-func (s *State) describe(ref Ref, at platform.Offset) Changed {
+func (s *State) describe(ref Ref, at ports.Offset) Changed {
 	change := Changed{Object: ref, Offset: at}
 	i := slices.IndexFunc(s.recent, func(a Applied) bool { return a.Offset == at })
 	if i >= 0 {
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -37,7 +37,7 @@
 // foldIntent plans and folds an intent.
 func foldIntent(b *testing.B, s *State, in Intent) *State {
 	b.Helper()
-	next, result, err := Apply(s, platform.Record{Offset: s.Offset() + 1, Data: recordOf(b, s, in)})
+	next, result, err := Apply(s, ports.Record{Offset: s.Offset() + 1, Data: recordOf(b, s, in)})
 	if err != nil || result.Status != StatusApplied {
 		b.Fatal(err, result.Reason)
 	}
@@ -67,7 +67,7 @@
 			data := recordOf(b, s, Intent{Teams: []WantTeam{{Team: "team-1", Limit: ptr(int64(7))}}})
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, result, _ := Apply(s, platform.Record{Offset: s.Offset() + 1, Data: data}); result.Status != StatusApplied {
+				if _, result, _ := Apply(s, ports.Record{Offset: s.Offset() + 1, Data: data}); result.Status != StatusApplied {
 					b.Fatal(result.Reason)
 				}
 			}
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -8,7 +8,7 @@
 	"io"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // PlanID names a plan. It is computed from what the plan contains, so a plan
@@ -37,12 +37,12 @@
 
 // Change is a confirmed plan as it stands in the stream.
 type Change struct {
-	Plan     PlanID          `json:"plan"`
-	Planner  string          `json:"planner"`  // operator who asked for the plan
-	Operator string          `json:"operator"` // operator who confirmed it
-	At       time.Time       `json:"at"`       // wall clock at the confirmation; for people, decides nothing
-	Base     platform.Offset `json:"base"`     // offset of the State that the plan was made from
-	Ops      Ops             `json:"ops"`
+	Plan     PlanID       `json:"plan"`
+	Planner  string       `json:"planner"`  // operator who asked for the plan
+	Operator string       `json:"operator"` // operator who confirmed it
+	At       time.Time    `json:"at"`       // wall clock at the confirmation; for people, decides nothing
+	Base     ports.Offset `json:"base"`     // offset of the State that the plan was made from
+	Ops      Ops          `json:"ops"`
 }
 
 // Objects lists what the change touches, in the order of its operations.
@@ -55,10 +55,10 @@
 }
 
 // planID computes the identifier of a plan from its content.
-func planID(planner string, base platform.Offset, ops Ops) PlanID {
+func planID(planner string, base ports.Offset, ops Ops) PlanID {
 	content, err := json.Marshal(struct {
 		Planner string
-		Base    platform.Offset
+		Base    ports.Offset
 		Ops     Ops
 	}{planner, base, ops})
 	if err != nil { // operations hold only what JSON can carry, save times beyond year 9999
@@ -91,7 +91,7 @@
 
 // decodeRecord reads one record. It returns a *NewerFormatError or a
 // *MalformedError.
-func decodeRecord(r platform.Record) (record, error) {
+func decodeRecord(r ports.Record) (record, error) {
 	var probe struct {
 		Version int `json:"v"`
 	}
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Digest is the SHA-256 of an encoded State.
@@ -15,21 +15,21 @@
 // stateDoc is a State in JSON, in sorted order, so that equal States encode to
 // equal bytes.
 type stateDoc struct {
-	Version  int             `json:"v"`
-	Offset   platform.Offset `json:"offset"`
-	Teams    []Team          `json:"teams,omitempty"`
-	Keys     []Key           `json:"keys,omitempty"`
-	Services []Service       `json:"services,omitempty"`
-	Marks    []Marked        `json:"marks,omitempty"`
-	Gone     []goneDoc       `json:"gone,omitempty"`
-	Recent   []Applied       `json:"recent,omitempty"`
-	Snapshot SnapshotInfo    `json:"snapshot,omitzero"`
+	Version  int          `json:"v"`
+	Offset   ports.Offset `json:"offset"`
+	Teams    []Team       `json:"teams,omitempty"`
+	Keys     []Key        `json:"keys,omitempty"`
+	Services []Service    `json:"services,omitempty"`
+	Marks    []Marked     `json:"marks,omitempty"`
+	Gone     []goneDoc    `json:"gone,omitempty"`
+	Recent   []Applied    `json:"recent,omitempty"`
+	Snapshot SnapshotInfo `json:"snapshot,omitzero"`
 }
 
 // goneDoc is a removed object.
 type goneDoc struct {
-	Ref Ref             `json:"ref"`
-	At  platform.Offset `json:"at"`
+	Ref Ref          `json:"ref"`
+	At  ports.Offset `json:"at"`
 }
 
 // Encode renders a State with its offset, for peers and snapshots: the digest
@@ -66,8 +66,8 @@
 		return nil, &TornError{Detail: "its digest does not fit"}
 	}
 	var probe struct {
-		Version int             `json:"v"`
-		Offset  platform.Offset `json:"offset"`
+		Version int          `json:"v"`
+		Offset  ports.Offset `json:"offset"`
 	}
 	if err := json.Unmarshal(body, &probe); err != nil {
 		return nil, &TornError{Detail: err.Error()}
@@ -90,7 +90,7 @@
 		keys:   make(map[KeyID]Key, len(doc.Keys)),
 		svcs:   make(map[ident.ServiceID]Service, len(doc.Services)),
 		marks:  make(map[Ref]Mark, len(doc.Marks)),
-		gone:   make(map[Ref]platform.Offset, len(doc.Gone)),
+		gone:   make(map[Ref]ports.Offset, len(doc.Gone)),
 		recent: doc.Recent,
 		snap:   doc.Snapshot,
 	}
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -17,7 +17,7 @@
 // old key's overlap, in Authenticate; withdrawing a key needs no clock.
 package fleet
 
-import "github.com/fireflyfold/fireflyfold/platform"
+import "github.com/fireflyfold/fireflyfold/ports"
 
 // Stream is the log stream that the configuration is folded from.
-const Stream platform.Stream = "config"
+const Stream ports.Stream = "config"
--- a/fleet/draft.go
+++ b/fleet/draft.go
@@ -4,7 +4,7 @@
 	"maps"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // draft is the next State while it is made. A map is copied before it is
@@ -12,13 +12,13 @@
 // a change costs only the maps that it touches.
 type draft struct {
 	state State
-	at    platform.Offset // of the record that is applied
+	at    ports.Offset // of the record that is applied
 
 	ownTeams, ownKeys, ownServices, ownMarks, ownGone bool
 }
 
 // newDraft starts the State after the record at offset at.
-func newDraft(s *State, at platform.Offset) *draft {
+func newDraft(s *State, at ports.Offset) *draft {
 	d := &draft{state: *s, at: at}
 	d.state.offset = at
 	return d
@@ -44,7 +44,7 @@
 func (d *draft) services() map[ident.ServiceID]Service {
 	return own(&d.state.svcs, &d.ownServices)
 }
-func (d *draft) gone() map[Ref]platform.Offset { return own(&d.state.gone, &d.ownGone) }
+func (d *draft) gone() map[Ref]ports.Offset { return own(&d.state.gone, &d.ownGone) }
 
 // bury remembers that an object was removed. Without it a plan made before the
 // removal would not be seen to be stale.
@@ -62,7 +62,7 @@
 			continue
 		}
 		gone := d.gone()
-		maps.DeleteFunc(gone, func(_ Ref, at platform.Offset) bool { return at < oldest })
+		maps.DeleteFunc(gone, func(_ Ref, at ports.Offset) bool { return at < oldest })
 		return
 	}
 }
--- a/fleet/fold_test.go
+++ b/fleet/fold_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -21,7 +21,7 @@
 // stream is a log stream with a host that follows it.
 type stream struct {
 	t       *testing.T
-	records []platform.Record
+	records []ports.Record
 	state   *State
 }
 
@@ -30,7 +30,7 @@
 // add appends a raw record and folds it.
 func (s *stream) add(data []byte) Result {
 	s.t.Helper()
-	r := platform.Record{Offset: platform.Offset(len(s.records) + 1), Data: data}
+	r := ports.Record{Offset: ports.Offset(len(s.records) + 1), Data: data}
 	next, result, err := Apply(s.state, r)
 	if err != nil {
 		s.t.Fatalf("offset %d: %v", r.Offset, err)
@@ -208,7 +208,7 @@
 func TestGap(t *testing.T) {
 	s := newStream(t)
 	s.must(team("grants", 10))
-	next, _, err := Apply(s.state, platform.Record{Offset: 3, Data: []byte("noise")})
+	next, _, err := Apply(s.state, ports.Record{Offset: 3, Data: []byte("noise")})
 	var gap *GapError
 	if !errors.As(err, &gap) || next != s.state {
 		t.Errorf("got %v", err)
@@ -286,7 +286,7 @@
 func TestNewerFormatStopsTheFold(t *testing.T) {
 	s := newStream(t)
 	s.must(team("grants", 10))
-	next, _, err := Apply(s.state, platform.Record{Offset: 2, Data: []byte(`{"v":2,"anything":true}`)})
+	next, _, err := Apply(s.state, ports.Record{Offset: 2, Data: []byte(`{"v":2,"anything":true}`)})
 	var newer *NewerFormatError
 	if !errors.As(err, &newer) || next != s.state {
 		t.Errorf("got %v", err)
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Follower keeps a host's State up to date from whatever can be reached: pages
@@ -15,10 +15,10 @@
 
 	// While the State is not whole: the records from the oldest one that was
 	// left, and the snapshots found among them.
-	pending  []platform.Record
+	pending  []ports.Record
 	snapshot map[Digest]*collector
 
-	tail []platform.Record // the newest records that were applied, for peers
+	tail []ports.Record // the newest records that were applied, for peers
 }
 
 // tailRecords is the number of records kept for peers that are behind.
@@ -33,7 +33,7 @@
 
 // After returns the offset after which the next page is to be read from the
 // log.
-func (f *Follower) After() platform.Offset {
+func (f *Follower) After() ports.Offset {
 	if len(f.pending) > 0 {
 		return f.pending[len(f.pending)-1].Offset
 	}
@@ -43,7 +43,7 @@
 // PeerAfter returns the offset after which a peer is to be asked. It differs
 // from After while records are only collected and none could be folded: a peer
 // that was asked after those would answer that there is nothing newer.
-func (f *Follower) PeerAfter() platform.Offset {
+func (f *Follower) PeerAfter() ports.Offset {
 	if f.state == nil {
 		return 0
 	}
@@ -54,7 +54,7 @@
 // which the State needs have expired, and that what is left holds no whole
 // snapshot. The State has to come from a peer; reading on is harmless.
 type NoSnapshotError struct {
-	First, Last platform.Offset
+	First, Last ports.Offset
 }
 
 // Error implements error.
@@ -66,7 +66,7 @@
 // peer may be behind; a log that is behind has lost records, and what is
 // appended to it will be ignored until it has passed Have.
 type BehindError struct {
-	Have, Last platform.Offset
+	Have, Last ports.Offset
 }
 
 // Error implements error.
@@ -79,7 +79,7 @@
 //
 // A *NewerFormatError stops the fold until the program is replaced. With a
 // *NoSnapshotError or a *BehindError the State stays as it was.
-func (f *Follower) Add(page platform.Page) ([]Result, error) {
+func (f *Follower) Add(page ports.Page) ([]Result, error) {
 	if f.state == nil && f.wholeStream(page) {
 		f.state = Empty()
 	}
@@ -103,7 +103,7 @@
 }
 
 // wholeStream reports whether a page begins at the first record of all.
-func (f *Follower) wholeStream(page platform.Page) bool {
+func (f *Follower) wholeStream(page ports.Page) bool {
 	if len(page.Records) == 0 {
 		return page.First <= 1 && len(f.pending) == 0
 	}
@@ -114,7 +114,7 @@
 // They cannot if there is no State, or if records between have expired while
 // this host was cut off; then a snapshot is searched for, and the State that
 // there is stays in force meanwhile.
-func (f *Follower) follows(records []platform.Record) bool {
+func (f *Follower) follows(records []ports.Record) bool {
 	if f.state == nil {
 		return false
 	}
@@ -126,7 +126,7 @@
 
 // apply applies records to the State that there is, then those that were
 // collected meanwhile, if they follow now.
-func (f *Follower) apply(records []platform.Record) ([]Result, error) {
+func (f *Follower) apply(records []ports.Record) ([]Result, error) {
 	results, err := f.fold(records)
 	if err != nil || len(f.pending) == 0 || f.pending[0].Offset > f.state.offset+1 {
 		return results, err
@@ -138,7 +138,7 @@
 }
 
 // fold applies records in order and passes over those that are known.
-func (f *Follower) fold(records []platform.Record) ([]Result, error) {
+func (f *Follower) fold(records []ports.Record) ([]Result, error) {
 	results := make([]Result, 0, len(records))
 	for _, r := range records {
 		next, result, err := Apply(f.state, r)
@@ -158,7 +158,7 @@
 // search looks for a whole snapshot among records and those before them, and
 // returns its State, or nil. The records are kept, because some that follow
 // the snapshot's offset may stand before the snapshot itself.
-func (f *Follower) search(records []platform.Record) *State {
+func (f *Follower) search(records []ports.Record) *State {
 	for _, r := range records {
 		if len(f.pending) > 0 && r.Offset <= f.After() {
 			continue
@@ -207,22 +207,22 @@
 
 // Since returns the records after an offset for a peer that is behind. It
 // reports false if they are no longer kept; the peer then needs Encode.
-func (f *Follower) Since(after platform.Offset) (platform.Page, bool) {
+func (f *Follower) Since(after ports.Offset) (ports.Page, bool) {
 	if f.state == nil || after > f.state.offset {
-		return platform.Page{}, false
+		return ports.Page{}, false
 	}
 	missing := int(min(f.state.offset-after, tailRecords+1))
 	if missing > len(f.tail) {
-		return platform.Page{}, false
+		return ports.Page{}, false
 	}
-	records := append([]platform.Record(nil), f.tail[len(f.tail)-missing:]...)
-	return platform.Page{Records: records, First: after + 1, Last: f.state.offset}, true
+	records := append([]ports.Record(nil), f.tail[len(f.tail)-missing:]...)
+	return ports.Page{Records: records, First: after + 1, Last: f.state.offset}, true
 }
 
 // keep adds a record to the tail and drops the oldest.
-func (f *Follower) keep(r platform.Record) {
+func (f *Follower) keep(r ports.Record) {
 	f.tail = append(f.tail, r)
 	if len(f.tail) >= 2*tailRecords {
-		f.tail = append([]platform.Record(nil), f.tail[len(f.tail)-tailRecords:]...)
+		f.tail = append([]ports.Record(nil), f.tail[len(f.tail)-tailRecords:]...)
 	}
 }
--- a/fleet/key.go
+++ b/fleet/key.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // KeyID is the part of a key that is no secret: it names the key in plans,
@@ -41,7 +41,7 @@
 	// second; zero for a key that has not been rotated.
 	Until time.Time `json:"until,omitzero"`
 
-	Revision platform.Offset `json:"revision"`
+	Revision ports.Offset `json:"revision"`
 }
 
 // Parts of a rendered key: prefix, identifier and secret, joined by keySep.
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -4,18 +4,18 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Plan is the answer to an intent: what would change, whom it touches, what
 // cannot be undone. It changes nothing. It is whole in itself, so that any
 // entry host can confirm it and none has to keep it.
 type Plan struct {
-	ID      PlanID          `json:"plan"`
-	Planner string          `json:"planner"`
-	Made    time.Time       `json:"made"` // wall clock, for people
-	Base    platform.Offset `json:"base"`
-	Ops     Ops             `json:"ops"`
+	ID      PlanID       `json:"plan"`
+	Planner string       `json:"planner"`
+	Made    time.Time    `json:"made"` // wall clock, for people
+	Base    ports.Offset `json:"base"`
+	Ops     Ops          `json:"ops"`
 
 	Lines        []Line   `json:"lines"`                  // what changes, one line for each operation
 	Touches      []Touch  `json:"touches,omitempty"`      // whom it touches
--- a/fleet/reject.go
+++ b/fleet/reject.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Rejection is the reason why the fold rejects a record, or why a plan cannot
@@ -26,11 +26,11 @@
 
 // Changed tells which change touched an object after a plan was made.
 type Changed struct {
-	Object   Ref             `json:"object"`
-	Offset   platform.Offset `json:"offset"`
-	Operator string          `json:"operator,omitempty"` // empty if no longer remembered
-	Plan     PlanID          `json:"plan,omitempty"`
-	At       time.Time       `json:"at,omitzero"`
+	Object   Ref          `json:"object"`
+	Offset   ports.Offset `json:"offset"`
+	Operator string       `json:"operator,omitempty"` // empty if no longer remembered
+	Plan     PlanID       `json:"plan,omitempty"`
+	At       time.Time    `json:"at,omitzero"`
 }
 
 // String says in words what changed.
@@ -45,7 +45,7 @@
 // StaleError reports a plan that touches objects which have changed since it
 // was made.
 type StaleError struct {
-	Base    platform.Offset
+	Base    ports.Offset
 	Changes []Changed
 }
 
@@ -60,7 +60,7 @@
 
 // ExpiredError reports a plan that is more than PlanWindow records old.
 type ExpiredError struct {
-	Base, Offset platform.Offset
+	Base, Offset ports.Offset
 }
 
 // Error implements error.
@@ -70,7 +70,7 @@
 
 // FutureError reports a plan whose base offset is not before its own record.
 type FutureError struct {
-	Base, Offset platform.Offset
+	Base, Offset ports.Offset
 }
 
 // Error implements error.
@@ -150,7 +150,7 @@
 // between have expired or were lost on the way. The State is unchanged; the
 // reader needs a snapshot.
 type GapError struct {
-	Have, Got platform.Offset
+	Have, Got ports.Offset
 }
 
 // Error implements error.
@@ -162,7 +162,7 @@
 // know. The State is unchanged and must not be taken further: rejecting the
 // record would make this host differ from those that know the format.
 type NewerFormatError struct {
-	Offset  platform.Offset
+	Offset  ports.Offset
 	Version int
 }
 
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // The stream's records expire, so its state is written into it again, as a
@@ -37,12 +37,12 @@
 
 // snapshotPart is one record of a snapshot.
 type snapshotPart struct {
-	Of     platform.Offset `json:"of"` // offset of the State that the snapshot holds
-	Digest Digest          `json:"digest"`
-	Part   int             `json:"part"` // counted from zero
-	Parts  int             `json:"parts"`
-	At     time.Time       `json:"at"` // wall clock of the writer
-	Data   []byte          `json:"data"`
+	Of     ports.Offset `json:"of"` // offset of the State that the snapshot holds
+	Digest Digest       `json:"digest"`
+	Part   int          `json:"part"` // counted from zero
+	Parts  int          `json:"parts"`
+	At     time.Time    `json:"at"` // wall clock of the writer
+	Data   []byte       `json:"data"`
 }
 
 // sane reports whether the numbers of a part can belong to a snapshot.
@@ -53,8 +53,8 @@
 
 // SnapshotInfo tells which snapshot in the stream is the newest whole one.
 type SnapshotInfo struct {
-	Of platform.Offset `json:"of,omitempty"` // offset that it describes
-	At time.Time       `json:"at,omitzero"`  // when it was written, by the writer's wall clock
+	Of ports.Offset `json:"of,omitempty"` // offset that it describes
+	At time.Time    `json:"at,omitzero"`  // when it was written, by the writer's wall clock
 
 	// Parts of a snapshot seen so far.
 	Digest Digest `json:"digest,omitzero"`
@@ -94,7 +94,7 @@
 	}
 	records := SnapshotRecords + SnapshotRecords/rankPart*rank
 	age := every + every/rankPart*time.Duration(rank)
-	return s.offset-s.snap.Of >= platform.Offset(records) || now.Sub(s.snap.At) >= age
+	return s.offset-s.snap.Of >= ports.Offset(records) || now.Sub(s.snap.At) >= age
 }
 
 // rankPart is the part of the interval by which the next rank waits longer.
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -12,13 +12,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
 // page cuts a page out of a stream whose records before first have expired.
-func (s *stream) page(first, after platform.Offset, limit int) platform.Page {
-	p := platform.Page{First: first, Last: platform.Offset(len(s.records))}
+func (s *stream) page(first, after ports.Offset, limit int) ports.Page {
+	p := ports.Page{First: first, Last: ports.Offset(len(s.records))}
 	for _, r := range s.records {
 		if r.Offset >= first && r.Offset > after && len(p.Records) < limit {
 			p.Records = append(p.Records, r)
@@ -40,7 +40,7 @@
 }
 
 // follow reads a stream to its end.
-func (s *stream) follow(f *Follower, first platform.Offset, limit int) error {
+func (s *stream) follow(f *Follower, first ports.Offset, limit int) error {
 	for {
 		p := s.page(first, f.After(), limit)
 		if _, err := f.Add(p); err != nil {
@@ -63,7 +63,7 @@
 	s.must(team("grants", 30))
 	s.snapshot() // describes offset 4, stands at 5
 	s.must(team("late", 1))
-	for first := platform.Offset(1); first <= 6; first++ {
+	for first := ports.Offset(1); first <= 6; first++ {
 		f := NewFollower()
 		err := s.follow(f, first, 2)
 		var none *NoSnapshotError
@@ -96,7 +96,7 @@
 	if err != nil || len(group) < 3 {
 		t.Fatalf("%d parts, %v", len(group), err)
 	}
-	first := platform.Offset(len(s.records) + 1)
+	first := ports.Offset(len(s.records) + 1)
 	for _, data := range group[:len(group)-1] {
 		s.add(data)
 	}
@@ -202,7 +202,7 @@
 		t.Error("an older State was adopted")
 	}
 	var behind *BehindError
-	if _, err := f.Add(platform.Page{First: 1, Last: 1}); !errors.As(err, &behind) {
+	if _, err := f.Add(ports.Page{First: 1, Last: 1}); !errors.As(err, &behind) {
 		t.Errorf("a log that lost records: %v", err)
 	}
 	for range 3 {
@@ -385,7 +385,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newStream(t)
 		states := []*State{s.state}
-		var lastWhole platform.Offset // newest offset that a snapshot describes
+		var lastWhole ports.Offset // newest offset that a snapshot describes
 		for range rapid.IntRange(1, 40).Draw(rt, "records") {
 			base := states[rapid.IntRange(max(0, len(states)-6), len(states)-1).Draw(rt, "base")]
 			switch rapid.IntRange(0, 9).Draw(rt, "kind") {
@@ -406,8 +406,8 @@
 			}
 			states = append(states, s.state)
 		}
-		first := rapid.Custom(func(t *rapid.T) platform.Offset {
-			return platform.Offset(rapid.IntRange(1, int(lastWhole)+1).Draw(t, "n"))
+		first := rapid.Custom(func(t *rapid.T) ports.Offset {
+			return ports.Offset(rapid.IntRange(1, int(lastWhole)+1).Draw(t, "n"))
 		}).Draw(rt, "first")
 		f := NewFollower()
 		if err := s.follow(f, first, rapid.IntRange(1, 7).Draw(rt, "page")); err != nil {
@@ -461,7 +461,7 @@
 	f.Add([]byte(`{"v":1,"change":{"base":1,"ops":null}}`))
 	f.Add([]byte(`{"v":1,"snapshot":{"of":1,"part":-1,"parts":1}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		next, result, err := Apply(base.state, platform.Record{Offset: 2, Data: data})
+		next, result, err := Apply(base.state, ports.Record{Offset: 2, Data: data})
 		if err != nil {
 			if next != base.state {
 				t.Fatal("an error changed the State")
@@ -479,6 +479,6 @@
 			t.Fatalf("rejected with %v, but the State changed", result.Reason)
 		}
 		follower := NewFollower()
-		_, _ = follower.Add(platform.Page{First: 9, Last: 9, Records: []platform.Record{{Offset: 9, Data: data}}})
+		_, _ = follower.Add(ports.Page{First: 9, Last: 9, Records: []ports.Record{{Offset: 9, Data: data}}})
 	})
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -17,8 +17,8 @@
 	Share int64        `json:"share"` // weight when the cell is full, at least one
 	Limit int64        `json:"limit"` // units that may run at once over the whole fleet
 
-	Created  platform.Offset `json:"created"`
-	Revision platform.Offset `json:"revision"`
+	Created  ports.Offset `json:"created"`
+	Revision ports.Offset `json:"revision"`
 }
 
 // Service is a long-running service whose replicas are kept at their count.
@@ -32,7 +32,7 @@
 	RequestTimeout time.Duration `json:"request_timeout,omitempty"`
 	Payload        string        `json:"payload,omitempty"` // handed to the worker
 
-	Revision platform.Offset `json:"revision"`
+	Revision ports.Offset `json:"revision"`
 }
 
 // Mode says what an operator has marked a worker, an upstream or an entry host
@@ -48,20 +48,20 @@
 
 // Mark is an operator's mark on one object.
 type Mark struct {
-	Mode     Mode            `json:"mode"`
-	Reason   string          `json:"reason,omitempty"`
-	Revision platform.Offset `json:"revision"`
+	Mode     Mode         `json:"mode"`
+	Reason   string       `json:"reason,omitempty"`
+	Revision ports.Offset `json:"revision"`
 }
 
 // State is the configuration after the record at Offset. It is immutable;
 // Apply gives the next one. The zero State is the empty configuration.
 type State struct {
-	offset platform.Offset
+	offset ports.Offset
 	teams  map[ident.TeamID]Team
 	keys   map[KeyID]Key
 	svcs   map[ident.ServiceID]Service
 	marks  map[Ref]Mark // workers, upstreams and hosts
-	gone   map[Ref]platform.Offset
+	gone   map[Ref]ports.Offset
 	recent []Applied // accepted changes of the last PlanWindow records, oldest first
 	snap   SnapshotInfo
 }
@@ -70,7 +70,7 @@
 func Empty() *State { return &State{} }
 
 // Offset returns the offset of the last record that was applied.
-func (s *State) Offset() platform.Offset { return s.offset }
+func (s *State) Offset() ports.Offset { return s.offset }
 
 // Team returns a team by its identifier.
 func (s *State) Team(id ident.TeamID) (Team, bool) {
@@ -167,7 +167,7 @@
 
 // Revision returns the offset of the last record that touched an object, or
 // zero. Removed objects are remembered for PlanWindow records.
-func (s *State) Revision(ref Ref) platform.Offset {
+func (s *State) Revision(ref Ref) ports.Offset {
 	switch ref.Kind {
 	case KindTeam:
 		if t, ok := s.teams[ident.TeamID(ref.ID)]; ok {
--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 	"github.com/fireflyfold/fireflyfold/work"
@@ -73,7 +73,7 @@
 		bytes += len(d)
 	}
 	b.ReportAllocs()
-	f, at := benchFold(b), platform.Offset(1)
+	f, at := benchFold(b), ports.Offset(1)
 	for i := 0; b.Loop(); i++ {
 		if i%len(data) == 0 {
 			f, at = benchFold(b), 1
@@ -104,7 +104,7 @@
 			var per float64
 			for b.Loop() {
 				before := heapInUse()
-				f, at := benchFold(b), platform.Offset(1)
+				f, at := benchFold(b), ports.Offset(1)
 				var recs []Record
 				for seq := range uint64(jobs) {
 					recs = append(recs, lifeOf(seq)[:c.records]...)
--- a/jobs/events.go
+++ b/jobs/events.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -65,7 +65,7 @@
 // told "unknown".
 type Effective struct {
 	ID     ProposalID
-	Offset platform.Offset
+	Offset ports.Offset
 	Epoch  Epoch
 	Late   bool
 }
--- a/jobs/expiry_test.go
+++ b/jobs/expiry_test.go
@@ -4,13 +4,13 @@
 	"testing"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
 // start of what must still be retained, as the newest mark says.
-func (w *world) newestStart() platform.Offset {
+func (w *world) newestStart() ports.Offset {
 	w.t.Helper()
 	for i := len(w.log.Records()) - 1; i >= 0; i-- {
 		if mark, ok := markIn(w.log.Records()[i].Data); ok {
@@ -132,7 +132,7 @@
 		w.propose(w.hosts[0], acceptance(seq, "", ""), 0)
 		w.run(200 * time.Millisecond)
 	}
-	var third platform.Offset
+	var third ports.Offset
 	for _, cmd := range w.hosts[0].heard {
 		if e, ok := cmd.(Effective); ok && e.ID == 3 {
 			third = e.Offset
--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Fold is the state that the records of a job stream give.
@@ -36,7 +36,7 @@
 
 // newFoldAdrift returns the state of a reader that must start after the given
 // offset without a mark.
-func newFoldAdrift(after platform.Offset) *Fold {
+func newFoldAdrift(after ports.Offset) *Fold {
 	f := newFoldAt(Anchor{After: after})
 	f.adrift = true
 	return f
@@ -70,7 +70,7 @@
 
 // Apply folds the next record of the stream. The same records in the same
 // order give the same state everywhere.
-func (f *Fold) Apply(at platform.Offset, data []byte) Verdict {
+func (f *Fold) Apply(at ports.Offset, data []byte) Verdict {
 	rec, err := Decode(data)
 	if err != nil {
 		f.at.After = at
@@ -91,13 +91,13 @@
 // successor's fence still appends: its records carry the old epoch and are void.
 // An append that was given up arrives late, or twice: its numbers are not above
 // those that its writer used since, and it is void. Neither needs a clock.
-func (f *Fold) admit(at platform.Offset, rec Record) RejectReason {
+func (f *Fold) admit(at ports.Offset, rec Record) RejectReason {
 	if rec.Fence != nil {
 		f.fence(at, rec.Fence.Owner)
 		return accepted
 	}
 	if f.adrift && rec.Epoch > f.at.Epoch {
-		f.fence(platform.Offset(rec.Epoch), ident.Holder{})
+		f.fence(ports.Offset(rec.Epoch), ident.Holder{})
 		f.adrift = true
 	}
 	if rec.Epoch != f.at.Epoch || rec.Epoch == 0 {
@@ -113,7 +113,7 @@
 }
 
 // fence starts an epoch. The stream's clock stands still between owners.
-func (f *Fold) fence(at platform.Offset, owner ident.Holder) {
+func (f *Fold) fence(at ports.Offset, owner ident.Holder) {
 	f.adrift = false
 	f.owner = owner
 	f.at.Epoch = Epoch(at)
@@ -198,7 +198,7 @@
 func (f *Fold) Epoch() (Epoch, ident.Holder) { return f.at.Epoch, f.owner }
 
 // Position returns the offset of the last record folded.
-func (f *Fold) Position() platform.Offset { return f.at.After }
+func (f *Fold) Position() ports.Offset { return f.at.After }
 
 // compareJobs orders identifiers by zone, host, incarnation and number.
 func compareJobs(a, b ident.JobID) int {
--- a/jobs/fold_test.go
+++ b/jobs/fold_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -12,7 +12,7 @@
 type stage struct {
 	t    *testing.T
 	fold *Fold
-	at   platform.Offset
+	at   ports.Offset
 	num  uint64
 }
 
--- a/jobs/group.go
+++ b/jobs/group.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -191,7 +191,7 @@
 
 // expiryMargin is the part of the retained records, from the oldest, in which a
 // job is written again whatever its age.
-const expiryMargin platform.Offset = 8
+const expiryMargin ports.Offset = 8
 
 // addMark adds a mark when one is due, or as the record that settles a lost
 // group when there is nothing else to send.
@@ -209,7 +209,7 @@
 
 // settle takes a record of this epoch that was read back in force. Numbers rise
 // along the stream, so every group below it that was not read is void.
-func (o *Owner) settle(at platform.Offset, v Verdict) {
+func (o *Owner) settle(at ports.Offset, v Verdict) {
 	num := v.Record.Num
 	for len(o.groups) > 0 && o.groups[0].last < num {
 		g := o.groups[0]
--- a/jobs/loader.go
+++ b/jobs/loader.go
@@ -1,7 +1,7 @@
 package jobs
 
 import (
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -13,7 +13,7 @@
 }
 
 // Note implements stream.Finder.
-func (l *loader) Note(rec platform.Record, first platform.Offset) {
+func (l *loader) Note(rec ports.Record, first ports.Offset) {
 	mark, ok := markIn(rec.Data)
 	if !ok || mark.Start.After+1 < first {
 		return
@@ -22,7 +22,7 @@
 }
 
 // Found implements stream.Finder.
-func (l *loader) Found() (platform.Offset, bool) {
+func (l *loader) Found() (ports.Offset, bool) {
 	if l.best == nil {
 		return 0, false
 	}
--- a/jobs/mark.go
+++ b/jobs/mark.go
@@ -5,17 +5,17 @@
 	"container/heap"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Anchor is a position in the stream with all that a reader needs to judge the
 // records behind it.
 type Anchor struct {
-	After      platform.Offset `json:"after"`           // the next record read is After+1
-	Epoch      Epoch           `json:"epoch,omitempty"` // in force there
-	Num        uint64          `json:"num,omitempty"`   // highest number of the epoch so far
-	FenceClock int64           `json:"fc,omitempty"`    // stream's time at the epoch's fence, ms
-	Clock      int64           `json:"clock,omitempty"` // stream's time, ms
+	After      ports.Offset `json:"after"`           // the next record read is After+1
+	Epoch      Epoch        `json:"epoch,omitempty"` // in force there
+	Num        uint64       `json:"num,omitempty"`   // highest number of the epoch so far
+	FenceClock int64        `json:"fc,omitempty"`    // stream's time at the epoch's fence, ms
+	Clock      int64        `json:"clock,omitempty"` // stream's time, ms
 }
 
 // Mark states a fact about the stream before it: a reader that starts at Start
@@ -84,7 +84,7 @@
 
 type baseEntry struct {
 	job   ident.JobID
-	after platform.Offset
+	after ports.Offset
 }
 
 // The queue of bases is compacted beyond this many entries for each job, and
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -81,7 +81,7 @@
 	groups  []*group      // sent and not settled, oldest first
 	tray    tray          // the proposals
 	markAt  time.Duration // when the newest mark was sent
-	marked  platform.Offset
+	marked  ports.Offset
 
 	now time.Duration
 	out []Command
--- a/jobs/property_test.go
+++ b/jobs/property_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 	"github.com/fireflyfold/fireflyfold/work"
 	"github.com/google/go-cmp/cmp"
@@ -185,8 +185,8 @@
 }
 
 // verdicts tells what each record of the stream did.
-func (a *actions) verdicts() map[platform.Offset]Verdict {
-	out := map[platform.Offset]Verdict{}
+func (a *actions) verdicts() map[ports.Offset]Verdict {
+	out := map[ports.Offset]Verdict{}
 	f := NewFold()
 	for _, rec := range a.w.log.Records() {
 		out[rec.Offset] = f.Apply(rec.Offset, rec.Data)
@@ -195,7 +195,7 @@
 }
 
 // checkAnswer compares what a proposal was told with what the stream says.
-func (a *actions) checkAnswer(t *rapid.T, p asked, verdicts map[platform.Offset]Verdict) {
+func (a *actions) checkAnswer(t *rapid.T, p asked, verdicts map[ports.Offset]Verdict) {
 	switch cmd := p.host.final[p.id].(type) {
 	case Effective:
 		if !sameBody(verdicts[cmd.Offset], p.body) {
@@ -222,7 +222,7 @@
 }
 
 // applied finds the record of a proposal that names its own job or worker.
-func applied(verdicts map[platform.Offset]Verdict, body Record) (platform.Offset, bool) {
+func applied(verdicts map[ports.Offset]Verdict, body Record) (ports.Offset, bool) {
 	if body.Accepted == nil && body.Assigned == nil {
 		return 0, false
 	}
@@ -236,7 +236,7 @@
 
 // cancelledUnseen reports whether an acceptance was cancelled in the stream
 // before anything was assigned.
-func (a *actions) cancelledUnseen(p asked, verdicts map[platform.Offset]Verdict) bool {
+func (a *actions) cancelledUnseen(p asked, verdicts map[ports.Offset]Verdict) bool {
 	if p.body.Accepted == nil {
 		return false
 	}
--- a/jobs/proposal.go
+++ b/jobs/proposal.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // proposal is a record that somebody on this host wants in the stream.
@@ -23,7 +23,7 @@
 	// record was open; zero for none. A repeat of its key then stands for itself.
 	doomed   uint64
 	landed   bool // its record is in force until the cancellation is
-	landedAt platform.Offset
+	landedAt ports.Offset
 
 	// leader is the earlier proposal with the same idempotency key, if any. The
 	// follower is never sent: the leader's end decides it.
--- a/jobs/propose.go
+++ b/jobs/propose.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // propose takes a proposal, or answers it at once.
@@ -203,7 +203,7 @@
 }
 
 // settleEntry takes the verdict on a record that speaks for a proposal.
-func (o *Owner) settleEntry(e entry, at platform.Offset, v Verdict) {
+func (o *Owner) settleEntry(e entry, at ports.Offset, v Verdict) {
 	p := e.proposal
 	switch {
 	case p.settled:
@@ -221,7 +221,7 @@
 }
 
 // effective ends a proposal that is in the stream, in force.
-func (o *Owner) effective(p *proposal, at platform.Offset) {
+func (o *Owner) effective(p *proposal, at ports.Offset) {
 	o.tray.remove(p)
 	o.emit(Effective{ID: p.id, Offset: at, Epoch: o.epoch, Late: p.expired})
 	for _, f := range p.followers {
--- a/jobs/reading.go
+++ b/jobs/reading.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -42,7 +42,7 @@
 }
 
 // record folds one record and settles what it decides.
-func (o *Owner) record(rec platform.Record) {
+func (o *Owner) record(rec ports.Record) {
 	v := o.fold.Apply(rec.Offset, rec.Data)
 	if v.Record.Fence != nil {
 		o.fenceRead(Epoch(rec.Offset), v.Record.Fence.Owner)
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -14,13 +14,13 @@
 const streamPrefix = "jobs/"
 
 // StreamOf names the job stream of a zone.
-func StreamOf(zone ident.Zone) platform.Stream {
-	return platform.Stream(streamPrefix + string(zone))
+func StreamOf(zone ident.Zone) ports.Stream {
+	return ports.Stream(streamPrefix + string(zone))
 }
 
 // Epoch is the term of one owner of the stream: the offset of its fence. Zero
 // means that the stream has no owner yet.
-type Epoch platform.Offset
+type Epoch ports.Offset
 
 // KeyHash is the hash of a caller's idempotency key together with its team;
 // empty for a job without a key.
@@ -98,7 +98,7 @@
 	Worker  ident.WorkerID  `json:"w"`
 	// Lease is the epoch of the compute lease under which the start will be
 	// sent. A worker that later grants a lower one has lost its memory.
-	Lease platform.Epoch `json:"l,omitempty"`
+	Lease ports.Epoch `json:"l,omitempty"`
 	// Boot is that of the worker when the attempt was assigned.
 	Boot uint64 `json:"b,omitempty"`
 }
--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Recovery finds out what became of the attempts that earlier owners left open.
@@ -108,7 +108,7 @@
 	if w == nil {
 		return
 	}
-	listed := map[string]platform.TaskReport{}
+	listed := map[string]ports.TaskReport{}
 	for _, t := range ev.Tasks {
 		listed[t.ID] = t
 	}
@@ -139,7 +139,7 @@
 }
 
 // resultOf translates a worker's word on an ended task.
-func resultOf(t platform.TaskReport) Result {
+func resultOf(t ports.TaskReport) Result {
 	switch {
 	case t.Stopped:
 		return ResultStopped
--- a/jobs/recovery_events.go
+++ b/jobs/recovery_events.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // RecoveryConfig sets the waits of a recovery.
@@ -25,9 +25,9 @@
 // and what the worker lists under it.
 type WorkerReport struct {
 	Worker ident.WorkerID
-	Epoch  platform.Epoch
-	Boot   uint64 // as platform.LeaseGrant
-	Tasks  []platform.TaskReport
+	Epoch  ports.Epoch
+	Boot   uint64 // as ports.LeaseGrant
+	Tasks  []ports.TaskReport
 }
 
 // ZoneHosts lists the hosts of the zone without this one, as the host list has
@@ -83,7 +83,7 @@
 // Adopt reports an attempt that runs on under this process.
 type Adopt struct {
 	Attempt OpenAttempt
-	Report  platform.TaskReport
+	Report  ports.TaskReport
 }
 
 // Resolve reports how an attempt ended; the process proposes it as Ended.
--- a/jobs/recovery_test.go
+++ b/jobs/recovery_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -61,12 +61,12 @@
 // higher, the same and a lower epoch than the start was sent under.
 func TestRecoveryByReport(t *testing.T) {
 	a1, a2, a3 := attemptOn("w", 1), attemptOn("w", 2), attemptOn("w", 3)
-	tasks := []platform.TaskReport{
+	tasks := []ports.TaskReport{
 		{ID: a1.Attempt.String()},
 		{ID: a2.Attempt.String(), Ended: true, Failed: true},
 	}
 	for _, c := range []struct {
-		epoch platform.Epoch
+		epoch ports.Epoch
 		want  resolved
 	}{
 		{4, resolved{"a.h.1.1/0/1": "adopted", "a.h.1.2/0/1": "failed", "a.h.1.3/0/1": "never-started", "all": "recovered"}},
--- a/jobs/runs_test.go
+++ b/jobs/runs_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 	"pgregory.net/rapid"
@@ -21,17 +21,17 @@
 // epoch, and stops its tasks a task TTL after the last renewal.
 type machine struct {
 	id         ident.WorkerID
-	epoch      platform.Epoch
+	epoch      ports.Epoch
 	holder     *runner
 	leaseUntil time.Duration
 	tasksUntil time.Duration
-	tasks      map[string]*platform.TaskReport
+	tasks      map[string]*ports.TaskReport
 	cut        map[*runner]bool // out of reach of
 	mute       map[*runner]bool // its answers do not reach
 }
 
-func (m *machine) list() []platform.TaskReport {
-	var out []platform.TaskReport
+func (m *machine) list() []ports.TaskReport {
+	var out []ports.TaskReport
 	for _, t := range m.tasks {
 		out = append(out, *t)
 	}
@@ -42,7 +42,7 @@
 type runner struct {
 	*host
 	rec      *Recovery
-	leases   map[ident.WorkerID]platform.Epoch // as it believes
+	leases   map[ident.WorkerID]ports.Epoch // as it believes
 	until    map[ident.WorkerID]time.Duration
 	off      map[ident.WorkerID]bool // keeps off by HoldOff
 	promised map[ident.WorkerID]bool // keeps off by a promise
@@ -55,7 +55,7 @@
 // start is a start on its way to a worker.
 type start struct {
 	to      *machine
-	epoch   platform.Epoch
+	epoch   ports.Epoch
 	attempt ident.AttemptID
 }
 
@@ -74,13 +74,13 @@
 	p := &plant{t: t, w: newWorld(t, 2), runs: map[ident.JobID]int{}}
 	for _, h := range p.w.hosts {
 		p.runners = append(p.runners, &runner{
-			host: h, leases: map[ident.WorkerID]platform.Epoch{}, until: map[ident.WorkerID]time.Duration{},
+			host: h, leases: map[ident.WorkerID]ports.Epoch{}, until: map[ident.WorkerID]time.Duration{},
 			off: map[ident.WorkerID]bool{}, promised: map[ident.WorkerID]bool{},
 			asked: map[ProposalID]Assigned{}, busy: map[ident.JobID]bool{},
 		})
 	}
 	for _, id := range []ident.WorkerID{"w1", "w2"} {
-		p.machines = append(p.machines, &machine{id: id, tasks: map[string]*platform.TaskReport{}, cut: map[*runner]bool{}, mute: map[*runner]bool{}})
+		p.machines = append(p.machines, &machine{id: id, tasks: map[string]*ports.TaskReport{}, cut: map[*runner]bool{}, mute: map[*runner]bool{}})
 	}
 	return p
 }
@@ -251,7 +251,7 @@
 			}
 		}
 	}
-	s.to.tasks[id] = &platform.TaskReport{ID: id}
+	s.to.tasks[id] = &ports.TaskReport{ID: id}
 	p.runs[s.attempt.Job]++
 	if s.attempt.Job.Seq%2 == 0 && p.runs[s.attempt.Job] > 1 {
 		p.t.Fatalf("non-idempotent job %v runs twice", s.attempt.Job)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -17,7 +17,7 @@
 	Open     bool           `json:"o,omitempty"` // the newest attempt is open
 	Worker   ident.WorkerID `json:"w,omitempty"` // of the open attempt
 	Epoch    Epoch          `json:"e,omitempty"` // in which the open attempt was assigned
-	Lease    platform.Epoch `json:"l,omitempty"` // as in Assigned
+	Lease    ports.Epoch    `json:"l,omitempty"` // as in Assigned
 	Boot     uint64         `json:"b,omitempty"` // as in Assigned
 	Result   Result         `json:"r,omitempty"` // of the newest closed attempt
 	Refused  int            `json:"x,omitempty"` // attempts that truly never started, unrecorded ones included
@@ -85,7 +85,7 @@
 	Attempt ident.AttemptID
 	Worker  ident.WorkerID
 	Epoch   Epoch
-	Lease   platform.Epoch
+	Lease   ports.Epoch
 	Boot    uint64
 }
 
--- a/jobs/world_test.go
+++ b/jobs/world_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 	"github.com/fireflyfold/fireflyfold/work"
@@ -239,7 +239,7 @@
 func (w *world) truth() *Fold { return w.truthAt(w.log.Last()) }
 
 // truthAt folds the stream up to an offset.
-func (w *world) truthAt(last platform.Offset) *Fold {
+func (w *world) truthAt(last ports.Offset) *Fold {
 	f := NewFold()
 	for _, rec := range w.log.Records() {
 		if rec.Offset <= last {
@@ -250,7 +250,7 @@
 }
 
 // verdictAt tells what the record at an offset did.
-func (w *world) verdictAt(at platform.Offset) Verdict {
+func (w *world) verdictAt(at ports.Offset) Verdict {
 	f := NewFold()
 	for _, rec := range w.log.Records() {
 		v := f.Apply(rec.Offset, rec.Data)
--- a/lease/advance.go
+++ b/lease/advance.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // lapse ends a lease whose time is used up.
@@ -92,11 +92,11 @@
 }
 
 // request builds a lease request and notes that it is under way.
-func (m *Manager) request(now time.Duration, c *control, epoch platform.Epoch) platform.LeaseRequest {
+func (m *Manager) request(now time.Duration, c *control, epoch ports.Epoch) ports.LeaseRequest {
 	c.pending = true
 	c.sentAt = now
 	c.acksSent = min(len(c.acks), maxAcksPerRequest)
-	return platform.LeaseRequest{
+	return ports.LeaseRequest{
 		Class:     c.key.Class,
 		Holder:    m.opts.Self,
 		Epoch:     epoch,
--- a/lease/answer.go
+++ b/lease/answer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // granted takes in a grant.
@@ -82,7 +82,7 @@
 	if !current {
 		return
 	}
-	if ev.Refusal == platform.RefusedHeld {
+	if ev.Refusal == ports.RefusedHeld {
 		c.failures = 0
 		c.next = now + m.waitForHolder(ev.Left)
 		return
@@ -91,9 +91,9 @@
 }
 
 // loses reports whether a refused renewal means that the lease is gone.
-func (m *Manager) loses(refusal platform.Refusal) bool {
+func (m *Manager) loses(refusal ports.Refusal) bool {
 	switch refusal {
-	case platform.RefusedEpoch, platform.RefusedLapsed, platform.RefusedHeld:
+	case ports.RefusedEpoch, ports.RefusedLapsed, ports.RefusedHeld:
 		return true
 	}
 	return false
--- a/lease/arbiter.go
+++ b/lease/arbiter.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Arbiter decides for one host which control leases it holds. There are two:
@@ -13,7 +13,7 @@
 	// Step takes in one event and returns what is to be done, in order.
 	Step(now time.Duration, ev Event) []Command
 	// Epoch returns the epoch under which a start may be sent at now.
-	Epoch(key Key, now time.Duration) (platform.Epoch, bool)
+	Epoch(key Key, now time.Duration) (ports.Epoch, bool)
 	// Left returns how long starts may still be sent; zero if not at all.
 	Left(key Key, now time.Duration) time.Duration
 	// Held returns the number of leases held, those under handover included.
--- a/lease/arbiter_log.go
+++ b/lease/arbiter_log.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
 // LogOptions configures a LogArbiter. A zero duration takes its default.
 type LogOptions struct {
 	Options
-	Stream platform.Stream // one for each zone
+	Stream ports.Stream // one for each zone
 	// MaxDelay bounds the time from sending a start to its arrival. Nothing at
 	// the worker refuses a start that comes later; default 2 s.
 	MaxDelay    time.Duration
@@ -131,7 +131,7 @@
 }
 
 // Epoch implements Arbiter.
-func (a *LogArbiter) Epoch(key Key, now time.Duration) (platform.Epoch, bool) {
+func (a *LogArbiter) Epoch(key Key, now time.Duration) (ports.Epoch, bool) {
 	if !a.owns(now, key) {
 		return 0, false
 	}
@@ -170,7 +170,7 @@
 	return ok && c.epoch != 0 && now >= c.usableAt && a.proves(now)
 }
 
-func (a *LogArbiter) epochOf(key Key) platform.Epoch {
+func (a *LogArbiter) epochOf(key Key) ports.Epoch {
 	if c, ok := a.claims[key]; ok {
 		return c.epoch
 	}
--- a/lease/claim_log.go
+++ b/lease/claim_log.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // claim is what a LogArbiter wants and has of one lease.
@@ -11,18 +11,18 @@
 	key    Key
 	wanted bool
 
-	fence   bool           // a fence is to be written
-	release platform.Epoch // a release of this epoch is to be written; zero for none
+	fence   bool        // a fence is to be written
+	release ports.Epoch // a release of this epoch is to be written; zero for none
 
 	writeAt time.Duration // not written again before this
 
-	epoch    platform.Epoch // the own fence in force; zero for none
-	usableAt time.Duration  // when it may be used
-	fencedAt time.Duration  // when it was read back, or written again
+	epoch    ports.Epoch   // the own fence in force; zero for none
+	usableAt time.Duration // when it may be used
+	fencedAt time.Duration // when it was read back, or written again
 
-	uses    platform.Epoch // times that it was put to use: the inner manager's epoch
-	active  bool           // the inner manager was told to hold the lease
-	handing bool           // the inner manager hands it over
+	uses    ports.Epoch // times that it was put to use: the inner manager's epoch
+	active  bool        // the inner manager was told to hold the lease
+	handing bool        // the inner manager hands it over
 	// settledAt is when no start under the fence can be on its way any more.
 	// A fence whose use was broken off may only be released after it.
 	settledAt time.Duration
--- a/lease/command.go
+++ b/lease/command.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -14,20 +14,20 @@
 type Acquire struct {
 	Key
 	SentAt  time.Duration // to be returned with the answer
-	Request platform.LeaseRequest
+	Request ports.LeaseRequest
 }
 
 // Renew asks the worker to prolong a lease.
 type Renew struct {
 	Key
 	SentAt  time.Duration // to be returned with the answer
-	Request platform.LeaseRequest
+	Request ports.LeaseRequest
 }
 
 // Release gives a lease back to the worker. Its tasks go on running.
 type Release struct {
 	Key
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 }
 
 // Gained says that starts may be sent under this epoch, and lists what the
@@ -35,11 +35,11 @@
 // lease that was not Lost replaces its epoch.
 type Gained struct {
 	Key
-	Epoch  platform.Epoch
+	Epoch  ports.Epoch
 	SentAt time.Duration // Tasks is not older than this
-	Boot   uint64        // as platform.LeaseGrant
+	Boot   uint64        // as ports.LeaseGrant
 	Size   resource.Vector
-	Tasks  []platform.TaskReport
+	Tasks  []ports.TaskReport
 }
 
 // Reported lists what the worker runs, as of some moment not before SentAt. A
@@ -47,25 +47,25 @@
 // and run all the same.
 type Reported struct {
 	Key
-	Epoch  platform.Epoch
+	Epoch  ports.Epoch
 	SentAt time.Duration
-	Boot   uint64 // as platform.LeaseGrant
+	Boot   uint64 // as ports.LeaseGrant
 	Size   resource.Vector
-	Tasks  []platform.TaskReport
+	Tasks  []ports.TaskReport
 }
 
 // Quiesce says that no start may be sent any more, because the lease is about
 // to be handed over. The caller answers with Idle.
 type Quiesce struct {
 	Key
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 }
 
 // Lost says that the lease is gone: it lapsed, was refused or was released.
 // What was sent under it may have taken effect.
 type Lost struct {
 	Key
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 }
 
 func (Acquire) isCommand()  {}
--- a/lease/control.go
+++ b/lease/control.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // phase is the state of one control lease as this host sees it.
@@ -22,10 +22,10 @@
 	phase  phase
 	wanted bool
 
-	epoch platform.Epoch
+	epoch ports.Epoch
 	// floor is the lowest epoch that may be used. Epochs below it were
 	// released, refused or replaced.
-	floor    platform.Epoch
+	floor    ports.Epoch
 	until    time.Duration // end of use, counted from when the granted request was sent
 	reported time.Duration // SentAt of the newest report passed on
 
--- a/lease/event.go
+++ b/lease/event.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Key names one control lease: a class of a worker.
 type Key struct {
 	Worker ident.WorkerID
-	Class  platform.LeaseClass
+	Class  ports.LeaseClass
 }
 
 // Event is something that a Manager is told.
@@ -27,16 +27,16 @@
 type Granted struct {
 	Key
 	SentAt time.Duration
-	Grant  platform.LeaseGrant
+	Grant  ports.LeaseGrant
 }
 
 // Refused is a worker's refusal of an Acquire or Renew.
 type Refused struct {
 	Key
 	SentAt  time.Duration
-	Epoch   platform.Epoch // of the command; zero for an Acquire
-	Refusal platform.Refusal
-	Left    time.Duration // for platform.RefusedHeld
+	Epoch   ports.Epoch // of the command; zero for an Acquire
+	Refusal ports.Refusal
+	Left    time.Duration // for ports.RefusedHeld
 }
 
 // Failed says that an Acquire or Renew was not sent or got no answer.
@@ -49,7 +49,7 @@
 // epoch was not current or its lease had lapsed.
 type EpochRefused struct {
 	Key
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 }
 
 // Acked says that the holder has dealt with these ended tasks, so that the
@@ -76,7 +76,7 @@
 // reached the worker.
 type ReleaseDone struct {
 	Key
-	Epoch platform.Epoch
+	Epoch ports.Epoch
 	Done  bool
 }
 
--- a/lease/fence_log.go
+++ b/lease/fence_log.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -18,16 +18,16 @@
 
 // releasedRecord gives a lease back. It is void unless its epoch is in force.
 type releasedRecord struct {
-	Key   Key            `json:"k"`
-	Epoch platform.Epoch `json:"e"`
+	Key   Key         `json:"k"`
+	Epoch ports.Epoch `json:"e"`
 }
 
 // owner is what the log says of one lease.
 type owner struct {
 	held   bool
 	holder ident.Holder
-	epoch  platform.Epoch // offset of the fence
-	free   bool           // the owner before had given the lease back
+	epoch  ports.Epoch // offset of the fence
+	free   bool        // the owner before had given the lease back
 }
 
 // fenceFold is the state of the stream of fences: the newest fence counts.
@@ -39,7 +39,7 @@
 
 // add folds one record and returns its writer. A record that cannot be read
 // changes nothing, on every host alike.
-func (f *fenceFold) add(rec platform.Record) ident.Holder {
+func (f *fenceFold) add(rec ports.Record) ident.Holder {
 	var body fenceRecord
 	if json.Unmarshal(rec.Data, &body) != nil || body.Holder.IsZero() {
 		return ident.Holder{}
@@ -56,7 +56,7 @@
 			continue // written again; the ownership goes on
 		}
 		f.owners[key] = owner{
-			held: true, holder: body.Holder, epoch: platform.Epoch(rec.Offset), free: !o.held && o.free,
+			held: true, holder: body.Holder, epoch: ports.Epoch(rec.Offset), free: !o.held && o.free,
 		}
 	}
 	return body.Holder
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fireflyfold/fireflyfold/faultmatrix/agenda"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
@@ -132,7 +132,7 @@
 		w := standin.NewWorkerState(standin.WorkerConfig{Worker: id, Size: resource.Vector{Slots: 8}}, audit)
 		w.SetFaults(0, standin.WorkerFaults{Drift: drawRate(t) - 1})
 		workers[id] = w
-		h.keys = append(h.keys, Key{Worker: id, Class: platform.ClassSlots})
+		h.keys = append(h.keys, Key{Worker: id, Class: ports.ClassSlots})
 	}
 	for i := range 3 {
 		holder := ident.Holder{Host: ident.HostID(fmt.Sprintf("h%d", i)), Incarnation: 1}
@@ -166,10 +166,10 @@
 }
 
 // lease lets a worker decide on a request and sends its answer back.
-func (h *history) lease(w *standin.WorkerState, n *node, key Key, sentAt time.Duration, req platform.LeaseRequest) {
+func (h *history) lease(w *standin.WorkerState, n *node, key Key, sentAt time.Duration, req ports.LeaseRequest) {
 	grant, err := w.Lease(h.Now(), req)
 	var answer Event = Granted{Key: key, SentAt: sentAt, Grant: grant}
-	var refusal *platform.RefusedError
+	var refusal *ports.RefusedError
 	if errors.As(err, &refusal) {
 		answer = Refused{Key: key, SentAt: sentAt, Epoch: req.Epoch, Refusal: refusal.Refusal, Left: refusal.Left}
 	}
--- a/lease/log_history_test.go
+++ b/lease/log_history_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/standin"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
@@ -22,7 +22,7 @@
 	h := &history{t: t}
 	log := standin.NewLogState(standin.LogConfig{KeepRecords: rapid.SampledFrom([]int{0, 3}).Draw(t, "records kept")})
 	for i := range 2 {
-		h.keys = append(h.keys, Key{Worker: ident.WorkerID(fmt.Sprintf("w%d", i)), Class: platform.ClassCompute})
+		h.keys = append(h.keys, Key{Worker: ident.WorkerID(fmt.Sprintf("w%d", i)), Class: ports.ClassCompute})
 	}
 	for i := range 3 {
 		holder := ident.Holder{Host: ident.HostID(fmt.Sprintf("h%d", i)), Incarnation: 1}
@@ -111,7 +111,7 @@
 	return stream.AppendDone{Tag: tag}
 }
 
-func read(tag stream.Tag, page platform.Page, err error) stream.Event {
+func read(tag stream.Tag, page ports.Page, err error) stream.Event {
 	if err != nil {
 		return stream.ReadFailed{Tag: tag}
 	}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Manager holds the control leases of one host. It is not safe for concurrent
@@ -77,7 +77,7 @@
 // It guards against a holder that was paused past its lease: such a holder
 // wakes with a later now, finds the lease used up by its own clock and starts
 // nothing, although no event told it so.
-func (m *Manager) Epoch(key Key, now time.Duration) (platform.Epoch, bool) {
+func (m *Manager) Epoch(key Key, now time.Duration) (ports.Epoch, bool) {
 	c, ok := m.controls[key]
 	if !ok || c.phase != phaseHeld || now >= c.until {
 		return 0, false
--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -7,11 +7,11 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 var (
-	testKey  = Key{Worker: "w1", Class: platform.ClassSlots}
+	testKey  = Key{Worker: "w1", Class: ports.ClassSlots}
 	testSelf = ident.Holder{Host: "h1", Incarnation: 7}
 )
 
@@ -34,11 +34,11 @@
 	return m
 }
 
-func grant(sentAt time.Duration, epoch platform.Epoch) Granted {
-	return Granted{Key: testKey, SentAt: sentAt, Grant: platform.LeaseGrant{Epoch: epoch}}
+func grant(sentAt time.Duration, epoch ports.Epoch) Granted {
+	return Granted{Key: testKey, SentAt: sentAt, Grant: ports.LeaseGrant{Epoch: epoch}}
 }
 
-func wantEpoch(t *testing.T, m *Manager, now time.Duration, want platform.Epoch) {
+func wantEpoch(t *testing.T, m *Manager, now time.Duration, want ports.Epoch) {
 	t.Helper()
 	got, ok := m.Epoch(testKey, now)
 	if got != want || ok != (want != 0) {
@@ -158,7 +158,7 @@
 func TestRefusedRenewalAsksAnew(t *testing.T) {
 	m := gainedAt(t, 0)
 	m.Step(2*time.Second, Tick{})
-	cmds := m.Step(2100*time.Millisecond, Refused{Key: testKey, SentAt: 2 * time.Second, Epoch: 3, Refusal: platform.RefusedLapsed})
+	cmds := m.Step(2100*time.Millisecond, Refused{Key: testKey, SentAt: 2 * time.Second, Epoch: 3, Refusal: ports.RefusedLapsed})
 	if len(cmds) != 2 {
 		t.Fatalf("want Lost and Acquire, got %#v", cmds)
 	}
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 )
 
@@ -21,7 +21,7 @@
 type feeder struct {
 	b     *testing.B
 	fold  *Fold
-	at    platform.Offset
+	at    ports.Offset
 	nums  map[ident.Holder]uint64
 	bytes int
 }
@@ -54,7 +54,7 @@
 		f.apply(f.encode(benchHolder(i), Record{Join: &Join{Zone: "a"}}))
 	}
 	for i := range teams {
-		limit := TeamLimit{Team: benchTeam(i), Limit: int64(1000 * holders), Version: platform.Offset(i + 1)}
+		limit := TeamLimit{Team: benchTeam(i), Limit: int64(1000 * holders), Version: ports.Offset(i + 1)}
 		f.apply(f.encode(benchHolder(0), Record{Limits: &Limits{Teams: []TeamLimit{limit}}}))
 	}
 }
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // goneKept is how many past members are remembered, so that a late record of
@@ -24,21 +24,21 @@
 // team is one team's limit and who holds its units.
 type team struct {
 	limit   int64
-	version platform.Offset
+	version ports.Offset
 	sum     int64
 	held    map[ident.Holder]int64
 }
 
 // Fold is the state that the records of the ledger give.
 type Fold struct {
-	after   platform.Offset
+	after   ports.Offset
 	members map[ident.Holder]*member
 	live    []ident.Holder // members that are not gone, in order
 	gone    []ident.Holder // oldest first
 	teams   map[ident.TeamID]*team
 	// minted and burned count units since the start of this fold, for checks.
 	minted, burned int64
-	snapshotAt     platform.Offset // At of the newest snapshot seen whole
+	snapshotAt     ports.Offset // At of the newest snapshot seen whole
 	parts          partCounter
 }
 
@@ -77,7 +77,7 @@
 
 // Apply folds the next record of the stream. The same records in the same
 // order give the same state everywhere.
-func (f *Fold) Apply(at platform.Offset, data []byte) Verdict {
+func (f *Fold) Apply(at ports.Offset, data []byte) Verdict {
 	before := f.after
 	f.after = at
 	rec, err := Decode(data)
@@ -207,7 +207,7 @@
 }
 
 // Position returns the offset of the last record folded.
-func (f *Fold) Position() platform.Offset { return f.after }
+func (f *Fold) Position() ports.Offset { return f.after }
 
 // compareHolders orders holders by host and incarnation.
 func compareHolders(a, b ident.Holder) int {
--- a/ledger/fold_test.go
+++ b/ledger/fold_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -12,7 +12,7 @@
 type stage struct {
 	t    *testing.T
 	fold *Fold
-	at   platform.Offset
+	at   ports.Offset
 }
 
 var (
@@ -40,7 +40,7 @@
 	return s
 }
 
-func limitRecord(by ident.Holder, num uint64, limit int64, version platform.Offset) Record {
+func limitRecord(by ident.Holder, num uint64, limit int64, version ports.Offset) Record {
 	return Record{Writer: by, Num: num, Limits: &Limits{Teams: []TeamLimit{{Team: acme, Limit: limit, Version: version}}}}
 }
 
@@ -150,7 +150,7 @@
 		if _, ok := l.Found(); ok {
 			t.Fatalf("found after %d of %d parts", i, len(parts))
 		}
-		l.Note(platform.Record{Offset: s.at + 1 + platform.Offset(i), Data: data}, 1)
+		l.Note(ports.Record{Offset: s.at + 1 + ports.Offset(i), Data: data}, 1)
 	}
 	if _, ok := l.Found(); !ok {
 		t.Fatal("not found")
--- a/ledger/reading.go
+++ b/ledger/reading.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -84,7 +84,7 @@
 }
 
 // record folds one record and settles what it decides.
-func (h *Holder) record(rec platform.Record) {
+func (h *Holder) record(rec ports.Record) {
 	before := h.fold.snapshotAt
 	v := h.fold.Apply(rec.Offset, rec.Data)
 	if h.fold.snapshotAt != before {
--- a/ledger/reclaim.go
+++ b/ledger/reclaim.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // ReclaimEvent is something that a Reclaimer learns.
@@ -34,7 +34,7 @@
 // longer by a conservative count.
 type LeaseSeen struct {
 	Worker ident.WorkerID
-	Class  platform.LeaseClass
+	Class  ports.LeaseClass
 	Holder ident.Holder
 	Left   time.Duration
 	// Tasks are the running tasks of the class on this worker, as this process
@@ -93,7 +93,7 @@
 
 type leaseKey struct {
 	worker ident.WorkerID
-	class  platform.LeaseClass
+	class  ports.LeaseClass
 }
 
 // seenLease is what was last seen of a lease: its holder has it without a break
@@ -147,8 +147,8 @@
 
 func (r *Reclaimer) drop(w ident.WorkerID) {
 	delete(r.workers, w)
-	delete(r.leases, leaseKey{w, platform.ClassSlots})
-	delete(r.leases, leaseKey{w, platform.ClassCompute})
+	delete(r.leases, leaseKey{w, ports.ClassSlots})
+	delete(r.leases, leaseKey{w, ports.ClassCompute})
 }
 
 // prove reports the suspects whose death is proved now, each once.
@@ -182,8 +182,8 @@
 	}
 	var adopted []RunningTask
 	for _, w := range slices.Sorted(maps.Keys(r.workers)) {
-		slots := r.leases[leaseKey{w, platform.ClassSlots}]
-		compute := r.leases[leaseKey{w, platform.ClassCompute}]
+		slots := r.leases[leaseKey{w, ports.ClassSlots}]
+		compute := r.leases[leaseKey{w, ports.ClassCompute}]
 		if !r.settled(now, slots) || !r.settled(now, compute) {
 			return nil, false
 		}
--- a/ledger/reclaim_test.go
+++ b/ledger/reclaim_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -30,15 +30,15 @@
 		list:   []ident.WorkerID{"w1", "w2"},
 	}
 	for _, w := range y.list {
-		y.lease(w, platform.ClassSlots, ann)
-		y.lease(w, platform.ClassCompute, ann)
+		y.lease(w, ports.ClassSlots, ann)
+		y.lease(w, ports.ClassCompute, ann)
 	}
-	y.lease("w2", platform.ClassSlots, cyd)
+	y.lease("w2", ports.ClassSlots, cyd)
 	y.step(Suspect{Holder: bob})
 	return y
 }
 
-func (y *yard) lease(w ident.WorkerID, class platform.LeaseClass, h ident.Holder, tasks ...RunningTask) {
+func (y *yard) lease(w ident.WorkerID, class ports.LeaseClass, h ident.Holder, tasks ...RunningTask) {
 	y.leases[leaseKey{w, class}] = LeaseSeen{Worker: w, Class: class, Holder: h, Left: 3 * time.Second, Tasks: tasks}
 }
 
@@ -58,7 +58,7 @@
 			y.step(Workers{Workers: y.list})
 		}
 		for _, w := range y.list {
-			for _, class := range []platform.LeaseClass{platform.ClassSlots, platform.ClassCompute} {
+			for _, class := range []ports.LeaseClass{ports.ClassSlots, ports.ClassCompute} {
 				key := leaseKey{w, class}
 				if seen, ok := y.leases[key]; ok && !contains(without, key) {
 					y.step(seen)
@@ -87,12 +87,12 @@
 		proved int
 	}{
 		{"all leased by others", func(y *yard) {}, 1},
-		{"holds one slots lease", func(y *yard) { y.lease("w1", platform.ClassSlots, bob) }, 0},
-		{"holds one compute lease", func(y *yard) { y.lease("w2", platform.ClassCompute, bob) }, 0},
-		{"another scheduler", func(y *yard) { y.lease("w2", platform.ClassCompute, cyd) }, 0},
-		{"a lease nobody has seen", func(y *yard) { delete(y.leases, leaseKey{"w2", platform.ClassSlots}) }, 0},
-		{"a request runs", func(y *yard) { y.lease("w2", platform.ClassSlots, cyd, mine) }, 0},
-		{"a compute task runs here", func(y *yard) { y.lease("w2", platform.ClassCompute, ann, mine) }, 1},
+		{"holds one slots lease", func(y *yard) { y.lease("w1", ports.ClassSlots, bob) }, 0},
+		{"holds one compute lease", func(y *yard) { y.lease("w2", ports.ClassCompute, bob) }, 0},
+		{"another scheduler", func(y *yard) { y.lease("w2", ports.ClassCompute, cyd) }, 0},
+		{"a lease nobody has seen", func(y *yard) { delete(y.leases, leaseKey{"w2", ports.ClassSlots}) }, 0},
+		{"a request runs", func(y *yard) { y.lease("w2", ports.ClassSlots, cyd, mine) }, 0},
+		{"a compute task runs here", func(y *yard) { y.lease("w2", ports.ClassCompute, ann, mine) }, 1},
 		{"a worker not yet leased", func(y *yard) { y.list = append(y.list, "w3") }, 0},
 		{"seen alive", func(y *yard) { y.step(Alive{Holder: bob}) }, 0},
 	} {
@@ -111,7 +111,7 @@
 // moment: the suspect lost one worker, got it back, and lost the other.
 func TestReclaimNeedsOneMoment(t *testing.T) {
 	y := newYard()
-	first, second := leaseKey{"w1", platform.ClassSlots}, leaseKey{"w2", platform.ClassSlots}
+	first, second := leaseKey{"w1", ports.ClassSlots}, leaseKey{"w2", ports.ClassSlots}
 	for range 5 {
 		y.run(15*time.Second, first)
 		y.run(15*time.Second, second)
@@ -145,9 +145,9 @@
 // Units of adopted tasks are lost or counted twice.
 func TestReclaimCountsAdoptedTasks(t *testing.T) {
 	y := newYard()
-	y.lease("w1", platform.ClassCompute, ann,
+	y.lease("w1", ports.ClassCompute, ann,
 		RunningTask{ID: "1", By: bob, Team: acme, Units: 2}, RunningTask{ID: "2", By: ann, Team: acme, Units: 4})
-	y.lease("w2", platform.ClassCompute, ann,
+	y.lease("w2", ports.ClassCompute, ann,
 		RunningTask{ID: "3", By: bob, Team: acme, Units: 3}, RunningTask{ID: "4", By: bob, Team: "other", Units: 1})
 	y.run(time.Minute)
 	if len(y.proved) != 1 {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
 // StreamName names the ledger's stream.
-const StreamName platform.Stream = "limits"
+const StreamName ports.Stream = "limits"
 
 // Record is the envelope of everything in the stream. Exactly one of the
 // bodies is set.
@@ -43,9 +43,9 @@
 // configuration that set it; of two limits the higher version is in force,
 // whichever comes later in the stream.
 type TeamLimit struct {
-	Team    ident.TeamID    `json:"t"`
-	Limit   int64           `json:"l"`
-	Version platform.Offset `json:"v"`
+	Team    ident.TeamID `json:"t"`
+	Limit   int64        `json:"l"`
+	Version ports.Offset `json:"v"`
 }
 
 // Moves gives units away. The writer must have stopped using them. Each move
@@ -89,7 +89,7 @@
 // is void unless it is the very next record after offset After: a copy of it
 // that lands later would take the units from tasks that run by then.
 type Reset struct {
-	After platform.Offset `json:"after"`
+	After ports.Offset `json:"after"`
 }
 
 // Encode renders a record for the log.
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -14,9 +14,9 @@
 // whatever follows. The parts of one snapshot have the same writer and At; a
 // reader uses it only with all of them.
 type Snapshot struct {
-	At    platform.Offset `json:"at"`
-	Part  int             `json:"i"` // from zero
-	Parts int             `json:"of"`
+	At    ports.Offset `json:"at"`
+	Part  int          `json:"i"` // from zero
+	Parts int          `json:"of"`
 
 	Members []SnapshotMember `json:"m,omitempty"`
 	Teams   []SnapshotTeam   `json:"t,omitempty"`
@@ -144,7 +144,7 @@
 // snapshotID names a snapshot in the stream.
 type snapshotID struct {
 	writer ident.Holder
-	at     platform.Offset
+	at     ports.Offset
 }
 
 // partCounter notes which parts of which snapshots were seen.
@@ -177,7 +177,7 @@
 	probe  stream.Probe
 	parts  map[snapshotID]map[int]*Snapshot
 	best   *Fold
-	bestAt platform.Offset
+	bestAt ports.Offset
 }
 
 func newLoader(probe int) loader {
@@ -188,7 +188,7 @@
 }
 
 // Note implements stream.Finder.
-func (l *loader) Note(data platform.Record, first platform.Offset) {
+func (l *loader) Note(data ports.Record, first ports.Offset) {
 	rec, err := Decode(data.Data)
 	if err != nil {
 		return
@@ -217,7 +217,7 @@
 }
 
 // Found implements stream.Finder.
-func (l *loader) Found() (platform.Offset, bool) {
+func (l *loader) Found() (ports.Offset, bool) {
 	if l.best == nil {
 		return 0, false
 	}
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 )
@@ -59,7 +59,7 @@
 	births   int
 	truth    *Fold
 	supply   map[ident.TeamID]int64
-	versions platform.Offset
+	versions ports.Offset
 }
 
 // sentAsk is a request on its way.
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -20,7 +20,7 @@
 	"github.com/fireflyfold/fireflyfold/entry"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/settings"
 	"github.com/fireflyfold/fireflyfold/standin"
 	"github.com/fireflyfold/fireflyfold/telemetry"
@@ -252,8 +252,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f.Platform.ChangeHosts(standin.HostChange{Hosts: []platform.HostEntry{{
-		Host: id, Zone: zone, Addr: host.PeerAddr(), State: platform.StateLive,
+	f.Platform.ChangeHosts(standin.HostChange{Hosts: []ports.HostEntry{{
+		Host: id, Zone: zone, Addr: host.PeerAddr(), State: ports.StateLive,
 	}}})
 	return &Member{ID: id, Zone: zone, Host: host, done: make(chan struct{})}, nil
 }
--- a/member/addr_test.go
+++ b/member/addr_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // The list says that a host is reached through a relay between two zones; the
@@ -14,8 +14,8 @@
 func TestListedAddressIsCalled(t *testing.T) {
 	w := newWorld(t, "a")
 	list := func(addr string) {
-		w.step(ListRead{Listing: platform.Listing{Hosts: []platform.HostEntry{
-			{Host: "b", Zone: testZone, Addr: addr, State: platform.StateLive},
+		w.step(ListRead{Listing: ports.Listing{Hosts: []ports.HostEntry{
+			{Host: "b", Zone: testZone, Addr: addr, State: ports.StateLive},
 		}}})
 	}
 	var seq uint64
--- a/member/assign.go
+++ b/member/assign.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // assign works out what this host should want and emits what changed.
@@ -25,8 +25,8 @@
 	}
 	m.assignScheduler(now, names)
 	for _, w := range m.order {
-		m.settle(now, &w.slots, w.winner, Want{Worker: w.id, Class: platform.ClassSlots})
-		m.follow(&w.comp, Want{Worker: w.id, Class: platform.ClassCompute})
+		m.settle(now, &w.slots, w.winner, Want{Worker: w.id, Class: ports.ClassSlots})
+		m.follow(&w.comp, Want{Worker: w.id, Class: ports.ClassCompute})
 	}
 }
 
--- a/member/event.go
+++ b/member/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Digest is what one host tells another of itself. Its size is bounded by the
@@ -12,15 +12,15 @@
 type Digest struct {
 	Holder    ident.Holder
 	Zone      ident.Zone
-	Addr      string          // IP and port of the peer endpoint
-	Seq       uint64          // grows with each digest of the holder
-	Config    platform.Offset // of the configuration in force
-	FreeSlots int             // on the workers that it may start on
-	Waiting   int             // requests and tasks in its queues
-	Leases    int             // held
-	Draining  bool            // it is being stopped
-	Scheduler uint64          // epoch of the job stream that it owns, or zero
-	ConfigAge time.Duration   // since it knew its configuration to be the newest
+	Addr      string        // IP and port of the peer endpoint
+	Seq       uint64        // grows with each digest of the holder
+	Config    ports.Offset  // of the configuration in force
+	FreeSlots int           // on the workers that it may start on
+	Waiting   int           // requests and tasks in its queues
+	Leases    int           // held
+	Draining  bool          // it is being stopped
+	Scheduler uint64        // epoch of the job stream that it owns, or zero
+	ConfigAge time.Duration // since it knew its configuration to be the newest
 	// Services are the upstreams that it can reach on its workers, at most
 	// MaxServices of them.
 	Services []ident.ServiceID
@@ -31,7 +31,7 @@
 
 // Load is the part of the own digest that other packages know.
 type Load struct {
-	Config    platform.Offset
+	Config    ports.Offset
 	FreeSlots int
 	Waiting   int
 	Leases    int
@@ -45,7 +45,7 @@
 
 // ListRead is an answer of the host list.
 type ListRead struct {
-	Listing platform.Listing
+	Listing ports.Listing
 }
 
 // ListFailed says that the host list could not be read. The last answer stays
@@ -102,7 +102,7 @@
 // Want says whether this host should hold a lease; see lease.Want.
 type Want struct {
 	Worker ident.WorkerID
-	Class  platform.LeaseClass
+	Class  ports.LeaseClass
 	Wanted bool
 }
 
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // jitterFraction spreads digests, so that hosts do not fall into step.
@@ -40,7 +40,7 @@
 // alone; if most zones are in that state, the change goes from zone to zone,
 // and at the beat of RemoteEvery it would be in force in the last of them only
 // after minutes.
-func (m *Members) tellConfig(now time.Duration, config platform.Offset) {
+func (m *Members) tellConfig(now time.Duration, config ports.Offset) {
 	if config <= m.load.Config {
 		return
 	}
--- a/member/host.go
+++ b/member/host.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // life is one incarnation of a host that was heard of.
@@ -81,7 +81,7 @@
 	return h.leaving
 }
 
-func (m *Members) readList(now time.Duration, listing platform.Listing) {
+func (m *Members) readList(now time.Duration, listing ports.Listing) {
 	m.listed = true
 	m.selfLeaves = false
 	for _, h := range m.hosts {
@@ -90,7 +90,7 @@
 	for _, entry := range listing.Hosts {
 		if entry.Host == m.opts.Self.Host {
 			m.selfListed = true
-			m.selfLeaves = entry.State == platform.StateLeaving
+			m.selfLeaves = entry.State == ports.StateLeaving
 			continue
 		}
 		m.listHost(now, entry)
@@ -110,13 +110,13 @@
 	return h
 }
 
-func (m *Members) listHost(now time.Duration, entry platform.HostEntry) {
+func (m *Members) listHost(now time.Duration, entry ports.HostEntry) {
 	h, ok := m.hosts[entry.Host]
 	if !ok {
 		h = m.addHost(now, entry.Host)
 	}
 	h.listed = true
-	h.leaving = entry.State == platform.StateLeaving
+	h.leaving = entry.State == ports.StateLeaving
 	h.zone = entry.Zone
 	if !h.heard || entry.Addr != h.listedAddr {
 		h.addr = entry.Addr
--- a/member/members_test.go
+++ b/member/members_test.go
@@ -6,18 +6,18 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 const testZone ident.Zone = "z1"
 
-func listing(workers int, hosts ...ident.HostID) platform.Listing {
-	var l platform.Listing
+func listing(workers int, hosts ...ident.HostID) ports.Listing {
+	var l ports.Listing
 	for _, h := range hosts {
-		l.Hosts = append(l.Hosts, platform.HostEntry{Host: h, Zone: testZone, Addr: string(h) + ":1", State: platform.StateLive})
+		l.Hosts = append(l.Hosts, ports.HostEntry{Host: h, Zone: testZone, Addr: string(h) + ":1", State: ports.StateLive})
 	}
 	for i := range workers {
-		l.Workers = append(l.Workers, platform.WorkerEntry{Worker: ident.WorkerID(fmt.Sprintf("w%03d", i)), Zone: testZone, State: platform.StateLive})
+		l.Workers = append(l.Workers, ports.WorkerEntry{Worker: ident.WorkerID(fmt.Sprintf("w%03d", i)), Zone: testZone, State: ports.StateLive})
 	}
 	return l
 }
@@ -75,7 +75,7 @@
 	w.step(DigestReceived{Digest: Digest{Holder: holder, Zone: testZone, Addr: string(holder.Host) + ":1", Seq: w.seq}})
 }
 
-func (w *world) owned(class platform.LeaseClass) int {
+func (w *world) owned(class ports.LeaseClass) int {
 	n := 0
 	for want, wanted := range w.wants {
 		if wanted && want.Class == class {
@@ -87,7 +87,7 @@
 
 func (w *world) wantOwned(want int) {
 	w.t.Helper()
-	if got := w.owned(platform.ClassSlots); got != want {
+	if got := w.owned(ports.ClassSlots); got != want {
 		w.t.Errorf("at %v: owns %d workers, want %d", w.now, got, want)
 	}
 }
@@ -122,7 +122,7 @@
 	w := newWorld(t, "a")
 	w.step(ListRead{Listing: listing(90, "a", "b")})
 	w.pass(10*time.Second, "b")
-	before := w.owned(platform.ClassSlots)
+	before := w.owned(ports.ClassSlots)
 	w.step(ListRead{Listing: listing(90, "a")})
 	w.pass(10*time.Second, "b")
 	w.wantOwned(before)
@@ -186,7 +186,7 @@
 	w := newWorld(t, "a")
 	w.step(ListRead{Listing: listing(90, "a", "b")})
 	w.pass(10*time.Second, "b")
-	before := w.owned(platform.ClassSlots)
+	before := w.owned(ports.ClassSlots)
 	w.now += time.Minute
 	w.step(Tick{})
 	w.wantOwned(before)
@@ -199,7 +199,7 @@
 func TestRestartAtSameAddress(t *testing.T) {
 	w := newWorld(t, "a")
 	l := listing(90, "a", "b")
-	l.Hosts[1].State = platform.StateLeaving
+	l.Hosts[1].State = ports.StateLeaving
 	w.step(ListRead{Listing: l})
 	w.pass(10 * time.Second)
 	w.wantOwned(90)
@@ -222,7 +222,7 @@
 	w.sent = nil
 	w.step(Drain{})
 	w.wantOwned(0)
-	if w.owned(platform.ClassCompute) != 0 || w.m.Scheduler() {
+	if w.owned(ports.ClassCompute) != 0 || w.m.Scheduler() {
 		t.Error("still scheduler after Drain")
 	}
 	if len(w.sent) != 1 || !w.sent[0].Digest.Draining {
@@ -239,10 +239,10 @@
 		w.pass(10*time.Second, "a", "b", "c")
 		if w.m.Scheduler() {
 			schedulers++
-			if got := w.owned(platform.ClassCompute); got != 9 {
+			if got := w.owned(ports.ClassCompute); got != 9 {
 				t.Errorf("scheduler wants %d workers, want 9", got)
 			}
-		} else if got := w.owned(platform.ClassCompute); got != 0 {
+		} else if got := w.owned(ports.ClassCompute); got != 0 {
 			t.Errorf("another host wants %d workers in the compute class", got)
 		}
 	}
@@ -271,14 +271,14 @@
 // zones form a ring, so that news reaches every zone.
 func TestBoundedFanOutReachesAll(t *testing.T) {
 	const zones, perZone = 33, 10
-	var l platform.Listing
+	var l ports.Listing
 	for z := range zones {
 		for h := range perZone {
-			l.Hosts = append(l.Hosts, platform.HostEntry{
+			l.Hosts = append(l.Hosts, ports.HostEntry{
 				Host:  ident.HostID(fmt.Sprintf("z%02d-h%02d", z, h)),
 				Zone:  ident.Zone(fmt.Sprintf("z%02d", z)),
 				Addr:  "x",
-				State: platform.StateLive,
+				State: ports.StateLive,
 			})
 		}
 	}
--- a/member/tell_test.go
+++ b/member/tell_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // An operator withdraws a key while most zones cannot reach the log. The key
@@ -47,7 +47,7 @@
 	w := newWorld(t, "a")
 	l := listing(0, "a")
 	for _, host := range []ident.HostID{"x", "y"} {
-		l.Hosts = append(l.Hosts, platform.HostEntry{Host: host, Zone: "z2", Addr: "x:1", State: platform.StateLive})
+		l.Hosts = append(l.Hosts, ports.HostEntry{Host: host, Zone: "z2", Addr: "x:1", State: ports.StateLive})
 	}
 	w.step(ListRead{Listing: l})
 	for range defaultFailuresToDead {
--- a/member/view.go
+++ b/member/view.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Peer is another host as this one sees it.
@@ -70,17 +70,17 @@
 }
 
 // Worker returns a worker of the own zone as last listed.
-func (m *Members) Worker(id ident.WorkerID) (platform.WorkerEntry, bool) {
+func (m *Members) Worker(id ident.WorkerID) (ports.WorkerEntry, bool) {
 	w, ok := m.workers[id]
 	if !ok {
-		return platform.WorkerEntry{}, false
+		return ports.WorkerEntry{}, false
 	}
 	return w.entry, true
 }
 
 // Workers returns the workers of the own zone, ordered by name.
-func (m *Members) Workers() []platform.WorkerEntry {
-	entries := make([]platform.WorkerEntry, len(m.order))
+func (m *Members) Workers() []ports.WorkerEntry {
+	entries := make([]ports.WorkerEntry, len(m.order))
 	for i, w := range m.order {
 		entries[i] = w.entry
 	}
--- a/member/worker.go
+++ b/member/worker.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // wish is whether this host wants a thing, and since when it should not.
@@ -19,7 +19,7 @@
 // worker is what is known of one worker of the own zone.
 type worker struct {
 	id     ident.WorkerID
-	entry  platform.WorkerEntry
+	entry  ports.WorkerEntry
 	listed bool
 	seenAt time.Duration // listed or answered
 	winner ident.HostID  // of the slots class
@@ -27,7 +27,7 @@
 	comp   wish
 }
 
-func (m *Members) listWorkers(now time.Duration, entries []platform.WorkerEntry) {
+func (m *Members) listWorkers(now time.Duration, entries []ports.WorkerEntry) {
 	for _, w := range m.workers {
 		w.listed = false
 	}
@@ -62,14 +62,14 @@
 		if w.listed || now-w.seenAt < m.opts.DropAfter {
 			return false
 		}
-		m.unwant(w.id, platform.ClassSlots, &w.slots)
-		m.unwant(w.id, platform.ClassCompute, &w.comp)
+		m.unwant(w.id, ports.ClassSlots, &w.slots)
+		m.unwant(w.id, ports.ClassCompute, &w.comp)
 		delete(m.workers, w.id)
 		return true
 	})
 }
 
-func (m *Members) unwant(id ident.WorkerID, class platform.LeaseClass, w *wish) {
+func (m *Members) unwant(id ident.WorkerID, class ports.LeaseClass, w *wish) {
 	if !w.wanted {
 		return
 	}
--- a/platform/http_workers.go
+++ b/ports/http_workers.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/ports/ports.go
@@ -1,8 +1,8 @@
-// Package platform is the one place where the system meets what it does not
+// Package ports is the one place where the system meets what it does not
 // own: the append-only log, the host list and the workers. Each is a small
 // interface. A platform whose calls look different costs one more
 // implementation of these and no change of logic.
-package platform
+package ports
 
 import (
 	"context"
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -25,7 +25,7 @@
 	started  bool
 	expected time.Duration // run time
 	excess   int64         // milli-processors measured above the need
-	stopping platform.Control
+	stopping ports.Control
 	stopAt   timeOf // when the first control was sent
 	yields   bool   // it was displaced for urgent work or a replica of a service
 	over     bool
@@ -177,7 +177,7 @@
 		j.done++
 	case j.closed:
 		s.concludeClosed(j, e)
-	case e.stopped && a.stopping == platform.ControlCheckpoint:
+	case e.stopped && a.stopping == ports.ControlCheckpoint:
 		t.displaced++
 		j.waitDisplaced(a)
 	default:
@@ -262,8 +262,8 @@
 }
 
 // stop sends a control that ends an attempt, once.
-func (s *Scheduler) stop(a *attempt, control platform.Control) {
-	if a.stopping == control || a.stopping == platform.ControlStop {
+func (s *Scheduler) stop(a *attempt, control ports.Control) {
+	if a.stopping == control || a.stopping == ports.ControlStop {
 		return
 	}
 	if s.displaceable(a) {
--- a/sched/attempt_test.go
+++ b/sched/attempt_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -61,7 +61,7 @@
 	spec.NonIdempotent = true
 	w.accept(spec)
 	first := w.take(0)
-	w.step(StartRefused{ID: first.ID, Reason: platform.RefusedCapacity})
+	w.step(StartRefused{ID: first.ID, Reason: ports.RefusedCapacity})
 	if len(w.running) != 1 || w.running[0].Worker == first.Worker {
 		t.Errorf("after the refusal by %s: %v", first.Worker, w.running)
 	}
@@ -153,7 +153,7 @@
 	job := w.accept(batch("a", 4, 3))
 	w.step(JobCancelled{Job: job})
 	for len(w.running) > 0 {
-		if w.controls[w.running[0].ID] != platform.ControlStop {
+		if w.controls[w.running[0].ID] != ports.ControlStop {
 			t.Fatalf("%s was not stopped", w.running[0].ID)
 		}
 		w.end(0, AttemptEnded{Stopped: true})
@@ -263,7 +263,7 @@
 	job := w.accept(gang("a", 4, 4))
 	w.end(0, AttemptEnded{Failed: true})
 	for len(w.running) > 0 {
-		if w.controls[w.running[0].ID] != platform.ControlStop {
+		if w.controls[w.running[0].ID] != ports.ControlStop {
 			t.Fatalf("%s runs on", w.running[0].ID)
 		}
 		w.end(0, AttemptEnded{Stopped: true})
@@ -276,7 +276,7 @@
 
 // The only worker refuses a start. Trying again at once would go on for ever.
 func TestRefusingWorkerIsLeftAlone(t *testing.T) {
-	for _, reason := range []platform.Refusal{"", platform.RefusedCapacity} {
+	for _, reason := range []ports.Refusal{"", ports.RefusedCapacity} {
 		w := zone(t, 1, Options{})
 		w.accept(batch("a", 1, 1))
 		w.step(StartRefused{ID: w.take(0).ID, Reason: reason})
--- a/sched/command.go
+++ b/sched/command.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -29,7 +29,7 @@
 type Control struct {
 	ID      ident.AttemptID
 	Worker  ident.WorkerID
-	Control platform.Control
+	Control ports.Control
 }
 
 // JobEnded is the end of a job. With OutcomeNotRun nothing of it ever ran.
--- a/sched/displace.go
+++ b/sched/displace.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/queue"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
@@ -239,7 +239,7 @@
 		}
 		if helps(need, room, a.need) {
 			a.yields = from == nil
-			s.stop(a, platform.ControlCheckpoint)
+			s.stop(a, ports.ControlCheckpoint)
 			room = room.Add(a.need)
 		}
 	}
--- a/sched/event.go
+++ b/sched/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -93,7 +93,7 @@
 // waits again and the attempt does not count.
 type StartRefused struct {
 	ID     ident.AttemptID
-	Reason platform.Refusal // empty if the worker is not the cause
+	Reason ports.Refusal // empty if the worker is not the cause
 }
 
 // AttemptEnded reports the end of an attempt.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // placeGang reserves room for all tasks of a gang, or for none, and assigns
@@ -136,7 +136,7 @@
 	for i := range j.tasks {
 		j.failures = max(j.failures, int(j.tasks[i].failures))
 		if a := j.tasks[i].run; a != nil {
-			s.stop(a, platform.ControlStop)
+			s.stop(a, ports.ControlStop)
 		}
 	}
 }
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -86,7 +86,7 @@
 	}
 	for i := range j.tasks {
 		if a := j.tasks[i].run; a != nil {
-			s.stop(a, platform.ControlStop)
+			s.stop(a, ports.ControlStop)
 		}
 	}
 }
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/work"
 )
 
@@ -70,7 +70,7 @@
 		urgent.Urgent = true
 		job := w.accept(urgent)
 		at := w.runningOf(victim)
-		displaced := w.controls[w.running[at[0]].ID] == platform.ControlCheckpoint
+		displaced := w.controls[w.running[at[0]].ID] == ports.ControlCheckpoint
 		if displaced != (round < 2) {
 			t.Fatalf("round %d: displaced %v", round, displaced)
 		}
@@ -219,7 +219,7 @@
 		t.Fatalf("%d replicas, control %q before the replacement started", len(w.running), w.controls[old.ID])
 	}
 	w.step(AttemptStarted{ID: w.running[3].ID})
-	if w.controls[old.ID] != platform.ControlStop {
+	if w.controls[old.ID] != ports.ControlStop {
 		t.Errorf("the old replica was not stopped")
 	}
 	w.end(0, AttemptEnded{Stopped: true})
@@ -244,7 +244,7 @@
 		t.Fatalf("%d controls", len(w.controls))
 	}
 	for i, a := range w.running {
-		if w.controls[a.ID] == platform.ControlCheckpoint {
+		if w.controls[a.ID] == ports.ControlCheckpoint {
 			w.end(i, AttemptEnded{Stopped: true, Ran: time.Minute})
 			break
 		}
@@ -360,7 +360,7 @@
 	job := w.accept(approval)
 	w.pass(5 * time.Second)
 	for i, a := range w.running {
-		if w.controls[a.ID] == platform.ControlCheckpoint {
+		if w.controls[a.ID] == ports.ControlCheckpoint {
 			w.end(i, AttemptEnded{Stopped: true, Ran: time.Second})
 			break
 		}
--- a/sched/property_test.go
+++ b/sched/property_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -113,7 +113,7 @@
 		w.end(i, AttemptEnded{Failed: true, Reason: "no", Ran: time.Second})
 	case kind == 6:
 		a := w.take(i)
-		reason := rapid.SampledFrom([]platform.Refusal{"", platform.RefusedCapacity}).Draw(t, "refusal")
+		reason := rapid.SampledFrom([]ports.Refusal{"", ports.RefusedCapacity}).Draw(t, "refusal")
 		w.step(StartRefused{ID: a.ID, Reason: reason})
 	default:
 		w.end(i, AttemptEnded{Unknown: true})
--- a/sched/quarantine.go
+++ b/sched/quarantine.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // A worker that fails everything at once is always idle and, ranked by room
@@ -96,7 +96,7 @@
 
 // workerRefused keeps new work off a worker that just refused a start, so that
 // the same decision is not taken again at once.
-func (s *Scheduler) workerRefused(ref place.Ref, reason platform.Refusal) {
+func (s *Scheduler) workerRefused(ref place.Ref, reason ports.Refusal) {
 	s.cell.Unbar(ref, place.BarProbing)
 	if reason == "" {
 		return
--- a/sched/service.go
+++ b/sched/service.go
@@ -5,7 +5,7 @@
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -289,7 +289,7 @@
 func (s *Scheduler) stopLeaving(svc *service) bool {
 	for _, a := range svc.order {
 		if a.stopping == "" && !s.staying(a) {
-			s.stop(a, platform.ControlStop)
+			s.stop(a, ports.ControlStop)
 			return a.started
 		}
 	}
@@ -312,6 +312,6 @@
 		}
 	}
 	if worst != nil {
-		s.stop(worst, platform.ControlStop)
+		s.stop(worst, ports.ControlStop)
 	}
 }
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/place"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -56,7 +56,7 @@
 	s.cell.Bar(ref, place.BarLeaving)
 	for _, a := range s.host(ref).attempts {
 		if s.displaceable(a) {
-			s.stop(a, platform.ControlCheckpoint)
+			s.stop(a, ports.ControlCheckpoint)
 		}
 	}
 	s.dirty = true
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 	"github.com/fireflyfold/fireflyfold/work"
 )
@@ -47,7 +47,7 @@
 	ever     map[ident.AttemptID]bool
 	jobs     map[ident.JobID]work.Spec
 	ended    map[ident.JobID]JobEnded
-	controls map[ident.AttemptID]platform.Control
+	controls map[ident.AttemptID]ports.Control
 	commands []Command // of the last step
 	seq      uint64
 }
@@ -63,7 +63,7 @@
 		ever:     map[ident.AttemptID]bool{},
 		jobs:     map[ident.JobID]work.Spec{},
 		ended:    map[ident.JobID]JobEnded{},
-		controls: map[ident.AttemptID]platform.Control{},
+		controls: map[ident.AttemptID]ports.Control{},
 	}
 }
 
--- a/standin/adapter_test.go
+++ b/standin/adapter_test.go
@@ -14,7 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // smallLayout is one zone with one worker.
@@ -48,19 +48,19 @@
 // the outcome is open, and a read must show the record once.
 func TestAppendWithLostAnswerIsUncertain(t *testing.T) {
 	p := startPlatform(t)
-	log := platform.NewHTTPLog(p.Addr(), platform.NewHTTPClient())
+	log := ports.NewHTTPLog(p.Addr(), ports.NewHTTPClient())
 	ctx := context.Background()
 	if _, err := log.Append(ctx, "jobs/z1", [][]byte{[]byte("one"), []byte("two")}); err != nil {
 		t.Fatal(err)
 	}
 	p.Log.LoseAnswers(1)
 	_, err := log.Append(ctx, "jobs/z1", [][]byte{[]byte("three")})
-	wantAs[*platform.UncertainError](t, err)
+	wantAs[*ports.UncertainError](t, err)
 	page, err := log.Read(ctx, "jobs/z1", 1, 10, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := platform.Page{First: 1, Last: 3, Records: []platform.Record{
+	want := ports.Page{First: 1, Last: 3, Records: []ports.Record{
 		{Offset: 2, Data: []byte("two")}, {Offset: 3, Data: []byte("three")},
 	}}
 	if diff := cmp.Diff(want, page); diff != "" {
@@ -72,27 +72,27 @@
 // and a log that nobody listens for never saw the append.
 func TestLogFailuresMapToTheirTypes(t *testing.T) {
 	p := startPlatform(t)
-	log := platform.NewHTTPLog(p.Addr(), platform.NewHTTPClient())
+	log := ports.NewHTTPLog(p.Addr(), ports.NewHTTPClient())
 	ctx := context.Background()
 	group := [][]byte{[]byte("one")}
 	p.Log.SetFaults(LogFaults{Refuse: true})
 	_, err := log.Append(ctx, "s", group)
-	if wantAs[*platform.UnavailableError](t, err).RetryAfter != time.Second {
+	if wantAs[*ports.UnavailableError](t, err).RetryAfter != time.Second {
 		t.Errorf("the time to wait was lost: %v", err)
 	}
 	p.Log.SetFaults(LogFaults{Down: true})
 	_, err = log.Append(ctx, "s", group)
-	wantAs[*platform.UncertainError](t, err)
+	wantAs[*ports.UncertainError](t, err)
 	p.Log.SetFaults(LogFaults{Slow: time.Minute})
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
 	_, err = log.Append(short, "s", group)
-	wantAs[*platform.UncertainError](t, err)
+	wantAs[*ports.UncertainError](t, err)
 	p.Log.SetFaults(LogFaults{})
 	_, err = log.Append(ctx, "s", nil)
-	wantAs[*platform.RefusedError](t, err)
-	_, err = platform.NewHTTPLog(closedAddr(t), platform.NewHTTPClient()).Append(ctx, "s", group)
-	wantAs[*platform.NotSentError](t, err)
+	wantAs[*ports.RefusedError](t, err)
+	_, err = ports.NewHTTPLog(closedAddr(t), ports.NewHTTPClient()).Append(ctx, "s", group)
+	wantAs[*ports.NotSentError](t, err)
 }
 
 // closedAddr returns an address that nobody listens on.
@@ -107,17 +107,17 @@
 }
 
 // callTo returns a leased worker's address and a call that it takes.
-func callTo(t *testing.T, p *Platform, workers platform.Workers) (string, platform.Call) {
+func callTo(t *testing.T, p *Platform, workers ports.Workers) (string, ports.Call) {
 	t.Helper()
 	addr := p.WorkerAddr("oberbayern-1-w01")
 	holder := ident.Holder{Host: "h1", Incarnation: 7}
-	grant, err := workers.Lease(context.Background(), addr, platform.LeaseRequest{
-		Class: platform.ClassSlots, Holder: holder, TTL: time.Minute, TaskTTL: time.Minute,
+	grant, err := workers.Lease(context.Background(), addr, ports.LeaseRequest{
+		Class: ports.ClassSlots, Holder: holder, TTL: time.Minute, TaskTTL: time.Minute,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return addr, platform.Call{
+	return addr, ports.Call{
 		Epoch: grant.Epoch, Holder: holder, Team: "citizens", Service: "grants", Deadline: time.Minute,
 		ID:     ident.TaskID{Zone: "oberbayern-1", Host: "h1", Incarnation: 7, Seq: 1},
 		Method: http.MethodGet, Path: "/check?x=1", Body: []byte("stairlift"), NonIdempotent: true,
@@ -129,7 +129,7 @@
 // again is refused, and the audit sees one run.
 func TestCallIsAnsweredWholeAndOnce(t *testing.T) {
 	p := startPlatform(t)
-	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	workers := ports.NewHTTPWorkers(ports.NewHTTPClient())
 	addr, call := callTo(t, p, workers)
 	answer, err := workers.Call(context.Background(), addr, call)
 	if err != nil {
@@ -144,7 +144,7 @@
 		t.Errorf("got %d bytes, declared %d: %q", len(body), answer.Length, body)
 	}
 	_, err = workers.Call(context.Background(), addr, call)
-	if got := wantAs[*platform.RefusedError](t, err).Refusal; got != platform.RefusedDuplicate {
+	if got := wantAs[*ports.RefusedError](t, err).Refusal; got != ports.RefusedDuplicate {
 		t.Errorf("refused as %s", got)
 	}
 	if runs := p.Audit.Runs(call.ID.String()); runs != 1 {
@@ -156,7 +156,7 @@
 // the trace of the call, and nothing of what was meant for the worker alone.
 func TestUpstreamSeesTheTraceAndNoControlHeaders(t *testing.T) {
 	p := startPlatform(t)
-	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	workers := ports.NewHTTPWorkers(ports.NewHTTPClient())
 	addr, call := callTo(t, p, workers)
 	seen := make(chan http.Header, 1)
 	p.Worker("oberbayern-1-w01").upstream = func(req UpstreamRequest) UpstreamAnswer {
@@ -175,7 +175,7 @@
 		t.Errorf("trace %q, want %q", got, want)
 	}
 	for name := range header {
-		if strings.HasPrefix(name, platform.HeaderPrefix) {
+		if strings.HasPrefix(name, ports.HeaderPrefix) {
 			t.Errorf("the upstream sees %s", name)
 		}
 	}
@@ -187,7 +187,7 @@
 // connection. The caller sees an open outcome.
 func TestCutCallIsSentOnce(t *testing.T) {
 	p := startPlatform(t)
-	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	workers := ports.NewHTTPWorkers(ports.NewHTTPClient())
 	addr, call := callTo(t, p, workers)
 	worker := p.Worker("oberbayern-1-w01")
 	running := make(chan struct{}, 2)
@@ -204,7 +204,7 @@
 	state := worker.State
 	state.SetFaults(p.Now(), WorkerFaults{Killed: true})
 	state.SetFaults(p.Now(), WorkerFaults{})
-	wantAs[*platform.UncertainError](t, <-done)
+	wantAs[*ports.UncertainError](t, <-done)
 	if runs := p.Audit.Runs(call.ID.String()); runs != 1 {
 		t.Errorf("%d runs", runs)
 	}
@@ -213,8 +213,8 @@
 // A worker that is gone was never reached, so that another may be tried.
 func TestUnreachableWorkerIsNotSent(t *testing.T) {
 	p := startPlatform(t)
-	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	workers := ports.NewHTTPWorkers(ports.NewHTTPClient())
 	_, call := callTo(t, p, workers)
 	_, err := workers.Call(context.Background(), closedAddr(t), call)
-	wantAs[*platform.NotSentError](t, err)
+	wantAs[*ports.NotSentError](t, err)
 }
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -5,7 +5,7 @@
 	"strconv"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // HostListFaults are the faults of the host list.
@@ -78,7 +78,7 @@
 func (p *Platform) auditHistory(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 32)
 	if err != nil {
-		problem(w, http.StatusBadRequest, platform.Problem{Detail: "after: want a number of events"})
+		problem(w, http.StatusBadRequest, ports.Problem{Detail: "after: want a number of events"})
 		return
 	}
 	history := p.Audit.History()
@@ -98,7 +98,7 @@
 // done answers an admin call.
 func done(w http.ResponseWriter, err error) {
 	if err != nil {
-		problem(w, http.StatusNotFound, platform.Problem{Detail: err.Error()})
+		problem(w, http.StatusNotFound, ports.Problem{Detail: err.Error()})
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/standin/audit.go
+++ b/standin/audit.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -31,17 +31,17 @@
 
 // RunEvent is one start or end of a task in an audit's history.
 type RunEvent struct {
-	At     time.Duration       `json:"at"`
-	Worker ident.WorkerID      `json:"worker"`
-	ID     string              `json:"id"`
-	Key    string              `json:"key"` // tells two runs of one identifier on one worker apart
-	Class  platform.LeaseClass `json:"class"`
-	Team   ident.TeamID        `json:"team"`
-	Need   resource.Vector     `json:"need"`
-	Holder ident.Holder        `json:"holder"`
-	Epoch  platform.Epoch      `json:"epoch"`
-	Once   bool                `json:"once"`          // must not run twice
-	End    End                 `json:"end,omitempty"` // empty for a start
+	At     time.Duration    `json:"at"`
+	Worker ident.WorkerID   `json:"worker"`
+	ID     string           `json:"id"`
+	Key    string           `json:"key"` // tells two runs of one identifier on one worker apart
+	Class  ports.LeaseClass `json:"class"`
+	Team   ident.TeamID     `json:"team"`
+	Need   resource.Vector  `json:"need"`
+	Holder ident.Holder     `json:"holder"`
+	Epoch  ports.Epoch      `json:"epoch"`
+	Once   bool             `json:"once"`          // must not run twice
+	End    End              `json:"end,omitempty"` // empty for a start
 }
 
 // Counts are the counters of an audit.
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -7,15 +7,15 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // HostChange changes the host list. Entries replace those with the same name.
 type HostChange struct {
-	Hosts       []platform.HostEntry   `json:"hosts,omitempty"`
-	Workers     []platform.WorkerEntry `json:"workers,omitempty"`
-	GoneHosts   []ident.HostID         `json:"gone_hosts,omitempty"`
-	GoneWorkers []ident.WorkerID       `json:"gone_workers,omitempty"`
+	Hosts       []ports.HostEntry   `json:"hosts,omitempty"`
+	Workers     []ports.WorkerEntry `json:"workers,omitempty"`
+	GoneHosts   []ident.HostID      `json:"gone_hosts,omitempty"`
+	GoneWorkers []ident.WorkerID    `json:"gone_workers,omitempty"`
 }
 
 // pendingChange is a change that the list does not show yet.
@@ -32,16 +32,16 @@
 	down    bool
 	version uint64 // counts the changes that are shown
 	pending []pendingChange
-	hosts   map[ident.HostID]platform.HostEntry
-	workers map[ident.WorkerID]platform.WorkerEntry
+	hosts   map[ident.HostID]ports.HostEntry
+	workers map[ident.WorkerID]ports.WorkerEntry
 }
 
 // NewHostListState returns an empty list.
 func NewHostListState(lag time.Duration) *HostListState {
 	return &HostListState{
 		lag:     lag,
-		hosts:   make(map[ident.HostID]platform.HostEntry),
-		workers: make(map[ident.WorkerID]platform.WorkerEntry),
+		hosts:   make(map[ident.HostID]ports.HostEntry),
+		workers: make(map[ident.WorkerID]ports.WorkerEntry),
 	}
 }
 
@@ -76,22 +76,22 @@
 
 // List returns what the list shows, in order of names. It returns a *DownError
 // during an outage.
-func (h *HostListState) List(now time.Duration) (platform.Listing, error) {
+func (h *HostListState) List(now time.Duration) (ports.Listing, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.down {
-		return platform.Listing{}, &DownError{Op: "list"}
+		return ports.Listing{}, &DownError{Op: "list"}
 	}
 	h.show(now)
-	var out platform.Listing
+	var out ports.Listing
 	for _, entry := range h.hosts {
 		out.Hosts = append(out.Hosts, entry)
 	}
 	for _, entry := range h.workers {
 		out.Workers = append(out.Workers, entry)
 	}
-	slices.SortFunc(out.Hosts, func(a, b platform.HostEntry) int { return cmp.Compare(a.Host, b.Host) })
-	slices.SortFunc(out.Workers, func(a, b platform.WorkerEntry) int { return cmp.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(out.Hosts, func(a, b ports.HostEntry) int { return cmp.Compare(a.Host, b.Host) })
+	slices.SortFunc(out.Workers, func(a, b ports.WorkerEntry) int { return cmp.Compare(a.Worker, b.Worker) })
 	return out, nil
 }
 
--- a/standin/hostlist_http.go
+++ b/standin/hostlist_http.go
@@ -5,15 +5,15 @@
 	"math/rand/v2"
 	"net/http"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // HostList serves a HostListState over HTTP.
 type HostList struct {
 	State *HostListState
 	clock Clock
-	life  uint64                                  // tells the versions of two lives of the list apart
-	view  func(platform.Listing) platform.Listing // what a zone sees of it; nil for all
+	life  uint64                            // tells the versions of two lives of the list apart
+	view  func(ports.Listing) ports.Listing // what a zone sees of it; nil for all
 }
 
 // NewHostList returns the server of a host list.
@@ -35,7 +35,7 @@
 		h.State.Change(h.clock(), change)
 		w.WriteHeader(http.StatusNoContent)
 	default:
-		problem(w, http.StatusMethodNotAllowed, platform.Problem{Refusal: platform.RefusedMalformed})
+		problem(w, http.StatusMethodNotAllowed, ports.Problem{Refusal: ports.RefusedMalformed})
 	}
 }
 
--- a/standin/http.go
+++ b/standin/http.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Clock returns the time since the start of the process.
@@ -27,7 +27,7 @@
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(into)
 	if err != nil {
-		problem(w, http.StatusBadRequest, platform.Problem{Refusal: platform.RefusedMalformed, Detail: err.Error()})
+		problem(w, http.StatusBadRequest, ports.Problem{Refusal: ports.RefusedMalformed, Detail: err.Error()})
 		return false
 	}
 	return true
@@ -40,10 +40,10 @@
 }
 
 // problem writes an answer that is an error.
-func problem(w http.ResponseWriter, status int, p platform.Problem) {
+func problem(w http.ResponseWriter, status int, p ports.Problem) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	if p.Refusal != "" {
-		w.Header().Set(platform.HeaderRefusal, string(p.Refusal))
+		w.Header().Set(ports.HeaderRefusal, string(p.Refusal))
 	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(p) // a caller that is gone needs no answer
@@ -51,14 +51,14 @@
 
 // replyError answers a request with an error of a core.
 func replyError(w http.ResponseWriter, r *http.Request, err error) {
-	var refusal *platform.RefusedError
-	var unavailable *platform.UnavailableError
+	var refusal *ports.RefusedError
+	var unavailable *ports.UnavailableError
 	var silent *NoAnswerError
 	switch {
 	case errors.As(err, &refusal):
-		problem(w, http.StatusConflict, platform.Problem{Refusal: refusal.Refusal, Left: refusal.Left, Detail: refusal.Detail})
+		problem(w, http.StatusConflict, ports.Problem{Refusal: refusal.Refusal, Left: refusal.Left, Detail: refusal.Detail})
 	case errors.As(err, &unavailable):
-		problem(w, http.StatusServiceUnavailable, platform.Problem{RetryAfter: unavailable.RetryAfter})
+		problem(w, http.StatusServiceUnavailable, ports.Problem{RetryAfter: unavailable.RetryAfter})
 	case errors.As(err, &silent) && !silent.Dead:
 		hang(r)
 		cut()
--- a/standin/log.go
+++ b/standin/log.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Bounds of a log.
@@ -34,7 +34,7 @@
 // LostAnswerError reports an append that took effect and whose answer the
 // caller must not see.
 type LostAnswerError struct {
-	Offset platform.Offset
+	Offset ports.Offset
 }
 
 // Error implements error.
@@ -51,13 +51,13 @@
 // storedRecord is a record with the time of its append.
 type storedRecord struct {
 	at     time.Duration
-	record platform.Record
+	record ports.Record
 }
 
 // logStream is one stream. Records are in order of offset, without gaps.
 type logStream struct {
 	records []storedRecord
-	last    platform.Offset
+	last    ports.Offset
 	grown   chan struct{} // closed at the next append
 }
 
@@ -67,7 +67,7 @@
 	mu      sync.Mutex
 	cfg     LogConfig
 	faults  LogFaults
-	streams map[platform.Stream]*logStream
+	streams map[ports.Stream]*logStream
 	tokens  float64       // appends that may be made at once
 	filled  time.Duration // when tokens was last brought up to date
 	counts  LogCounts
@@ -84,7 +84,7 @@
 
 // NewLogState returns an empty log.
 func NewLogState(cfg LogConfig) *LogState {
-	return &LogState{cfg: cfg, streams: make(map[platform.Stream]*logStream), tokens: burst(cfg.AppendRate)}
+	return &LogState{cfg: cfg, streams: make(map[ports.Stream]*logStream), tokens: burst(cfg.AppendRate)}
 }
 
 // burst is how many appends may come at once under a rate.
@@ -93,11 +93,11 @@
 	return max(1, rate*share)
 }
 
-// Append adds a group in order, all or none. Errors: *platform.RefusedError
-// for a group out of bounds, *platform.UnavailableError over the rate or while
+// Append adds a group in order, all or none. Errors: *ports.RefusedError
+// for a group out of bounds, *ports.UnavailableError over the rate or while
 // refusing, *DownError while down; none of these took effect. A
 // *LostAnswerError did.
-func (l *LogState) Append(now time.Duration, stream platform.Stream, group [][]byte) (platform.Offset, error) {
+func (l *LogState) Append(now time.Duration, stream ports.Stream, group [][]byte) (ports.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	const op = "append"
@@ -105,7 +105,7 @@
 		return 0, err
 	}
 	if !validGroup(stream, group) {
-		return 0, refused(op, platform.RefusedMalformed)
+		return 0, refused(op, ports.RefusedMalformed)
 	}
 	if err := l.spend(op, now); err != nil {
 		return 0, err
@@ -113,7 +113,7 @@
 	s := l.stream(stream)
 	for _, data := range group {
 		s.last++
-		record := platform.Record{Offset: s.last, Data: slices.Clone(data)}
+		record := ports.Record{Offset: s.last, Data: slices.Clone(data)}
 		s.records = append(s.records, storedRecord{at: now, record: record})
 	}
 	l.expire(now, s)
@@ -130,7 +130,7 @@
 }
 
 // validGroup reports whether an append is within bounds.
-func validGroup(stream platform.Stream, group [][]byte) bool {
+func validGroup(stream ports.Stream, group [][]byte) bool {
 	if stream == "" || len(group) == 0 || len(group) > MaxGroup {
 		return false
 	}
@@ -143,7 +143,7 @@
 		return &DownError{Op: op}
 	}
 	if l.faults.Refuse {
-		return &platform.UnavailableError{Op: op, RetryAfter: time.Second}
+		return &ports.UnavailableError{Op: op, RetryAfter: time.Second}
 	}
 	return nil
 }
@@ -159,14 +159,14 @@
 	if l.tokens < 1 {
 		l.counts.Refused++
 		missing := (1 - l.tokens) / rate
-		return &platform.UnavailableError{Op: op, RetryAfter: time.Duration(missing * float64(time.Second))}
+		return &ports.UnavailableError{Op: op, RetryAfter: time.Duration(missing * float64(time.Second))}
 	}
 	l.tokens--
 	return nil
 }
 
 // stream returns a stream, creating it empty.
-func (l *LogState) stream(name platform.Stream) *logStream {
+func (l *LogState) stream(name ports.Stream) *logStream {
 	s, ok := l.streams[name]
 	if !ok {
 		s = &logStream{grown: make(chan struct{})}
@@ -189,18 +189,18 @@
 
 // Read returns at most limit records after an offset. grown is closed at the
 // next append to the stream, so that a caller can wait for one. The errors are
-// *platform.UnavailableError and *DownError.
-func (l *LogState) Read(now time.Duration, stream platform.Stream, after platform.Offset, limit int) (page platform.Page, grown <-chan struct{}, err error) {
+// *ports.UnavailableError and *DownError.
+func (l *LogState) Read(now time.Duration, stream ports.Stream, after ports.Offset, limit int) (page ports.Page, grown <-chan struct{}, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.up("read"); err != nil {
-		return platform.Page{}, nil, err
+		return ports.Page{}, nil, err
 	}
 	s := l.stream(stream)
 	l.expire(now, s)
 	l.counts.Reads++
-	first := s.last + 1 - platform.Offset(len(s.records))
-	page = platform.Page{First: first, Last: s.last}
+	first := s.last + 1 - ports.Offset(len(s.records))
+	page = ports.Page{First: first, Last: s.last}
 	skip := 0
 	if after >= first {
 		skip = min(int(after-first)+1, len(s.records))
--- a/standin/log_http.go
+++ b/standin/log_http.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // maxWait bounds how long a read waits for a first record.
@@ -24,19 +24,19 @@
 // ServeHTTP answers POST /log/{stream} and GET
 // /log/{stream}?after=&limit=&wait=, wait being a Go duration.
 func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	stream := platform.Stream(strings.TrimPrefix(r.URL.Path, platform.PathLog))
+	stream := ports.Stream(strings.TrimPrefix(r.URL.Path, ports.PathLog))
 	switch r.Method {
 	case http.MethodPost:
 		l.append(w, r, stream)
 	case http.MethodGet:
 		l.read(w, r, stream)
 	default:
-		problem(w, http.StatusMethodNotAllowed, platform.Problem{Refusal: platform.RefusedMalformed})
+		problem(w, http.StatusMethodNotAllowed, ports.Problem{Refusal: ports.RefusedMalformed})
 	}
 }
 
-func (l *Log) append(w http.ResponseWriter, r *http.Request, stream platform.Stream) {
-	var req platform.AppendRequest
+func (l *Log) append(w http.ResponseWriter, r *http.Request, stream ports.Stream) {
+	var req ports.AppendRequest
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -48,7 +48,7 @@
 		replyError(w, r, err)
 		return
 	}
-	reply(w, platform.AppendAnswer{Offset: offset})
+	reply(w, ports.AppendAnswer{Offset: offset})
 }
 
 // delay waits as long as the log is slow. It reports false if the caller is
@@ -72,18 +72,18 @@
 	}
 }
 
-func (l *Log) read(w http.ResponseWriter, r *http.Request, stream platform.Stream) {
+func (l *Log) read(w http.ResponseWriter, r *http.Request, stream ports.Stream) {
 	query := r.URL.Query()
 	after, errAfter := strconv.ParseUint(query.Get("after"), 10, 64)
 	limit, errLimit := strconv.Atoi(query.Get("limit"))
 	wait, errWait := time.ParseDuration(query.Get("wait"))
 	if errAfter != nil || errLimit != nil || errWait != nil || limit <= 0 {
-		problem(w, http.StatusBadRequest, platform.Problem{
-			Refusal: platform.RefusedMalformed, Detail: "want after, limit and wait",
+		problem(w, http.StatusBadRequest, ports.Problem{
+			Refusal: ports.RefusedMalformed, Detail: "want after, limit and wait",
 		})
 		return
 	}
-	page, err := l.await(r, stream, platform.Offset(after), limit, min(wait, maxWait))
+	page, err := l.await(r, stream, ports.Offset(after), limit, min(wait, maxWait))
 	if !l.delay(r) {
 		return
 	}
@@ -95,7 +95,7 @@
 }
 
 // await reads, and waits for a first record if there is none.
-func (l *Log) await(r *http.Request, stream platform.Stream, after platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *Log) await(r *http.Request, stream ports.Stream, after ports.Offset, limit int, wait time.Duration) (ports.Page, error) {
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
 	for waiting := wait > 0; ; {
