--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Every writer appends at once after an outage. The log takes what its rate
@@ -25,7 +25,7 @@
 			taken++
 			continue
 		}
-		wait = wantAs[*platform.UnavailableError](t, err).RetryAfter
+		wait = wantAs[*ports.UnavailableError](t, err).RetryAfter
 	}
 	if taken != 25 || wait != 10*time.Millisecond {
 		t.Errorf("%d appends at once, then %v to wait; want 25 and 10ms", taken, wait)
@@ -44,7 +44,7 @@
 			t.Fatal(err)
 		}
 	}
-	read := func(now time.Duration) platform.Page {
+	read := func(now time.Duration) ports.Page {
 		t.Helper()
 		page, _, err := log.Read(now, "s", 1, 10)
 		if err != nil {
@@ -52,13 +52,13 @@
 		}
 		return page
 	}
-	want := platform.Page{First: 3, Last: 5, Records: []platform.Record{
+	want := ports.Page{First: 3, Last: 5, Records: []ports.Record{
 		{Offset: 3, Data: []byte{2}}, {Offset: 4, Data: []byte{3}}, {Offset: 5, Data: []byte{4}},
 	}}
 	if diff := cmp.Diff(want, read(5*time.Second)); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff(platform.Page{First: 6, Last: 5}, read(time.Hour)); diff != "" {
+	if diff := cmp.Diff(ports.Page{First: 6, Last: 5}, read(time.Hour)); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -67,8 +67,8 @@
 // more, and later changes never overtake earlier ones.
 func TestHostListLags(t *testing.T) {
 	list := NewHostListState(2 * time.Second)
-	entry := platform.HostEntry{Host: "h1", Zone: "z", State: platform.StateLive}
-	list.Change(0, HostChange{Hosts: []platform.HostEntry{entry}})
+	entry := ports.HostEntry{Host: "h1", Zone: "z", State: ports.StateLive}
+	list.Change(0, HostChange{Hosts: []ports.HostEntry{entry}})
 	list.Change(time.Second, HostChange{GoneHosts: []ident.HostID{"h1"}})
 	for _, tc := range []struct {
 		at   time.Duration
@@ -91,7 +91,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w, audit := testWorker()
 		holders := []ident.Holder{alice, bob}
-		epochs := map[ident.Holder]platform.Epoch{}
+		epochs := map[ident.Holder]ports.Epoch{}
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now += time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond
@@ -109,10 +109,10 @@
 			case 1, 2:
 				_ = w.Start(now, startRequest(holder, epochs[holder], id, rapid.Int64Range(0, 5000).Draw(rt, "cpu"))) // may be refused
 			case 3:
-				control := rapid.SampledFrom([]platform.Control{
-					platform.ControlStop, platform.ControlCheckpoint, platform.ControlThrottle, platform.ControlUnthrottle,
+				control := rapid.SampledFrom([]ports.Control{
+					ports.ControlStop, ports.ControlCheckpoint, ports.ControlThrottle, ports.ControlUnthrottle,
 				}).Draw(rt, "control")
-				_ = w.Control(now, platform.ControlRequest{Class: platform.ClassCompute, Epoch: epochs[holder], ID: id, Control: control}) // may be refused
+				_ = w.Control(now, ports.ControlRequest{Class: ports.ClassCompute, Epoch: epochs[holder], ID: id, Control: control}) // may be refused
 			case 4:
 				w.Tick(now)
 			case 5:
--- a/standin/network.go
+++ b/standin/network.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // link is the way from one zone to a host of another.
@@ -120,7 +120,7 @@
 }
 
 // view returns the listing as a zone sees it.
-func (n *Network) view(zone ident.Zone, listing platform.Listing) platform.Listing {
+func (n *Network) view(zone ident.Zone, listing ports.Listing) ports.Listing {
 	for i, entry := range listing.Hosts {
 		if entry.Zone == zone {
 			continue
@@ -133,7 +133,7 @@
 }
 
 // route returns the address of the relay from a zone to a host of another.
-func (n *Network) route(from ident.Zone, entry platform.HostEntry) (string, error) {
+func (n *Network) route(from ident.Zone, entry ports.HostEntry) (string, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := link{from: from, host: entry.Host}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Timing of the servers.
@@ -70,7 +70,7 @@
 // the host list at once.
 func (p *Platform) Start(ctx context.Context) error {
 	ctx, p.stop = context.WithCancel(ctx)
-	var entries []platform.WorkerEntry
+	var entries []ports.WorkerEntry
 	for _, worker := range p.Workers {
 		addr, err := p.serve(loopback, worker, &p.workerBytes)
 		if err != nil {
@@ -124,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	view := func(listing platform.Listing) platform.Listing { return p.Network.view(zone, listing) }
+	view := func(listing ports.Listing) ports.Listing { return p.Network.view(zone, listing) }
 	hidden, err := p.serve(loopback, p.front(view), nil)
 	if err != nil {
 		return err
@@ -138,12 +138,12 @@
 }
 
 // front routes the address that the log and the host list share.
-func (p *Platform) front(view func(platform.Listing) platform.Listing) *http.ServeMux {
+func (p *Platform) front(view func(ports.Listing) ports.Listing) *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.Handle(platform.PathLog, NewLog(p.Log, p.clock))
+	mux.Handle(ports.PathLog, NewLog(p.Log, p.clock))
 	hosts := NewHostList(p.Hosts, p.clock)
 	hosts.view = view
-	mux.Handle(platform.PathHosts, hosts)
+	mux.Handle(ports.PathHosts, hosts)
 	return mux
 }
 
@@ -242,8 +242,8 @@
 		return &UnknownNameError{Kind: "worker", Name: string(id)}
 	}
 	entry := worker.State.Config().Entry(p.addrs[id])
-	entry.State = platform.StateLeaving
-	p.ChangeHosts(HostChange{Workers: []platform.WorkerEntry{entry}})
+	entry.State = ports.StateLeaving
+	p.ChangeHosts(HostChange{Workers: []ports.WorkerEntry{entry}})
 	return nil
 }
 
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // A zone loses its way to the platform for a while. A write during a reset
@@ -16,7 +16,7 @@
 func TestRelayFaultsAsAWriterSeesThem(t *testing.T) {
 	p := startPlatform(t)
 	zone := ident.Zone("oberbayern-1")
-	log := platform.NewHTTPLog(p.ZoneAddr(zone), platform.NewHTTPClient())
+	log := ports.NewHTTPLog(p.ZoneAddr(zone), ports.NewHTTPClient())
 	ctx := context.Background()
 	write := func(ctx context.Context, data string) error {
 		_, err := log.Append(ctx, "s", [][]byte{[]byte(data)})
@@ -38,7 +38,7 @@
 	set(RelayFaults{DropAnswers: true})
 	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 	defer cancel()
-	wantAs[*platform.UncertainError](t, write(short, "unanswered"))
+	wantAs[*ports.UncertainError](t, write(short, "unanswered"))
 	set(RelayFaults{Hang: true})
 	done := make(chan error, 1)
 	go func() { done <- write(ctx, "late") }()
@@ -68,16 +68,16 @@
 // counts for the zone's way to the platform, a lease for the workers.
 func TestTrafficIsCountedWhereItPasses(t *testing.T) {
 	p := startPlatform(t)
-	client := platform.NewHTTPClient()
+	client := ports.NewHTTPClient()
 	record := make([]byte, 1<<10)
-	if _, err := platform.NewHTTPLog(p.ZoneAddr("oberbayern-1"), client).Append(context.Background(), "s", [][]byte{record}); err != nil {
+	if _, err := ports.NewHTTPLog(p.ZoneAddr("oberbayern-1"), client).Append(context.Background(), "s", [][]byte{record}); err != nil {
 		t.Fatal(err)
 	}
 	after := p.Traffic()
 	if after.Platform < 1<<10 || after.Workers != 0 {
 		t.Errorf("after an append: %+v", after)
 	}
-	callTo(t, p, platform.NewHTTPWorkers(client))
+	callTo(t, p, ports.NewHTTPWorkers(client))
 	if got := p.Traffic(); got.Workers == 0 || got.Platform != after.Platform {
 		t.Errorf("after a lease: %+v", got)
 	}
@@ -93,8 +93,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Close)
-	list := platform.NewHTTPHostList(p.ZoneAddr("oberbayern-1"), platform.NewHTTPClient())
-	ask := func() (platform.Listing, int64) {
+	list := ports.NewHTTPHostList(p.ZoneAddr("oberbayern-1"), ports.NewHTTPClient())
+	ask := func() (ports.Listing, int64) {
 		t.Helper()
 		before := p.Traffic().Platform
 		listing, err := list.List(context.Background())
@@ -114,7 +114,7 @@
 	if err := p.MarkLeaving(first.Workers[0].Worker); err != nil {
 		t.Fatal(err)
 	}
-	if changed, _ := ask(); changed.Workers[0].State != platform.StateLeaving {
+	if changed, _ := ask(); changed.Workers[0].State != ports.StateLeaving {
 		t.Errorf("the change was not seen: %+v", changed.Workers)
 	}
 }
@@ -133,10 +133,10 @@
 	t.Cleanup(p.Close)
 	// The peer endpoint of the host is played by a worker of the other zone.
 	peer := p.WorkerAddr("oberbayern-2-w01")
-	p.ChangeHosts(HostChange{Hosts: []platform.HostEntry{{Host: "h2", Zone: "oberbayern-2", Addr: peer, State: platform.StateLive}}})
+	p.ChangeHosts(HostChange{Hosts: []ports.HostEntry{{Host: "h2", Zone: "oberbayern-2", Addr: peer, State: ports.StateLive}}})
 	seenFrom := func(zone ident.Zone) string {
 		t.Helper()
-		listing, err := platform.NewHTTPHostList(p.ZoneAddr(zone), platform.NewHTTPClient()).List(context.Background())
+		listing, err := ports.NewHTTPHostList(p.ZoneAddr(zone), ports.NewHTTPClient()).List(context.Background())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -146,13 +146,13 @@
 		t.Errorf("at home the host is listed at %s, want %s", got, peer)
 	}
 	relayed := seenFrom("oberbayern-1")
-	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	workers := ports.NewHTTPWorkers(ports.NewHTTPClient())
 	ask := func() error {
-		return workers.Release(context.Background(), relayed, platform.ClassSlots, 0)
+		return workers.Release(context.Background(), relayed, ports.ClassSlots, 0)
 	}
-	wantRefused(t, ask(), platform.RefusedEpoch)
+	wantRefused(t, ask(), ports.RefusedEpoch)
 	p.Network.SetBetween("oberbayern-1", "oberbayern-2", RelayFaults{Cut: true})
-	var answered *platform.RefusedError
+	var answered *ports.RefusedError
 	if err := ask(); err == nil || errors.As(err, &answered) {
 		t.Errorf("a cut zone answered %v", err)
 	}
@@ -160,5 +160,5 @@
 		t.Errorf("the address moved from %s to %s", relayed, got)
 	}
 	p.Network.SetBetween("oberbayern-1", "oberbayern-2", RelayFaults{})
-	wantRefused(t, ask(), platform.RefusedEpoch)
+	wantRefused(t, ask(), ports.RefusedEpoch)
 }
--- a/standin/watch.go
+++ b/standin/watch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // probeTimeout bounds one look at an entry host.
@@ -15,7 +15,7 @@
 // Watch keeps entry hosts in the host list for as long as their peer endpoints
 // take connections, looking every so often. It is for hosts that run as
 // processes of their own; it returns when ctx ends.
-func (p *Platform) Watch(ctx context.Context, hosts []platform.HostEntry, every time.Duration) {
+func (p *Platform) Watch(ctx context.Context, hosts []ports.HostEntry, every time.Duration) {
 	listed := make([]bool, len(hosts))
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
@@ -37,12 +37,12 @@
 }
 
 // seen is the change of the list for a host that came or went.
-func seen(host platform.HostEntry, alive bool) HostChange {
+func seen(host ports.HostEntry, alive bool) HostChange {
 	if !alive {
 		return HostChange{GoneHosts: []ident.HostID{host.Host}}
 	}
-	host.State = platform.StateLive
-	return HostChange{Hosts: []platform.HostEntry{host}}
+	host.State = ports.StateLive
+	return HostChange{Hosts: []ports.HostEntry{host}}
 }
 
 // probe reports whether an address takes connections.
--- a/standin/worker_call.go
+++ b/standin/worker_call.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -18,9 +18,9 @@
 
 // BeginCall gives a call a slot and a connection. cancel is called, without
 // waiting, if the worker stops the call; it may be nil. The errors are
-// *platform.RefusedError and *NoAnswerError. Only the fields of the call that
+// *ports.RefusedError and *NoAnswerError. Only the fields of the call that
 // come before its path are read.
-func (w *WorkerState) BeginCall(now time.Duration, call platform.Call, cancel func()) (Ticket, error) {
+func (w *WorkerState) BeginCall(now time.Duration, call ports.Call, cancel func()) (Ticket, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	const op = "call"
@@ -29,14 +29,14 @@
 	}
 	local := w.advance(now)
 	if call.ID.IsZero() || call.Deadline <= 0 {
-		return Ticket{}, refused(op, platform.RefusedMalformed)
+		return Ticket{}, refused(op, ports.RefusedMalformed)
 	}
-	lease := w.leases[platform.ClassSlots]
+	lease := w.leases[ports.ClassSlots]
 	if err := lease.check(op, local, call.Epoch, call.Holder); err != nil {
 		return Ticket{}, err
 	}
 	if !slices.Contains(w.cfg.Services, call.Service) {
-		return Ticket{}, refused(op, platform.RefusedService)
+		return Ticket{}, refused(op, ports.RefusedService)
 	}
 	t := w.callTask(call, cancel)
 	if err := w.begin(op, now, local, t); err != nil {
@@ -46,9 +46,9 @@
 }
 
 // callTask describes a call as a task.
-func (w *WorkerState) callTask(call platform.Call, cancel func()) *task {
+func (w *WorkerState) callTask(call ports.Call, cancel func()) *task {
 	t := &task{
-		id: call.ID.String(), class: platform.ClassSlots, team: call.Team, need: resource.Request,
+		id: call.ID.String(), class: ports.ClassSlots, team: call.Team, need: resource.Request,
 		holder: call.Holder, epoch: call.Epoch, limit: call.Deadline,
 		once: call.NonIdempotent, call: true, cancel: cancel,
 	}
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Worker serves a WorkerState and an upstream over HTTP.
@@ -24,17 +24,17 @@
 // Tick for tasks to end by themselves.
 func NewWorker(state *WorkerState, upstream Upstream, clock Clock) *Worker {
 	w := &Worker{State: state, clock: clock, upstream: upstream, mux: http.NewServeMux()}
-	w.mux.HandleFunc("POST "+platform.PathLease, w.lease)
-	w.mux.HandleFunc("POST "+platform.PathRelease, w.release)
-	w.mux.HandleFunc("POST "+platform.PathStart, w.start)
-	w.mux.HandleFunc("POST "+platform.PathControl, w.control)
+	w.mux.HandleFunc("POST "+ports.PathLease, w.lease)
+	w.mux.HandleFunc("POST "+ports.PathRelease, w.release)
+	w.mux.HandleFunc("POST "+ports.PathStart, w.start)
+	w.mux.HandleFunc("POST "+ports.PathControl, w.control)
 	return w
 }
 
 // ServeHTTP answers lease, release, start, control and calls.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	// The path of a call belongs to the upstream and must not be cleaned.
-	if path, ok := strings.CutPrefix(r.URL.RequestURI(), platform.PathCall+"/"); ok {
+	if path, ok := strings.CutPrefix(r.URL.RequestURI(), ports.PathCall+"/"); ok {
 		w.call(out, r, "/"+path)
 		return
 	}
@@ -42,7 +42,7 @@
 }
 
 func (w *Worker) lease(out http.ResponseWriter, r *http.Request) {
-	var req platform.LeaseRequest
+	var req ports.LeaseRequest
 	if !readJSON(out, r, &req) {
 		return
 	}
@@ -55,21 +55,21 @@
 }
 
 func (w *Worker) release(out http.ResponseWriter, r *http.Request) {
-	var req platform.ReleaseRequest
+	var req ports.ReleaseRequest
 	if readJSON(out, r, &req) {
 		finish(out, r, w.State.Release(w.clock(), req.Class, req.Epoch))
 	}
 }
 
 func (w *Worker) start(out http.ResponseWriter, r *http.Request) {
-	var req platform.StartRequest
+	var req ports.StartRequest
 	if readJSON(out, r, &req) {
 		finish(out, r, w.State.Start(w.clock(), req))
 	}
 }
 
 func (w *Worker) control(out http.ResponseWriter, r *http.Request) {
-	var req platform.ControlRequest
+	var req ports.ControlRequest
 	if readJSON(out, r, &req) {
 		finish(out, r, w.State.Control(w.clock(), req))
 	}
@@ -85,23 +85,23 @@
 }
 
 // parseCall reads the headers of a call.
-func parseCall(r *http.Request) (platform.Call, error) {
+func parseCall(r *http.Request) (ports.Call, error) {
 	const op = "call"
-	epoch, errEpoch := strconv.ParseUint(r.Header.Get(platform.HeaderEpoch), 10, 64)
-	inc, errInc := strconv.ParseUint(r.Header.Get(platform.HeaderIncarnation), 10, 64)
-	left, errLeft := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64)
-	id, errID := ident.ParseTaskID(r.Header.Get(platform.HeaderTask))
+	epoch, errEpoch := strconv.ParseUint(r.Header.Get(ports.HeaderEpoch), 10, 64)
+	inc, errInc := strconv.ParseUint(r.Header.Get(ports.HeaderIncarnation), 10, 64)
+	left, errLeft := strconv.ParseInt(r.Header.Get(ports.HeaderDeadline), 10, 64)
+	id, errID := ident.ParseTaskID(r.Header.Get(ports.HeaderTask))
 	if errEpoch != nil || errInc != nil || errLeft != nil || errID != nil {
-		return platform.Call{}, refused(op, platform.RefusedMalformed)
+		return ports.Call{}, refused(op, ports.RefusedMalformed)
 	}
-	return platform.Call{
-		Epoch:         platform.Epoch(epoch),
-		Holder:        ident.Holder{Host: ident.HostID(r.Header.Get(platform.HeaderHost)), Incarnation: ident.Incarnation(inc)},
+	return ports.Call{
+		Epoch:         ports.Epoch(epoch),
+		Holder:        ident.Holder{Host: ident.HostID(r.Header.Get(ports.HeaderHost)), Incarnation: ident.Incarnation(inc)},
 		ID:            id,
-		Team:          ident.TeamID(r.Header.Get(platform.HeaderTeam)),
-		Service:       ident.ServiceID(r.Header.Get(platform.HeaderService)),
+		Team:          ident.TeamID(r.Header.Get(ports.HeaderTeam)),
+		Service:       ident.ServiceID(r.Header.Get(ports.HeaderService)),
 		Deadline:      time.Duration(left),
-		NonIdempotent: r.Header.Get(platform.HeaderNonIdempotent) == "true",
+		NonIdempotent: r.Header.Get(ports.HeaderNonIdempotent) == "true",
 		Method:        r.Method,
 	}, nil
 }
@@ -117,7 +117,7 @@
 	// no slot and a cut body never runs.
 	body, err := io.ReadAll(http.MaxBytesReader(out, r.Body, maxBody))
 	if err != nil {
-		problem(out, http.StatusBadRequest, platform.Problem{Refusal: platform.RefusedMalformed, Detail: err.Error()})
+		problem(out, http.StatusBadRequest, ports.Problem{Refusal: ports.RefusedMalformed, Detail: err.Error()})
 		return
 	}
 	ctx, stop := context.WithCancel(r.Context())
@@ -140,7 +140,7 @@
 }
 
 // serve waits out the service time and says how the call ended.
-func (w *Worker) serve(ctx context.Context, call platform.Call, ticket Ticket, service time.Duration) End {
+func (w *Worker) serve(ctx context.Context, call ports.Call, ticket Ticket, service time.Duration) End {
 	took := time.NewTimer(time.Duration(float64(service) / ticket.Rate))
 	defer took.Stop()
 	deadline := time.NewTimer(call.Deadline)
@@ -169,7 +169,7 @@
 		cut()
 	}
 	for name, values := range answer.Header {
-		if !strings.HasPrefix(name, platform.HeaderPrefix) {
+		if !strings.HasPrefix(name, ports.HeaderPrefix) {
 			out.Header()[name] = values
 		}
 	}
@@ -182,7 +182,7 @@
 func upstreamHeader(r *http.Request) http.Header {
 	header := r.Header.Clone()
 	for name := range header {
-		if strings.HasPrefix(name, platform.HeaderPrefix) {
+		if strings.HasPrefix(name, ports.HeaderPrefix) {
 			header.Del(name)
 		}
 	}
--- a/standin/worker_state.go
+++ b/standin/worker_state.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -50,10 +50,10 @@
 }
 
 // Entry returns the worker as the host list shows it.
-func (c WorkerConfig) Entry(addr string) platform.WorkerEntry {
-	return platform.WorkerEntry{
+func (c WorkerConfig) Entry(addr string) ports.WorkerEntry {
+	return ports.WorkerEntry{
 		Worker: c.Worker, Zone: c.Zone, Rack: c.Rack, Addr: addr,
-		Size: c.Size, Service: c.Services, State: platform.StateLive,
+		Size: c.Size, Service: c.Services, State: ports.StateLive,
 	}
 }
 
@@ -61,7 +61,7 @@
 // clock.
 type classLease struct {
 	holder   ident.Holder
-	epoch    platform.Epoch
+	epoch    ports.Epoch
 	expires  time.Duration // the holder may start tasks before this
 	outlives time.Duration // tasks of the class are stopped at this
 	free     bool          // released, or never granted
@@ -78,7 +78,7 @@
 	clock  driftClock
 
 	boots  uint64
-	leases map[platform.LeaseClass]*classLease
+	leases map[ports.LeaseClass]*classLease
 	tasks  map[string]*task // running, by key
 	ended  []endedTask
 	seen   *memory
@@ -99,10 +99,10 @@
 // boot forgets everything but the count of boots.
 func (w *WorkerState) boot() {
 	w.boots++
-	first := platform.Epoch(w.boots << bootShift)
-	w.leases = map[platform.LeaseClass]*classLease{
-		platform.ClassSlots:   {epoch: first, free: true},
-		platform.ClassCompute: {epoch: first, free: true},
+	first := ports.Epoch(w.boots << bootShift)
+	w.leases = map[ports.LeaseClass]*classLease{
+		ports.ClassSlots:   {epoch: first, free: true},
+		ports.ClassCompute: {epoch: first, free: true},
 	}
 	w.tasks = make(map[string]*task)
 	w.ended = nil
@@ -114,21 +114,21 @@
 func (w *WorkerState) Config() WorkerConfig { return w.cfg }
 
 // Lease grants, renews or refuses the control lease of a class. It returns a
-// *platform.RefusedError or a *NoAnswerError.
-func (w *WorkerState) Lease(now time.Duration, req platform.LeaseRequest) (platform.LeaseGrant, error) {
+// *ports.RefusedError or a *NoAnswerError.
+func (w *WorkerState) Lease(now time.Duration, req ports.LeaseRequest) (ports.LeaseGrant, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	const op = "lease"
 	if err := w.awake(op); err != nil {
-		return platform.LeaseGrant{}, err
+		return ports.LeaseGrant{}, err
 	}
 	local := w.advance(now)
 	lease, ok := w.leases[req.Class]
 	if !ok || req.Holder.IsZero() || req.TTL <= 0 || req.TaskTTL < req.TTL {
-		return platform.LeaseGrant{}, refused(op, platform.RefusedMalformed)
+		return ports.LeaseGrant{}, refused(op, ports.RefusedMalformed)
 	}
 	if err := lease.admit(op, local, req); err != nil {
-		return platform.LeaseGrant{}, err
+		return ports.LeaseGrant{}, err
 	}
 	if req.Epoch == 0 {
 		lease.epoch++
@@ -138,15 +138,15 @@
 	lease.expires = local + req.TTL
 	lease.outlives = local + req.TaskTTL
 	w.forgetEnded(req.Class, req.AckedEnds)
-	return platform.LeaseGrant{Epoch: lease.epoch, Boot: w.boots, Size: w.cfg.Size, Tasks: w.reports(local, req.Class)}, nil
+	return ports.LeaseGrant{Epoch: lease.epoch, Boot: w.boots, Size: w.cfg.Size, Tasks: w.reports(local, req.Class)}, nil
 }
 
 // admit decides whether a request may take or renew the lease.
-func (l *classLease) admit(op string, local time.Duration, req platform.LeaseRequest) error {
+func (l *classLease) admit(op string, local time.Duration, req ports.LeaseRequest) error {
 	alive := !l.free && local < l.expires
 	if req.Epoch == 0 {
 		if alive && l.holder != req.Holder {
-			return &platform.RefusedError{Op: op, Refusal: platform.RefusedHeld, Left: l.expires - local}
+			return &ports.RefusedError{Op: op, Refusal: ports.RefusedHeld, Left: l.expires - local}
 		}
 		return nil
 	}
@@ -158,19 +158,19 @@
 // A holder that was paused past its lease may wake and send calls of its old
 // epoch after a successor took the lease. The epoch grows with every grant, so
 // such a call never equals the current epoch and takes no effect.
-func (l *classLease) check(op string, local time.Duration, epoch platform.Epoch, holder ident.Holder) error {
+func (l *classLease) check(op string, local time.Duration, epoch ports.Epoch, holder ident.Holder) error {
 	if epoch != l.epoch || holder != l.holder {
-		return refused(op, platform.RefusedEpoch)
+		return refused(op, ports.RefusedEpoch)
 	}
 	if l.free || local >= l.expires {
-		return refused(op, platform.RefusedLapsed)
+		return refused(op, ports.RefusedLapsed)
 	}
 	return nil
 }
 
 // Release gives up the control lease of a class; tasks go on until their TTL.
 // Releasing the current epoch twice does nothing.
-func (w *WorkerState) Release(now time.Duration, class platform.LeaseClass, epoch platform.Epoch) error {
+func (w *WorkerState) Release(now time.Duration, class ports.LeaseClass, epoch ports.Epoch) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	const op = "release"
@@ -180,10 +180,10 @@
 	w.advance(now)
 	lease, ok := w.leases[class]
 	if !ok {
-		return refused(op, platform.RefusedMalformed)
+		return refused(op, ports.RefusedMalformed)
 	}
 	if epoch != lease.epoch {
-		return refused(op, platform.RefusedEpoch)
+		return refused(op, ports.RefusedEpoch)
 	}
 	lease.free = true
 	return nil
@@ -191,7 +191,7 @@
 
 // LeaseOf returns the holder and epoch of the current lease of a class, and
 // whether it is alive. It is for tests and reports.
-func (w *WorkerState) LeaseOf(now time.Duration, class platform.LeaseClass) (ident.Holder, platform.Epoch, bool) {
+func (w *WorkerState) LeaseOf(now time.Duration, class ports.LeaseClass) (ident.Holder, ports.Epoch, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	lease, ok := w.leases[class]
@@ -202,6 +202,6 @@
 }
 
 // refused builds a refusal.
-func refused(op string, why platform.Refusal) error {
-	return &platform.RefusedError{Op: op, Refusal: why}
+func refused(op string, why ports.Refusal) error {
+	return &ports.RefusedError{Op: op, Refusal: why}
 }
--- a/standin/worker_task.go
+++ b/standin/worker_task.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -13,11 +13,11 @@
 type task struct {
 	key       string // identifier, with a suffix for a repeated idempotent call
 	id        string
-	class     platform.LeaseClass
+	class     ports.LeaseClass
 	team      ident.TeamID
 	need      resource.Vector
 	holder    ident.Holder
-	epoch     platform.Epoch
+	epoch     ports.Epoch
 	once      bool // non-idempotent
 	call      bool
 	began     time.Duration
@@ -71,8 +71,8 @@
 }
 
 // Start starts a task under the control lease that the request names. It
-// returns a *platform.RefusedError if nothing was started, or a *NoAnswerError.
-func (w *WorkerState) Start(now time.Duration, req platform.StartRequest) error {
+// returns a *ports.RefusedError if nothing was started, or a *NoAnswerError.
+func (w *WorkerState) Start(now time.Duration, req ports.StartRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	const op = "start"
@@ -82,7 +82,7 @@
 	local := w.advance(now)
 	lease, ok := w.leases[req.Class]
 	if !ok || req.ID == "" || req.Need.Negative() || crossesClass(req.Class, req.Need) || req.Run < 0 || req.Limit < 0 {
-		return refused(op, platform.RefusedMalformed)
+		return refused(op, ports.RefusedMalformed)
 	}
 	if err := lease.check(op, local, req.Epoch, req.Holder); err != nil {
 		return err
@@ -95,8 +95,8 @@
 }
 
 // crossesClass reports whether a need asks for what the class does not govern.
-func crossesClass(class platform.LeaseClass, need resource.Vector) bool {
-	if class == platform.ClassSlots {
+func crossesClass(class ports.LeaseClass, need resource.Vector) bool {
+	if class == ports.ClassSlots {
 		return need.MilliCPU != 0 || need.MemoryMiB != 0 || need.Accelerators != 0
 	}
 	return need.Slots != 0 || need.Connections != 0
@@ -106,14 +106,14 @@
 func (w *WorkerState) begin(op string, now, local time.Duration, t *task) error {
 	if w.seen.has(t.id) && t.once {
 		w.audit.refusedDuplicate()
-		return refused(op, platform.RefusedDuplicate)
+		return refused(op, ports.RefusedDuplicate)
 	}
 	if w.faults.Leaving {
-		return refused(op, platform.RefusedLeaving)
+		return refused(op, ports.RefusedLeaving)
 	}
 	if !t.need.Fits(w.cfg.Size.Sub(w.used)) {
 		w.audit.refusedCapacity()
-		return refused(op, platform.RefusedCapacity)
+		return refused(op, ports.RefusedCapacity)
 	}
 	w.seen.add(t.id)
 	t.began, t.since = local, local
@@ -128,8 +128,8 @@
 }
 
 // Control applies a control to a running task. It returns a
-// *platform.RefusedError or a *NoAnswerError.
-func (w *WorkerState) Control(now time.Duration, req platform.ControlRequest) error {
+// *ports.RefusedError or a *NoAnswerError.
+func (w *WorkerState) Control(now time.Duration, req ports.ControlRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	const op = "control"
@@ -139,7 +139,7 @@
 	local := w.advance(now)
 	lease, ok := w.leases[req.Class]
 	if !ok {
-		return refused(op, platform.RefusedMalformed)
+		return refused(op, ports.RefusedMalformed)
 	}
 	if err := lease.check(op, local, req.Epoch, lease.holder); err != nil {
 		return err
@@ -152,17 +152,17 @@
 }
 
 // apply carries out a control.
-func (w *WorkerState) apply(op string, now, local time.Duration, t *task, c platform.Control) error {
+func (w *WorkerState) apply(op string, now, local time.Duration, t *task, c ports.Control) error {
 	switch c {
-	case platform.ControlStop:
+	case ports.ControlStop:
 		w.finish(now, local, t, EndStopped)
-	case platform.ControlCheckpoint:
+	case ports.ControlCheckpoint:
 		w.finish(now, local, t, EndCheckpointed)
-	case platform.ControlThrottle, platform.ControlUnthrottle:
-		t.throttled = c == platform.ControlThrottle
+	case ports.ControlThrottle, ports.ControlUnthrottle:
+		t.throttled = c == ports.ControlThrottle
 		t.setRate(local, w.rateOf(t))
 	default:
-		return refused(op, platform.RefusedMalformed)
+		return refused(op, ports.RefusedMalformed)
 	}
 	return nil
 }
@@ -202,7 +202,7 @@
 
 // keepEnded stores the report of an ended task, dropping the oldest beyond the
 // bound.
-func (w *WorkerState) keepEnded(class platform.LeaseClass, report platform.TaskReport) {
+func (w *WorkerState) keepEnded(class ports.LeaseClass, report ports.TaskReport) {
 	if len(w.ended) >= DefaultMaxEnded {
 		w.ended = slices.Delete(w.ended, 0, 1)
 	}
@@ -210,7 +210,7 @@
 }
 
 // forgetEnded drops the acknowledged reports.
-func (w *WorkerState) forgetEnded(class platform.LeaseClass, acked []string) {
+func (w *WorkerState) forgetEnded(class ports.LeaseClass, acked []string) {
 	if len(acked) == 0 {
 		return
 	}
@@ -225,13 +225,13 @@
 
 // endedTask is an ended task that its holder has not acknowledged.
 type endedTask struct {
-	class  platform.LeaseClass
-	report platform.TaskReport
+	class  ports.LeaseClass
+	report ports.TaskReport
 }
 
 // reports lists the running tasks of a class by key, then the ended ones.
-func (w *WorkerState) reports(local time.Duration, class platform.LeaseClass) []platform.TaskReport {
-	var out []platform.TaskReport
+func (w *WorkerState) reports(local time.Duration, class ports.LeaseClass) []ports.TaskReport {
+	var out []ports.TaskReport
 	for _, key := range w.keys() {
 		if t := w.tasks[key]; t.class == class {
 			out = append(out, w.report(local, t))
@@ -246,8 +246,8 @@
 }
 
 // report describes a running task. Usage shows only once the lag has passed.
-func (w *WorkerState) report(local time.Duration, t *task) platform.TaskReport {
-	r := platform.TaskReport{
+func (w *WorkerState) report(local time.Duration, t *task) ports.TaskReport {
+	r := ports.TaskReport{
 		ID: t.id, Team: t.team, Need: t.need, Holder: t.holder,
 		Ran: local - t.began, Progress: t.fraction(local),
 	}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fireflyfold/fireflyfold/ident"
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -28,11 +28,11 @@
 	return NewWorkerState(WorkerConfig{Worker: "w1", Size: size, Services: []ident.ServiceID{"grants"}}, audit), audit
 }
 
-func leaseRequest(holder ident.Holder, epoch platform.Epoch) platform.LeaseRequest {
-	return platform.LeaseRequest{Class: platform.ClassCompute, Holder: holder, Epoch: epoch, TTL: testTTL, TaskTTL: testTaskTTL}
+func leaseRequest(holder ident.Holder, epoch ports.Epoch) ports.LeaseRequest {
+	return ports.LeaseRequest{Class: ports.ClassCompute, Holder: holder, Epoch: epoch, TTL: testTTL, TaskTTL: testTaskTTL}
 }
 
-func mustLease(t *testing.T, w *WorkerState, now time.Duration, req platform.LeaseRequest) platform.LeaseGrant {
+func mustLease(t *testing.T, w *WorkerState, now time.Duration, req ports.LeaseRequest) ports.LeaseGrant {
 	t.Helper()
 	grant, err := w.Lease(now, req)
 	if err != nil {
@@ -41,18 +41,18 @@
 	return grant
 }
 
-func wantRefused(t *testing.T, err error, want platform.Refusal) *platform.RefusedError {
+func wantRefused(t *testing.T, err error, want ports.Refusal) *ports.RefusedError {
 	t.Helper()
-	var refusal *platform.RefusedError
+	var refusal *ports.RefusedError
 	if !errors.As(err, &refusal) || refusal.Refusal != want {
 		t.Fatalf("got %v, want refusal %s", err, want)
 	}
 	return refusal
 }
 
-func startRequest(holder ident.Holder, epoch platform.Epoch, id string, cpu int64) platform.StartRequest {
-	return platform.StartRequest{
-		Class: platform.ClassCompute, Epoch: epoch, Holder: holder, ID: id, Team: "crafts",
+func startRequest(holder ident.Holder, epoch ports.Epoch, id string, cpu int64) ports.StartRequest {
+	return ports.StartRequest{
+		Class: ports.ClassCompute, Epoch: epoch, Holder: holder, ID: id, Team: "crafts",
 		Need: resource.Vector{MilliCPU: cpu}, Run: time.Second,
 	}
 }
@@ -63,7 +63,7 @@
 func TestPausedHolderStartsNothing(t *testing.T) {
 	w, audit := testWorker()
 	old := mustLease(t, w, 0, leaseRequest(alice, 0))
-	refusal := wantRefused(t, second(w.Lease(time.Second, leaseRequest(bob, 0))), platform.RefusedHeld)
+	refusal := wantRefused(t, second(w.Lease(time.Second, leaseRequest(bob, 0))), ports.RefusedHeld)
 	if refusal.Left != testTTL-time.Second {
 		t.Errorf("left %v, want %v", refusal.Left, testTTL-time.Second)
 	}
@@ -71,8 +71,8 @@
 	if taken.Epoch <= old.Epoch {
 		t.Errorf("epoch %d after %d", taken.Epoch, old.Epoch)
 	}
-	wantRefused(t, w.Start(testTTL, startRequest(alice, old.Epoch, "a/0/1", 1000)), platform.RefusedEpoch)
-	wantRefused(t, second(w.Lease(testTTL, leaseRequest(alice, old.Epoch))), platform.RefusedEpoch)
+	wantRefused(t, w.Start(testTTL, startRequest(alice, old.Epoch, "a/0/1", 1000)), ports.RefusedEpoch)
+	wantRefused(t, second(w.Lease(testTTL, leaseRequest(alice, old.Epoch))), ports.RefusedEpoch)
 	if starts := audit.Counts().Starts; starts != 0 {
 		t.Errorf("%d starts, want none", starts)
 	}
@@ -89,7 +89,7 @@
 	if err := w.Start(0, req); err != nil {
 		t.Fatal(err)
 	}
-	wantRefused(t, w.Start(testTTL, startRequest(alice, first.Epoch, "b/0/1", 1000)), platform.RefusedLapsed)
+	wantRefused(t, w.Start(testTTL, startRequest(alice, first.Epoch, "b/0/1", 1000)), ports.RefusedLapsed)
 	second := mustLease(t, w, testTaskTTL-1, leaseRequest(bob, 0))
 	if len(second.Tasks) != 1 || second.Tasks[0].Ended || second.Tasks[0].Holder != alice {
 		t.Fatalf("grant lists %+v", second.Tasks)
@@ -103,9 +103,9 @@
 		t.Fatalf("used %v after the task TTL", used)
 	}
 	third := mustLease(t, w, 3*testTaskTTL, leaseRequest(bob, 0))
-	want := platform.TaskReport{ID: "a/0/1", Ended: true, Stopped: true, Reason: string(EndExpired)}
+	want := ports.TaskReport{ID: "a/0/1", Ended: true, Stopped: true, Reason: string(EndExpired)}
 	got := third.Tasks[0]
-	got = platform.TaskReport{ID: got.ID, Ended: got.Ended, Stopped: got.Stopped, Reason: got.Reason}
+	got = ports.TaskReport{ID: got.ID, Ended: got.Ended, Stopped: got.Stopped, Reason: got.Reason}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -119,14 +119,14 @@
 	if err := w.Start(0, startRequest(alice, epoch, "a/0/1", 3000)); err != nil {
 		t.Fatal(err)
 	}
-	wantRefused(t, w.Start(0, startRequest(alice, epoch, "b/0/1", 1001)), platform.RefusedCapacity)
+	wantRefused(t, w.Start(0, startRequest(alice, epoch, "b/0/1", 1001)), ports.RefusedCapacity)
 	w.Tick(time.Second)
-	wantRefused(t, w.Start(time.Second, startRequest(alice, epoch, "a/0/1", 1)), platform.RefusedDuplicate)
+	wantRefused(t, w.Start(time.Second, startRequest(alice, epoch, "a/0/1", 1)), ports.RefusedDuplicate)
 	crossing := startRequest(alice, epoch, "c/0/1", 0)
 	crossing.Need = resource.Request
-	wantRefused(t, w.Start(time.Second, crossing), platform.RefusedMalformed)
+	wantRefused(t, w.Start(time.Second, crossing), ports.RefusedMalformed)
 	w.SetFaults(time.Second, WorkerFaults{Leaving: true})
-	wantRefused(t, w.Start(time.Second, startRequest(alice, epoch, "d/0/1", 1)), platform.RefusedLeaving)
+	wantRefused(t, w.Start(time.Second, startRequest(alice, epoch, "d/0/1", 1)), ports.RefusedLeaving)
 	want := Counts{Starts: 1, Ends: 1, RefusedCapacity: 1, RefusedDuplicates: 1}
 	if diff := cmp.Diff(want, audit.Counts()); diff != "" {
 		t.Error(diff)
@@ -148,7 +148,7 @@
 	if after <= before {
 		t.Errorf("epoch %d after %d", after, before)
 	}
-	wantRefused(t, w.Start(2*time.Second, startRequest(alice, before, "a/0/1", 1)), platform.RefusedEpoch)
+	wantRefused(t, w.Start(2*time.Second, startRequest(alice, before, "a/0/1", 1)), ports.RefusedEpoch)
 }
 
 // A throttled task takes four times as long for the rest of its work, a
@@ -161,11 +161,11 @@
 	if err := w.Start(0, req); err != nil {
 		t.Fatal(err)
 	}
-	control := platform.ControlRequest{Class: platform.ClassCompute, Epoch: epoch, ID: "a/0/1", Control: platform.ControlThrottle}
+	control := ports.ControlRequest{Class: ports.ClassCompute, Epoch: epoch, ID: "a/0/1", Control: ports.ControlThrottle}
 	if err := w.Control(time.Second, control); err != nil {
 		t.Fatal(err)
 	}
-	control.Control = platform.ControlCheckpoint
+	control.Control = ports.ControlCheckpoint
 	if err := w.Control(2*time.Second, control); err != nil {
 		t.Fatal(err)
 	}
@@ -185,9 +185,9 @@
 	w, _ := testWorker()
 	w.SetFaults(0, WorkerFaults{Drift: 0.5})
 	mustLease(t, w, 0, leaseRequest(alice, 0))
-	wantRefused(t, second(w.Lease(2*time.Second-time.Millisecond, leaseRequest(bob, 0))), platform.RefusedHeld)
+	wantRefused(t, second(w.Lease(2*time.Second-time.Millisecond, leaseRequest(bob, 0))), ports.RefusedHeld)
 	mustLease(t, w, 2*time.Second, leaseRequest(bob, 0))
 }
 
 // second drops the grant of a lease call that is expected to fail.
-func second(_ platform.LeaseGrant, err error) error { return err }
+func second(_ ports.LeaseGrant, err error) error { return err }
--- a/standin/worker_tick.go
+++ b/standin/worker_tick.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/resource"
 )
 
@@ -102,7 +102,7 @@
 }
 
 // Tasks lists the running and unacknowledged tasks of a class, as a grant does.
-func (w *WorkerState) Tasks(now time.Duration, class platform.LeaseClass) []platform.TaskReport {
+func (w *WorkerState) Tasks(now time.Duration, class ports.LeaseClass) []ports.TaskReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.reports(w.clock.local(now), class)
--- a/stream/appender.go
+++ b/stream/appender.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Appender keeps at most one append open and spaces them.
 type Appender struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Retry  time.Duration // before the next append after a failure, doubled with each further one
 
 	tag    Tag
--- a/stream/fakelog/fakelog.go
+++ b/stream/fakelog/fakelog.go
@@ -6,7 +6,7 @@
 import (
 	"flag"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 )
 
@@ -30,32 +30,32 @@
 // Log is one stream.
 type Log struct {
 	groups  [][][]byte // that wait for LandLate
-	records []platform.Record
-	last    platform.Offset
+	records []ports.Record
+	last    ports.Offset
 	// Appends counts the groups that landed, Bytes what they carried.
 	Appends int
 	Bytes   int
 }
 
 // Append lands a group and returns the offset of its last record.
-func (l *Log) Append(group [][]byte) platform.Offset {
+func (l *Log) Append(group [][]byte) ports.Offset {
 	for _, data := range group {
 		l.last++
 		l.Bytes += len(data)
-		l.records = append(l.records, platform.Record{Offset: l.last, Data: data})
+		l.records = append(l.records, ports.Record{Offset: l.last, Data: data})
 	}
 	l.Appends++
 	return l.last
 }
 
 // Last returns the offset of the newest record.
-func (l *Log) Last() platform.Offset { return l.last }
+func (l *Log) Last() ports.Offset { return l.last }
 
 // Records returns what is retained.
-func (l *Log) Records() []platform.Record { return l.records }
+func (l *Log) Records() []ports.Record { return l.records }
 
 // Expire drops all records before the offset.
-func (l *Log) Expire(before platform.Offset) {
+func (l *Log) Expire(before ports.Offset) {
 	n := 0
 	for n < len(l.records) && l.records[n].Offset < before {
 		n++
@@ -64,7 +64,7 @@
 }
 
 // First returns the offset of the oldest record that is retained.
-func (l *Log) First() platform.Offset {
+func (l *Log) First() ports.Offset {
 	if len(l.records) == 0 {
 		return l.last + 1
 	}
@@ -72,8 +72,8 @@
 }
 
 // Read returns at most limit records after the offset.
-func (l *Log) Read(after platform.Offset, limit int) platform.Page {
-	page := platform.Page{First: l.First(), Last: l.last}
+func (l *Log) Read(after ports.Offset, limit int) ports.Page {
+	page := ports.Page{First: l.First(), Last: l.last}
 	skip := 0
 	if after+1 > page.First {
 		skip = min(int(after+1-page.First), len(l.records))
--- a/stream/probe.go
+++ b/stream/probe.go
@@ -1,15 +1,15 @@
 package stream
 
-import "github.com/fireflyfold/fireflyfold/platform"
+import "github.com/fireflyfold/fireflyfold/ports"
 
 // Finder recognises, in records read back from the end of a stream, a position
 // from which a reader finds the whole state.
 type Finder interface {
 	// Note takes a record; first is the oldest offset that is retained. Records
 	// come in rising order within a span, and a span may repeat earlier ones.
-	Note(rec platform.Record, first platform.Offset)
+	Note(rec ports.Record, first ports.Offset)
 	// Found returns the position after which to read, if there is one yet.
-	Found() (platform.Offset, bool)
+	Found() (ports.Offset, bool)
 }
 
 // Probe finds where a reader must start. It reads backwards from the end of the
@@ -18,14 +18,14 @@
 type Probe struct {
 	Records int // length of the first span
 
-	span   platform.Offset
-	opened bool            // the end of the stream is known
-	end    platform.Offset // where every span ends
+	span   ports.Offset
+	opened bool         // the end of the stream is known
+	end    ports.Offset // where every span ends
 }
 
 // Start is where a reader starts, and with what.
 type Start struct {
-	After platform.Offset
+	After ports.Offset
 	Found bool // as the finder said; otherwise After is before the oldest record
 	Whole bool // nothing before After is missing
 }
@@ -56,12 +56,12 @@
 func (p *Probe) open(r *Reader) {
 	p.opened = true
 	p.end = r.Last
-	p.span = platform.Offset(max(1, p.Records))
+	p.span = ports.Offset(max(1, p.Records))
 	p.seek(r)
 }
 
 // oldest returns the offset before the oldest record.
-func oldest(r *Reader) platform.Offset { return max(r.First, 1) - 1 }
+func oldest(r *Reader) ports.Offset { return max(r.First, 1) - 1 }
 
 func (p *Probe) reachesOldest(r *Reader) bool { return p.end <= oldest(r)+p.span }
 
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -3,18 +3,18 @@
 import (
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Reader follows a stream with one open read at a time.
 type Reader struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Retry  time.Duration // before the next read after a failure
 	Limit  int           // records of one page
 
-	After platform.Offset // everything up to here has been read
-	First platform.Offset // oldest retained record, as of the last page
-	Last  platform.Offset // newest record, as of the last page
+	After ports.Offset // everything up to here has been read
+	First ports.Offset // oldest retained record, as of the last page
+	Last  ports.Offset // newest record, as of the last page
 
 	tag    Tag
 	open   bool
@@ -34,18 +34,18 @@
 }
 
 // Seek moves the reader to after. The answer to an open read will be ignored.
-func (r *Reader) Seek(after platform.Offset) {
+func (r *Reader) Seek(after ports.Offset) {
 	r.After = after
 	r.open = false
 }
 
 // Answer is what a page means to the reader.
 type Answer struct {
-	Records []platform.Record // new ones, in order, without a gap
-	SentAt  time.Duration     // when the read was sent
-	AtEnd   bool              // the page reached the newest record of its time
-	Expired bool              // records expired before they were read
-	Stale   bool              // not the answer to the open read; nothing changed
+	Records []ports.Record // new ones, in order, without a gap
+	SentAt  time.Duration  // when the read was sent
+	AtEnd   bool           // the page reached the newest record of its time
+	Expired bool           // records expired before they were read
+	Stale   bool           // not the answer to the open read; nothing changed
 }
 
 // Page takes the answer to a read. After moves only with Take, so that the
@@ -77,7 +77,7 @@
 func (r *Reader) Pause(now time.Duration) { r.nextAt = now + r.Retry }
 
 // Take notes that the record at the offset has been dealt with.
-func (r *Reader) Take(at platform.Offset) { r.After = at }
+func (r *Reader) Take(at ports.Offset) { r.After = at }
 
 // Failed takes the failure of a read.
 func (r *Reader) Failed(now time.Duration, ev ReadFailed) {
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 )
 
 // Event is something that happened to a machine that lives on a stream.
@@ -25,7 +25,7 @@
 // PageRead answers the Read command with the same tag.
 type PageRead struct {
 	Tag  Tag
-	Page platform.Page
+	Page ports.Page
 }
 
 // ReadFailed reports that the Read command with the same tag brought nothing.
@@ -36,7 +36,7 @@
 
 // AppendFailed reports that the group got no answer, or a refusal. Certain
 // means that the group was not and will not be appended; it is false for a
-// *platform.UncertainError and only for that.
+// *ports.UncertainError and only for that.
 type AppendFailed struct {
 	Tag     Tag
 	Certain bool
@@ -60,7 +60,7 @@
 // Append asks to append the group; the answer is one AppendDone or one
 // AppendFailed with the same tag. At most one is open.
 type Append struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Tag    Tag
 	Group  [][]byte
 }
@@ -68,9 +68,9 @@
 // Read asks for a page; the answer is one PageRead or one ReadFailed with the
 // same tag. A new one replaces the one before, whose answer no longer matters.
 type Read struct {
-	Stream platform.Stream
+	Stream ports.Stream
 	Tag    Tag
-	After  platform.Offset
+	After  ports.Offset
 	Limit  int
 	Wait   time.Duration
 }
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/ports"
 	"github.com/fireflyfold/fireflyfold/stream"
 	"github.com/fireflyfold/fireflyfold/stream/fakelog"
 )
@@ -57,18 +57,18 @@
 // finder is satisfied with one record.
 type finder struct {
 	want  string
-	after platform.Offset
+	after ports.Offset
 	notes int
 }
 
-func (f *finder) Note(rec platform.Record, _ platform.Offset) {
+func (f *finder) Note(rec ports.Record, _ ports.Offset) {
 	f.notes++
 	if string(rec.Data) == f.want {
 		f.after = rec.Offset
 	}
 }
 
-func (f *finder) Found() (platform.Offset, bool) { return f.after, f.after > 0 }
+func (f *finder) Found() (ports.Offset, bool) { return f.after, f.after > 0 }
 
 // probe runs a probe to its end.
 func probe(t *testing.T, log *fakelog.Log, f *finder) stream.Start {
