--- a/cmd/fireflyfold/main.go
+++ b/cmd/fireflyfold/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflyfold/fireflyfold/cli"
 	"github.com/fireflyfold/fireflyfold/demo"
+	"github.com/fireflyfold/fireflyfold/host"
 	"github.com/fireflyfold/fireflyfold/load"
 	"github.com/fireflyfold/fireflyfold/measure"
 	"github.com/fireflyfold/fireflyfold/serve"
@@ -20,6 +21,7 @@
 	commander := subcommands.NewCommander(flag.CommandLine, "fireflyfold")
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(&host.Command{}, "daemons")
 	commander.Register(&serve.Command{}, "daemons")
 	commander.Register(&demo.Command{}, "daemons")
 	cli.Register(commander)
--- /dev/null
+++ b/host/command.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/telemetry"
+)
+
+// Command implements "fireflyfold host".
+type Command struct {
+	settings string
+	level    string
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "host" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "run one entry host on the users' platform" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `host [--settings FILE] [--log-level LEVEL]
+  Runs one entry host of a region. The settings have the platform's format;
+  without --settings they are where the platform says. SIGTERM begins a planned
+  stop, SIGHUP reads the settings again.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings file (default: the platform's)")
+	f.StringVar(&c.level, "log-level", "info", "least severe level that is logged")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		c.settings = platform.SettingsPath()
+	}
+	s, err := platform.LoadSettings(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "host:", err)
+		return subcommands.ExitUsageError
+	}
+	if err := c.run(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, "host:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) run(ctx context.Context, s platform.Settings) error {
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	defer out.Close()
+	tel, err := telemetry.New(ctx, telemetry.Options{
+		Service: "fireflyfold", Host: s.Host, Zone: s.Zone, LogLevel: c.level, LogOutput: out,
+	})
+	if err != nil {
+		return err
+	}
+	tel.Log.Logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	h := New(s, tel)
+	go h.watchSettings(ctx, c.settings)
+	err = h.Run(ctx)
+	// Metrics and spans of the last second may be lost with the process.
+	_ = tel.Close(context.Background())
+	return err
+}
--- /dev/null
+++ b/host/election.go
@@ -0,0 +1,253 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/leader"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// topicClaims holds one record for each leadership; its offset plus one is the
+// leader's fencing token.
+const topicClaims = "claims"
+
+const (
+	// claimsWait is how long the log may wait for a new claim.
+	claimsWait = 5 * time.Second
+	// claimTimeout bounds the append of a claim, and reads beyond their wait.
+	claimTimeout = 900 * time.Millisecond
+	// pingEvery is how often a host asks the leader for a sign of life.
+	pingEvery = 300 * time.Millisecond
+	// pingTimeout bounds a ping. A busy host answers within some 100 ms.
+	pingTimeout = 500 * time.Millisecond
+	// missedPings in a row make a host look at the log: one may be lost by
+	// chance or to a pause of the leader.
+	missedPings = 2
+	// silence is how long the leader's entries must stand still, by a read of
+	// the log, before another host takes over. A leader appends every 300 ms.
+	silence = 800 * time.Millisecond
+	// staleLead is how long a leader may go without the log before the others
+	// look whether they reach it.
+	staleLead = 1500 * time.Millisecond
+	// jitter spreads the claims of hosts that notice at the same time.
+	jitter = 150 * time.Millisecond
+)
+
+// election finds the leader and claims the lead when there is none.
+type election struct {
+	host   *Host
+	mu     sync.Mutex
+	claim  *record.Claim // newest claim read; nil if none
+	fence  int64         // of that claim
+	next   int64         // offset after the newest claim read
+	readOK bool          // the claims were read to their end
+
+	missed     int
+	entriesEnd int64
+	takeOver   chan int64 // the leader with that fence is leaving and asks us
+	lead       *leader.Leader
+}
+
+func newElection(h *Host) *election {
+	return &election{host: h, takeOver: make(chan int64, 1)}
+}
+
+// current returns the newest claim and its fencing token.
+func (e *election) current() (*record.Claim, int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.claim, e.fence
+}
+
+// leading returns the leadership of this host, or nil.
+func (e *election) leading() *leader.Leader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lead
+}
+
+// watchClaims follows the claims.
+func (e *election) watchClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		from := e.next
+		wait := claimsWait
+		if !e.readOK {
+			wait = 0
+		}
+		e.mu.Unlock()
+		b, err := e.host.client.ReadLog(ctx, claimTimeout, platform.Read{Topic: topicClaims, From: from, Wait: wait})
+		var expired *platform.ExpiredError
+		if errors.As(err, &expired) {
+			e.mu.Lock()
+			e.next = expired.First
+			e.mu.Unlock()
+			continue
+		}
+		if err != nil {
+			sleep(ctx, configRetry)
+			continue
+		}
+		e.took(from, b.Records, b.End)
+	}
+}
+
+// took notes claims that were read from an offset on.
+func (e *election) took(from int64, records [][]byte, end int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, data := range records {
+		offset := from + int64(i)
+		if offset < e.next {
+			continue
+		}
+		e.next = offset + 1
+		c := &record.Claim{}
+		if err := proto.Unmarshal(data, c); err != nil {
+			e.host.log.WithError(err).Error("claim cannot be read")
+			continue
+		}
+		e.claim, e.fence = c, offset+1
+		e.missed = 0
+		e.host.log.WithFields(logrus.Fields{"leader": c.Host, "fence": e.fence}).Info("leader claimed")
+	}
+	e.readOK = e.next >= end
+}
+
+// run pings the leader, and claims the lead when it is gone.
+func (e *election) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fence := <-e.takeOver:
+			if _, now := e.current(); now == fence {
+				e.host.log.WithField("fence", fence).Info("leader is leaving and hands over")
+				e.try(ctx)
+			}
+			continue
+		case <-time.After(pingEvery):
+		}
+		if e.leading() != nil || e.host.stopping.Load() {
+			continue
+		}
+		if e.leaderGone(ctx) {
+			sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
+			e.try(ctx)
+		}
+	}
+}
+
+// leaderGone reports whether the log shows that nobody leads.
+func (e *election) leaderGone(ctx context.Context) bool {
+	e.mu.Lock()
+	claim, ok := e.claim, e.readOK
+	e.mu.Unlock()
+	if !ok {
+		return false
+	}
+	if claim == nil || (claim.Host == e.host.settings.Host && e.leading() == nil) {
+		return true // nobody has ever led, or we did in an earlier life
+	}
+	if e.ping(ctx, claim) {
+		e.missed = 0
+		return false
+	}
+	if e.missed++; e.missed < missedPings {
+		return false
+	}
+	return e.silent(ctx)
+}
+
+// ping reports whether the leader answers and reaches the log.
+func (e *election) ping(ctx context.Context, claim *record.Claim) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	resp, err := e.host.peers.leader(claim.Address).Ping(ctx, e.host.pingRequest())
+	return err == nil && time.Duration(resp.Msg.LogContactMs)*time.Millisecond < staleLead
+}
+
+// silent reports whether the leader's entries stand still for a while. A leader
+// that others cannot reach but that reaches the log goes on leading.
+func (e *election) silent(ctx context.Context) bool {
+	grown, end, err := leader.Fresh(ctx, e.host.client, e.entriesEnd, 0)
+	if err != nil {
+		return false
+	}
+	e.entriesEnd = end
+	_ = grown // since the last look at the log, which may be long ago
+	grown, end, err = leader.Fresh(ctx, e.host.client, e.entriesEnd, silence)
+	e.entriesEnd = max(end, e.entriesEnd)
+	return err == nil && !grown
+}
+
+// try claims the lead. The claim holds only if no other was written since the
+// claims were read, so that of several hosts one succeeds.
+func (e *election) try(ctx context.Context) {
+	e.mu.Lock()
+	at := e.next
+	before := e.fence
+	e.mu.Unlock()
+	claim := &record.Claim{Host: e.host.settings.Host, Address: e.host.settings.Control, Incarnation: e.host.incarnation}
+	data, err := proto.Marshal(claim)
+	if err != nil {
+		panic(err) // three strings always encode
+	}
+	got, err := e.host.client.Append(ctx, claimTimeout, platform.Append{Topic: topicClaims, Records: [][]byte{data}, At: at})
+	if err != nil {
+		// Without an answer the claim may stand: watchClaims will read it, and
+		// as it names this host without a leadership, it is claimed anew.
+		e.host.log.WithError(err).WithField("fence", before).Info("lead not claimed")
+		return
+	}
+	e.took(got.First, [][]byte{data}, got.First+1)
+	e.begin(ctx, got.First+1)
+}
+
+// begin leads in the background until another host takes over.
+func (e *election) begin(ctx context.Context, fence int64) {
+	l := leader.New(e.host.leaderConfig(fence))
+	e.mu.Lock()
+	e.lead = l
+	e.mu.Unlock()
+	e.host.group.Go(func() {
+		began := boottime.Now()
+		err := l.Run(ctx)
+		e.mu.Lock()
+		if e.lead == l {
+			e.lead = nil
+		}
+		e.mu.Unlock()
+		e.host.log.WithError(err).WithFields(logrus.Fields{"fence": fence, "led_ms": (boottime.Now() - began).Milliseconds()}).
+			Info("leads no longer")
+	})
+}
+
+// handOver asks the helper that started last to take over: in a rolling restart
+// it is the least likely to be stopped next.
+func (e *election) handOver(ctx context.Context) {
+	if e.leading() == nil {
+		return
+	}
+	_, fence := e.current()
+	for _, p := range e.host.helpers.youngestFirst() {
+		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		_, err := e.host.peers.helper(p.address).TakeOver(callCtx, newRequest(&hostrpc.TakeOverRequest{Fence: fence}))
+		cancel()
+		if err == nil {
+			e.host.log.WithFields(logrus.Fields{"to": p.name, "fence": fence}).Info("handed over")
+			return
+		}
+	}
+	e.host.log.Warn("nobody to hand over to")
+}
--- /dev/null
+++ b/host/front.go
@@ -0,0 +1,306 @@
+package host
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/logwriter"
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/record"
+	"github.com/fireflyfold/fireflyfold/region"
+)
+
+const (
+	// patience is how long a caller is believed to wait if it does not say.
+	patience = 3 * time.Second
+	// answerMargin is left of a caller's deadline for the answer to reach it.
+	answerMargin = 100 * time.Millisecond
+	// askTimeout bounds one question to the leader; the caller asks again.
+	askTimeout = 700 * time.Millisecond
+	// revocationMargin is taken off the time within which a withdrawn key must
+	// stop working: a request that passes the check is answered within it.
+	revocationMargin = 1500 * time.Millisecond
+	// retrySoon is the Retry-After, in seconds, of a refusal that another host
+	// or a moment mends.
+	retrySoon = 1
+)
+
+var stateNames = map[region.State]string{
+	region.StateQueued:    platform.StateQueued,
+	region.StateRunning:   platform.StateRunning,
+	region.StateCompleted: platform.StateCompleted,
+	region.StateFailed:    platform.StateFailed,
+	region.StateCancelled: platform.StateCancelled,
+}
+
+// call is one request of a caller on its way through the filters.
+type call struct {
+	host     *Host
+	w        http.ResponseWriter
+	r        *http.Request
+	config   *model.Config
+	queue    *model.Queue
+	job      string // id, "" if the path names the queue itself
+	owner    string // workspace of the key
+	deadline time.Duration
+	cancel   context.CancelFunc
+	ctx      context.Context
+}
+
+// front answers callers.
+func (h *Host) front(w http.ResponseWriter, r *http.Request) {
+	c := &call{host: h, w: w, r: r}
+	c.deadline = platform.DeadlineOf(r.Header)
+	if c.deadline == 0 {
+		c.deadline = patience
+	}
+	c.ctx, c.cancel = context.WithTimeout(r.Context(), max(c.deadline-answerMargin, answerMargin))
+	defer c.cancel()
+	if !c.admit() {
+		return
+	}
+	switch {
+	case r.Method == http.MethodPost && c.job != "":
+		c.submit()
+	case r.Method == http.MethodGet && c.job != "":
+		c.state()
+	case r.Method == http.MethodGet:
+		c.pending()
+	case r.Method == http.MethodDelete && c.job != "":
+		c.cancelJob()
+	default:
+		c.answer(http.StatusMethodNotAllowed, nil)
+	}
+}
+
+// admit finds the queue and checks the key. It answers and reports false if the
+// request goes no further.
+func (c *call) admit() bool {
+	c.config = c.host.config.Config()
+	if c.config == nil {
+		c.refuse("no configuration yet")
+		return false
+	}
+	queue, ok := c.config.Queue(hostName(c.r.Host), c.r.URL.Path)
+	if !ok {
+		return c.unconfigured(http.StatusNotFound)
+	}
+	c.queue = queue
+	c.job = strings.TrimPrefix(c.r.URL.Path, queue.PathPrefix)
+	if c.job != "" && !platform.IsJobID(c.job) {
+		c.answer(http.StatusNotFound, nil)
+		return false
+	}
+	if queue.Public {
+		return true
+	}
+	c.owner, ok = c.config.KeyOwner[platform.KeyOf(c.r.Header)]
+	if !ok {
+		return c.unconfigured(http.StatusUnauthorized)
+	}
+	// A host that cannot show that its configuration was the newest a moment
+	// ago may not know that the key was withdrawn.
+	if c.host.settings.StrictRevocation && c.host.config.Age() > c.host.settings.KeyRevocation-revocationMargin {
+		c.refuse("configuration is not confirmed")
+		return false
+	}
+	return true
+}
+
+// unconfigured answers a request that the configuration does not allow, if that
+// is certain: a host that has not heard of the newest one may be wrong.
+func (c *call) unconfigured(status int) bool {
+	if c.host.config.Age() > c.host.settings.ConfigApply {
+		c.refuse("configuration is not confirmed")
+		return false
+	}
+	c.answer(status, nil)
+	return false
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// refuse answers that the request was not run and when to come back.
+func (c *call) refuse(why string) {
+	c.host.metrics.Tagged(map[string]string{"why": why}).Counter("refusals").Inc(1)
+	c.host.log.WithFields(logrus.Fields{"job": c.job, "why": why, "config_age_ms": c.host.config.Age().Milliseconds()}).
+		Info("refused")
+	c.w.Header().Set("Retry-After", strconv.Itoa(retrySoon))
+	c.answer(http.StatusServiceUnavailable, nil)
+}
+
+func (c *call) answer(status int, body []byte) {
+	if c.host.stopping.Load() {
+		// The caller's next request goes to another host.
+		c.w.Header().Set("Connection", "close")
+	}
+	if body != nil {
+		c.w.Header().Set("Content-Type", "application/json")
+	}
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(status)
+	// A caller that left before its answer shows here; there is nobody to tell.
+	_, _ = c.w.Write(body)
+}
+
+// submit keeps the job in the log, then answers: whatever was accepted survives
+// the loss of every host.
+func (c *call) submit() {
+	began := boottime.Now()
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, max(c.config.Limits.MaxBodyBytes, 1)))
+	if err != nil {
+		c.answer(http.StatusRequestEntityTooLarge, nil)
+		return
+	}
+	job, err := platform.DecodeJob(body)
+	if err != nil {
+		c.host.log.WithError(err).WithField("job", c.job).Info("submission rejected")
+		c.answer(http.StatusBadRequest, nil)
+		return
+	}
+	job.Id, job.Queue, job.Workspace, job.Policy = c.job, c.queue.Name, c.owner, c.queue.Policy
+	job.AcceptedUnixMs = time.Now().UnixMilli()
+	if c.host.stopping.Load() && c.host.intakeLate() {
+		c.refuse("stopping")
+		return
+	}
+	outcome := c.keep(&record.Intake{Kind: &record.Intake_Submitted{Submitted: job}})
+	c.host.metrics.Timer("submission_seconds").Record(boottime.Now() - began)
+	if outcome == kept {
+		c.host.log.WithFields(logrus.Fields{"job": c.job, "queue": job.Queue, "workspace": job.Workspace,
+			"config": c.config.Version, "config_age_ms": c.host.config.Age().Milliseconds(),
+			"ms": (boottime.Now() - began).Milliseconds()}).Info("accepted")
+	}
+	c.answerKept(outcome)
+}
+
+// outcome is what became of a record.
+type outcome int
+
+const (
+	kept    outcome = iota
+	notKept         // certainly not, and never will be
+	unknown         // it may be kept
+)
+
+// keep writes a record to the intake and waits until the caller's deadline.
+func (c *call) keep(r *record.Intake) outcome {
+	data, err := proto.Marshal(r)
+	if err != nil {
+		c.host.log.WithError(err).WithField("job", c.job).Error("record cannot be encoded")
+		return notKept
+	}
+	done := make(chan struct{})
+	p := c.host.intake.Write(data, func(logwriter.Kept) { close(done) })
+	select {
+	case <-done:
+		return kept
+	case <-c.ctx.Done():
+	}
+	if p.Withdraw() {
+		return notKept
+	}
+	return unknown
+}
+
+func (c *call) answerKept(o outcome) {
+	switch o {
+	case kept:
+		c.answer(http.StatusOK, nil)
+	case notKept:
+		c.refuse("the log did not answer in time")
+	case unknown:
+		c.host.metrics.Counter("submissions_unknown").Inc(1)
+		c.host.log.WithField("job", c.job).Warn("outcome unknown: the log did not answer in time")
+		c.answer(http.StatusGatewayTimeout, nil)
+	}
+}
+
+// state tells a job's state, as the leader knows it.
+func (c *call) state() {
+	state, ok := c.ask()
+	if !ok {
+		c.refuse("the leader did not answer")
+		return
+	}
+	if state == region.StateUnknown {
+		c.answer(http.StatusGone, nil)
+		return
+	}
+	c.answer(http.StatusOK, platform.EncodeState(stateNames[state]))
+}
+
+// ask asks the leader for a job's state.
+func (c *call) ask() (region.State, bool) {
+	if l := c.host.election.leading(); l != nil {
+		return l.State(c.job)
+	}
+	claim, _ := c.host.election.current()
+	if claim == nil {
+		return region.StateUnknown, false
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	resp, err := c.host.peers.leader(claim.Address).State(ctx, newRequest(&hostrpc.StateRequest{Job: c.job}))
+	if err != nil {
+		return region.StateUnknown, false
+	}
+	return region.State(resp.Msg.State), true
+}
+
+// pending counts the queue's waiting jobs.
+func (c *call) pending() {
+	n, ok := c.askPending()
+	if !ok {
+		c.refuse("the leader did not answer")
+		return
+	}
+	c.answer(http.StatusOK, platform.EncodePending(n))
+}
+
+func (c *call) askPending() (int64, bool) {
+	if l := c.host.election.leading(); l != nil {
+		return l.Pending(c.queue.Name)
+	}
+	claim, _ := c.host.election.current()
+	if claim == nil {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	resp, err := c.host.peers.leader(claim.Address).Pending(ctx, newRequest(&hostrpc.PendingRequest{Queue: c.queue.Name}))
+	if err != nil {
+		return 0, false
+	}
+	return resp.Msg.Jobs, true
+}
+
+// cancelJob keeps the cancellation in the log, then answers. A job that the
+// leader does not know is gone; if nobody can tell, it is cancelled all the same.
+func (c *call) cancelJob() {
+	if state, ok := c.ask(); ok && state == region.StateUnknown {
+		c.answer(http.StatusGone, nil)
+		return
+	}
+	o := c.keep(&record.Intake{Kind: &record.Intake_Cancelled{Cancelled: c.job}})
+	if o == kept {
+		c.host.log.WithField("job", c.job).Info("cancellation accepted")
+	}
+	c.answerKept(o)
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,212 @@
+// Package host is one entry host of a region. It answers callers, keeps what
+// they hand in in the platform's log, and either leads the region's scheduling
+// or helps the host that does.
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/leader"
+	"github.com/fireflyfold/fireflyfold/logwriter"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/region"
+	"github.com/fireflyfold/fireflyfold/telemetry"
+)
+
+const (
+	// connsPerAddress bounds the connections to one address: a look, several
+	// starts at once, and a few that went silent.
+	connsPerAddress = 16
+	// readHeaderTimeout ends connections of callers that never finish a header.
+	readHeaderTimeout = 5 * time.Second
+	// leaseShare of the longest lease is asked for. A long lease outlives the
+	// loss of the leader and cuts of some seconds; a short one frees the work of
+	// a lost worker sooner.
+	leaseShare = 1.0
+	// drainTime is how long a stopping host goes on answering on its open
+	// connections before it closes idle ones.
+	drainTime = 1200 * time.Millisecond
+	// stopMargin is left of the platform's grace for the process to end.
+	stopMargin = 1500 * time.Millisecond
+)
+
+// Host is one entry host.
+type Host struct {
+	settings    platform.Settings
+	incarnation string
+	client      *platform.Client
+	log         *logrus.Entry
+	metrics     tally.Scope
+	tel         *telemetry.Telemetry
+
+	config   *configWatch
+	intake   *logwriter.Writer
+	election *election
+	peers    *peers
+	helpers  *helpers
+	group    conc.WaitGroup
+
+	stopping  atomic.Bool
+	stoppedAt atomic.Int64
+}
+
+// New returns a host that has not begun.
+func New(s platform.Settings, tel *telemetry.Telemetry) *Host {
+	client := platform.NewClient(s.Names, connsPerAddress)
+	h := &Host{
+		settings: s, incarnation: newIncarnation(), client: client,
+		log: tel.Log, metrics: tel.Metrics, tel: tel,
+		helpers: newHelpers(), peers: newPeers(platform.NewHTTPClient(connsPerAddress)),
+	}
+	h.config = &configWatch{client: client, log: h.log}
+	h.config.provenAt.Store(int64(boottime.Now() - time.Hour))
+	h.election = newElection(h)
+	h.intake = logwriter.New(client, logwriter.Target{
+		Topic: leader.TopicIntake, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, CallBytes: s.CallBytes,
+	})
+	return h
+}
+
+func newIncarnation() string {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // crypto/rand does not fail on Linux
+	}
+	return hex.EncodeToString(b[:])
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	servers, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.log.WithFields(logrus.Fields{"incarnation": h.incarnation, "front": h.settings.Front, "control": h.settings.Control}).Info("started")
+	h.group.Go(func() { h.config.run(work) })
+	h.group.Go(func() { h.election.watchClaims(work) })
+	h.group.Go(func() { h.election.run(work) })
+	h.group.Go(func() {
+		if err := h.intake.Run(work); err != nil && work.Err() == nil {
+			// Somebody writes under our producer's name; a new process has a new one.
+			h.log.WithError(err).Fatal("intake lost")
+		}
+	})
+	<-ctx.Done()
+	h.stop(servers)
+	stopWork()
+	h.group.Wait()
+	h.log.Info("stopped")
+	return nil
+}
+
+// stop hands over, lets callers go, and ends.
+func (h *Host) stop(servers []*http.Server) {
+	h.log.WithField("leading", h.election.leading() != nil).Info("stopping")
+	h.stoppedAt.Store(int64(boottime.Now()))
+	h.stopping.Store(true)
+	limit := h.settings.Grace - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	h.election.handOver(ctx)
+	sleep(ctx, drainTime)
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			h.log.WithError(err).Warn("connections were still busy at the end")
+		}
+	}
+}
+
+// intakeLate reports whether a submission would be taken too late in a stop to
+// be answered before the process ends.
+func (h *Host) intakeLate() bool {
+	return boottime.Now()-time.Duration(h.stoppedAt.Load()) > h.settings.Grace-2*stopMargin
+}
+
+// Ready reports whether callers are well served here: the configuration is
+// confirmed and the log takes submissions.
+func (h *Host) Ready() bool {
+	return !h.stopping.Load() && h.config.Config() != nil &&
+		h.config.Age() < h.settings.KeyRevocation-revocationMargin && h.intake.Healthy()
+}
+
+// listen opens the three ports. Callers come last, so that whoever reaches them
+// finds the rest at work.
+func (h *Host) listen() ([]*http.Server, error) {
+	control := http.NewServeMux()
+	control.Handle(hostrpc.NewLeaderHandler(h))
+	control.Handle(hostrpc.NewHelperHandler(h))
+	control.Handle("/metrics", h.tel.Handler())
+	ready := httprouter.New()
+	ready.GET(platform.PathReady, h.serveReady)
+	front := httprouter.New()
+	front.HandleMethodNotAllowed = false
+	front.RedirectTrailingSlash = false
+	front.RedirectFixedPath = false
+	front.NotFound = http.HandlerFunc(h.front)
+	var servers []*http.Server
+	for _, p := range []struct {
+		address string
+		handler http.Handler
+	}{{h.settings.Control, control}, {h.settings.Ready, ready}, {h.settings.Front, front}} {
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return nil, &ListenError{Address: p.address, Cause: err}
+		}
+		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: nil}
+		servers = append([]*http.Server{s}, servers...)
+		h.group.Go(func() {
+			if err := s.Serve(l); err != http.ErrServerClosed {
+				h.log.WithError(err).Error("listener ended")
+			}
+		})
+	}
+	return servers, nil
+}
+
+// ListenError reports a port that cannot be opened.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !h.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (h *Host) leaderConfig(fence int64) leader.Config {
+	return leader.Config{
+		Client: h.client, Fence: fence, CallBytes: h.settings.CallBytes,
+		Options: region.Options{
+			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
+			StopTime: h.settings.StopTime, GangWait: h.settings.GangWait, FarFactor: h.settings.FarFactor,
+			LogRetention: h.settings.LogRetention, StatusKept: h.settings.StatusRetention,
+		},
+		Config: h.config.Config, Hosts: h.helpers.names, Advise: h.adviseFrom,
+		Log: h.log, Metrics: h.metrics.SubScope("leader"),
+	}
+}
--- /dev/null
+++ b/host/peers.go
@@ -0,0 +1,233 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/region"
+)
+
+func newRequest[T any](m *T) *connect.Request[T] { return connect.NewRequest(m) }
+
+// peers keeps the clients of other hosts.
+type peers struct {
+	http    *http.Client
+	mu      sync.Mutex
+	leaders map[string]hostrpc.LeaderClient
+	helps   map[string]hostrpc.HelperClient
+}
+
+func newPeers(client *http.Client) *peers {
+	return &peers{http: client, leaders: make(map[string]hostrpc.LeaderClient), helps: make(map[string]hostrpc.HelperClient)}
+}
+
+func (p *peers) leader(address string) hostrpc.LeaderClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.leaders[address]
+	if !ok {
+		c = hostrpc.NewLeaderClient(p.http, "http://"+address)
+		p.leaders[address] = c
+	}
+	return c
+}
+
+func (p *peers) helper(address string) hostrpc.HelperClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.helps[address]
+	if !ok {
+		c = hostrpc.NewHelperClient(p.http, "http://"+address)
+		p.helps[address] = c
+	}
+	return c
+}
+
+// helperLife is how long after its last ping a host counts as a helper: three
+// pings and a slow one.
+const helperLife = 1500 * time.Millisecond
+
+// helpers are the hosts that have pinged this one, as the leader.
+type helpers struct {
+	mu   sync.Mutex
+	seen map[string]*helper
+}
+
+type helper struct {
+	name    string
+	address string
+	first   time.Duration // when it was first seen in this incarnation
+	last    time.Duration
+	inc     string
+}
+
+func newHelpers() *helpers { return &helpers{seen: make(map[string]*helper)} }
+
+func (h *helpers) ping(r *hostrpc.PingRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r.Leaving {
+		delete(h.seen, r.Host)
+		return
+	}
+	now := boottime.Now()
+	p, ok := h.seen[r.Host]
+	if !ok || p.inc != r.Incarnation {
+		p = &helper{name: r.Host, address: r.Address, first: now, inc: r.Incarnation}
+		h.seen[r.Host] = p
+	}
+	p.last = now
+}
+
+func (h *helpers) alive() []*helper {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*helper
+	now := boottime.Now()
+	for _, p := range h.seen {
+		if now-p.last < helperLife {
+			out = append(out, p)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
+	return out
+}
+
+// names returns the helpers' names in order, after this host's own, "".
+func (h *helpers) names() []string {
+	out := []string{""}
+	for _, p := range h.alive() {
+		out = append(out, p.name)
+	}
+	return out
+}
+
+func (h *helpers) address(name string) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.seen[name]
+	if !ok {
+		return "", false
+	}
+	return p.address, true
+}
+
+func (h *helpers) youngestFirst() []*helper {
+	out := h.alive()
+	slices.SortStableFunc(out, func(a, b *helper) int { return int(b.first - a.first) })
+	return out
+}
+
+var errNotLeading = errors.New("this host does not lead")
+
+// Ping implements hostrpc.LeaderHandler.
+func (h *Host) Ping(_ context.Context, req *connect.Request[hostrpc.PingRequest]) (*connect.Response[hostrpc.PingResponse], error) {
+	l := h.election.leading()
+	if l == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
+	}
+	h.helpers.ping(req.Msg)
+	_, fence := h.election.current()
+	return connect.NewResponse(&hostrpc.PingResponse{Fence: fence, LogContactMs: l.LogContactAge().Milliseconds()}), nil
+}
+
+// State implements hostrpc.LeaderHandler.
+func (h *Host) State(_ context.Context, req *connect.Request[hostrpc.StateRequest]) (*connect.Response[hostrpc.StateResponse], error) {
+	l := h.election.leading()
+	if l == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
+	}
+	state, sure := l.State(req.Msg.Job)
+	if !sure {
+		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
+	}
+	return connect.NewResponse(&hostrpc.StateResponse{State: int32(state)}), nil
+}
+
+// Pending implements hostrpc.LeaderHandler.
+func (h *Host) Pending(_ context.Context, req *connect.Request[hostrpc.PendingRequest]) (*connect.Response[hostrpc.PendingResponse], error) {
+	l := h.election.leading()
+	if l == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
+	}
+	n, sure := l.Pending(req.Msg.Queue)
+	if !sure {
+		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
+	}
+	return connect.NewResponse(&hostrpc.PendingResponse{Jobs: n}), nil
+}
+
+// Advise implements hostrpc.HelperHandler.
+func (h *Host) Advise(ctx context.Context, req *connect.Request[hostrpc.AdviseRequest]) (*connect.Response[hostrpc.AdviseResponse], error) {
+	m := req.Msg
+	tickets, err := h.client.Advise(ctx, time.Duration(m.TimeoutMs)*time.Millisecond, m.Step, m.Workers)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	resp := &hostrpc.AdviseResponse{}
+	for _, t := range tickets {
+		resp.Tickets = append(resp.Tickets, &hostrpc.Ticket{Worker: t.Worker, Ticket: t.Ticket})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// TakeOver implements hostrpc.HelperHandler.
+func (h *Host) TakeOver(_ context.Context, req *connect.Request[hostrpc.TakeOverRequest]) (*connect.Response[hostrpc.TakeOverResponse], error) {
+	if h.stopping.Load() {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errStopping)
+	}
+	select {
+	case h.election.takeOver <- req.Msg.Fence:
+	default:
+	}
+	return connect.NewResponse(&hostrpc.TakeOverResponse{}), nil
+}
+
+var errStopping = errors.New("this host is stopping")
+
+func (h *Host) pingRequest() *connect.Request[hostrpc.PingRequest] {
+	return newRequest(&hostrpc.PingRequest{
+		Host: h.settings.Host, Address: h.settings.Control, Zone: h.settings.Zone,
+		Incarnation: h.incarnation, Leaving: h.stopping.Load(),
+	})
+}
+
+// adviseFrom asks the advice service from a host.
+func (h *Host) adviseFrom(ctx context.Context, timeout time.Duration, a region.Advise) ([]model.Ticket, error) {
+	step := platform.StepName(a.Job, a.Occurrence, a.Step)
+	if a.Host == "" {
+		return h.client.Advise(ctx, timeout, step, a.Workers)
+	}
+	address, ok := h.helpers.address(a.Host)
+	if !ok {
+		return nil, &unknownHostError{name: a.Host}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := h.peers.helper(address).Advise(ctx, newRequest(&hostrpc.AdviseRequest{
+		Step: step, Workers: a.Workers, TimeoutMs: timeout.Milliseconds(),
+	}))
+	if err != nil {
+		return nil, errors.Wrap(err, "advice by another host")
+	}
+	tickets := make([]model.Ticket, 0, len(resp.Msg.Tickets))
+	for _, t := range resp.Msg.Tickets {
+		tickets = append(tickets, model.Ticket{Worker: t.Worker, Ticket: t.Ticket})
+	}
+	return tickets, nil
+}
+
+type unknownHostError struct{ name string }
+
+func (e *unknownHostError) Error() string { return "host " + e.name + " is not known" }
--- /dev/null
+++ b/leader/leader.go
@@ -0,0 +1,311 @@
+// Package leader runs the region's scheduler on the host that leads: it reads
+// the log, feeds package region with events, and carries out its commands.
+package leader
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/logwriter"
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/record"
+	"github.com/fireflyfold/fireflyfold/region"
+	"github.com/fireflyfold/fireflyfold/ring"
+)
+
+// Topics of the region in the platform's log.
+const (
+	TopicIntake  = "intake"  // submissions and cancellations, by every host
+	TopicEntries = "entries" // assignments and ends, by the leader
+	producer     = "leader"
+)
+
+const (
+	// eventRing bounds the events that wait for the scheduler: some seconds of
+	// the answers of a few hundred workers.
+	eventRing = 8192
+	// tickEvery is how often time passes for the scheduler.
+	tickEvery = 20 * time.Millisecond
+	// orderTimeout bounds a start or stop: workers answer within milliseconds.
+	orderTimeout = 400 * time.Millisecond
+	// lookTimeout bounds a look beyond the time that the worker may wait.
+	lookTimeout = 500 * time.Millisecond
+	// adviceSlack is added to the expected length of a call for advice.
+	adviceSlack = 1500 * time.Millisecond
+	// readTimeout bounds a read of the log beyond the time it may wait.
+	readTimeout = 1200 * time.Millisecond
+	// readWait is how long the log may wait for a record.
+	readWait = 2 * time.Second
+	// readRetry is the pause after a read that failed.
+	readRetry = 100 * time.Millisecond
+	// listEvery is the shortest time between two reads of the host list: all
+	// workers write to it every second or two.
+	listEvery = 250 * time.Millisecond
+	// intakeFresh is how old the newest read of the intake may be for an
+	// unknown job to be called unknown.
+	intakeFresh = 1500 * time.Millisecond
+)
+
+// Adviser asks the advice service from a host; "" is this one.
+type Adviser func(ctx context.Context, timeout time.Duration, a region.Advise) ([]model.Ticket, error)
+
+// Config is what a leader runs with.
+type Config struct {
+	Client    *platform.Client
+	Fence     int64
+	Options   region.Options
+	CallBytes int
+	Config    func() *model.Config // newest configuration; nil if there is none
+	Hosts     func() []string      // hosts that can be asked for advice
+	Advise    Adviser
+	Log       *logrus.Entry
+	Metrics   tally.Scope
+}
+
+// Leader is one leadership.
+type Leader struct {
+	cfg      Config
+	board    *Board
+	events   *ring.Ring[region.Event]
+	writer   *logwriter.Writer
+	loaded   atomic.Bool
+	intakeAt atomic.Int64 // when the newest answered read of the intake was sent
+	provenAt atomic.Int64 // when the newest append that succeeded was sent
+	deposed  context.CancelCauseFunc
+}
+
+// DeposedError reports that another host leads.
+type DeposedError struct{ Why string }
+
+// Error implements error.
+func (e *DeposedError) Error() string { return "deposed: " + e.Why }
+
+// New returns a leader that has not begun.
+func New(cfg Config) *Leader {
+	return &Leader{cfg: cfg, board: NewBoard(), events: ring.New[region.Event](eventRing)}
+}
+
+// State tells what is known of a job; sure is false where the answer might be
+// out of date.
+func (l *Leader) State(job string) (state region.State, sure bool) {
+	if !l.loaded.Load() {
+		return region.StateUnknown, false
+	}
+	state = l.board.State(job)
+	if state != region.StateUnknown {
+		return state, true
+	}
+	return state, boottime.Now()-time.Duration(l.intakeAt.Load()) < intakeFresh
+}
+
+// Pending counts the waiting jobs of a queue; sure is false while loading.
+func (l *Leader) Pending(queue string) (n int64, sure bool) {
+	return l.board.Pending(queue), l.loaded.Load()
+}
+
+// LogContactAge is how long ago the log last proved that this host leads.
+func (l *Leader) LogContactAge() time.Duration {
+	return boottime.Now() - time.Duration(l.provenAt.Load())
+}
+
+// Run leads until ctx ends or another host takes over.
+func (l *Leader) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	l.deposed = cancel
+	l.provenAt.Store(int64(boottime.Now()))
+	began := boottime.Now()
+	sched := region.New(l.cfg.Options)
+	next, err := l.load(ctx, sched)
+	if err != nil {
+		return err
+	}
+	l.cfg.Log.WithFields(logrus.Fields{"fence": l.cfg.Fence, "load_ms": (boottime.Now() - began).Milliseconds(),
+		"intake": next}).Info("leading")
+	l.loaded.Store(true)
+	var group conc.WaitGroup
+	group.Go(func() { l.readIntake(ctx, next) })
+	group.Go(func() { l.watchWorkers(ctx) })
+	group.Go(func() {
+		if err := l.writer.Run(ctx); err != nil && ctx.Err() == nil {
+			cancel(&DeposedError{Why: err.Error()})
+		}
+	})
+	l.loop(ctx, sched)
+	group.Wait()
+	return context.Cause(ctx)
+}
+
+// load fences off earlier leaders and reads all that they kept. It returns the
+// offset of the intake to go on from.
+func (l *Leader) load(ctx context.Context, sched *region.Scheduler) (int64, error) {
+	end, err := l.fenceOff(ctx)
+	if err != nil {
+		return 0, err
+	}
+	now := boottime.Now()
+	sched.Step(now, region.Tick{UnixMs: time.Now().UnixMilli()})
+	// Jobs first: entries refer to them. The intake is read after the fence, so
+	// that every job of an entry is among it.
+	next, err := readAll(ctx, l.cfg.Client, TopicIntake, -1, func(data []byte) error {
+		var r record.Intake
+		if err := proto.Unmarshal(data, &r); err != nil {
+			return err
+		}
+		l.publishOnly(sched.Step(now, region.IntakeRead{Records: []*record.Intake{&r}}))
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	l.intakeAt.Store(int64(now))
+	_, err = readAll(ctx, l.cfg.Client, TopicEntries, end, func(data []byte) error {
+		var e record.Entry
+		if err := proto.Unmarshal(data, &e); err != nil {
+			return err
+		}
+		l.publishOnly(sched.Step(now, region.EntriesRead{Entries: []*record.Entry{&e}}))
+		return nil
+	})
+	return next, err
+}
+
+// publishOnly takes over states while loading; nothing else may be done then.
+func (l *Leader) publishOnly(commands []region.Command) {
+	for _, c := range commands {
+		if p, ok := c.(region.Publish); ok {
+			l.board.Set(p)
+		}
+	}
+}
+
+// fenceOff makes the log refuse appends of earlier leaders and returns the end
+// of what they wrote.
+func (l *Leader) fenceOff(ctx context.Context) (int64, error) {
+	call := platform.Append{Topic: TopicEntries, Producer: producer, Epoch: l.cfg.Fence, Seq: 0, At: -1}
+	for {
+		got, err := l.cfg.Client.Append(ctx, readTimeout, call)
+		switch {
+		case err == nil:
+			l.writer = logwriter.New(l.cfg.Client, logwriter.Target{
+				Topic: TopicEntries, Producer: producer, Epoch: l.cfg.Fence, FirstSeq: 1, CallBytes: l.cfg.CallBytes,
+			})
+			return got.End, nil
+		case platform.Fenced(err):
+			return 0, &DeposedError{Why: "a later leader has fenced this one off"}
+		}
+		l.cfg.Log.WithError(err).Warn("fence not written yet")
+		if !pause(ctx, readRetry) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// readAll reads a partition up to its end, or to the end given if that is not
+// negative, and returns the next offset.
+func readAll(ctx context.Context, client *platform.Client, topic string, end int64, take func([]byte) error) (int64, error) {
+	var from int64
+	for {
+		b, err := client.ReadLog(ctx, readTimeout, platform.Read{Topic: topic, From: from})
+		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
+			from = expired.First
+			continue
+		}
+		if err != nil {
+			if !pause(ctx, readRetry) {
+				return 0, err
+			}
+			continue
+		}
+		for _, data := range b.Records {
+			if err := take(data); err != nil {
+				return 0, err
+			}
+		}
+		from += int64(len(b.Records))
+		stop := b.End
+		if end >= 0 {
+			stop = min(end, stop)
+		}
+		if from >= stop {
+			return from, nil
+		}
+	}
+}
+
+// loop is the scheduler's goroutine.
+func (l *Leader) loop(ctx context.Context, sched *region.Scheduler) {
+	d := &dispatcher{leader: l, ctx: ctx}
+	d.do(sched.Step(boottime.Now(), region.Lead{Fence: l.cfg.Fence}))
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	var (
+		config *model.Config
+		hosts  hostList
+	)
+	for {
+		select {
+		case <-ctx.Done():
+			d.wait()
+			return
+		case ev := <-l.events.Items():
+			d.do(sched.Step(boottime.Now(), ev))
+			l.drain(d, sched)
+		case <-ticker.C:
+			if c := l.cfg.Config(); c != config {
+				config = c
+				d.do(sched.Step(boottime.Now(), region.ConfigRead{Config: c}))
+			}
+			if names := l.cfg.Hosts(); hosts.changed(names) {
+				d.do(sched.Step(boottime.Now(), region.HostsSeen{Hosts: names}))
+			}
+			d.do(sched.Step(boottime.Now(), region.Tick{UnixMs: time.Now().UnixMilli()}))
+		}
+		d.do(sched.Step(boottime.Now(), region.Schedule{}))
+	}
+}
+
+// drain applies the events at hand, so that one look for room serves them all.
+func (l *Leader) drain(d *dispatcher, sched *region.Scheduler) {
+	for {
+		select {
+		case ev := <-l.events.Items():
+			d.do(sched.Step(boottime.Now(), ev))
+		default:
+			return
+		}
+	}
+}
+
+// hostList notices changes.
+type hostList struct{ names []string }
+
+func (h *hostList) changed(names []string) bool {
+	same := len(names) == len(h.names)
+	for i := 0; same && i < len(names); i++ {
+		same = names[i] == h.names[i]
+	}
+	h.names = names
+	return !same
+}
+
+func (l *Leader) push(ctx context.Context, ev region.Event) { l.events.Push(ctx, ev) }
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/leader/read.go
@@ -0,0 +1,151 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/record"
+	"github.com/fireflyfold/fireflyfold/region"
+)
+
+// readIntake follows the submissions and cancellations of all hosts.
+func (l *Leader) readIntake(ctx context.Context, from int64) {
+	for ctx.Err() == nil {
+		sent := boottime.Now()
+		b, err := l.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: TopicIntake, From: from, Wait: readWait})
+		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
+			l.cfg.Log.WithError(err).Error("records of the intake expired unread")
+			from = expired.First
+			continue
+		}
+		if err != nil {
+			pause(ctx, readRetry)
+			continue
+		}
+		from += int64(len(b.Records))
+		l.intakeAt.Store(int64(sent))
+		if ev := l.decodeIntake(b.Records); len(ev.Records) > 0 {
+			l.push(ctx, ev)
+		}
+	}
+}
+
+func (l *Leader) decodeIntake(records [][]byte) region.IntakeRead {
+	var ev region.IntakeRead
+	for _, data := range records {
+		r := &record.Intake{}
+		if err := proto.Unmarshal(data, r); err != nil {
+			l.cfg.Log.WithError(err).Error("record of the intake cannot be read")
+			continue
+		}
+		ev.Records = append(ev.Records, r)
+	}
+	return ev
+}
+
+// watchWorkers follows the host list.
+func (l *Leader) watchWorkers(ctx context.Context) {
+	w := &workerWatch{leader: l, listed: make(map[string]bool)}
+	for ctx.Err() == nil {
+		if !w.follow(ctx) {
+			pause(ctx, readRetry)
+		}
+	}
+}
+
+// workerWatch is how far the host list has been read.
+type workerWatch struct {
+	leader *Leader
+	listed map[string]bool
+	next   int64
+	whole  bool // the list has been read whole, and is followed from next on
+}
+
+// follow reads on and reports whether that succeeded.
+func (w *workerWatch) follow(ctx context.Context) bool {
+	if !w.whole {
+		return w.readWhole(ctx)
+	}
+	began := boottime.Now()
+	b, err := w.leader.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: platform.TopicWorkers, From: w.next, Wait: readWait})
+	if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
+		// The list's history may be dropped at any time; what is newest stays.
+		w.whole = false
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	w.next += int64(len(b.Records))
+	for _, data := range b.Records {
+		key, value, err := platform.DecodeKeyed(data)
+		if err != nil {
+			w.leader.cfg.Log.WithError(err).Warn("record of the host list cannot be read")
+			continue
+		}
+		w.entry(ctx, key, value)
+	}
+	if left := listEvery - (boottime.Now() - began); left > 0 {
+		pause(ctx, left)
+	}
+	return true
+}
+
+func (w *workerWatch) readWhole(ctx context.Context) bool {
+	items, next, err := w.leader.cfg.Client.Newest(ctx, readTimeout, platform.TopicWorkers)
+	if err != nil {
+		return false
+	}
+	seen := make(map[string]bool, len(items))
+	for _, item := range items {
+		seen[item.Key] = true
+		w.entry(ctx, item.Key, item.Value)
+	}
+	for id := range w.listed {
+		if !seen[id] {
+			w.entry(ctx, id, nil)
+		}
+	}
+	w.next, w.whole = next, true
+	return true
+}
+
+func (w *workerWatch) entry(ctx context.Context, id string, value []byte) {
+	if len(value) == 0 {
+		w.gone(ctx, id)
+		return
+	}
+	e, err := platform.DecodeWorker(id, value)
+	if err != nil {
+		// An entry of another writer names no worker.
+		w.leader.cfg.Metrics.Counter("host_list_entries_unreadable").Inc(1)
+		w.gone(ctx, id)
+		return
+	}
+	w.listed[id] = true
+	w.leader.push(ctx, region.WorkerListed{Entry: e})
+}
+
+func (w *workerWatch) gone(ctx context.Context, id string) {
+	if w.listed[id] {
+		delete(w.listed, id)
+		w.leader.push(ctx, region.WorkerUnlisted{ID: id})
+	}
+}
+
+// Fresh reports whether the region's entries have grown since an offset within
+// wait: some host leads and reaches the log.
+func Fresh(ctx context.Context, client *platform.Client, from int64, wait time.Duration) (grown bool, end int64, err error) {
+	b, err := client.ReadLog(ctx, readTimeout, platform.Read{Topic: TopicEntries, From: from, Wait: wait, MaxKB: 1})
+	if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
+		return true, expired.First, nil
+	}
+	if err != nil {
+		return false, from, err
+	}
+	return b.End > from, b.End, nil
+}
--- /dev/null
+++ b/logwriter/logwriter.go
@@ -0,0 +1,208 @@
+// Package logwriter appends records to one partition of the platform's log,
+// many to a call and one call at a time. Calls carry a producer, an epoch and a
+// sequence number, so that one whose answer was lost is repeated without
+// writing its records twice.
+package logwriter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+const (
+	// firstTimeout is how long the first try of a call may take: the store
+	// answers in milliseconds, and a silent connection costs this much.
+	firstTimeout = 800 * time.Millisecond
+	// longestTimeout bounds later tries, for a store that is slow for everyone.
+	longestTimeout = 3 * time.Second
+	// firstPause and longestPause bound the pause between tries.
+	firstPause   = 20 * time.Millisecond
+	longestPause = 250 * time.Millisecond
+	// recordOverhead is what framing adds to a record.
+	recordOverhead = 4
+)
+
+// Store is the part of the platform's client that is used.
+type Store interface {
+	Append(ctx context.Context, timeout time.Duration, a platform.Append) (platform.Appended, error)
+}
+
+// Target names where records go and as whom.
+type Target struct {
+	Topic     string
+	Part      int
+	Producer  string
+	Epoch     int64
+	FirstSeq  int64
+	CallBytes int // most bytes of one call
+}
+
+// ReplacedError reports that a writer with a higher epoch has taken over.
+type ReplacedError struct{ Cause error }
+
+// Error implements error.
+func (e *ReplacedError) Error() string { return "another writer took over: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ReplacedError) Unwrap() error { return e.Cause }
+
+// Kept tells that a record is in the log.
+type Kept struct {
+	SentAt time.Duration // when the call that succeeded was sent (package boottime)
+}
+
+// Pending is a record that was handed in.
+type Pending struct {
+	data   []byte
+	kept   func(Kept)
+	writer *Writer
+	taken  bool // part of a call that was sent: it may be in the log
+	gone   bool // withdrawn
+}
+
+// Withdraw takes a record back. It reports whether that succeeded: if not, the
+// record may be in the log or may come there later.
+func (p *Pending) Withdraw() bool {
+	p.writer.mu.Lock()
+	defer p.writer.mu.Unlock()
+	if p.taken {
+		return false
+	}
+	p.gone = true
+	return true
+}
+
+// Writer writes to one Target.
+type Writer struct {
+	store  Store
+	target Target
+	seq    int64
+
+	mu      sync.Mutex
+	queue   []*Pending
+	wake    chan struct{}
+	healthy bool          // the last try succeeded
+	triedAt time.Duration // when the last try that failed began
+}
+
+// New returns a writer; Run does the work.
+func New(store Store, target Target) *Writer {
+	return &Writer{store: store, target: target, seq: target.FirstSeq, wake: make(chan struct{}, 1), healthy: true}
+}
+
+// Write hands in a record. kept is called once it is in the log, from the
+// writer's goroutine.
+func (w *Writer) Write(data []byte, kept func(Kept)) *Pending {
+	p := &Pending{data: data, kept: kept, writer: w}
+	w.mu.Lock()
+	w.queue = append(w.queue, p)
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return p
+}
+
+// Healthy reports whether the last try of a call succeeded.
+func (w *Writer) Healthy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.healthy
+}
+
+// Run writes until ctx ends or another writer takes over.
+func (w *Writer) Run(ctx context.Context) error {
+	for {
+		batch := w.take()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-w.wake:
+			}
+			continue
+		}
+		kept, err := w.send(ctx, batch)
+		if err != nil {
+			return err
+		}
+		for _, p := range batch {
+			p.kept(kept)
+		}
+	}
+}
+
+// take removes the records of the next call from the queue.
+func (w *Writer) take() []*Pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var batch []*Pending
+	size, n := 0, 0
+	for _, p := range w.queue {
+		if !p.gone {
+			size += len(p.data) + recordOverhead
+			if size > w.target.CallBytes && len(batch) > 0 {
+				break
+			}
+			p.taken = true
+			batch = append(batch, p)
+		}
+		n++
+	}
+	w.queue = append(w.queue[:0:0], w.queue[n:]...)
+	return batch
+}
+
+// send repeats one call until it is answered.
+func (w *Writer) send(ctx context.Context, batch []*Pending) (Kept, error) {
+	call := platform.Append{
+		Topic: w.target.Topic, Part: w.target.Part, Producer: w.target.Producer,
+		Epoch: w.target.Epoch, Seq: w.seq, At: -1,
+	}
+	for _, p := range batch {
+		call.Records = append(call.Records, p.data)
+	}
+	timeout, pause := firstTimeout, firstPause
+	for {
+		sentAt := boottime.Now()
+		_, err := w.store.Append(ctx, timeout, call)
+		w.note(err == nil, sentAt)
+		switch {
+		case err == nil:
+			w.seq++
+			return Kept{SentAt: sentAt}, nil
+		case platform.Fenced(err), platform.OutOfSequence(err):
+			return Kept{}, &ReplacedError{Cause: err}
+		case !platform.IsRefused(err):
+			timeout = min(2*timeout, longestTimeout)
+		}
+		if !sleep(ctx, pause) {
+			return Kept{}, ctx.Err()
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (w *Writer) note(ok bool, at time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.healthy = ok
+	w.triedAt = at
+}
+
+// sleep waits and reports whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/region/advice.go
@@ -0,0 +1,216 @@
+package region
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+)
+
+const (
+	// adviceMargin is taken off a ticket's life: its answer travels to us and
+	// the start to the worker.
+	adviceMargin = 200 * time.Millisecond
+	// maxAsked is how many workers one call for advice may name.
+	maxAsked = 100
+	// slowAdvice is the length of a call from which on it counts as slow. Calls
+	// of one host are answered one after the other, so that an urgent call
+	// behind a slow one would wait for it.
+	slowAdvice = 150 * time.Millisecond
+	// adviceBacklog is how much advice a host may have been asked for before
+	// further calls wait.
+	adviceBacklog = 1200 * time.Millisecond
+	// adviceRetry is the pause after a call for advice that failed.
+	adviceRetry = 200 * time.Millisecond
+)
+
+// adviceState is what is known of the workers that may run a step.
+type adviceState struct {
+	marks   map[string]*adviceMark
+	asking  bool
+	askedAt time.Duration
+	retryAt time.Duration
+}
+
+// adviceMark is what the advice service said of one worker. Which workers are
+// good for a step never changes; tickets expire.
+type adviceMark struct {
+	good   bool
+	ticket string
+	until  time.Duration
+}
+
+func (a *adviceState) expire(worker string) {
+	if m, ok := a.marks[worker]; ok {
+		m.until = 0
+	}
+}
+
+// advised steps need a ticket of the advice service.
+func (st *step) advised() bool { return st.job.rec.Policy.GetAdvice() != nil }
+
+// ticketHolds reports whether the step may start on the worker as far as advice
+// goes.
+func (st *step) ticketHolds(w *worker, now time.Duration) bool {
+	if !st.advised() {
+		return true
+	}
+	m, ok := st.advice.marks[w.entry.ID]
+	return ok && m.good && now < m.until
+}
+
+// ruledOut reports whether the advice service said that the worker may not run
+// the step.
+func (st *step) ruledOut(w *worker) bool {
+	m, ok := st.advice.marks[w.entry.ID]
+	return st.advised() && ok && !m.good
+}
+
+// wantAdvice asks for advice when the step has too little: at first about all
+// workers, later anew about the good ones before their tickets expire.
+func (s *Scheduler) wantAdvice(st *step) {
+	if !st.advised() || st.advice.asking || s.now < st.advice.retryAt {
+		return
+	}
+	names := s.adviceWanted(st)
+	if len(names) == 0 {
+		return
+	}
+	cost := st.adviceCost(len(names))
+	host, ok := s.advisers.choose(cost, s.now)
+	if !ok {
+		st.blocked = "advice backlog"
+		s.dirty = true
+		return
+	}
+	st.advice.asking = true
+	st.advice.askedAt = s.now
+	s.emit(Advise{
+		Host: host, Job: st.job.rec.Id, Occurrence: st.occ.k, Step: st.index, Workers: names, Expected: cost,
+	})
+}
+
+func (st *step) adviceCost(workers int) time.Duration {
+	a := st.job.rec.Policy.GetAdvice()
+	return time.Duration((a.GetDecideMs() + a.GetEachMs()*float64(workers)) * float64(time.Millisecond))
+}
+
+// adviceWanted returns the workers to ask about now.
+func (s *Scheduler) adviceWanted(st *step) []string {
+	var unknown, stale []string
+	soonest := s.now + st.adviceCost(len(s.order)) + adviceMargin
+	for _, w := range s.order {
+		if !w.listed || w.entry.Draining || !s.suits(st, w) {
+			continue
+		}
+		m, ok := st.advice.marks[w.entry.ID]
+		switch {
+		case !ok:
+			unknown = append(unknown, w.entry.ID)
+		case m.good && m.until < soonest:
+			stale = append(stale, w.entry.ID)
+		}
+	}
+	names := append(stale, unknown...)
+	if len(stale) == 0 && len(st.advice.marks) > 0 && len(unknown) <= len(st.advice.marks)/4 {
+		// A few new workers are worth no call of their own.
+		return nil
+	}
+	return names[:min(len(names), maxAsked)]
+}
+
+func (s *Scheduler) advised(ev Advised) {
+	s.advisers.answered(ev.Order.Host, ev.Order.Expected)
+	t := s.find(model.TaskID{Job: ev.Order.Job, Occurrence: ev.Order.Occurrence, Step: ev.Order.Step})
+	if t == nil {
+		return
+	}
+	st := t.step
+	st.advice.asking = false
+	if ev.Failed {
+		st.advice.retryAt = s.now + adviceRetry
+		s.advisers.failed(ev.Order.Host, s.now)
+		return
+	}
+	if st.advice.marks == nil {
+		st.advice.marks = make(map[string]*adviceMark, len(ev.Order.Workers))
+	}
+	for _, id := range ev.Order.Workers {
+		st.advice.marks[id] = &adviceMark{}
+	}
+	until := s.now + time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs())*time.Millisecond - adviceMargin
+	for _, k := range ev.Tickets {
+		st.advice.marks[k.Worker] = &adviceMark{good: true, ticket: k.Ticket, until: until}
+	}
+	s.dirty = true
+}
+
+// advisers spreads calls for advice over hosts: the service answers one call
+// at a time for each.
+type advisers struct {
+	hosts []*adviser
+}
+
+type adviser struct {
+	name    string
+	backlog time.Duration // length of the calls under way
+	badTo   time.Duration
+}
+
+func (a *advisers) set(names []string) {
+	known := make(map[string]*adviser, len(a.hosts))
+	for _, h := range a.hosts {
+		known[h.name] = h
+	}
+	a.hosts = a.hosts[:0:0]
+	for _, n := range names {
+		h, ok := known[n]
+		if !ok {
+			h = &adviser{name: n}
+		}
+		a.hosts = append(a.hosts, h)
+	}
+}
+
+// choose returns the host with the shortest backlog. Slow calls keep off the
+// first third of the hosts.
+func (a *advisers) choose(cost, now time.Duration) (string, bool) {
+	from := 0
+	if cost >= slowAdvice && len(a.hosts) > 1 {
+		from = max(1, len(a.hosts)/3)
+	}
+	var best *adviser
+	for _, h := range a.hosts[min(from, len(a.hosts)):] {
+		if now >= h.badTo && (best == nil || h.backlog < best.backlog) {
+			best = h
+		}
+	}
+	if best == nil || best.backlog > adviceBacklog {
+		return "", false
+	}
+	best.backlog += cost
+	return best.name, true
+}
+
+func (a *advisers) answered(name string, cost time.Duration) {
+	if h := a.find(name); h != nil {
+		h.backlog = max(0, h.backlog-cost)
+	}
+}
+
+// adviserPause is how long a host that failed to get advice counts as busy.
+const adviserPause = time.Second
+
+func (a *advisers) failed(name string, now time.Duration) {
+	if h := a.find(name); h != nil {
+		h.badTo = now + adviserPause
+	}
+}
+
+func (a *advisers) find(name string) *adviser {
+	for _, h := range a.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/region/gang.go
@@ -0,0 +1,72 @@
+package region
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// gangGrace is how long a gang's members may be missing from their workers'
+// lists before the gang counts as lost. The end that stands for all of them may
+// lie on the worker that is looked at last.
+const gangGrace = 2 * time.Second
+
+// gangDone marks all members done: the end of one stands for all.
+func (s *Scheduler) gangDone(t *task, number int32) {
+	if !t.step.rec.Gang {
+		return
+	}
+	for _, m := range t.step.tasks {
+		if m.done {
+			continue
+		}
+		if m.run != nil && m.run.number == number {
+			s.release(m.run)
+		}
+		s.endOf(m, number, record.Outcome_OUTCOME_DONE, "")
+	}
+}
+
+// breakGang stops the other members of a run of which one has ended.
+func (s *Scheduler) breakGang(t *task, number int32) {
+	if !t.step.rec.Gang {
+		return
+	}
+	for _, m := range t.step.tasks {
+		if m != t && m.run != nil && m.run.number == number {
+			s.stopRun(m.run, "another member of its gang has ended")
+		}
+	}
+}
+
+// gangUndecided reports whether a member that its worker does not list may be
+// part of a gang that is done. It is decided when a look at every other member's
+// worker was no clearer for a while.
+func (s *Scheduler) gangUndecided(r *run) bool {
+	if r.phase == phaseStopping {
+		return false
+	}
+	if r.missingAt == 0 {
+		r.missingAt = s.now
+	}
+	return s.now-r.missingAt < gangGrace
+}
+
+// gangWaits reports whether the whole gang waits to be started.
+func (st *step) gangWaits() bool {
+	for _, t := range st.tasks {
+		if !t.waiting() {
+			return false
+		}
+	}
+	return true
+}
+
+// nextGangRun returns the number of the gang's next run; members share it.
+func (st *step) nextGangRun() int32 {
+	var highest int32
+	for _, t := range st.tasks {
+		highest = max(highest, t.lastRun)
+	}
+	return highest + 1
+}
--- /dev/null
+++ b/region/learn.go
@@ -0,0 +1,126 @@
+package region
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// estimates corrects declared run times by what was seen: declared ones are up
+// to 90% off, and off in the same way for all jobs of a queue.
+type estimates struct {
+	byQueue map[string]*queueEstimate
+}
+
+// queueEstimate is a running mean of real over declared run time.
+type queueEstimate struct {
+	ratio float64
+	n     float64
+}
+
+const (
+	// estimateMemory is how many ends a running mean spans.
+	estimateMemory = 50
+	// fallbackRunTime stands in for a run time that was not declared.
+	fallbackRunTime = time.Second
+)
+
+func (e *estimates) of(queue string) *queueEstimate {
+	if e.byQueue == nil {
+		e.byQueue = make(map[string]*queueEstimate)
+	}
+	q, ok := e.byQueue[queue]
+	if !ok {
+		q = &queueEstimate{ratio: 1}
+		e.byQueue[queue] = q
+	}
+	return q
+}
+
+// runTime returns how long a task of the step is expected to run.
+func (e *estimates) runTime(j *job, st *record.Step) time.Duration {
+	declared := time.Duration(st.EstimateMs) * time.Millisecond
+	if declared <= 0 {
+		declared = fallbackRunTime
+	}
+	return time.Duration(float64(declared) * e.of(j.rec.Queue).ratio)
+}
+
+// endsAt returns when a run is expected to end.
+func (e *estimates) endsAt(r *run) time.Duration {
+	if r.task.step.rec.LongRunning {
+		return 1<<62 - 1
+	}
+	from := r.startedAt
+	if from == 0 {
+		from = r.assigned
+	}
+	return from + e.runTime(r.task.step.job, r.task.step.rec)
+}
+
+// learn takes an end into account.
+func (s *Scheduler) learn(r *run, outcome record.Outcome) {
+	switch outcome {
+	case record.Outcome_OUTCOME_DONE:
+		r.worker.health.done()
+		if r.startedAt > 0 && r.task.step.rec.EstimateMs > 0 {
+			q := s.estimates.of(r.task.step.job.rec.Queue)
+			seen := float64(s.now-r.startedAt) / float64(time.Duration(r.task.step.rec.EstimateMs)*time.Millisecond)
+			q.n = min(q.n+1, estimateMemory)
+			q.ratio += (seen - q.ratio) / q.n
+		}
+	case record.Outcome_OUTCOME_FAILED:
+		r.worker.health.failed(s.now)
+		if !r.worker.health.trusted(s.now) {
+			s.explain("", "worker quarantined", Field{"worker", r.worker.entry.ID}, Field{"failures", r.worker.health.failures})
+		}
+	}
+}
+
+// progress notes how far a run is.
+func (s *Scheduler) progress(r *run, row model.Running) {
+	if row.Percent != r.percent {
+		r.percent = row.Percent
+		r.movedAt = s.now
+	}
+}
+
+const (
+	// quarantineAfter is how many failures in a row, with no success between,
+	// take a worker out: one in twenty tasks fails by its own fault at most, so
+	// that three in a row happen once in 8,000 on a sound worker.
+	quarantineAfter = 3
+	// quarantineFirst is the first time out; it doubles with each further
+	// failure up to quarantineMost.
+	quarantineFirst = 2 * time.Second
+	quarantineMost  = 16 * time.Second
+)
+
+// health is what a worker's own acts say of it. A worker that fails all it
+// starts is always idle and would draw all work.
+type health struct {
+	failures int // in a row
+	outTo    time.Duration
+}
+
+func (h *health) done() { *h = health{} }
+
+func (h *health) failed(now time.Duration) {
+	h.failures++
+	if h.failures < quarantineAfter {
+		return
+	}
+	out := quarantineFirst << min(h.failures-quarantineAfter, 3)
+	h.outTo = now + min(out, quarantineMost)
+}
+
+func (h *health) refused(now time.Duration) { h.failed(now) }
+
+func (h *health) trusted(now time.Duration) bool { return now >= h.outTo }
+
+// failurePenalty ranks a worker with fresh failures behind others, in
+// thousandths of a core.
+const failurePenalty = 5000
+
+func (h *health) penalty(time.Duration) float64 { return float64(h.failures) * failurePenalty }
--- /dev/null
+++ b/region/place.go
@@ -0,0 +1,391 @@
+package region
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+)
+
+const (
+	// passEvery is the shortest time between two looks for room. Events come
+	// some hundred times a second; a pass for several of them costs as much as
+	// for one.
+	passEvery = 4 * time.Millisecond
+	// reservedGangs is how many gangs collect room at a time. Each keeps other
+	// batch work off a few workers while it waits.
+	reservedGangs = 2
+	// soonFree is how far ahead a gang counts room that running tasks are
+	// expected to free.
+	soonFree = 4 * time.Second
+)
+
+// reason tells why a worker cannot take a task now.
+type reason int
+
+const (
+	fits reason = iota
+	rejectService
+	rejectState
+	rejectLabel
+	rejectAdvice
+	rejectRoom
+	rejectSpread
+	rejectInterference
+	rejectReserved
+	reasons
+)
+
+var reasonNames = [reasons]string{"fits", "service", "state", "label", "advice", "room", "spread", "interference", "reserved"}
+
+// rejected counts workers by what each filter rejected.
+type rejected [reasons]int
+
+// summary names the filter that rejected most of the workers that the step
+// could use at all.
+func (r *rejected) summary() string {
+	best := rejectState
+	for i := rejectState; i < reasons; i++ {
+		if r[i] > r[best] {
+			best = i
+		}
+	}
+	if r[best] == 0 {
+		return reasonNames[rejectService]
+	}
+	return reasonNames[best]
+}
+
+// schedule starts what fits, most urgent first.
+func (s *Scheduler) schedule() {
+	if !s.leading() || s.config == nil || !s.dirty || s.now-s.lastPass < passEvery {
+		return
+	}
+	s.lastPass = s.now
+	s.dirty = false
+	for _, w := range s.order {
+		w.reserved = nil
+	}
+	if !s.proven() {
+		return
+	}
+	s.pass(func(st *step) bool { return s.now <= st.lateAt })
+	s.pass(func(st *step) bool { return s.now > st.lateAt })
+}
+
+// pass walks the ready steps that are chosen.
+func (s *Scheduler) pass(chosen func(*step) bool) {
+	gangs := 0
+	for i := 0; i < len(s.ready.steps); i++ {
+		st := s.ready.steps[i]
+		if !chosen(st) || s.now < st.notUntil {
+			continue
+		}
+		if st.job.over() || !st.anyWaiting() {
+			s.dequeue(st)
+			i--
+			continue
+		}
+		s.wantAdvice(st)
+		if st.rec.Gang {
+			if !s.placeGang(st) && gangs < reservedGangs {
+				gangs++
+				s.reserve(st)
+			}
+			continue
+		}
+		s.placeTasks(st)
+	}
+}
+
+// placeTasks starts as many waiting tasks of a step as fit.
+func (s *Scheduler) placeTasks(st *step) {
+	for _, t := range st.tasks {
+		if !t.waiting() {
+			continue
+		}
+		if !s.withinCap(st, 1) {
+			st.blocked = "cap"
+			return
+		}
+		w, why := s.best(st)
+		if w == nil {
+			st.blocked = why
+			return
+		}
+		s.assign(t, w, t.lastRun+1)
+	}
+	st.blocked = ""
+}
+
+// best returns the worker that suits the step best, or the main reason why
+// there is none.
+func (s *Scheduler) best(st *step) (*worker, string) {
+	var (
+		best      *worker
+		bestScore float64
+		counts    rejected
+	)
+	for _, w := range s.order {
+		why := s.reject(st, w)
+		counts[why]++
+		if why != fits {
+			continue
+		}
+		if score := s.score(st, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best == nil {
+		return nil, counts.summary()
+	}
+	return best, ""
+}
+
+// reject is the chain of filters that a worker passes before a task goes
+// there, the cheapest and most decisive ones first.
+func (s *Scheduler) reject(st *step, w *worker) reason {
+	switch {
+	case w.entry.Service != st.job.rec.Policy.GetService():
+		return rejectService
+	case !s.usable(w):
+		return rejectState
+	case !st.room().Fits(w.free()):
+		return rejectRoom
+	case st.rec.Requires != "" && !w.entry.HasLabel(st.rec.Requires):
+		return rejectLabel
+	case !st.ticketHolds(w, s.now):
+		return rejectAdvice
+	case st.rec.AntiAffinity > 0 && st.runsOn(w) >= int(st.rec.AntiAffinity):
+		return rejectSpread
+	case st.disturbs(w):
+		return rejectInterference
+	case w.reserved != nil && w.reserved != st && st.job.rec.Policy.GetPriority() > 0:
+		return rejectReserved
+	}
+	return fits
+}
+
+// usable reports whether new work may go to the worker at all.
+func (s *Scheduler) usable(w *worker) bool {
+	return w.listed && !w.entry.Draining && w.fenced &&
+		s.now-w.lookedAt < reachable && s.now >= w.pausedTo && w.health.trusted(s.now)
+}
+
+// runsOn counts the runs of the step on the worker.
+func (st *step) runsOn(w *worker) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step == st {
+			n++
+		}
+	}
+	return n
+}
+
+// disturbs reports whether the step and what runs on the worker would disturb
+// each other: tasks that fill slow down tasks that serve users under a latency
+// target, by amounts that nobody declares.
+func (st *step) disturbs(w *worker) bool {
+	if !st.rec.Fills && st.rec.TargetMs == 0 {
+		return false
+	}
+	for _, r := range w.runs {
+		other := r.task.step.rec
+		if st.rec.Fills && other.TargetMs > 0 || st.rec.TargetMs > 0 && other.Fills {
+			return true
+		}
+	}
+	return false
+}
+
+// withinCap reports whether n more tasks keep the workspace within its upper
+// limit.
+func (s *Scheduler) withinCap(st *step, n int64) bool {
+	ws, known := s.config.Workspaces[st.job.rec.Workspace]
+	if !known {
+		return true
+	}
+	after := s.used[ws.Name].Add(st.request.Times(n))
+	return under(after.MilliCPU, ws.Cap.MilliCPU) && under(after.MemoryMiB, ws.Cap.MemoryMiB) &&
+		under(after.Accelerators, ws.Cap.Accelerators)
+}
+
+func under(value, limit int64) bool { return limit <= 0 || value <= limit }
+
+// Weights of the score, in the unit of one thousandth of a core left over.
+const (
+	nearDataBonus   = 1e6 // on the data's rack a task takes a half or a third of the time
+	reservedPenalty = 1e5 // small urgent tasks go to workers that no gang waits for, if they can
+)
+
+// score ranks workers that fit: the one that is left with the least room is
+// best, so that large holes stay for large tasks.
+func (s *Scheduler) score(st *step, w *worker) float64 {
+	score := -float64(w.free().MilliCPU - st.request.MilliCPU)
+	if st.rec.Affinity != "" && w.entry.HasLabel(st.rec.Affinity) {
+		score += nearDataBonus
+	}
+	if w.reserved != nil && w.reserved != st {
+		score -= reservedPenalty
+	}
+	return score - w.health.penalty(s.now)
+}
+
+// placeGang starts all tasks of a gang or none.
+func (s *Scheduler) placeGang(st *step) bool {
+	if !st.gangWaits() {
+		return true // members of the last run are still to end
+	}
+	n := len(st.tasks)
+	if !s.withinCap(st, int64(n)) {
+		st.blocked = "cap"
+		return true // room does not help: nothing is to be reserved
+	}
+	chosen, why := s.gangWorkers(st, "")
+	if st.rec.SameRack {
+		chosen, why = s.oneRack(st)
+	}
+	if chosen == nil {
+		st.blocked = why
+		return false
+	}
+	number := st.nextGangRun()
+	for i, t := range st.tasks {
+		s.assign(t, chosen[i], number)
+	}
+	st.blocked = ""
+	return true
+}
+
+// oneRack tries to place a gang on one rack; across racks its tasks take a
+// multiple of the time.
+func (s *Scheduler) oneRack(st *step) ([]*worker, string) {
+	tried := make(map[string]bool)
+	for _, w := range s.order {
+		rack := w.entry.Rack()
+		if rack == "" || tried[rack] {
+			continue
+		}
+		tried[rack] = true
+		if chosen, _ := s.gangWorkers(st, rack); chosen != nil {
+			return chosen, ""
+		}
+	}
+	return s.gangWorkers(st, "")
+}
+
+// gangWorkers chooses a worker for each member, on one rack if rack is not
+// empty: first those that take the most members.
+func (s *Scheduler) gangWorkers(st *step, rack string) ([]*worker, string) {
+	var (
+		counts rejected
+		places []gangPlace
+		total  int
+	)
+	for _, w := range s.order {
+		if rack != "" && w.entry.Rack() != rack {
+			continue
+		}
+		why := s.reject(st, w)
+		counts[why]++
+		if why != fits {
+			continue
+		}
+		n := timesIn(st.room(), w.free())
+		if limit := int(st.rec.AntiAffinity); limit > 0 {
+			n = min(n, limit)
+		}
+		places = append(places, gangPlace{w, n})
+		total += n
+	}
+	if total < len(st.tasks) {
+		return nil, counts.summary()
+	}
+	return spreadGang(places, len(st.tasks)), ""
+}
+
+// gangPlace is a worker and how many members it takes.
+type gangPlace struct {
+	worker *worker
+	n      int
+}
+
+// spreadGang takes the places that are left with the least room first.
+func spreadGang(places []gangPlace, members int) []*worker {
+	chosen := make([]*worker, 0, members)
+	for len(chosen) < members {
+		best := 0
+		for i := range places {
+			if places[i].n > 0 && (places[best].n == 0 || places[i].n > places[best].n) {
+				best = i
+			}
+		}
+		for places[best].n > 0 && len(chosen) < members {
+			chosen = append(chosen, places[best].worker)
+			places[best].n--
+		}
+	}
+	return chosen
+}
+
+// timesIn returns how many times a request fits into room.
+func timesIn(request, room model.Resources) int {
+	const unbounded = 1 << 20
+	n := int64(unbounded)
+	if request.MilliCPU > 0 {
+		n = min(n, room.MilliCPU/request.MilliCPU)
+	}
+	if request.MemoryMiB > 0 {
+		n = min(n, room.MemoryMiB/request.MemoryMiB)
+	}
+	if request.Accelerators > 0 {
+		n = min(n, room.Accelerators/request.Accelerators)
+	}
+	return int(max(n, 0))
+}
+
+// reserve keeps other batch work off the workers where a gang can soonest have
+// room, as many as it needs. Without it small tasks take every hole that a wide
+// gang waits for, and it starts only when the load falls.
+func (s *Scheduler) reserve(st *step) {
+	var places []gangPlace
+	for _, w := range s.order {
+		if w.reserved != nil || !s.usable(w) || !s.suits(st, w) {
+			continue
+		}
+		if n := timesIn(st.room(), w.free().Add(s.freedSoon(w))); n > 0 {
+			places = append(places, gangPlace{w, n})
+		}
+	}
+	total := 0
+	for total < len(st.tasks) && len(places) > 0 {
+		best := 0
+		for i := range places {
+			if places[i].n > places[best].n {
+				best = i
+			}
+		}
+		total += places[best].n
+		places[best].worker.reserved = st
+		places = append(places[:best], places[best+1:]...)
+	}
+}
+
+// suits reports whether the worker could ever run the step.
+func (s *Scheduler) suits(st *step, w *worker) bool {
+	return w.entry.Service == st.job.rec.Policy.GetService() &&
+		(st.rec.Requires == "" || w.entry.HasLabel(st.rec.Requires)) &&
+		!st.ruledOut(w) && st.room().Fits(w.entry.Capacity)
+}
+
+// freedSoon returns the room of the runs on a worker that are expected to end
+// soon.
+func (s *Scheduler) freedSoon(w *worker) model.Resources {
+	var sum model.Resources
+	for _, r := range w.runs {
+		if s.estimates.endsAt(r) < s.now+soonFree {
+			sum = sum.Add(r.room)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/region/ready.go
@@ -0,0 +1,51 @@
+package region
+
+import (
+	"cmp"
+	"slices"
+)
+
+// readyList holds the steps with tasks that wait, most urgent first: by the
+// queue's priority, then by the latest start that meets the objective.
+type readyList struct{ steps []*step }
+
+func compareSteps(a, b *step) int {
+	return cmp.Or(
+		cmp.Compare(a.job.rec.Policy.GetPriority(), b.job.rec.Policy.GetPriority()),
+		cmp.Compare(a.key, b.key),
+		cmp.Compare(a.job.rec.Id, b.job.rec.Id),
+		cmp.Compare(a.occ.k, b.occ.k),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+func (s *Scheduler) enqueue(st *step) {
+	s.dirty = true
+	if st.queued {
+		return
+	}
+	st.queued = true
+	at, _ := slices.BinarySearchFunc(s.ready.steps, st, compareSteps)
+	s.ready.steps = slices.Insert(s.ready.steps, at, st)
+}
+
+func (s *Scheduler) dequeue(st *step) {
+	if !st.queued {
+		return
+	}
+	st.queued = false
+	at, found := slices.BinarySearchFunc(s.ready.steps, st, compareSteps)
+	if found {
+		s.ready.steps = slices.Delete(s.ready.steps, at, at+1)
+	}
+}
+
+// anyWaiting reports whether a task of the step is to be started.
+func (st *step) anyWaiting() bool {
+	for _, t := range st.tasks {
+		if t.waiting() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/region/replay.go
@@ -0,0 +1,133 @@
+package region
+
+import (
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// replay applies what earlier leaders kept.
+func (s *Scheduler) replay(entries []*record.Entry) {
+	for _, e := range entries {
+		switch k := e.Kind.(type) {
+		case *record.Entry_Assigned:
+			s.replayAssigned(k.Assigned)
+		case *record.Entry_Ended:
+			s.replayEnded(k.Ended)
+		case *record.Entry_Kept:
+			s.replayKept(k.Kept)
+		}
+	}
+}
+
+// find returns a task, creating the occurrences up to its own: an occurrence
+// that was assigned was due.
+func (s *Scheduler) find(id model.TaskID) *task {
+	j, known := s.jobs[id.Job]
+	if !known || int(id.Step) >= len(j.rec.Steps) || id.Occurrence >= max(j.rec.RepeatCount, 1) {
+		return nil
+	}
+	for j.nextOcc <= id.Occurrence {
+		s.addOccurrence(j)
+	}
+	st := j.occs[id.Occurrence].steps[id.Step]
+	if int(id.Index) >= len(st.tasks) {
+		return nil
+	}
+	return st.tasks[id.Index]
+}
+
+func (s *Scheduler) replayAssigned(a *record.Assigned) {
+	t := s.find(model.TaskIDOf(a.Task))
+	if t == nil || t.done {
+		return
+	}
+	if t.run != nil {
+		s.release(t.run)
+	}
+	w := s.workerNamed(a.Worker)
+	r := &run{
+		task: t, number: a.Run, worker: w, phase: phaseInherited,
+		ref: model.WorkerRef{ID: a.Worker, Address: w.entry.Address, BornUnix: a.BornUnixMs},
+	}
+	s.occupy(r)
+	t.lastRun = max(t.lastRun, a.Run)
+	t.step.job.begun = true
+}
+
+func (s *Scheduler) replayEnded(e *record.Ended) {
+	t := s.find(model.TaskIDOf(e.Task))
+	if t == nil {
+		return
+	}
+	if t.run != nil && t.run.number == e.Run {
+		s.release(t.run)
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	s.countEnd(t, e.Run, e.Outcome, e.Checkpoint)
+}
+
+func (s *Scheduler) replayKept(k *record.Kept) {
+	j := s.submit(k.Job)
+	j.writtenAt = s.now
+	for _, ts := range k.Tasks {
+		t := s.find(model.TaskIDOf(ts.Task))
+		if t == nil || t.lastRun > ts.Run {
+			continue
+		}
+		t.lastRun, t.endedRun, t.attempts, t.checkpoint = ts.Run, ts.Run, ts.Attempts, ts.Checkpoint
+		j.begun = true
+		if ts.Done {
+			s.taskDone(t)
+			continue
+		}
+		if ts.Worker != "" {
+			t.endedRun = ts.Run - 1
+			s.replayAssigned(&record.Assigned{Task: ts.Task, Run: ts.Run, Worker: ts.Worker, BornUnixMs: ts.BornUnixMs})
+		}
+	}
+	if k.Cancelled {
+		s.cancel(k.Job.Id)
+	}
+}
+
+// rewriteOld writes live jobs again before their records expire. Without it a
+// long-running job would be forgotten by the next leader once the retention of
+// the log is over.
+func (s *Scheduler) rewriteOld() {
+	const perTick = 4 // spreads the records of many old jobs
+	written := 0
+	for _, j := range s.jobs {
+		if j.over() || s.now-j.writtenAt < s.opts.LogRetention/2 {
+			continue
+		}
+		j.writtenAt = s.now
+		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: keptJob(j)}})
+		if written++; written == perTick {
+			return
+		}
+	}
+}
+
+func keptJob(j *job) *record.Kept {
+	k := &record.Kept{Job: j.rec, Cancelled: j.cancelled}
+	for _, occ := range j.occs {
+		for _, st := range occ.steps {
+			for _, t := range st.tasks {
+				if t.lastRun > 0 {
+					k.Tasks = append(k.Tasks, keptTask(t))
+				}
+			}
+		}
+	}
+	return k
+}
+
+func keptTask(t *task) *record.TaskState {
+	ts := &record.TaskState{
+		Task: t.id().Record(), Run: t.lastRun, Attempts: t.attempts, Done: t.done, Checkpoint: t.checkpoint,
+	}
+	if t.run != nil {
+		ts.Worker, ts.BornUnixMs = t.run.ref.ID, t.run.ref.BornUnix
+	}
+	return ts
+}
--- /dev/null
+++ b/region/run.go
@@ -0,0 +1,313 @@
+package region
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+const (
+	// startTries is how often a start without an answer is sent before it is
+	// stopped instead.
+	startTries = 3
+	// startRetry is the pause before a start is sent again.
+	startRetry = 60 * time.Millisecond
+	// stopRetry is the pause before a stop is sent again.
+	stopRetry = 300 * time.Millisecond
+)
+
+// phase is how far a run is.
+type phase int
+
+const (
+	phaseLogging   phase = iota // its record is on its way to the log
+	phaseSending                // its start is on its way to the worker
+	phaseRunning                // the worker has it
+	phaseStopping               // a stop is on its way to the worker
+	phaseInherited              // an earlier leader assigned it
+)
+
+// run is one run of a task that may be alive.
+type run struct {
+	task      *task
+	number    int32
+	worker    *worker
+	ref       model.WorkerRef // the worker's life that it was assigned to
+	phase     phase
+	room      model.Resources
+	ticket    string
+	assigned  time.Duration
+	startedAt time.Duration // when the worker was known to have it
+	maybeSent bool          // a start got no answer: it may be carried out yet
+	settledAt time.Duration // a look sent later that does not list it proves that it is over; 0 for not settled
+	missingAt time.Duration // first look that did not list a gang member
+	tries     int
+	percent   int
+	movedAt   time.Duration // when percent last changed
+}
+
+func (r *run) settledBefore(sentAt time.Duration) bool {
+	if r.phase == phaseInherited {
+		// The worker has seen our fencing token with the first look, so that no
+		// start of a predecessor can arrive any more.
+		return true
+	}
+	return r.settledAt > 0 && sentAt > r.settledAt
+}
+
+// sortedRuns returns the runs of a worker in a stable order.
+func (w *worker) sortedRuns() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		x, y := a.task.id(), b.task.id()
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence),
+			cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+	})
+	return out
+}
+
+// room returns what a task of the step takes from a worker. A step that fills
+// takes the processors that others leave.
+func (st *step) room() model.Resources {
+	r := st.request
+	if st.rec.Fills {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// occupy counts a run as alive.
+func (s *Scheduler) occupy(r *run) {
+	t := r.task
+	r.room = t.step.room()
+	t.run = r
+	r.worker.runs[t.id()] = r
+	r.worker.used = r.worker.used.Add(r.room)
+	ws := t.step.job.rec.Workspace
+	s.used[ws] = s.used[ws].Add(t.step.request)
+}
+
+// release counts a run as over.
+func (s *Scheduler) release(r *run) {
+	t := r.task
+	if t.run != r {
+		return
+	}
+	t.run = nil
+	delete(r.worker.runs, t.id())
+	r.worker.used = r.worker.used.Sub(r.room)
+	ws := t.step.job.rec.Workspace
+	s.used[ws] = s.used[ws].Sub(t.step.request)
+	s.dirty = true
+}
+
+// assign gives a waiting task to a worker. The start is sent once the record is
+// kept, so that a successor knows of whatever may run.
+func (s *Scheduler) assign(t *task, w *worker, number int32) {
+	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now}
+	if mark, ok := t.step.advice.marks[w.entry.ID]; ok {
+		r.ticket = mark.ticket
+	}
+	s.occupy(r)
+	t.lastRun = number
+	seq := s.append(&record.Entry{Kind: &record.Entry_Assigned{Assigned: &record.Assigned{
+		Task: t.id().Record(), Run: number, Worker: w.entry.ID, BornUnixMs: w.entry.BornUnix,
+	}}})
+	s.afterKept(seq, func() { s.sendStart(r, 0) })
+}
+
+func (s *Scheduler) sendStart(r *run, after time.Duration) {
+	if r.task.run != r || (r.phase != phaseLogging && r.phase != phaseSending) {
+		return
+	}
+	until := s.leaseEnd(r.worker)
+	if until == 0 {
+		s.giveUp(r, "the log was not reached lately")
+		return
+	}
+	r.phase = phaseSending
+	r.tries++
+	s.emit(Start{After: after, Order: model.StartOrder{
+		RunID:  model.RunID{Task: r.task.id(), Run: r.number},
+		Worker: r.ref, Spec: r.task.step.job.rec.Spec, Checkpoint: r.task.checkpoint,
+		Ticket: r.ticket, UntilMs: until, Fence: s.fence,
+	}})
+}
+
+// current returns the run that an answer is about, if it is still wanted.
+func (s *Scheduler) current(id model.RunID, ref model.WorkerRef) *run {
+	t := s.find(id.Task)
+	if t == nil || t.run == nil || t.run.number != id.Run || t.run.ref.ID != ref.ID {
+		return nil
+	}
+	return t.run
+}
+
+func (s *Scheduler) startAnswered(ev StartAnswered) {
+	r := s.current(ev.Order.RunID, ev.Order.Worker)
+	if r == nil {
+		return
+	}
+	if ev.Err == CallFenced {
+		s.emit(Deposed{Worker: r.ref.ID})
+		return
+	}
+	if r.phase != phaseSending {
+		if ev.Err == CallOK && r.phase == phaseRunning {
+			r.settledAt = s.now
+		}
+		return
+	}
+	switch ev.Err {
+	case CallOK:
+		s.confirm(r)
+		r.settledAt = s.now
+	case CallOldRun:
+		r.settledAt = s.now
+	case CallNoAnswer:
+		r.maybeSent = true
+		s.retryStart(r)
+	case CallNotSent, CallLate:
+		s.retryStart(r)
+	case CallOtherLife:
+		s.lose(r, "another life of its worker answered")
+	case CallRefused:
+		r.worker.pausedTo = s.now + unhealthyPause
+		r.worker.health.refused(s.now)
+		s.giveUp(r, "its worker refused")
+	case CallNoRoom:
+		r.worker.pausedTo = s.now + unhealthyPause
+		s.giveUp(r, "its worker had no room")
+	case CallNoTicket:
+		r.task.step.advice.expire(r.ref.ID)
+		s.giveUp(r, "the ticket did not hold")
+	}
+}
+
+func (s *Scheduler) retryStart(r *run) {
+	if r.tries < startTries {
+		s.sendStart(r, startRetry)
+		return
+	}
+	r.worker.pausedTo = s.now + unhealthyPause
+	s.giveUp(r, "its worker did not answer")
+}
+
+// confirm notes that the worker has the run.
+func (s *Scheduler) confirm(r *run) {
+	r.phase = phaseRunning
+	r.startedAt = s.now
+	r.movedAt = s.now
+	if r.settledAt == 0 {
+		r.settledAt = s.now
+	}
+	j := r.task.step.job
+	if !j.begun {
+		j.begun = true
+		s.publish(j)
+	}
+}
+
+// giveUp ends a run that did not start. One that may have been sent is stopped
+// instead: the stop makes the worker refuse it if it comes later.
+func (s *Scheduler) giveUp(r *run, why string) {
+	if r.maybeSent {
+		s.stopRun(r, why)
+		return
+	}
+	s.lose(r, why)
+}
+
+// stopRun orders the end of a run. Its room is free when the end is listed.
+func (s *Scheduler) stopRun(r *run, why string) {
+	if r.phase == phaseStopping {
+		return
+	}
+	s.explain(r.task.step.job.rec.Id, "run stopped", Field{"why", why}, Field{"worker", r.ref.ID},
+		Field{"step", r.task.step.index}, Field{"task", r.task.index}, Field{"run", r.number})
+	if r.phase == phaseLogging {
+		s.lose(r, why)
+		return
+	}
+	r.phase = phaseStopping
+	r.settledAt = 0
+	s.sendStop(r, 0)
+}
+
+func (s *Scheduler) sendStop(r *run, after time.Duration) {
+	s.emit(Stop{After: after, Order: model.StopOrder{
+		RunID: model.RunID{Task: r.task.id(), Run: r.number}, Worker: r.ref, Fence: s.fence,
+	}})
+}
+
+func (s *Scheduler) stopAnswered(ev StopAnswered) {
+	r := s.current(ev.Order.RunID, ev.Order.Worker)
+	if r == nil || r.phase != phaseStopping {
+		return
+	}
+	switch ev.Err {
+	case CallOK, CallOldRun:
+		r.settledAt = s.now
+	case CallFenced:
+		s.emit(Deposed{Worker: r.ref.ID})
+	case CallOtherLife:
+		s.lose(r, "another life of its worker answered")
+	default:
+		s.sendStop(r, stopRetry)
+	}
+}
+
+// lose ends a run that left no end of its own. It counts as no attempt.
+func (s *Scheduler) lose(r *run, why string) {
+	t := r.task
+	s.explain(t.step.job.rec.Id, "run lost", Field{"why", why}, Field{"worker", r.ref.ID},
+		Field{"step", t.step.index}, Field{"task", t.index}, Field{"run", r.number},
+		Field{"phase", int(r.phase)}, Field{"looked_ms_ago", (s.now - r.worker.lookedAt).Milliseconds()})
+	s.release(r)
+	s.endOf(t, r.number, record.Outcome_OUTCOME_LOST, "")
+	s.breakGang(t, r.number)
+}
+
+// endOf keeps an end and counts it.
+func (s *Scheduler) endOf(t *task, number int32, outcome record.Outcome, checkpoint string) {
+	s.append(&record.Entry{Kind: &record.Entry_Ended{Ended: &record.Ended{
+		Task: t.id().Record(), Run: number, Outcome: outcome, Checkpoint: checkpoint,
+	}}})
+	s.countEnd(t, number, outcome, checkpoint)
+}
+
+// runEnded applies an end that a worker lists.
+func (s *Scheduler) runEnded(w *worker, e model.End) {
+	t := s.find(e.Task)
+	if t == nil {
+		return
+	}
+	r := t.run
+	if r != nil && r.number == e.Run && r.worker == w {
+		s.learn(r, e.Outcome)
+		s.release(r)
+		r = nil
+	}
+	if e.Run <= t.endedRun && (e.Outcome != record.Outcome_OUTCOME_DONE || t.done) {
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	s.endOf(t, e.Run, e.Outcome, e.Checkpoint)
+	if e.Outcome == record.Outcome_OUTCOME_DONE {
+		if r != nil {
+			s.stopRun(r, "an earlier run is done")
+		}
+		s.gangDone(t, e.Run)
+		return
+	}
+	if e.Alone {
+		s.explain(e.Task.Job, "gang member ended alone", Field{"step", e.Task.Step}, Field{"task", e.Task.Index}, Field{"run", e.Run})
+	}
+	s.breakGang(t, e.Run)
+}
--- /dev/null
+++ b/region/worker.go
@@ -0,0 +1,351 @@
+package region
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers a
+	// look: longer saves looks, shorter notices a lost worker sooner.
+	lookWait = 700 * time.Millisecond
+	// lookGap is the pause between two looks at a worker with ends: several
+	// ends then share a look. A look costs about 1% of a small task's worth,
+	// and 60 ms are a tenth of the slack of the shortest tasks.
+	lookGap = 60 * time.Millisecond
+	// lookRetry is the pause after a look that failed.
+	lookRetry = 150 * time.Millisecond
+	// reachable is how old the newest answered look of a worker may be for new
+	// work to go there: a wait and a round trip, with one lost answer.
+	reachable = 1500 * time.Millisecond
+	// unhealthyPause is how long a worker that refused an order for its own
+	// state gets no further ones.
+	unhealthyPause = 500 * time.Millisecond
+	// maxEndsListed is how many ends a worker lists at most in one answer; a
+	// full list says nothing about runs that it does not name.
+	maxEndsListed = 500
+)
+
+// worker is what is believed of one worker.
+type worker struct {
+	entry     model.WorkerEntry
+	listed    bool
+	runs      map[model.TaskID]*run
+	used      model.Resources // of all that may be alive there
+	clockMs   int64           // its clock as last read
+	clockAt   time.Duration   // when that was
+	leaseMs   int64           // end of the longest lease we may have granted, on its clock
+	inherited time.Duration   // until when leases of a predecessor may last
+	fenced    bool            // it has answered under our fencing token
+	looking   bool            // a look is under way
+	lookedAt  time.Duration   // when the newest answered look was sent
+	lastEnd   int64           // highest end processed
+	acked     int64           // highest end whose record is kept
+	pausedTo  time.Duration   // no new work before
+	health    health
+	reserved  *step // a gang that collects room here
+}
+
+func (w *worker) ref() model.WorkerRef {
+	return model.WorkerRef{ID: w.entry.ID, Address: w.entry.Address, BornUnix: w.entry.BornUnix}
+}
+
+func (w *worker) free() model.Resources { return w.entry.Capacity.Sub(w.used) }
+
+// clock estimates the worker's clock.
+func (w *worker) clock(now time.Duration) int64 {
+	return w.clockMs + (now - w.clockAt).Milliseconds()
+}
+
+// lapsesAt returns when nothing that was leased there can be alive any more.
+func (w *worker) lapsesAt() time.Duration {
+	if !w.fenced {
+		return w.inherited
+	}
+	left := time.Duration(w.leaseMs-w.clockMs) * time.Millisecond
+	return w.clockAt + time.Duration(float64(left)/(1-clockDrift)) + lapseMargin
+}
+
+// workerNamed returns the worker with that id, also one that is not listed:
+// a run of a predecessor may be alive there.
+func (s *Scheduler) workerNamed(id string) *worker {
+	w, known := s.workers[id]
+	if !known {
+		w = &worker{entry: model.WorkerEntry{ID: id}, runs: make(map[model.TaskID]*run)}
+		s.workers[id] = w
+		s.order = append(s.order, w)
+		if s.leading() {
+			s.takeOver(w)
+		}
+	}
+	return w
+}
+
+// takeOver bounds the leases that a predecessor may have granted.
+func (s *Scheduler) takeOver(w *worker) {
+	lease := time.Duration(float64(s.opts.MaxLease) / (1 - clockDrift))
+	w.inherited = s.leadSince + logProofLife + lease + lapseMargin
+	s.look(w, 0)
+}
+
+func (s *Scheduler) workerListed(e model.WorkerEntry) {
+	s.endPredecessorAt(e)
+	w := s.workerNamed(e.ID)
+	if w.entry.BornUnix != e.BornUnix && w.entry.BornUnix != 0 {
+		s.explain("", "worker has a new life", Field{"worker", e.ID}, Field{"runs_lost", len(w.runs)})
+		s.newLife(w)
+	}
+	if w.listed && e.Draining && !w.entry.Draining {
+		s.explain("", "worker drains", Field{"worker", e.ID}, Field{"runs", len(w.runs)})
+	}
+	if !w.listed {
+		s.explain("", "worker listed", Field{"worker", e.ID}, Field{"zone", e.Zone}, Field{"milli_cpu", e.Capacity.MilliCPU})
+	}
+	w.entry = e
+	w.listed = true
+	s.dirty = true
+	s.look(w, 0)
+}
+
+// endPredecessorAt ends the runs of a worker that had the address before: a
+// new life holds nothing of the old one, under whatever id.
+func (s *Scheduler) endPredecessorAt(e model.WorkerEntry) {
+	for _, w := range s.order {
+		if w.entry.Address != e.Address || w.entry.ID == e.ID || w.entry.BornUnix >= e.BornUnix {
+			continue
+		}
+		s.newLife(w)
+		w.listed = false
+	}
+}
+
+// newLife ends all runs of a worker's earlier life.
+func (s *Scheduler) newLife(w *worker) {
+	for _, r := range w.sortedRuns() {
+		s.lose(r, "its worker has a new life")
+	}
+	w.clockMs, w.leaseMs, w.lastEnd, w.acked = 0, 0, 0, 0
+	w.fenced = false
+	w.health = health{}
+}
+
+func (s *Scheduler) workerUnlisted(id string) {
+	w, known := s.workers[id]
+	if !known || !w.listed {
+		return
+	}
+	w.listed = false
+	s.explain("", "worker unlisted", Field{"worker", id}, Field{"runs", len(w.runs)})
+}
+
+// forget drops a worker that left and holds nothing.
+func (s *Scheduler) forget(w *worker) {
+	delete(s.workers, w.entry.ID)
+	for i, o := range s.order {
+		if o == w {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			return
+		}
+	}
+}
+
+// look renews the worker's leases and reads what runs and what has ended. One
+// look at a time is under way, so that answers do not overtake each other.
+func (s *Scheduler) look(w *worker, after time.Duration) {
+	if w.looking || !s.leading() || w.entry.Address == "" {
+		return
+	}
+	order := model.HoldOrder{Worker: w.ref(), Fence: s.fence, AckedUpTo: w.acked}
+	if w.fenced {
+		order.Wait = lookWait
+		order.UntilMs = s.leaseEnd(w)
+	}
+	w.looking = true
+	s.emit(Hold{Order: order, After: after})
+}
+
+// leaseEnd returns the end of a lease that is granted now, on the worker's
+// clock, or 0 if it is not certain that no other host leads.
+func (s *Scheduler) leaseEnd(w *worker) int64 {
+	if !s.proven() {
+		return 0
+	}
+	until := w.clock(s.now) + s.opts.Lease.Milliseconds()
+	w.leaseMs = max(w.leaseMs, until)
+	return until
+}
+
+func (s *Scheduler) held(ev Held) {
+	w, known := s.workers[ev.Order.Worker.ID]
+	if !known {
+		return
+	}
+	w.looking = false
+	if ev.Order.Worker.BornUnix != w.entry.BornUnix {
+		s.look(w, 0)
+		return
+	}
+	switch ev.Err {
+	case CallOK:
+	case CallFenced:
+		s.emit(Deposed{Worker: w.entry.ID})
+		return
+	case CallOtherLife:
+		s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
+		s.newLife(w)
+		s.lookAgain(w, lookRetry)
+		return
+	default:
+		s.lookAgain(w, lookRetry)
+		return
+	}
+	s.readLook(w, ev)
+	s.lookAgain(w, lookGap)
+}
+
+// lookAgain goes on looking, unless the worker left and holds nothing.
+func (s *Scheduler) lookAgain(w *worker, after time.Duration) {
+	if !w.listed && len(w.runs) == 0 {
+		s.forget(w)
+		return
+	}
+	s.look(w, after)
+}
+
+func (s *Scheduler) readLook(w *worker, ev Held) {
+	w.clockMs, w.clockAt = ev.Hold.ClockMs, s.now
+	if !w.fenced {
+		w.fenced = true
+		// Whatever a predecessor granted ends within a whole lease from here.
+		w.leaseMs = max(w.leaseMs, ev.Hold.ClockMs+s.opts.MaxLease.Milliseconds())
+		s.dirty = true
+	}
+	w.lookedAt = max(w.lookedAt, ev.SentAt)
+	for _, e := range ev.Hold.Ended {
+		s.readEnd(w, e)
+	}
+	listed := make(map[model.TaskID]bool, len(ev.Hold.Running))
+	for _, row := range ev.Hold.Running {
+		listed[row.Task] = true
+		s.readRunning(w, row)
+	}
+	if len(ev.Hold.Ended) < maxEndsListed {
+		s.clearUnlisted(w, listed, ev.SentAt)
+	}
+}
+
+func (s *Scheduler) readEnd(w *worker, e model.End) {
+	if e.Number <= w.lastEnd {
+		return
+	}
+	w.lastEnd = e.Number
+	s.runEnded(w, e)
+	number := e.Number
+	life := w.entry.BornUnix
+	s.afterKept(s.seq, func() {
+		if w.entry.BornUnix == life {
+			w.acked = max(w.acked, number)
+		}
+	})
+}
+
+func (s *Scheduler) readRunning(w *worker, row model.Running) {
+	t := s.find(row.Task)
+	if t == nil || t.run == nil || t.run.number != row.Run || t.run.worker != w {
+		s.stopStray(w, row.RunID)
+		return
+	}
+	r := t.run
+	if row.Checkpoint != "" {
+		s.saved(t, row.Checkpoint)
+	}
+	s.progress(r, row)
+	if r.phase == phaseInherited || r.phase == phaseSending {
+		s.confirm(r)
+	}
+	if t.done || t.step.job.over() {
+		s.stopRun(r, "job is over")
+	}
+}
+
+// stopStray stops a run that nobody wants: an order that was carried out late,
+// or of a job that is over.
+func (s *Scheduler) stopStray(w *worker, id model.RunID) {
+	s.explain(id.Task.Job, "stray run stopped", Field{"worker", w.entry.ID}, Field{"run", id.Run}, Field{"step", id.Task.Step}, Field{"task", id.Task.Index})
+	s.emit(Stop{Order: model.StopOrder{RunID: id, Worker: w.ref(), Fence: s.fence}})
+}
+
+// clearUnlisted settles runs that a look did not list although it was sent
+// after the worker had settled them.
+func (s *Scheduler) clearUnlisted(w *worker, listed map[model.TaskID]bool, sentAt time.Duration) {
+	for _, r := range w.sortedRuns() {
+		if listed[r.task.id()] || !r.settledBefore(sentAt) {
+			continue
+		}
+		if r.task.step.rec.Gang && s.gangUndecided(r) {
+			continue
+		}
+		s.lose(r, "its worker does not list it")
+	}
+}
+
+// expireRuns ends the runs on workers whose leases are over for certain.
+func (s *Scheduler) expireRuns() {
+	for i := len(s.order) - 1; i >= 0; i-- {
+		w := s.order[i]
+		if len(w.runs) > 0 && s.now > w.lapsesAt() {
+			for _, r := range w.sortedRuns() {
+				s.lose(r, "its lease is over")
+			}
+		}
+		if !w.listed && len(w.runs) == 0 && !w.looking {
+			s.forget(w)
+		}
+	}
+}
+
+// countEnd counts the end of a run towards its task and job.
+func (s *Scheduler) countEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
+	first := number > t.endedRun
+	t.endedRun = max(t.endedRun, number)
+	if checkpoint != "" {
+		s.saved(t, checkpoint)
+	}
+	switch {
+	case outcome == record.Outcome_OUTCOME_DONE:
+		s.taskDone(t)
+	case outcome == record.Outcome_OUTCOME_FAILED && first:
+		s.countFailure(t)
+	}
+	if t.waiting() && !t.step.job.over() && t.step.started {
+		s.enqueue(t.step)
+	}
+	s.dirty = true
+}
+
+// countFailure uses up an attempt; a gang has its attempts in common.
+func (s *Scheduler) countFailure(t *task) {
+	if t.step.rec.LongRunning {
+		return
+	}
+	if t.step.rec.Gang {
+		t = t.step.tasks[0]
+	}
+	t.attempts++
+	if t.attempts >= t.step.job.rec.Policy.GetMaxAttempts() {
+		s.fail(t.step.job, t)
+	}
+}
+
+// saved remembers a checkpoint; any member's is valid for its gang.
+func (s *Scheduler) saved(t *task, checkpoint string) {
+	if !t.step.rec.Gang {
+		t.checkpoint = checkpoint
+		return
+	}
+	for _, m := range t.step.tasks {
+		m.checkpoint = checkpoint
+	}
+}
