--- a/host/election.go
+++ b/host/election.go
@@ -133,7 +133,7 @@
 		case fence := <-e.takeOver:
 			if _, now := e.current(); now == fence {
 				e.host.log.WithField("fence", fence).Info("leader is leaving and hands over")
-				e.try(ctx)
+				e.try(ctx, fence)
 			}
 			continue
 		case <-time.After(pingEvery):
@@ -141,9 +141,9 @@
 		if e.leading() != nil || e.host.stopping.Load() {
 			continue
 		}
-		if e.leaderGone(ctx) {
+		if _, fence := e.current(); e.leaderGone(ctx) {
 			sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
-			e.try(ctx)
+			e.try(ctx, fence)
 		}
 	}
 }
@@ -191,13 +191,18 @@
 	return err == nil && !grown
 }
 
-// try claims the lead. The claim holds only if no other was written since the
-// claims were read, so that of several hosts one succeeds.
-func (e *election) try(ctx context.Context) {
+// try claims the lead after the leader with that fencing token. The claim holds
+// only if no other was written since, so that of several hosts that notice at
+// the same time one succeeds. A host that reads a new claim while it still looks
+// at the old leader must not claim behind it: each such claim would cost another
+// change of leader, and every host would have its turn.
+func (e *election) try(ctx context.Context, fence int64) {
 	e.mu.Lock()
-	at := e.next
-	before := e.fence
+	at, now := e.next, e.fence
 	e.mu.Unlock()
+	if now != fence {
+		return
+	}
 	claim := &record.Claim{Host: e.host.settings.Host, Address: e.host.settings.Control, Incarnation: e.host.incarnation}
 	data, err := proto.Marshal(claim)
 	if err != nil {
@@ -207,7 +212,7 @@
 	if err != nil {
 		// Without an answer the claim may stand: watchClaims will read it, and
 		// as it names this host without a leadership, it is claimed anew.
-		e.host.log.WithError(err).WithField("fence", before).Info("lead not claimed")
+		e.host.log.WithError(err).WithField("after_fence", fence).Info("lead not claimed")
 		return
 	}
 	e.took(got.First, [][]byte{data}, got.First+1)
--- a/region/advice.go
+++ b/region/advice.go
@@ -19,6 +19,9 @@
 	// adviceBacklog is how much advice a host may have been asked for before
 	// further calls wait.
 	adviceBacklog = 1200 * time.Millisecond
+	// idleBacklog is the same for steps that have no room yet: their first
+	// advice is worth having early, but not before others'.
+	idleBacklog = 300 * time.Millisecond
 	// adviceRetry is the pause after a call for advice that failed.
 	adviceRetry = 200 * time.Millisecond
 )
@@ -65,10 +68,18 @@
 	return st.advised() && ok && !m.good
 }
 
-// wantAdvice asks for advice when the step has too little: at first about all
-// workers, later anew about the good ones before their tickets expire.
+// wantAdvice asks for advice when the step has too little and could use it: at
+// first about all workers, later anew about the good ones when there is room on
+// them and their tickets expire. Asking again for steps that have no room keeps
+// the advice service busy with answers that nobody uses, and the steps that
+// could start wait behind them.
 func (s *Scheduler) wantAdvice(st *step) {
-	if !st.advised() || st.advice.asking || s.now < st.advice.retryAt {
+	if !st.advised() {
+		return
+	}
+	first := len(st.advice.marks) == 0
+	room := s.claimRoom(st)
+	if st.advice.asking || s.now < st.advice.retryAt || (!first && !room) {
 		return
 	}
 	names := s.adviceWanted(st)
@@ -76,7 +87,11 @@
 		return
 	}
 	cost := st.adviceCost(len(names))
-	host, ok := s.advisers.choose(cost, s.now)
+	limit := adviceBacklog
+	if !room {
+		limit = idleBacklog
+	}
+	host, ok := s.advisers.choose(cost, limit, s.now)
 	if !ok {
 		st.blocked = "advice backlog"
 		s.dirty = true
@@ -89,6 +104,40 @@
 	})
 }
 
+// claimRoom reports whether the step's waiting tasks could start if their
+// tickets were good, and takes the room for the rest of this pass, so that of
+// many steps that wait for the same room only the first ask for tickets.
+func (s *Scheduler) claimRoom(st *step) bool {
+	want, need := 0, 1
+	for _, t := range st.tasks {
+		if t.waiting() {
+			want++
+		}
+	}
+	if st.rec.Gang {
+		need = len(st.tasks)
+	}
+	ahead := st.adviceCost(len(s.order)) + adviceMargin
+	found := 0
+	for _, w := range s.order {
+		if found >= want {
+			break
+		}
+		if !s.usable(w) || !s.suits(st, w) {
+			continue
+		}
+		room := w.free().Sub(w.claimed)
+		if w.reserved == st || len(w.runs) > 0 && st.rec.Gang {
+			room = room.Add(s.freedWithin(w, ahead))
+		}
+		if n := min(timesIn(st.room(), room), want-found); n > 0 {
+			w.claimed = w.claimed.Add(st.room().Times(int64(n)))
+			found += n
+		}
+	}
+	return found >= need
+}
+
 func (st *step) adviceCost(workers int) time.Duration {
 	a := st.job.rec.Policy.GetAdvice()
 	return time.Duration((a.GetDecideMs() + a.GetEachMs()*float64(workers)) * float64(time.Millisecond))
@@ -137,7 +186,7 @@
 	for _, id := range ev.Order.Workers {
 		st.advice.marks[id] = &adviceMark{}
 	}
-	until := s.now + time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs())*time.Millisecond - adviceMargin
+	until := ev.At + time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs())*time.Millisecond - adviceMargin
 	for _, k := range ev.Tickets {
 		st.advice.marks[k.Worker] = &adviceMark{good: true, ticket: k.Ticket, until: until}
 	}
@@ -173,7 +222,7 @@
 
 // choose returns the host with the shortest backlog. Slow calls keep off the
 // first third of the hosts.
-func (a *advisers) choose(cost, now time.Duration) (string, bool) {
+func (a *advisers) choose(cost, limit, now time.Duration) (string, bool) {
 	from := 0
 	if cost >= slowAdvice && len(a.hosts) > 1 {
 		from = max(1, len(a.hosts)/3)
@@ -184,7 +233,7 @@
 			best = h
 		}
 	}
-	if best == nil || best.backlog > adviceBacklog {
+	if best == nil || best.backlog > limit {
 		return "", false
 	}
 	best.backlog += cost
--- a/region/event.go
+++ b/region/event.go
@@ -67,6 +67,7 @@
 	Advised struct {
 		Order   Advise
 		Tickets []model.Ticket
+		At      time.Duration // when the answer came
 		Failed  bool
 	}
 
--- a/region/job.go
+++ b/region/job.go
@@ -15,6 +15,7 @@
 	cancelled  bool
 	failed     bool
 	begun      bool // a task has started
+	excess     bool // its workspace sent more than its share when it came
 	occs       []*occurrence
 	nextOcc    int32 // first occurrence that has not been created
 	openOccs   int   // occurrences with tasks that are not done
@@ -92,6 +93,7 @@
 	j := &job{rec: rec, acceptedAt: s.acceptedAt(rec.AcceptedUnixMs)}
 	j.writtenAt = j.acceptedAt
 	s.jobs[rec.Id] = j
+	j.excess = !s.shares.take(s.share(rec.Workspace), rec.Workspace, j.acceptedAt)
 	if j.timed() {
 		s.timed = append(s.timed, j)
 	} else {
--- a/region/place.go
+++ b/region/place.go
@@ -62,38 +62,81 @@
 	}
 	s.lastPass = s.now
 	s.dirty = false
+	if !s.proven() {
+		return
+	}
 	for _, w := range s.order {
 		w.reserved = nil
+		w.claimed = model.Resources{}
 	}
-	if !s.proven() {
-		return
+	for _, class := range s.byClass() {
+		s.pass(class)
 	}
-	s.pass(func(st *step) bool { return s.now <= st.lateAt })
-	s.pass(func(st *step) bool { return s.now > st.lateAt })
 }
 
-// pass walks the ready steps that are chosen.
-func (s *Scheduler) pass(chosen func(*step) bool) {
-	gangs := 0
-	for i := 0; i < len(s.ready.steps); i++ {
-		st := s.ready.steps[i]
-		if !chosen(st) || s.now < st.notUntil {
+// class ranks steps by what can still be earned.
+type class int
+
+const (
+	classOnTime  class = iota // the objective can be met
+	classExcess               // so can it, but the workspace sends more than its share
+	classPartial              // late, yet worth a part
+	classRest                 // nothing is earned any more; it is owed all the same
+	classes
+)
+
+// classOf returns the step's class now. Under overload the steps that can still
+// meet their objective go first: by deadline alone, each would start just when
+// it is too late, and none would be on time.
+func (s *Scheduler) classOf(st *step) class {
+	switch {
+	case s.now > st.lateAt:
+		return classRest
+	case s.now > st.key:
+		return classPartial
+	case st.job.excess:
+		return classExcess
+	}
+	return classOnTime
+}
+
+// byClass splits the ready steps, each class in the order of urgency. Steps
+// that have nothing to start any more leave the list.
+func (s *Scheduler) byClass() [classes][]*step {
+	var out [classes][]*step
+	keep := s.ready.steps[:0]
+	for _, st := range s.ready.steps {
+		if st.job.over() || !st.anyWaiting() {
+			st.queued = false
 			continue
 		}
-		if st.job.over() || !st.anyWaiting() {
-			s.dequeue(st)
-			i--
+		keep = append(keep, st)
+		c := s.classOf(st)
+		out[c] = append(out[c], st)
+	}
+	clear(s.ready.steps[len(keep):])
+	s.ready.steps = keep
+	return out
+}
+
+// pass starts what fits of some steps.
+func (s *Scheduler) pass(steps []*step) {
+	gangs := 0
+	for _, st := range steps {
+		if s.now < st.notUntil {
 			continue
 		}
-		s.wantAdvice(st)
 		if st.rec.Gang {
 			if !s.placeGang(st) && gangs < reservedGangs {
 				gangs++
 				s.reserve(st)
 			}
-			continue
+		} else {
+			s.placeTasks(st)
+		}
+		if st.anyWaiting() {
+			s.wantAdvice(st)
 		}
-		s.placeTasks(st)
 	}
 }
 
@@ -353,7 +396,7 @@
 		if w.reserved != nil || !s.usable(w) || !s.suits(st, w) {
 			continue
 		}
-		if n := timesIn(st.room(), w.free().Add(s.freedSoon(w))); n > 0 {
+		if n := timesIn(st.room(), w.free().Add(s.freedWithin(w, soonFree))); n > 0 {
 			places = append(places, gangPlace{w, n})
 		}
 	}
@@ -378,12 +421,12 @@
 		!st.ruledOut(w) && st.room().Fits(w.entry.Capacity)
 }
 
-// freedSoon returns the room of the runs on a worker that are expected to end
-// soon.
-func (s *Scheduler) freedSoon(w *worker) model.Resources {
+// freedWithin returns the room of the runs on a worker that are expected to end
+// within a time.
+func (s *Scheduler) freedWithin(w *worker, within time.Duration) model.Resources {
 	var sum model.Resources
 	for _, r := range w.runs {
-		if s.estimates.endsAt(r) < s.now+soonFree {
+		if s.estimates.endsAt(r) < s.now+within {
 			sum = sum.Add(r.room)
 		}
 	}
--- a/region/region.go
+++ b/region/region.go
@@ -64,6 +64,7 @@
 	timed     []*job // jobs with further occurrences
 	finished  []*job // in the order they ended
 	estimates estimates
+	shares    shares
 
 	entries   []*record.Entry // produced by this Step
 	seq       int64           // number of the last entry produced
--- /dev/null
+++ b/region/share.go
@@ -0,0 +1,57 @@
+package region
+
+import "time"
+
+const (
+	// shareBurst is how many seconds of its share a workspace may send at once.
+	shareBurst = 2.0
+	// shareSlack is added to the burst, for workspaces with small shares.
+	shareSlack = 5.0
+)
+
+// shares counts what each workspace sends against its share, in jobs a second.
+// A workspace that sends many times its share would otherwise push out the work
+// of all others, as its jobs are no less urgent.
+type shares struct {
+	buckets map[string]*bucket
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// take reports whether a job that came at a time is within the share. A share
+// of 0 is unlimited.
+func (s *shares) take(perS float64, workspace string, at time.Duration) bool {
+	if perS <= 0 {
+		return true
+	}
+	if s.buckets == nil {
+		s.buckets = make(map[string]*bucket)
+	}
+	most := perS*shareBurst + shareSlack
+	b, known := s.buckets[workspace]
+	if !known {
+		b = &bucket{tokens: most, at: at}
+		s.buckets[workspace] = b
+	}
+	if at > b.at {
+		b.tokens = min(most, b.tokens+perS*(at-b.at).Seconds())
+		b.at = at
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// share returns a workspace's share in jobs a second; 0 if it is not known.
+func (s *Scheduler) share(workspace string) float64 {
+	if s.config == nil {
+		return 0
+	}
+	return float64(s.config.Workspaces[workspace].Weight)
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -45,7 +45,8 @@
 	acked     int64           // highest end whose record is kept
 	pausedTo  time.Duration   // no new work before
 	health    health
-	reserved  *step // a gang that collects room here
+	reserved  *step           // a gang that collects room here
+	claimed   model.Resources // room that steps ask tickets for, in this pass
 }
 
 func (w *worker) ref() model.WorkerRef {
