--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -84,6 +84,9 @@
 func (d *dispatcher) stop(c region.Stop) {
 	sent := boottime.Now()
 	receipt, err := d.leader.cfg.Client.Stop(d.ctx, orderTimeout, c.Order)
+	if failed := errors.CombineErrors(err, receipt.Err); failed != nil {
+		d.leader.cfg.Log.WithError(failed).WithFields(logrus.Fields{"job": c.Order.Task.Job, "worker": c.Order.Worker.ID, "run": c.Order.Run}).Info("stop failed")
+	}
 	d.leader.push(d.ctx, region.StopAnswered{Order: c.Order, SentAt: sent, Err: callError(receipt, err)})
 }
 
--- /dev/null
+++ b/region/history_test.go
@@ -0,0 +1,135 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// Random histories: jobs of all forms arrive while leaders die, workers are cut
+// off, crash and come back, the log goes down, and answers are lost or come
+// late. The world checks at each start that nothing runs twice, runs again when
+// done, exceeds a worker or is tried too often; at the end all must be done.
+func TestRandomHistories(t *testing.T) {
+	const histories = 60
+	for seed := uint64(1); seed <= histories; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomHistory(t, seed) })
+	}
+}
+
+func randomHistory(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	for i := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", i), 8)
+	}
+	calm := false
+	w.runTime = func(model.TaskID) time.Duration {
+		return 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(2*time.Second)))
+	}
+	w.fails = func(model.TaskID, int32) bool { return !calm && w.rng.IntN(30) == 0 }
+	w.good = func(step, worker string) bool { return (len(step)+int(worker[1]))%3 != 0 }
+	w.lost = func(string) bool { return !calm && w.rng.IntN(40) == 0 }
+	w.late = func(call string) time.Duration {
+		if calm || call == "hold" || w.rng.IntN(60) != 0 {
+			return 0
+		}
+		return time.Second + time.Duration(w.rng.Int64N(int64(4*time.Second)))
+	}
+	w.lead()
+	var jobs []string
+	for i := range 400 {
+		w.run(50 * time.Millisecond)
+		if i%3 == 0 {
+			j := randomJob(w, fmt.Sprintf("j%03d", i))
+			w.submit(j)
+			jobs = append(jobs, j.Id)
+		}
+		disturb(w)
+	}
+	calm = true
+	w.logDown = false
+	for _, fw := range w.workers {
+		fw.cut = false
+	}
+	if w.sched == nil {
+		w.lead()
+	}
+	w.run(60 * time.Second)
+	for _, id := range jobs {
+		if s := w.states[id]; s != StateCompleted && s != StateFailed && s != StateCancelled {
+			w.fatal("job %s is still %v: %s", id, s, describe(w.sched.jobs[id]))
+		}
+	}
+}
+
+func randomJob(w *world, id string) *record.Job {
+	s := &record.Step{
+		Count: 1 + int32(w.rng.IntN(5)), Gang: w.rng.IntN(3) == 0,
+		Request: &record.Resources{MilliCpu: 500 + w.rng.Int64N(2500), MemoryMib: 100},
+	}
+	j := oneStep(id, s)
+	if w.rng.IntN(3) == 0 {
+		j.Steps = append(j.Steps, oneStep("", &record.Step{Count: 2, DependsOn: []int32{0}}).Steps[0])
+	}
+	j.Policy = &record.Policy{Service: "svc", Priority: int32(w.rng.IntN(3)), MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000}
+	if w.rng.IntN(2) == 0 {
+		j.Policy.Advice = &record.Advice{DecideMs: 20, EachMs: 2, ValidMs: 2000}
+	}
+	return j
+}
+
+// disturb causes a fault now and then.
+func disturb(w *world) {
+	fw := w.workers[w.names[w.rng.IntN(len(w.names))]]
+	switch w.rng.IntN(60) {
+	case 0:
+		w.stopLeading()
+		w.at(time.Duration(w.rng.Int64N(int64(3*time.Second))), func() {
+			if w.sched == nil {
+				w.lead()
+			}
+		})
+	case 1:
+		fw.cut = true
+		w.at(time.Duration(w.rng.Int64N(int64(12*time.Second))), func() { fw.cut = false })
+	case 2:
+		crash(w, fw)
+	case 3:
+		w.logDown = true
+		w.at(time.Duration(w.rng.Int64N(int64(4*time.Second))), func() { w.logDown = false })
+	}
+}
+
+// crash ends a worker's life; a new one begins at once under the same id. Ends
+// that nobody has taken note of are as if they had never been.
+func crash(w *world, fw *fakeWorker) {
+	for _, e := range fw.ends {
+		w.forgetDone(e.RunID)
+	}
+	fw.runs = make(map[model.TaskID]*fakeRun)
+	fw.highest = make(map[model.TaskID]int32)
+	fw.ends, fw.nextEnd, fw.until, fw.fence = nil, 0, 0, 0
+	fw.entry.BornUnix++
+	w.tell(WorkerListed{Entry: fw.entry})
+}
+
+// describe tells where a job's tasks stand.
+func describe(j *job) string {
+	out := ""
+	for _, occ := range j.occs {
+		for _, st := range occ.steps {
+			out += fmt.Sprintf(" step %d queued %v blocked %q:", st.index, st.queued, st.blocked)
+			for _, t := range st.tasks {
+				out += fmt.Sprintf(" [done %v run %d ended %d", t.done, t.lastRun, t.endedRun)
+				if t.run != nil {
+					out += fmt.Sprintf(" phase %d on %s settled %v", t.run.phase, t.run.ref.ID, t.run.settledAt)
+				}
+				out += "]"
+			}
+		}
+	}
+	return out
+}
--- a/region/run.go
+++ b/region/run.go
@@ -49,6 +49,12 @@
 	movedAt   time.Duration // when percent last changed
 }
 
+// target returns where orders about the run go. Its worker's address may have
+// become known only after the run was inherited.
+func (r *run) target() model.WorkerRef {
+	return model.WorkerRef{ID: r.ref.ID, Address: r.worker.entry.Address, BornUnix: r.ref.BornUnix}
+}
+
 func (r *run) settledBefore(sentAt time.Duration) bool {
 	if r.phase == phaseInherited {
 		// The worker has seen our fencing token with the first look, so that no
@@ -135,8 +141,8 @@
 	r.tries++
 	s.emit(Start{After: after, Order: model.StartOrder{
 		RunID:  model.RunID{Task: r.task.id(), Run: r.number},
-		Worker: r.ref, Spec: r.task.step.job.rec.Spec, Checkpoint: r.task.checkpoint,
-		Ticket: r.ticket, UntilMs: until, Fence: s.fence,
+		Worker: r.target(), Spec: r.task.step.job.rec.Spec, Checkpoint: r.task.checkpoint,
+		Ticket: r.ticket, UntilMs: until, Fence: s.fenceOf(r.worker),
 	}})
 }
 
@@ -242,7 +248,7 @@
 
 func (s *Scheduler) sendStop(r *run, after time.Duration) {
 	s.emit(Stop{After: after, Order: model.StopOrder{
-		RunID: model.RunID{Task: r.task.id(), Run: r.number}, Worker: r.ref, Fence: s.fence,
+		RunID: model.RunID{Task: r.task.id(), Run: r.number}, Worker: r.target(), Fence: s.fenceOf(r.worker),
 	}})
 }
 
--- /dev/null
+++ b/region/step_test.go
@@ -0,0 +1,121 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// Steps of every form run to their end, in order.
+func TestForms(t *testing.T) {
+	cases := map[string]*record.Job{
+		"plain":    oneStep("plain", &record.Step{Count: 5}),
+		"gang":     oneStep("gang", &record.Step{Count: 4, Gang: true}),
+		"rack":     oneStep("rack", &record.Step{Count: 4, Gang: true, SameRack: true}),
+		"spread":   oneStep("spread", &record.Step{Count: 4, AntiAffinity: 1}),
+		"label":    oneStep("label", &record.Step{Count: 2, Requires: "b"}),
+		"data":     oneStep("data", &record.Step{Count: 2, Affinity: "r2-1"}),
+		"copies":   oneStep("copies", &record.Step{Count: 2, Speculative: true}),
+		"fills":    oneStep("fills", &record.Step{Count: 2, Fills: true, Image: "x"}),
+		"repeated": {Id: "repeated", RepeatCount: 3, FirstRunUnixMs: (time.Hour + time.Second).Milliseconds(), IntervalMs: 300},
+		"chain":    {Id: "chain"},
+	}
+	cases["repeated"].Steps = oneStep("", &record.Step{Count: 2}).Steps
+	first := oneStep("", &record.Step{Count: 2}).Steps[0]
+	second := oneStep("", &record.Step{Count: 3, DependsOn: []int32{0}}).Steps[0]
+	cases["chain"].Steps = []*record.Step{first, second}
+	for name, job := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			for i := range 4 {
+				fw := w.addWorker(fmt.Sprintf("w%d", i), 4)
+				fw.entry.Labels = []string{"a", "r1-1"}
+				if i >= 2 {
+					fw.entry.Labels = []string{"b", "r2-1"}
+				}
+			}
+			w.lead()
+			w.submit(job)
+			w.run(8 * time.Second)
+			w.mustComplete(job.Id)
+		})
+	}
+}
+
+// A step with advice starts only where the advice service allows it.
+func TestAdviceIsKept(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 6 {
+		w.addWorker(fmt.Sprintf("w%d", i), 4)
+	}
+	w.good = func(_, worker string) bool { return worker == "w3" }
+	w.lead()
+	j := oneStep("a", &record.Step{Count: 10})
+	j.Policy = &record.Policy{Service: "svc", MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000,
+		Advice: &record.Advice{DecideMs: 50, EachMs: 1, ValidMs: 2000}}
+	w.submit(j)
+	w.run(6 * time.Second)
+	w.mustComplete("a")
+	for id, fw := range w.workers {
+		if id != "w3" && fw.nextEnd > 0 {
+			t.Errorf("worker %s ran %d tasks without a ticket", id, fw.nextEnd)
+		}
+	}
+}
+
+// A task that fails each time is tried as often as the queue allows, then its
+// job is failed and nothing of it runs on.
+func TestAttemptsRunOut(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 4)
+	w.addWorker("w2", 4)
+	w.fails = func(id model.TaskID, _ int32) bool { return id.Index == 0 }
+	w.lead()
+	w.submit(oneStep("a", &record.Step{Count: 2}))
+	w.run(10 * time.Second)
+	if w.states["a"] != StateFailed {
+		t.Fatalf("job is %v, not failed", w.states["a"])
+	}
+	if n := w.starts[model.TaskID{Job: "a"}]; n != 3 {
+		t.Errorf("started %d times, want 3", n)
+	}
+}
+
+// A workspace never has more running than its cap, however much room there is.
+func TestCapHolds(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 32)
+	w.lead()
+	config := testConfig()
+	config.Workspaces["ws"] = model.Workspace{Name: "ws", Cap: model.Resources{MilliCPU: 3000}}
+	w.step(ConfigRead{Config: config})
+	w.submit(oneStep("a", &record.Step{Count: 20}))
+	for range 200 {
+		w.run(50 * time.Millisecond)
+		if n := len(w.workers["w1"].runs); n > 3 {
+			t.Fatalf("%d tasks run, the cap allows 3", n)
+		}
+	}
+	w.mustComplete("a")
+}
+
+// A caller withdraws a job: what runs of it is stopped and nothing more starts.
+func TestCancelStops(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 4)
+	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
+	w.lead()
+	w.submit(oneStep("a", &record.Step{Count: 8}))
+	w.run(time.Second)
+	w.cancel("a")
+	w.run(time.Second)
+	if n := len(w.workers["w1"].runs); n != 0 {
+		t.Errorf("%d tasks run on", n)
+	}
+	if w.states["a"] != StateCancelled {
+		t.Errorf("job is %v, not cancelled", w.states["a"])
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -41,6 +41,7 @@
 	fenced    bool            // it has answered under our fencing token
 	looking   bool            // a look is under way
 	lookedAt  time.Duration   // when the newest answered look was sent
+	lives     int64           // how many lives we have seen end
 	lastEnd   int64           // highest end processed
 	acked     int64           // highest end whose record is kept
 	pausedTo  time.Duration   // no new work before
@@ -86,17 +87,22 @@
 
 // takeOver bounds the leases that a predecessor may have granted.
 func (s *Scheduler) takeOver(w *worker) {
-	lease := time.Duration(float64(s.opts.MaxLease) / (1 - clockDrift))
-	w.inherited = s.leadSince + logProofLife + lease + lapseMargin
+	w.inherited = s.leadSince + logProofLife + s.maxLease() + lapseMargin
 	s.look(w, 0)
 }
 
+// maxLease is the longest that a lease may last by our clock.
+func (s *Scheduler) maxLease() time.Duration {
+	return time.Duration(float64(s.opts.MaxLease) / (1 - clockDrift))
+}
+
 func (s *Scheduler) workerListed(e model.WorkerEntry) {
 	s.endPredecessorAt(e)
 	w := s.workerNamed(e.ID)
 	if w.entry.BornUnix != e.BornUnix && w.entry.BornUnix != 0 {
 		s.explain("", "worker has a new life", Field{"worker", e.ID}, Field{"runs_lost", len(w.runs)})
-		s.newLife(w)
+		s.keepStarts(w)
+		s.newLife(w, true)
 	}
 	if w.listed && e.Draining && !w.entry.Draining {
 		s.explain("", "worker drains", Field{"worker", e.ID}, Field{"runs", len(w.runs)})
@@ -117,21 +123,49 @@
 		if w.entry.Address != e.Address || w.entry.ID == e.ID || w.entry.BornUnix >= e.BornUnix {
 			continue
 		}
-		s.newLife(w)
+		s.newLife(w, false)
 		w.listed = false
 	}
 }
 
-// newLife ends all runs of a worker's earlier life.
-func (s *Scheduler) newLife(w *worker) {
+// keepStarts keeps the starts that are still under way to a worker that has a
+// new life under its old id. Such a start may reach the new life, which knows
+// nothing of the old one, and a second run elsewhere would be beside it. The
+// next look settles them: it raises the fencing token that the new life has
+// seen, so that a start it does not list can come no more.
+func (s *Scheduler) keepStarts(w *worker) {
+	for _, r := range w.runs {
+		if r.phase == phaseSending || r.maybeSent {
+			r.phase = phaseInherited
+		}
+	}
+}
+
+// newLife ends the runs of a worker's earlier life, but for those that the next
+// look has to settle, if the new life has the same id.
+func (s *Scheduler) newLife(w *worker, sameID bool) {
 	for _, r := range w.sortedRuns() {
-		s.lose(r, "its worker has a new life")
+		if r.phase != phaseInherited || !sameID {
+			s.lose(r, "its worker has a new life")
+		}
 	}
 	w.clockMs, w.leaseMs, w.lastEnd, w.acked = 0, 0, 0, 0
+	w.inherited = s.now + s.maxLease() + lapseMargin
 	w.fenced = false
+	w.lives++
 	w.health = health{}
 }
 
+// livesBits is how many bits of a fencing token count a worker's lives.
+const livesBits = 16
+
+// fenceOf returns the fencing token of orders to a worker. It rises with each
+// leader, and with each new life of the worker under the same id: an order to
+// the earlier life that is carried out late would otherwise start a task there
+// that has been started elsewhere since. The new life refuses it once it has
+// answered one look.
+func (s *Scheduler) fenceOf(w *worker) int64 { return s.fence<<livesBits | w.lives }
+
 func (s *Scheduler) workerUnlisted(id string) {
 	w, known := s.workers[id]
 	if !known || !w.listed {
@@ -158,7 +192,7 @@
 	if w.looking || !s.leading() || w.entry.Address == "" {
 		return
 	}
-	order := model.HoldOrder{Worker: w.ref(), Fence: s.fence, AckedUpTo: w.acked}
+	order := model.HoldOrder{Worker: w.ref(), Fence: s.fenceOf(w), AckedUpTo: w.acked}
 	if w.fenced {
 		order.Wait = lookWait
 		order.UntilMs = s.leaseEnd(w)
@@ -195,7 +229,7 @@
 		return
 	case CallOtherLife:
 		s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
-		s.newLife(w)
+		s.newLife(w, false)
 		s.lookAgain(w, lookRetry)
 		return
 	default:
@@ -275,7 +309,7 @@
 // or of a job that is over.
 func (s *Scheduler) stopStray(w *worker, id model.RunID) {
 	s.explain(id.Task.Job, "stray run stopped", Field{"worker", w.entry.ID}, Field{"run", id.Run}, Field{"step", id.Task.Step}, Field{"task", id.Task.Index})
-	s.emit(Stop{Order: model.StopOrder{RunID: id, Worker: w.ref(), Fence: s.fence}})
+	s.emit(Stop{Order: model.StopOrder{RunID: id, Worker: w.ref(), Fence: s.fenceOf(w)}})
 }
 
 // clearUnlisted settles runs that a look did not list although it was sent
