--- a/region/advice.go
+++ b/region/advice.go
@@ -12,10 +12,12 @@
 	adviceMargin = 200 * time.Millisecond
 	// maxAsked is how many workers one call for advice may name.
 	maxAsked = 100
-	// slowAdvice is the length of a call from which on it counts as slow. Calls
-	// of one host are answered one after the other, so that an urgent call
-	// behind a slow one would wait for it.
-	slowAdvice = 150 * time.Millisecond
+	// quickAdvice and slowAdvice part calls for advice by length. Calls of one
+	// host are answered one after the other, so that a quick call behind a slow
+	// one would wait for it: the first quarter of the hosts is kept for quick
+	// calls, the first half for those that are not slow.
+	quickAdvice = 40 * time.Millisecond
+	slowAdvice  = 150 * time.Millisecond
 	// adviceBacklog is how much advice a host may have been asked for before
 	// further calls wait.
 	adviceBacklog = 1200 * time.Millisecond
@@ -30,7 +32,7 @@
 type adviceState struct {
 	marks   map[string]*adviceMark
 	asking  bool
-	askedAt time.Duration
+	firstAt time.Duration // when the first advice came
 	retryAt time.Duration
 }
 
@@ -98,7 +100,6 @@
 		return
 	}
 	st.advice.asking = true
-	st.advice.askedAt = s.now
 	s.emit(Advise{
 		Host: host, Job: st.job.rec.Id, Occurrence: st.occ.k, Step: st.index, Workers: names, Expected: cost,
 	})
@@ -183,6 +184,9 @@
 	if st.advice.marks == nil {
 		st.advice.marks = make(map[string]*adviceMark, len(ev.Order.Workers))
 	}
+	if st.advice.firstAt == 0 {
+		st.advice.firstAt = s.now
+	}
 	for _, id := range ev.Order.Workers {
 		st.advice.marks[id] = &adviceMark{}
 	}
@@ -220,15 +224,19 @@
 	}
 }
 
-// choose returns the host with the shortest backlog. Slow calls keep off the
-// first third of the hosts.
+// choose returns the host with the shortest backlog of those that may take a
+// call of that length, if its backlog is within the limit.
 func (a *advisers) choose(cost, limit, now time.Duration) (string, bool) {
 	from := 0
-	if cost >= slowAdvice && len(a.hosts) > 1 {
-		from = max(1, len(a.hosts)/3)
+	switch n := len(a.hosts); {
+	case cost >= slowAdvice:
+		from = (n + 1) / 2
+	case cost >= quickAdvice:
+		from = (n + 3) / 4
 	}
+	from = min(from, max(len(a.hosts)-1, 0))
 	var best *adviser
-	for _, h := range a.hosts[min(from, len(a.hosts)):] {
+	for _, h := range a.hosts[from:] {
 		if now >= h.badTo && (best == nil || h.backlog < best.backlog) {
 			best = h
 		}
--- a/region/history_test.go
+++ b/region/history_test.go
@@ -106,9 +106,10 @@
 // crash ends a worker's life; a new one begins at once under the same id. Ends
 // that nobody has taken note of are as if they had never been.
 func crash(w *world, fw *fakeWorker) {
-	for _, e := range fw.ends {
-		w.forgetDone(e.RunID)
+	for _, e := range fw.ends[fw.bound:] {
+		w.forgetEnd(e)
 	}
+	fw.bound = 0
 	fw.runs = make(map[model.TaskID]*fakeRun)
 	fw.highest = make(map[model.TaskID]int32)
 	fw.ends, fw.nextEnd, fw.until, fw.fence = nil, 0, 0, 0
--- a/region/job.go
+++ b/region/job.go
@@ -40,6 +40,7 @@
 	tasks    []*task
 	open     int           // tasks not done
 	started  bool          // all steps before it are done
+	openAt   time.Duration // when that was
 	key      time.Duration // latest start that still meets the objective
 	lateAt   time.Duration // a start after this earns nothing more
 	queued   bool          // on the ready list
@@ -145,6 +146,9 @@
 			}
 		}
 		if st.started {
+			if st.openAt == 0 {
+				st.openAt = s.now
+			}
 			s.enqueue(st)
 		}
 	}
--- a/region/place.go
+++ b/region/place.go
@@ -62,7 +62,7 @@
 	}
 	s.lastPass = s.now
 	s.dirty = false
-	if !s.proven() {
+	if !s.proven() || s.logStalled() {
 		return
 	}
 	for _, w := range s.order {
@@ -140,8 +140,21 @@
 	}
 }
 
+// explainPlaced logs the tasks of a step that were assigned in this pass, with
+// what decided it.
+func (s *Scheduler) explainPlaced(st *step, workers []string) {
+	if len(workers) == 0 {
+		return
+	}
+	s.explain(st.job.rec.Id, "assigned", Field{"occurrence", st.occ.k}, Field{"step", st.index}, Field{"workers", workers},
+		Field{"waited_ms", (s.now - st.openAt).Milliseconds()}, Field{"slack_ms", (st.key - s.now).Milliseconds()},
+		Field{"advised_ms_after", (st.advice.firstAt - st.openAt).Milliseconds()}, Field{"held_by", st.blocked})
+}
+
 // placeTasks starts as many waiting tasks of a step as fit.
 func (s *Scheduler) placeTasks(st *step) {
+	var placed []string
+	defer func() { s.explainPlaced(st, placed) }()
 	for _, t := range st.tasks {
 		if !t.waiting() {
 			continue
@@ -156,6 +169,7 @@
 			return
 		}
 		s.assign(t, w, t.lastRun+1)
+		placed = append(placed, w.entry.ID)
 	}
 	st.blocked = ""
 }
@@ -293,9 +307,12 @@
 		return false
 	}
 	number := st.nextGangRun()
+	placed := make([]string, 0, n)
 	for i, t := range st.tasks {
 		s.assign(t, chosen[i], number)
+		placed = append(placed, chosen[i].entry.ID)
 	}
+	s.explainPlaced(st, placed)
 	st.blocked = ""
 	return true
 }
--- a/region/region.go
+++ b/region/region.go
@@ -43,6 +43,9 @@
 	// lapseMargin is added to the computed end of a lease: a worker needs a
 	// moment to end what ran under it.
 	lapseMargin = 300 * time.Millisecond
+	// logStall is how long the log may keep nothing before no more is assigned:
+	// some ten times its usual answer, and less than a ticket lasts.
+	logStall = 250 * time.Millisecond
 	// heartbeatEvery is the longest pause between appends of a leader.
 	heartbeatEvery = 300 * time.Millisecond
 )
@@ -71,6 +74,7 @@
 	logged    int64           // number of the last entry kept
 	provenAt  time.Duration   // when the last append that succeeded was sent
 	appendAt  time.Duration   // when an entry was last produced
+	unkeptAt  time.Duration   // since when the oldest entry on its way has waited, at the latest
 	whenKept  []afterLog      // what waits for the log, by entry number
 	leadSince time.Duration
 	dirty     bool // something changed that may let a task start
@@ -157,8 +161,18 @@
 // claim on, which is after the last append of its predecessor.
 func (s *Scheduler) proven() bool { return s.now-s.provenAt < logProofLife }
 
+// logStalled reports whether the log has kept nothing for a while although
+// entries wait. More assignments would only queue behind them, in the order of
+// now, and take room from what is more urgent when the log is back.
+func (s *Scheduler) logStalled() bool {
+	return s.seq > s.logged && s.now-s.unkeptAt > logStall
+}
+
 // append adds an entry and returns its number.
 func (s *Scheduler) append(e *record.Entry) int64 {
+	if s.seq == s.logged {
+		s.unkeptAt = s.now
+	}
 	s.entries = append(s.entries, e)
 	s.seq++
 	s.appendAt = s.now
@@ -184,6 +198,7 @@
 
 func (s *Scheduler) onLogged(ev Logged) {
 	s.logged = ev.Seq
+	s.unkeptAt = s.now
 	s.provenAt = max(s.provenAt, ev.SentAt)
 	n := 0
 	for n < len(s.whenKept) && s.whenKept[n].seq <= ev.Seq {
--- a/region/run.go
+++ b/region/run.go
@@ -132,6 +132,12 @@
 	if r.task.run != r || (r.phase != phaseLogging && r.phase != phaseSending) {
 		return
 	}
+	// The log may have taken longer than the ticket lasts: the worker would
+	// refuse the start.
+	if r.phase == phaseLogging && !r.task.step.ticketHolds(r.worker, s.now) {
+		s.lose(r, "its ticket expired before its record was kept")
+		return
+	}
 	until := s.leaseEnd(r.worker)
 	if until == 0 {
 		s.giveUp(r, "the log was not reached lately")
--- a/region/takeover_test.go
+++ b/region/takeover_test.go
@@ -77,3 +77,20 @@
 		t.Fatalf("%d runs on w2 after the lease of w1 is over, want 1", n)
 	}
 }
+
+// A worker vanishes for good while it runs a caller's task, and the leader
+// stays. The leader goes on asking it; those renewals must not make its lease
+// seem to last for ever, or the task is never started elsewhere.
+func TestGoneWorkerFreesItsWork(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 1)
+	w.runTime = func(model.TaskID) time.Duration { return 3 * time.Second }
+	w.lead()
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(200 * time.Millisecond)
+	w.workers["w1"].cut = true
+	w.addWorker("w2", 1)
+	w.run(testLease + 5*time.Second)
+	w.mustComplete("a")
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -40,6 +40,7 @@
 	inherited time.Duration   // until when leases of a predecessor may last
 	fenced    bool            // it has answered under our fencing token
 	looking   bool            // a look is under way
+	missed    bool            // the newest look got no answer
 	lookedAt  time.Duration   // when the newest answered look was sent
 	lives     int64           // how many lives we have seen end
 	lastEnd   int64           // highest end processed
@@ -193,7 +194,10 @@
 		return
 	}
 	order := model.HoldOrder{Worker: w.ref(), Fence: s.fenceOf(w), AckedUpTo: w.acked}
-	if w.fenced {
+	// A worker that does not answer gets no longer lease until it does: each
+	// renewal may be carried out late, and what runs on a worker that is gone
+	// for good could never be taken for dead.
+	if w.fenced && !w.missed {
 		order.Wait = lookWait
 		order.UntilMs = s.leaseEnd(w)
 	}
@@ -233,10 +237,16 @@
 		s.lookAgain(w, lookRetry)
 		return
 	default:
+		w.missed = true
 		s.lookAgain(w, lookRetry)
 		return
 	}
 	s.readLook(w, ev)
+	if w.missed {
+		w.missed = false
+		s.lookAgain(w, 0)
+		return
+	}
 	s.lookAgain(w, lookGap)
 }
 
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -54,6 +54,7 @@
 	ends    []model.End
 	nextEnd int64
 	until   int64
+	bound   int // ends at the front of the list that a lapse has made void
 	cut     bool
 	alone   []model.TaskID // gang members that waited in vain
 	tickets map[string]time.Duration
@@ -366,9 +367,16 @@
 	w.end(fw, id, record.Outcome_OUTCOME_DONE)
 }
 
-// forgetDone forgets that a run was done; the end of a gang's member stands for
-// all of them.
-func (w *world) forgetDone(id model.RunID) {
+// forgetEnd forgets an end that was not taken note of; the end of a gang's
+// member stands for all of them.
+func (w *world) forgetEnd(e model.End) {
+	id := e.RunID
+	if e.Outcome == record.Outcome_OUTCOME_FAILED {
+		w.failures[id.Task]--
+	}
+	if e.Outcome != record.Outcome_OUTCOME_DONE {
+		return
+	}
 	gang := w.job(id.Task.Job).Steps[id.Task.Step].Gang
 	for m, number := range w.doneRuns {
 		same := m == id.Task || gang && m.Job == id.Task.Job && m.Occurrence == id.Task.Occurrence && m.Step == id.Task.Step
@@ -482,8 +490,8 @@
 	}
 	// An end that was not taken note of before the lease was over does not
 	// bind for good.
-	for _, e := range fw.ends {
-		w.forgetDone(e.RunID)
+	for ; fw.bound < len(fw.ends); fw.bound++ {
+		w.forgetEnd(fw.ends[fw.bound])
 	}
 	ids := make([]model.TaskID, 0, len(fw.runs))
 	for id := range fw.runs {
@@ -509,6 +517,7 @@
 		}
 		for len(fw.ends) > 0 && fw.ends[0].Number <= c.Order.AckedUpTo {
 			fw.ends = fw.ends[1:]
+			fw.bound = max(0, fw.bound-1)
 		}
 		got = model.Hold{ClockMs: fw.clock(w.now), BornUnix: fw.entry.BornUnix, Ended: append([]model.End(nil), fw.ends...)}
 		for id, r := range fw.runs {
