--- a/region/advice.go
+++ b/region/advice.go
@@ -76,11 +76,21 @@
 // the advice service busy with answers that nobody uses, and the steps that
 // could start wait behind them.
 func (s *Scheduler) wantAdvice(st *step) {
-	if !st.advised() {
-		return
+	if st.advised() {
+		s.ask(st, s.claimRoom(st))
 	}
+}
+
+// wantFirstAdvice asks about a step that nothing is known of and that has no
+// room yet, if the advice service is idle.
+func (s *Scheduler) wantFirstAdvice(st *step) {
+	if st.advised() && len(st.advice.marks) == 0 {
+		s.ask(st, false)
+	}
+}
+
+func (s *Scheduler) ask(st *step, room bool) {
 	first := len(st.advice.marks) == 0
-	room := s.claimRoom(st)
 	if st.advice.asking || s.now < st.advice.retryAt || (!first && !room) {
 		return
 	}
--- /dev/null
+++ b/region/bench_test.go
@@ -0,0 +1,62 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// backlog returns a leading scheduler whose workers are full, with a backlog of
+// steps that all need advice, a fifth of them gangs.
+func backlog(workers, steps int) (*Scheduler, time.Duration) {
+	s := New(testOptions())
+	now := time.Hour
+	s.Step(now, Tick{UnixMs: now.Milliseconds()})
+	s.Step(now, Lead{Fence: 1})
+	s.Step(now, ConfigRead{Config: testConfig()})
+	s.Step(now, HostsSeen{Hosts: []string{"", "h2", "h3"}})
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		s.Step(now, WorkerListed{Entry: model.WorkerEntry{
+			ID: id, Service: "svc", Address: id, Capacity: model.Resources{MilliCPU: 32000, MemoryMiB: 64 << 10}, BornUnix: 1,
+		}})
+		s.Step(now, Held{Order: model.HoldOrder{Worker: model.WorkerRef{ID: id, BornUnix: 1}}, SentAt: now, Hold: model.Hold{ClockMs: 1, BornUnix: 1}})
+	}
+	for _, w := range s.order {
+		w.used.MilliCPU = 31500
+	}
+	for i := range steps {
+		j := oneStep(fmt.Sprintf("%016x", i), &record.Step{Count: 4, Gang: i%5 == 0})
+		j.Queue, j.Workspace, j.AcceptedUnixMs = "q", "ws", now.Milliseconds()
+		j.Policy = &record.Policy{Service: "svc", Priority: int32(i % 3), MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000,
+			Advice: &record.Advice{DecideMs: 5, EachMs: 0.1, ValidMs: 2000}}
+		s.Step(now, IntakeRead{Records: []*record.Intake{{Kind: &record.Intake_Submitted{Submitted: j}}}})
+		st := s.jobs[j.Id].occs[0].steps[0]
+		st.advice.marks = make(map[string]*adviceMark)
+		for n, w := range s.order {
+			st.advice.marks[w.entry.ID] = &adviceMark{good: (n+i)%3 == 0}
+		}
+	}
+	return s, now
+}
+
+// BenchmarkPass is one look for room that finds none, at today's size and at
+// that of a grown region.
+func BenchmarkPass(b *testing.B) {
+	for _, size := range []struct{ workers, steps int }{{48, 50}, {48, 500}, {350, 500}, {800, 2500}} {
+		b.Run(fmt.Sprintf("workers=%d/steps=%d", size.workers, size.steps), func(b *testing.B) {
+			s, now := backlog(size.workers, size.steps)
+			for b.Loop() {
+				now += time.Microsecond
+				s.provenAt, s.dirty, s.lastPass = now, true, 0
+				for _, w := range s.order {
+					w.lookedAt = now
+				}
+				s.Step(now, Schedule{})
+			}
+		})
+	}
+}
--- a/region/place.go
+++ b/region/place.go
@@ -69,8 +69,44 @@
 		w.reserved = nil
 		w.claimed = model.Resources{}
 	}
-	for _, class := range s.byClass() {
-		s.pass(class)
+	s.roomiest.valid = false
+	for c, steps := range s.byClass() {
+		s.pass(steps, class(c))
+	}
+}
+
+// roomiest is the most of each resource that is free on any one worker. A step
+// that asks for more finds no room, which is then known without a look at all
+// workers: under load most waiting steps are settled by it.
+type roomiest struct {
+	valid bool
+	free  map[string]model.Resources // by service
+}
+
+// hopeless reports whether no worker has room for one task of the step.
+func (s *Scheduler) hopeless(st *step) bool {
+	if !s.roomiest.valid {
+		s.findRoomiest()
+	}
+	return !st.room().Fits(s.roomiest.free[st.job.rec.Policy.GetService()])
+}
+
+func (s *Scheduler) findRoomiest() {
+	s.roomiest.valid = true
+	if s.roomiest.free == nil {
+		s.roomiest.free = make(map[string]model.Resources)
+	}
+	clear(s.roomiest.free)
+	for _, w := range s.order {
+		if !s.usable(w) {
+			continue
+		}
+		most, free := s.roomiest.free[w.entry.Service], w.free()
+		s.roomiest.free[w.entry.Service] = model.Resources{
+			MilliCPU:     max(most.MilliCPU, free.MilliCPU),
+			MemoryMiB:    max(most.MemoryMiB, free.MemoryMiB),
+			Accelerators: max(most.Accelerators, free.Accelerators),
+		}
 	}
 }
 
@@ -120,12 +156,23 @@
 }
 
 // pass starts what fits of some steps.
-func (s *Scheduler) pass(steps []*step) {
+func (s *Scheduler) pass(steps []*step, c class) {
 	gangs := 0
 	for _, st := range steps {
 		if s.now < st.notUntil {
 			continue
 		}
+		if s.hopeless(st) {
+			st.blocked = reasonNames[rejectRoom]
+			if st.rec.Gang && gangs < reservedGangs {
+				gangs++
+				s.reserve(st)
+				s.wantAdvice(st)
+			} else if c <= classExcess {
+				s.wantFirstAdvice(st)
+			}
+			continue
+		}
 		if st.rec.Gang {
 			if !s.placeGang(st) && gangs < reservedGangs {
 				gangs++
@@ -193,6 +240,7 @@
 		}
 	}
 	if best == nil {
+		s.roomiest.valid = s.roomiest.valid && counts[rejectRoom] == 0
 		return nil, counts.summary()
 	}
 	return best, ""
--- a/region/region.go
+++ b/region/region.go
@@ -79,6 +79,7 @@
 	leadSince time.Duration
 	dirty     bool // something changed that may let a task start
 	lastPass  time.Duration
+	roomiest  roomiest
 
 	out []Command
 }
