--- a/host/configwatch.go
+++ b/host/configwatch.go
@@ -20,6 +20,9 @@
 	configWait = 800 * time.Millisecond
 	// configTimeout bounds a read beyond the time it may wait.
 	configTimeout = 700 * time.Millisecond
+	// peerContactLife is how long a peer's confirmation shows that peers can be
+	// reached: a failed read of the log and a pause lie between two.
+	peerContactLife = 2 * time.Second
 	// configRetry is the pause after a read that failed.
 	configRetry = 100 * time.Millisecond
 )
@@ -30,7 +33,11 @@
 	log    *logrus.Entry
 
 	config   atomic.Pointer[model.Config]
+	raw      atomic.Pointer[[]byte] // of config, as the platform wrote it
+	peers    func(ctx context.Context, have int64) (peerConfig, error)
+	peerAt   atomic.Int64 // when a peer last confirmed the configuration
 	provenAt atomic.Int64 // when a read was sent that showed nothing newer
+	logAt    atomic.Int64 // the same, for our own reads of the log alone
 	next     int64
 	whole    bool
 	lost     bool // the log is out of reach; only run uses it
@@ -50,13 +57,58 @@
 		err := c.follow(ctx)
 		c.note(err)
 		if err != nil {
+			c.askPeers(ctx)
 			sleep(ctx, configRetry)
 			continue
 		}
 		c.provenAt.Store(int64(sent))
+		c.logAt.Store(int64(sent))
 	}
 }
 
+// LogAge is how long ago this host itself last read the log.
+func (c *configWatch) LogAge() time.Duration {
+	return boottime.Now() - time.Duration(c.logAt.Load())
+}
+
+// peerConfig is what another host knows of the configuration.
+type peerConfig struct {
+	version int64
+	age     time.Duration // how long ago it was certainly the newest
+	raw     []byte        // empty if it is the version that was named
+}
+
+// askPeers takes over the configuration of a host that reaches the log. Without
+// it, a host that the log turns away would refuse every key once its own
+// configuration is too old to trust.
+func (c *configWatch) askPeers(ctx context.Context) {
+	var have int64
+	if now := c.config.Load(); now != nil {
+		have = now.Version
+	}
+	sent := boottime.Now()
+	got, err := c.peers(ctx, have)
+	if err != nil {
+		return // the log's own failure is logged already; the age tells the rest
+	}
+	if len(got.raw) > 0 {
+		c.take(platform.KeyConfig, got.raw)
+	}
+	if now := c.config.Load(); now == nil || now.Version != got.version {
+		return
+	}
+	c.peerAt.Store(int64(sent))
+	if proven := int64(sent - got.age); proven > c.provenAt.Load() {
+		c.provenAt.Store(proven)
+	}
+}
+
+// PeerContact reports whether another host has confirmed the configuration
+// lately.
+func (c *configWatch) PeerContact() bool {
+	return boottime.Now()-time.Duration(c.peerAt.Load()) < peerContactLife
+}
+
 // note logs when the log is lost and regained.
 func (c *configWatch) note(err error) {
 	switch {
@@ -122,6 +174,7 @@
 	if now := c.config.Load(); now != nil && next.Version <= now.Version {
 		return
 	}
+	c.raw.Store(&value)
 	c.config.Store(next)
 	c.log.WithFields(logrus.Fields{"version": next.Version, "queues": len(next.Queues), "keys": len(next.KeyOwner)}).
 		Info("configuration in force")
--- a/host/election.go
+++ b/host/election.go
@@ -30,15 +30,13 @@
 	pingEvery = 300 * time.Millisecond
 	// pingTimeout bounds a ping. A busy host answers within some 100 ms.
 	pingTimeout = 500 * time.Millisecond
-	// missedPings in a row make a host look at the log: one may be lost by
-	// chance or to a pause of the leader.
-	missedPings = 2
 	// silence is how long the leader's entries must stand still, by a read of
 	// the log, before another host takes over. A leader appends every 300 ms.
-	silence = 800 * time.Millisecond
-	// staleLead is how long a leader may go without the log before the others
-	// look whether they reach it.
-	staleLead = 1500 * time.Millisecond
+	silence = 700 * time.Millisecond
+	// staleLead is how long a leader may go without the log before it asks the
+	// others to take over, and before they look whether they reach it: longer
+	// than an append takes when the log is slow for everyone.
+	staleLead = 900 * time.Millisecond
 	// jitter spreads the claims of hosts that notice at the same time.
 	jitter = 150 * time.Millisecond
 )
@@ -52,14 +50,14 @@
 	next   int64         // offset after the newest claim read
 	readOK bool          // the claims were read to their end
 
-	missed     int
+	hosts      []string // addresses of other hosts, as the leader told them
+	turn       int      // which of them is asked next
 	entriesEnd int64
-	takeOver   chan int64 // the leader with that fence is leaving and asks us
 	lead       *leader.Leader
 }
 
 func newElection(h *Host) *election {
-	return &election{host: h, takeOver: make(chan int64, 1)}
+	return &election{host: h}
 }
 
 // current returns the newest claim and its fencing token.
@@ -118,7 +116,6 @@
 			continue
 		}
 		e.claim, e.fence = c, offset+1
-		e.missed = 0
 		e.host.log.WithFields(logrus.Fields{"leader": c.Host, "fence": e.fence}).Info("leader claimed")
 	}
 	e.readOK = e.next >= end
@@ -126,19 +123,23 @@
 
 // run pings the leader, and claims the lead when it is gone.
 func (e *election) run(ctx context.Context) {
-	for {
+	first := make(chan time.Time, 1)
+	first <- time.Time{}
+	var wait <-chan time.Time = first
+	for ; ; wait = time.After(pingEvery) {
 		select {
 		case <-ctx.Done():
 			return
-		case fence := <-e.takeOver:
-			if _, now := e.current(); now == fence {
-				e.host.log.WithField("fence", fence).Info("leader is leaving and hands over")
-				e.try(ctx, fence)
-			}
+		case <-wait:
+		}
+		if e.host.stopping.Load() {
 			continue
-		case <-time.After(pingEvery):
 		}
-		if e.leading() != nil || e.host.stopping.Load() {
+		if l := e.leading(); l != nil {
+			if l.LogContactAge() > staleLead {
+				// The log may turn only this host away: whoever reaches it claims.
+				e.handOver(ctx)
+			}
 			continue
 		}
 		if _, fence := e.current(); e.leaderGone(ctx) {
@@ -159,14 +160,26 @@
 	if claim == nil || (claim.Host == e.host.settings.Host && e.leading() == nil) {
 		return true // nobody has ever led, or we did in an earlier life
 	}
-	if e.ping(ctx, claim) {
-		e.missed = 0
-		return false
+	return !e.ping(ctx, claim) && e.silent(ctx)
+}
+
+// others returns addresses of other hosts, a few in turn, the leader first.
+func (e *election) others(most int) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	own := e.host.settings.Control
+	if e.claim != nil && e.claim.Address != own {
+		out = append(out, e.claim.Address)
 	}
-	if e.missed++; e.missed < missedPings {
-		return false
+	for range e.hosts {
+		e.turn++
+		a := e.hosts[e.turn%len(e.hosts)]
+		if len(out) < most && a != own && (len(out) == 0 || a != out[0]) {
+			out = append(out, a)
+		}
 	}
-	return e.silent(ctx)
+	return out
 }
 
 // ping reports whether the leader answers and reaches the log.
@@ -174,7 +187,13 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	resp, err := e.host.peers.leader(claim.Address).Ping(ctx, e.host.pingRequest())
-	return err == nil && time.Duration(resp.Msg.LogContactMs)*time.Millisecond < staleLead
+	if err != nil {
+		return false
+	}
+	e.mu.Lock()
+	e.hosts = resp.Msg.Hosts
+	e.mu.Unlock()
+	return time.Duration(resp.Msg.LogContactMs)*time.Millisecond < staleLead
 }
 
 // silent reports whether the leader's entries stand still for a while. A leader
@@ -238,8 +257,9 @@
 	})
 }
 
-// handOver asks the helper that started last to take over: in a rolling restart
-// it is the least likely to be stopped next.
+// handOver asks a helper to take over, first the one that started last: in a
+// rolling restart it is the least likely to be stopped next. A helper that does
+// not reach the log refuses.
 func (e *election) handOver(ctx context.Context) {
 	if e.leading() == nil {
 		return
@@ -254,5 +274,5 @@
 			return
 		}
 	}
-	e.host.log.Warn("nobody to hand over to")
+	e.host.log.WithField("fence", fence).Info("nobody to hand over to")
 }
--- a/host/front.go
+++ b/host/front.go
@@ -26,6 +26,14 @@
 	patience = 3 * time.Second
 	// answerMargin is left of a caller's deadline for the answer to reach it.
 	answerMargin = 100 * time.Millisecond
+	// logPatience is how long the log may take before other hosts are asked to
+	// write too. It answers within some 10 ms, and within half a second when it
+	// is slow for everyone.
+	logPatience = 250 * time.Millisecond
+	// lastPatience is how much longer the log may take once nobody else could
+	// write. Then the caller learns that the outcome is unknown and sends the
+	// job again, which is safe, in time for another host to take it.
+	lastPatience = 700 * time.Millisecond
 	// askTimeout bounds one question to the leader; the caller asks again.
 	askTimeout = 700 * time.Millisecond
 	// revocationMargin is taken off the time within which a withdrawn key must
@@ -199,22 +207,43 @@
 	unknown         // it may be kept
 )
 
-// keep writes a record to the intake and waits until the caller's deadline.
+// keep writes a record to the intake. If the log does not answer soon, other
+// hosts are asked to write it as well; a record that comes twice counts once.
 func (c *call) keep(r *record.Intake) outcome {
 	data, err := proto.Marshal(r)
 	if err != nil {
 		c.host.log.WithError(err).WithField("job", c.job).Error("record cannot be encoded")
 		return notKept
 	}
+	if !c.host.intake.Healthy() && !c.host.config.PeerContact() {
+		// Neither the log nor a host that reaches it: nothing was written.
+		return notKept
+	}
 	done := make(chan struct{})
 	p := c.host.intake.Write(data, func(logwriter.Kept) { close(done) })
+	patience := logPatience
+	if !c.host.intake.Healthy() {
+		patience = 0
+	}
 	select {
 	case <-done:
 		return kept
 	case <-c.ctx.Done():
+	case <-time.After(patience):
+		if c.host.keepByPeers(c.ctx, data) {
+			p.Withdraw()
+			return kept
+		}
 	}
 	if p.Withdraw() {
-		return notKept
+		// Another host may have written it without an answer.
+		return unknown
+	}
+	select {
+	case <-done:
+		return kept
+	case <-c.ctx.Done():
+	case <-time.After(lastPatience):
 	}
 	return unknown
 }
--- a/host/host.go
+++ b/host/host.go
@@ -58,6 +58,8 @@
 	peers    *peers
 	helpers  *helpers
 	group    conc.WaitGroup
+	work     context.Context // ends when the host has stopped
+	endWork  context.CancelFunc
 
 	stopping  atomic.Bool
 	stoppedAt atomic.Int64
@@ -71,7 +73,11 @@
 		log: tel.Log, metrics: tel.Metrics, tel: tel,
 		helpers: newHelpers(), peers: newPeers(platform.NewHTTPClient(connsPerAddress)),
 	}
+	h.work, h.endWork = context.WithCancel(context.Background())
 	h.config = &configWatch{client: client, log: h.log}
+	h.config.peers = h.configOfPeers
+	h.config.logAt.Store(int64(boottime.Now() - time.Hour))
+	h.config.peerAt.Store(int64(boottime.Now() - time.Hour))
 	h.config.provenAt.Store(int64(boottime.Now() - time.Hour))
 	h.election = newElection(h)
 	h.intake = logwriter.New(client, logwriter.Target{
@@ -90,25 +96,24 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
+	defer h.endWork()
 	servers, err := h.listen()
 	if err != nil {
 		return err
 	}
 	h.log.WithFields(logrus.Fields{"incarnation": h.incarnation, "front": h.settings.Front, "control": h.settings.Control}).Info("started")
-	h.group.Go(func() { h.config.run(work) })
-	h.group.Go(func() { h.election.watchClaims(work) })
-	h.group.Go(func() { h.election.run(work) })
+	h.group.Go(func() { h.config.run(h.work) })
+	h.group.Go(func() { h.election.watchClaims(h.work) })
+	h.group.Go(func() { h.election.run(h.work) })
 	h.group.Go(func() {
-		if err := h.intake.Run(work); err != nil && work.Err() == nil {
+		if err := h.intake.Run(h.work); err != nil && h.work.Err() == nil {
 			// Somebody writes under our producer's name; a new process has a new one.
 			h.log.WithError(err).Fatal("intake lost")
 		}
 	})
 	<-ctx.Done()
 	h.stop(servers)
-	stopWork()
+	h.endWork()
 	h.group.Wait()
 	h.log.Info("stopped")
 	return nil
@@ -141,7 +146,8 @@
 // confirmed and the log takes submissions.
 func (h *Host) Ready() bool {
 	return !h.stopping.Load() && h.config.Config() != nil &&
-		h.config.Age() < h.settings.KeyRevocation-revocationMargin && h.intake.Healthy()
+		h.config.Age() < h.settings.KeyRevocation-revocationMargin &&
+		(h.intake.Healthy() || h.config.PeerContact())
 }
 
 // listen opens the three ports. Callers come last, so that whoever reaches them
--- a/host/peers.go
+++ b/host/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/logwriter"
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/region"
@@ -113,6 +114,14 @@
 	return out
 }
 
+func (h *helpers) addresses() []string {
+	var out []string
+	for _, p := range h.alive() {
+		out = append(out, p.address)
+	}
+	return out
+}
+
 func (h *helpers) address(name string) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -139,7 +148,7 @@
 	}
 	h.helpers.ping(req.Msg)
 	_, fence := h.election.current()
-	return connect.NewResponse(&hostrpc.PingResponse{Fence: fence, LogContactMs: l.LogContactAge().Milliseconds()}), nil
+	return connect.NewResponse(&hostrpc.PingResponse{Fence: fence, LogContactMs: l.LogContactAge().Milliseconds(), Hosts: h.helpers.addresses()}), nil
 }
 
 // State implements hostrpc.LeaderHandler.
@@ -182,18 +191,93 @@
 	return connect.NewResponse(resp), nil
 }
 
+// Keep implements hostrpc.HelperHandler.
+func (h *Host) Keep(ctx context.Context, req *connect.Request[hostrpc.KeepRequest]) (*connect.Response[hostrpc.KeepResponse], error) {
+	if !h.intake.Healthy() {
+		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
+	}
+	done := make(chan struct{})
+	p := h.intake.Write(req.Msg.Record, func(logwriter.Kept) { close(done) })
+	select {
+	case <-done:
+		return connect.NewResponse(&hostrpc.KeepResponse{}), nil
+	case <-ctx.Done():
+		p.Withdraw()
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
+
+var errLogAway = errors.New("this host does not reach the log")
+
+// Config implements hostrpc.HelperHandler.
+func (h *Host) Config(_ context.Context, req *connect.Request[hostrpc.ConfigRequest]) (*connect.Response[hostrpc.ConfigResponse], error) {
+	config, raw := h.config.Config(), h.config.raw.Load()
+	if config == nil || raw == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
+	}
+	resp := &hostrpc.ConfigResponse{Version: config.Version, AgeMs: h.config.Age().Milliseconds()}
+	if config.Version > req.Msg.Version {
+		resp.Config = *raw
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// peerTimeout bounds a call that another host makes to the log for us.
+const peerTimeout = 400 * time.Millisecond
+
+// peerTries is how many hosts are asked in turn.
+const peerTries = 2
+
+// configOfPeers asks other hosts for the configuration.
+func (h *Host) configOfPeers(ctx context.Context, have int64) (peerConfig, error) {
+	var last error = errNoPeers
+	for _, address := range h.election.others(peerTries) {
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		resp, err := h.peers.helper(address).Config(callCtx, newRequest(&hostrpc.ConfigRequest{Version: have}))
+		cancel()
+		if err != nil {
+			last = err
+			continue
+		}
+		m := resp.Msg
+		return peerConfig{version: m.Version, age: time.Duration(m.AgeMs) * time.Millisecond, raw: m.Config}, nil
+	}
+	return peerConfig{}, last
+}
+
+var errNoPeers = errors.New("no other host is known")
+
+// keepByPeers asks other hosts to keep a record and reports whether one did.
+func (h *Host) keepByPeers(ctx context.Context, data []byte) bool {
+	for _, address := range h.election.others(peerTries) {
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		_, err := h.peers.helper(address).Keep(callCtx, newRequest(&hostrpc.KeepRequest{Record: data}))
+		cancel()
+		if err == nil {
+			h.metrics.Counter("kept_by_peers").Inc(1)
+			return true
+		}
+	}
+	return false
+}
+
 // TakeOver implements hostrpc.HelperHandler.
 func (h *Host) TakeOver(_ context.Context, req *connect.Request[hostrpc.TakeOverRequest]) (*connect.Response[hostrpc.TakeOverResponse], error) {
 	if h.stopping.Load() {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errStopping)
 	}
-	select {
-	case h.election.takeOver <- req.Msg.Fence:
-	default:
+	if !h.intake.Healthy() || h.config.LogAge() > logContactLife {
+		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
 	}
+	h.log.WithField("fence", req.Msg.Fence).Info("leader asks this host to take over")
+	h.group.Go(func() { h.election.try(h.work, req.Msg.Fence) })
 	return connect.NewResponse(&hostrpc.TakeOverResponse{}), nil
 }
 
+// logContactLife is how old a host's own newest read of the log may be for it to
+// take over: a read waits for most of a second.
+const logContactLife = 2 * time.Second
+
 var errStopping = errors.New("this host is stopping")
 
 func (h *Host) pingRequest() *connect.Request[hostrpc.PingRequest] {
--- a/hostrpc/hostrpc.connect.go
+++ b/hostrpc/hostrpc.connect.go
@@ -43,6 +43,10 @@
 	LeaderPendingProcedure = "/hostrpc.Leader/Pending"
 	// HelperAdviseProcedure is the fully-qualified name of the Helper's Advise RPC.
 	HelperAdviseProcedure = "/hostrpc.Helper/Advise"
+	// HelperKeepProcedure is the fully-qualified name of the Helper's Keep RPC.
+	HelperKeepProcedure = "/hostrpc.Helper/Keep"
+	// HelperConfigProcedure is the fully-qualified name of the Helper's Config RPC.
+	HelperConfigProcedure = "/hostrpc.Helper/Config"
 	// HelperTakeOverProcedure is the fully-qualified name of the Helper's TakeOver RPC.
 	HelperTakeOverProcedure = "/hostrpc.Helper/TakeOver"
 )
@@ -181,6 +185,12 @@
 type HelperClient interface {
 	// Advise asks the advice service from this host.
 	Advise(context.Context, *connect.Request[AdviseRequest]) (*connect.Response[AdviseResponse], error)
+	// Keep appends a record to the intake for a host that does not reach the log.
+	// A record that comes twice counts once.
+	Keep(context.Context, *connect.Request[KeepRequest]) (*connect.Response[KeepResponse], error)
+	// Config tells the newest configuration that this host has confirmed in the
+	// log, for a host that does not reach it.
+	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
 	// TakeOver asks this host to claim the lead now: the leader is leaving.
 	TakeOver(context.Context, *connect.Request[TakeOverRequest]) (*connect.Response[TakeOverResponse], error)
 }
@@ -202,6 +212,18 @@
 			connect.WithSchema(helperMethods.ByName("Advise")),
 			connect.WithClientOptions(opts...),
 		),
+		keep: connect.NewClient[KeepRequest, KeepResponse](
+			httpClient,
+			baseURL+HelperKeepProcedure,
+			connect.WithSchema(helperMethods.ByName("Keep")),
+			connect.WithClientOptions(opts...),
+		),
+		config: connect.NewClient[ConfigRequest, ConfigResponse](
+			httpClient,
+			baseURL+HelperConfigProcedure,
+			connect.WithSchema(helperMethods.ByName("Config")),
+			connect.WithClientOptions(opts...),
+		),
 		takeOver: connect.NewClient[TakeOverRequest, TakeOverResponse](
 			httpClient,
 			baseURL+HelperTakeOverProcedure,
@@ -214,6 +236,8 @@
 // helperClient implements HelperClient.
 type helperClient struct {
 	advise   *connect.Client[AdviseRequest, AdviseResponse]
+	keep     *connect.Client[KeepRequest, KeepResponse]
+	config   *connect.Client[ConfigRequest, ConfigResponse]
 	takeOver *connect.Client[TakeOverRequest, TakeOverResponse]
 }
 
@@ -222,6 +246,16 @@
 	return c.advise.CallUnary(ctx, req)
 }
 
+// Keep calls hostrpc.Helper.Keep.
+func (c *helperClient) Keep(ctx context.Context, req *connect.Request[KeepRequest]) (*connect.Response[KeepResponse], error) {
+	return c.keep.CallUnary(ctx, req)
+}
+
+// Config calls hostrpc.Helper.Config.
+func (c *helperClient) Config(ctx context.Context, req *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error) {
+	return c.config.CallUnary(ctx, req)
+}
+
 // TakeOver calls hostrpc.Helper.TakeOver.
 func (c *helperClient) TakeOver(ctx context.Context, req *connect.Request[TakeOverRequest]) (*connect.Response[TakeOverResponse], error) {
 	return c.takeOver.CallUnary(ctx, req)
@@ -231,6 +265,12 @@
 type HelperHandler interface {
 	// Advise asks the advice service from this host.
 	Advise(context.Context, *connect.Request[AdviseRequest]) (*connect.Response[AdviseResponse], error)
+	// Keep appends a record to the intake for a host that does not reach the log.
+	// A record that comes twice counts once.
+	Keep(context.Context, *connect.Request[KeepRequest]) (*connect.Response[KeepResponse], error)
+	// Config tells the newest configuration that this host has confirmed in the
+	// log, for a host that does not reach it.
+	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
 	// TakeOver asks this host to claim the lead now: the leader is leaving.
 	TakeOver(context.Context, *connect.Request[TakeOverRequest]) (*connect.Response[TakeOverResponse], error)
 }
@@ -248,6 +288,18 @@
 		connect.WithSchema(helperMethods.ByName("Advise")),
 		connect.WithHandlerOptions(opts...),
 	)
+	helperKeepHandler := connect.NewUnaryHandler(
+		HelperKeepProcedure,
+		svc.Keep,
+		connect.WithSchema(helperMethods.ByName("Keep")),
+		connect.WithHandlerOptions(opts...),
+	)
+	helperConfigHandler := connect.NewUnaryHandler(
+		HelperConfigProcedure,
+		svc.Config,
+		connect.WithSchema(helperMethods.ByName("Config")),
+		connect.WithHandlerOptions(opts...),
+	)
 	helperTakeOverHandler := connect.NewUnaryHandler(
 		HelperTakeOverProcedure,
 		svc.TakeOver,
@@ -258,6 +310,10 @@
 		switch r.URL.Path {
 		case HelperAdviseProcedure:
 			helperAdviseHandler.ServeHTTP(w, r)
+		case HelperKeepProcedure:
+			helperKeepHandler.ServeHTTP(w, r)
+		case HelperConfigProcedure:
+			helperConfigHandler.ServeHTTP(w, r)
 		case HelperTakeOverProcedure:
 			helperTakeOverHandler.ServeHTTP(w, r)
 		default:
@@ -273,6 +329,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hostrpc.Helper.Advise is not implemented"))
 }
 
+func (UnimplementedHelperHandler) Keep(context.Context, *connect.Request[KeepRequest]) (*connect.Response[KeepResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hostrpc.Helper.Keep is not implemented"))
+}
+
+func (UnimplementedHelperHandler) Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hostrpc.Helper.Config is not implemented"))
+}
+
 func (UnimplementedHelperHandler) TakeOver(context.Context, *connect.Request[TakeOverRequest]) (*connect.Response[TakeOverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hostrpc.Helper.TakeOver is not implemented"))
 }
--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -68,7 +68,7 @@
 		last := i == len(c.Entries)-1
 		d.leader.writer.Write(data, func(k logwriter.Kept) {
 			if last {
-				d.leader.provenAt.Store(int64(k.SentAt))
+				d.leader.loggedAt.Store(int64(boottime.Now()))
 				d.leader.push(d.ctx, region.Logged{Seq: seq, SentAt: k.SentAt})
 			}
 		})
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -78,7 +78,7 @@
 	writer   *logwriter.Writer
 	loaded   atomic.Bool
 	intakeAt atomic.Int64 // when the newest answered read of the intake was sent
-	provenAt atomic.Int64 // when the newest append that succeeded was sent
+	loggedAt atomic.Int64 // when the newest append was answered
 	deposed  context.CancelCauseFunc
 }
 
@@ -111,9 +111,9 @@
 	return l.board.Pending(queue), l.loaded.Load()
 }
 
-// LogContactAge is how long ago the log last proved that this host leads.
+// LogContactAge is how long ago the log last answered an append.
 func (l *Leader) LogContactAge() time.Duration {
-	return boottime.Now() - time.Duration(l.provenAt.Load())
+	return boottime.Now() - time.Duration(l.loggedAt.Load())
 }
 
 // Run leads until ctx ends or another host takes over.
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	l.deposed = cancel
-	l.provenAt.Store(int64(boottime.Now()))
+	l.loggedAt.Store(int64(boottime.Now()))
 	began := boottime.Now()
 	sched := region.New(l.cfg.Options)
 	next, err := l.load(ctx, sched)
