--- /dev/null
+++ b/host/fleet_test.go
@@ -0,0 +1,165 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/platform/fakeplatform"
+	"github.com/fireflyfold/fireflyfold/telemetry"
+)
+
+// fleet is a few hosts in one process, on stand-ins of the platform.
+type fleet struct {
+	t       *testing.T
+	store   *fakeplatform.Store
+	workers []*fakeplatform.Worker
+	hosts   []*member
+}
+
+// member is one host with its own way to the log.
+type member struct {
+	*Host
+	door *fakeplatform.Door
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+const testConfig = `{"version":%d,"routes":[{"name":"q","host":"jobs.example","pathPrefix":"/p/","service":"svc","priority":1,
+"maxAttempts":3,"stretch":2,"targetLatencyMs":1000}],"services":[{"name":"svc"}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"ws","weight":1000,"apiKeys":[%s]}]}`
+
+func newFleet(t *testing.T, hosts, workers int, runTime time.Duration) *fleet {
+	f := &fleet{t: t, store: fakeplatform.NewStore()}
+	f.configure(1, "k1", "k2")
+	for i := range workers {
+		w := fakeplatform.NewWorker(f.store, fmt.Sprintf("i-%d", i), runTime)
+		f.workers = append(f.workers, w)
+		t.Cleanup(w.Close)
+	}
+	for i := range hosts {
+		f.add(fmt.Sprintf("h%d", i))
+	}
+	f.until("a host leads", func() bool { return f.leader() != nil })
+	return f
+}
+
+// configure writes a version with some keys.
+func (f *fleet) configure(version int, keys ...string) {
+	quoted := make([]string, 0, len(keys))
+	for _, k := range keys {
+		quoted = append(quoted, `"`+k+`"`)
+	}
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, version, strings.Join(quoted, ",")))
+}
+
+func (f *fleet) add(name string) *member {
+	f.t.Helper()
+	m := &member{door: f.store.Door(), done: make(chan struct{})}
+	settings := filepath.Join(f.t.TempDir(), "settings")
+	text := fmt.Sprintf("node=%s\nip=127.0.0.1\nzone=z1\nlisten.front=%s\nlisten.ready=%s\nlisten.control=%s\nplatform.address=%s\n"+
+		"bounds.holdMaxMs=3000\nbounds.strictRevocation=true\nbounds.graceS=3\n", name, f.port(), f.port(), f.port(), m.door.Address())
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	s, err := platform.LoadSettings(settings)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m.Host = New(s, telemetry.Discard())
+	var ctx context.Context
+	ctx, m.stop = context.WithCancel(context.Background())
+	go func() {
+		defer close(m.done)
+		if err := m.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.hosts = append(f.hosts, m)
+	f.t.Cleanup(func() {
+		m.door.Refuse(false)
+		m.stop()
+		<-m.done
+		m.door.Close()
+	})
+	return m
+}
+
+func (f *fleet) port() string {
+	f.t.Helper()
+	a, err := fakeplatform.FreeAddress()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return a
+}
+
+func (f *fleet) leader() *member {
+	for _, m := range f.hosts {
+		if l := m.election.leading(); l != nil && l.Loaded() && !m.stopping.Load() {
+			return m
+		}
+	}
+	return nil
+}
+
+// until waits for a condition; the bound only ends a test that has failed.
+func (f *fleet) until(what string, cond func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !cond(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// call sends a caller's request to a host.
+func (f *fleet) call(m *member, method, path, key, body string) (int, string) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+m.settings.Front+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("Credential", key)
+	req.Header.Set("Deadline-Ms", "8000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(text)
+}
+
+const twoTasks = `{"spec":"x","steps":[{"count":2,"cpu":500,"memMb":100,"estimateMs":100}]}`
+
+func jobPath(n int) string { return fmt.Sprintf("/p/%016x", n) }
+
+func (f *fleet) completed(m *member, n int) bool {
+	status, body := f.call(m, http.MethodGet, jobPath(n), "k1", "")
+	return status == http.StatusOK && strings.Contains(body, platform.StateCompleted)
+}
+
+// starts sums the starts of each task over all workers.
+func (f *fleet) starts() map[string]int {
+	all := make(map[string]int)
+	for _, w := range f.workers {
+		for task, n := range w.Starts() {
+			all[task] += n
+		}
+	}
+	return all
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -106,6 +106,9 @@
 	return state, boottime.Now()-time.Duration(l.intakeAt.Load()) < intakeFresh
 }
 
+// Loaded reports whether all that earlier leaders kept has been read.
+func (l *Leader) Loaded() bool { return l.loaded.Load() }
+
 // Pending counts the waiting jobs of a queue; sure is false while loading.
 func (l *Leader) Pending(queue string) (n int64, sure bool) {
 	return l.board.Pending(queue), l.loaded.Load()
