--- a/host/host_test.go
+++ b/host/host_test.go
@@ -61,6 +61,8 @@
 		return false
 	})
 	cut.door.Refuse(true)
+	// A read that was under way when the log began to refuse still tells news.
+	f.until("no read of the log is under way", func() bool { return cut.config.LogAge() > 2*configWait })
 	f.configure(2, "k1")
 	f.until("the withdrawn key is refused", func() bool {
 		status, _ := f.call(cut, http.MethodGet, jobPath(1), "k2", "")
--- a/region/gang.go
+++ b/region/gang.go
@@ -1,15 +1,6 @@
 package region
 
-import (
-	"time"
-
-	"github.com/fireflyfold/fireflyfold/record"
-)
-
-// gangGrace is how long a gang's members may be missing from their workers'
-// lists before the gang counts as lost. The end that stands for all of them may
-// lie on the worker that is looked at last.
-const gangGrace = 2 * time.Second
+import "github.com/fireflyfold/fireflyfold/record"
 
 // gangDone marks all members done: the end of one stands for all.
 func (s *Scheduler) gangDone(t *task, number int32) {
@@ -39,19 +30,6 @@
 	}
 }
 
-// gangUndecided reports whether a member that its worker does not list may be
-// part of a gang that is done. It is decided when a look at every other member's
-// worker was no clearer for a while.
-func (s *Scheduler) gangUndecided(r *run) bool {
-	if r.phase == phaseStopping {
-		return false
-	}
-	if r.missingAt == 0 {
-		r.missingAt = s.now
-	}
-	return s.now-r.missingAt < gangGrace
-}
-
 // gangWaits reports whether the whole gang waits to be started.
 func (st *step) gangWaits() bool {
 	for _, t := range st.tasks {
--- a/region/run.go
+++ b/region/run.go
@@ -43,7 +43,6 @@
 	startedAt time.Duration // when the worker was known to have it
 	maybeSent bool          // a start got no answer: it may be carried out yet
 	settledAt time.Duration // a look sent later that does not list it proves that it is over; 0 for not settled
-	missingAt time.Duration // first look that did not list a gang member
 	tries     int
 	percent   int
 	movedAt   time.Duration // when percent last changed
--- a/region/takeover_test.go
+++ b/region/takeover_test.go
@@ -94,3 +94,23 @@
 	w.run(testLease + 5*time.Second)
 	w.mustComplete("a")
 }
+
+// The log cannot be reached from the leader, for longer than a successor waits.
+// The leader must stop renewing leases: on a worker that the successor cannot
+// reach, its renewals would keep a task alive that is started again elsewhere.
+func TestNoRenewalWithoutProofOfLead(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 1)
+	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
+	w.lead()
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(200 * time.Millisecond)
+	w.logDown = true
+	w.run(logProofLife + 100*time.Millisecond)
+	until := w.workers["w1"].until
+	w.run(2 * time.Second)
+	if later := w.workers["w1"].until; later != until {
+		t.Errorf("the lease was renewed by %d ms", later-until)
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -323,15 +323,14 @@
 }
 
 // clearUnlisted settles runs that a look did not list although it was sent
-// after the worker had settled them.
+// after the worker had settled them. A member of a gang may be missing because
+// another member's end stands for all: the gang starts again only when every
+// member is settled, and that end is read before its own member is.
 func (s *Scheduler) clearUnlisted(w *worker, listed map[model.TaskID]bool, sentAt time.Duration) {
 	for _, r := range w.sortedRuns() {
 		if listed[r.task.id()] || !r.settledBefore(sentAt) {
 			continue
 		}
-		if r.task.step.rec.Gang && s.gangUndecided(r) {
-			continue
-		}
 		s.lose(r, "its worker does not list it")
 	}
 }
