A backlog no longer takes the leader's processor; room collected for a gang stays; advice queues stay short

A submission whose record is in a call under way waits for it, as 504 ends an unsafe request for its caller; one that was not taken is refused at once.

--- a/host/configwatch.go
+++ b/host/configwatch.go
@@ -97,14 +97,16 @@
 	if now := c.config.Load(); now == nil || now.Version != got.version {
 		return
 	}
-	c.peerAt.Store(int64(sent))
+	if got.age < peerContactLife {
+		c.peerAt.Store(int64(sent))
+	}
 	if proven := int64(sent - got.age); proven > c.provenAt.Load() {
 		c.provenAt.Store(proven)
 	}
 }
 
-// PeerContact reports whether another host has confirmed the configuration
-// lately.
+// PeerContact reports whether another host that reaches the log has confirmed
+// the configuration lately.
 func (c *configWatch) PeerContact() bool {
 	return boottime.Now()-time.Duration(c.peerAt.Load()) < peerContactLife
 }
--- a/host/front.go
+++ b/host/front.go
@@ -30,10 +30,6 @@
 	// write too. It answers within some 10 ms, and within half a second when it
 	// is slow for everyone.
 	logPatience = 250 * time.Millisecond
-	// lastPatience is how much longer the log may take once nobody else could
-	// write. Then the caller learns that the outcome is unknown and sends the
-	// job again, which is safe, in time for another host to take it.
-	lastPatience = 700 * time.Millisecond
 	// askTimeout bounds one question to the leader; the caller asks again.
 	askTimeout = 700 * time.Millisecond
 	// revocationMargin is taken off the time within which a withdrawn key must
@@ -225,27 +221,28 @@
 	if !c.host.intake.Healthy() {
 		patience = 0
 	}
+	byPeers := notKept
 	select {
 	case <-done:
 		return kept
 	case <-c.ctx.Done():
 	case <-time.After(patience):
-		if c.host.keepByPeers(c.ctx, data) {
-			p.Withdraw()
-			return kept
-		}
+		byPeers = c.host.keepByPeers(c.ctx, data)
 	}
-	if p.Withdraw() {
-		// Another host may have written it without an answer.
-		return unknown
+	switch {
+	case byPeers == kept:
+		p.Withdraw() // one record is enough, but two do no harm
+		return kept
+	case p.Withdraw():
+		return byPeers
 	}
+	// The record is in a call that the writer repeats until the log answers.
 	select {
 	case <-done:
 		return kept
 	case <-c.ctx.Done():
-	case <-time.After(lastPatience):
+		return unknown
 	}
-	return unknown
 }
 
 func (c *call) answerKept(o outcome) {
--- a/host/peers.go
+++ b/host/peers.go
@@ -194,17 +194,24 @@
 // Keep implements hostrpc.HelperHandler.
 func (h *Host) Keep(ctx context.Context, req *connect.Request[hostrpc.KeepRequest]) (*connect.Response[hostrpc.KeepResponse], error) {
 	if !h.intake.Healthy() {
-		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
+		return keepAnswer(hostrpc.KeepOutcome_KEEP_OUTCOME_NOT_KEPT), nil
 	}
 	done := make(chan struct{})
 	p := h.intake.Write(req.Msg.Record, func(logwriter.Kept) { close(done) })
 	select {
 	case <-done:
-		return connect.NewResponse(&hostrpc.KeepResponse{}), nil
+		return keepAnswer(hostrpc.KeepOutcome_KEEP_OUTCOME_KEPT), nil
 	case <-ctx.Done():
-		p.Withdraw()
-		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	case <-time.After(time.Duration(req.Msg.TimeoutMs) * time.Millisecond):
+	}
+	if p.Withdraw() {
+		return keepAnswer(hostrpc.KeepOutcome_KEEP_OUTCOME_NOT_KEPT), nil
 	}
+	return keepAnswer(hostrpc.KeepOutcome_KEEP_OUTCOME_UNSPECIFIED), nil
+}
+
+func keepAnswer(o hostrpc.KeepOutcome) *connect.Response[hostrpc.KeepResponse] {
+	return connect.NewResponse(&hostrpc.KeepResponse{Outcome: o})
 }
 
 var errLogAway = errors.New("this host does not reach the log")
@@ -247,18 +254,28 @@
 
 var errNoPeers = errors.New("no other host is known")
 
-// keepByPeers asks other hosts to keep a record and reports whether one did.
-func (h *Host) keepByPeers(ctx context.Context, data []byte) bool {
+// peerLogTimeout is how long another host's log may take for us; its answer has
+// to be back within peerTimeout.
+const peerLogTimeout = 250 * time.Millisecond
+
+// keepByPeers asks other hosts to keep a record.
+func (h *Host) keepByPeers(ctx context.Context, data []byte) outcome {
+	result := notKept
 	for _, address := range h.election.others(peerTries) {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		_, err := h.peers.helper(address).Keep(callCtx, newRequest(&hostrpc.KeepRequest{Record: data}))
+		resp, err := h.peers.helper(address).Keep(callCtx, newRequest(&hostrpc.KeepRequest{
+			Record: data, TimeoutMs: peerLogTimeout.Milliseconds(),
+		}))
 		cancel()
-		if err == nil {
+		switch {
+		case err != nil || resp.Msg.Outcome == hostrpc.KeepOutcome_KEEP_OUTCOME_UNSPECIFIED:
+			result = unknown
+		case resp.Msg.Outcome == hostrpc.KeepOutcome_KEEP_OUTCOME_KEPT:
 			h.metrics.Counter("kept_by_peers").Inc(1)
-			return true
+			return kept
 		}
 	}
-	return false
+	return result
 }
 
 // TakeOver implements hostrpc.HelperHandler.
--- a/region/advice.go
+++ b/region/advice.go
@@ -18,12 +18,18 @@
 	// calls, the first half for those that are not slow.
 	quickAdvice = 40 * time.Millisecond
 	slowAdvice  = 150 * time.Millisecond
-	// adviceBacklog is how much advice a host may have been asked for before
-	// further calls wait.
-	adviceBacklog = 1200 * time.Millisecond
-	// idleBacklog is the same for steps that have no room yet: their first
-	// advice is worth having early, but not before others'.
-	idleBacklog = 300 * time.Millisecond
+	// leastBacklog and backlogShare bound the advice that a host may have been
+	// asked for when a further call joins: leastBacklog, or backlogShare of the
+	// call's own length if that is longer. What waits here can still be put
+	// behind something more urgent; what waits at the service cannot.
+	leastBacklog = 60 * time.Millisecond
+	backlogShare = 1.2
+	// fewAsked is how many workers a quick first call names at least, those with
+	// room first; more are asked about when they turn out not to be enough.
+	fewAsked = 12
+	// askedPerTask is how many workers are asked about for each task: a third
+	// to two thirds of the workers are good, and some are taken meanwhile.
+	askedPerTask = 4
 	// adviceRetry is the pause after a call for advice that failed.
 	adviceRetry = 200 * time.Millisecond
 )
@@ -99,11 +105,7 @@
 		return
 	}
 	cost := st.adviceCost(len(names))
-	limit := adviceBacklog
-	if !room {
-		limit = idleBacklog
-	}
-	host, ok := s.advisers.choose(cost, limit, s.now)
+	host, ok := s.advisers.choose(cost, s.now)
 	if !ok {
 		st.blocked = "advice backlog"
 		s.dirty = true
@@ -154,9 +156,11 @@
 	return time.Duration((a.GetDecideMs() + a.GetEachMs()*float64(workers)) * float64(time.Millisecond))
 }
 
-// adviceWanted returns the workers to ask about now.
+// adviceWanted returns the workers to ask about now: good ones whose tickets
+// expire and those that nothing is known of, the ones with room first.
 func (s *Scheduler) adviceWanted(st *step) []string {
-	var unknown, stale []string
+	var roomy, full []string
+	stale, unknown := 0, 0
 	soonest := s.now + st.adviceCost(len(s.order)) + adviceMargin
 	for _, w := range s.order {
 		if !w.listed || w.entry.Draining || !s.suits(st, w) {
@@ -165,17 +169,28 @@
 		m, ok := st.advice.marks[w.entry.ID]
 		switch {
 		case !ok:
-			unknown = append(unknown, w.entry.ID)
+			unknown++
 		case m.good && m.until < soonest:
-			stale = append(stale, w.entry.ID)
+			stale++
+		default:
+			continue
+		}
+		if st.room().Fits(w.free()) {
+			roomy = append(roomy, w.entry.ID)
+		} else {
+			full = append(full, w.entry.ID)
 		}
 	}
-	names := append(stale, unknown...)
-	if len(stale) == 0 && len(st.advice.marks) > 0 && len(unknown) <= len(st.advice.marks)/4 {
+	if stale == 0 && len(st.advice.marks) > 0 && unknown <= len(st.advice.marks)/4 {
 		// A few new workers are worth no call of their own.
 		return nil
 	}
-	return names[:min(len(names), maxAsked)]
+	most := maxAsked
+	if !st.rec.Gang {
+		most = min(most, max(fewAsked, askedPerTask*len(st.tasks)))
+	}
+	names := append(roomy, full...)
+	return names[:min(len(names), most)]
 }
 
 func (s *Scheduler) advised(ev Advised) {
@@ -235,8 +250,8 @@
 }
 
 // choose returns the host with the shortest backlog of those that may take a
-// call of that length, if its backlog is within the limit.
-func (a *advisers) choose(cost, limit, now time.Duration) (string, bool) {
+// call of that length, if its backlog is short enough.
+func (a *advisers) choose(cost, now time.Duration) (string, bool) {
 	from := 0
 	switch n := len(a.hosts); {
 	case cost >= slowAdvice:
@@ -251,6 +266,7 @@
 			best = h
 		}
 	}
+	limit := max(leastBacklog, time.Duration(backlogShare*float64(cost)))
 	if best == nil || best.backlog > limit {
 		return "", false
 	}
--- a/region/bench_test.go
+++ b/region/bench_test.go
@@ -11,7 +11,7 @@
 
 // backlog returns a leading scheduler whose workers are full, with a backlog of
 // steps that all need advice, a fifth of them gangs.
-func backlog(workers, steps int) (*Scheduler, time.Duration) {
+func backlog(workers, steps int, used int64) (*Scheduler, time.Duration) {
 	s := New(testOptions())
 	now := time.Hour
 	s.Step(now, Tick{UnixMs: now.Milliseconds()})
@@ -26,7 +26,7 @@
 		s.Step(now, Held{Order: model.HoldOrder{Worker: model.WorkerRef{ID: id, BornUnix: 1}}, SentAt: now, Hold: model.Hold{ClockMs: 1, BornUnix: 1}})
 	}
 	for _, w := range s.order {
-		w.used.MilliCPU = 31500
+		w.used.MilliCPU = used
 	}
 	for i := range steps {
 		j := oneStep(fmt.Sprintf("%016x", i), &record.Step{Count: 4, Gang: i%5 == 0})
@@ -43,20 +43,23 @@
 	return s, now
 }
 
-// BenchmarkPass is one look for room that finds none, at today's size and at
-// that of a grown region.
+// BenchmarkPass is one look for room that starts nothing, at today's size and at
+// that of a grown region: with all workers full, and with room everywhere but no
+// valid ticket.
 func BenchmarkPass(b *testing.B) {
-	for _, size := range []struct{ workers, steps int }{{48, 50}, {48, 500}, {350, 500}, {800, 2500}} {
-		b.Run(fmt.Sprintf("workers=%d/steps=%d", size.workers, size.steps), func(b *testing.B) {
-			s, now := backlog(size.workers, size.steps)
-			for b.Loop() {
-				now += time.Microsecond
-				s.provenAt, s.dirty, s.lastPass = now, true, 0
-				for _, w := range s.order {
-					w.lookedAt = now
+	for name, used := range map[string]int64{"full": 31500, "unadvised": 8000} {
+		for _, size := range []struct{ workers, steps int }{{48, 50}, {48, 1000}, {350, 1000}, {800, 2500}} {
+			b.Run(fmt.Sprintf("%s/workers=%d/steps=%d", name, size.workers, size.steps), func(b *testing.B) {
+				s, now := backlog(size.workers, size.steps, used)
+				for b.Loop() {
+					now += time.Microsecond
+					s.provenAt, s.dirty, s.lastPass = now, true, 0
+					for _, w := range s.order {
+						w.lookedAt = now
+					}
+					s.Step(now, Schedule{})
 				}
-				s.Step(now, Schedule{})
-			}
-		})
+			})
+		}
 	}
 }
--- a/region/place.go
+++ b/region/place.go
@@ -11,6 +11,15 @@
 	// some hundred times a second; a pass for several of them costs as much as
 	// for one.
 	passEvery = 4 * time.Millisecond
+	// passPerStep lengthens that time for each step that waits: 10 ms more at
+	// 500 steps.
+	passPerStep = 20 * time.Microsecond
+	// headTries and tailTries bound the steps of a class that are looked at
+	// closely in one pass without success: the most urgent ones, and as many
+	// further ones in turn, so that a step behind many that fit nowhere has its
+	// look too.
+	headTries = 24
+	tailTries = 24
 	// reservedGangs is how many gangs collect room at a time. Each keeps other
 	// batch work off a few workers while it waits.
 	reservedGangs = 2
@@ -57,7 +66,7 @@
 
 // schedule starts what fits, most urgent first.
 func (s *Scheduler) schedule() {
-	if !s.leading() || s.config == nil || !s.dirty || s.now-s.lastPass < passEvery {
+	if !s.leading() || s.config == nil || !s.dirty || s.now-s.lastPass < s.passPause() {
 		return
 	}
 	s.lastPass = s.now
@@ -66,8 +75,8 @@
 		return
 	}
 	for _, w := range s.order {
-		w.reserved = nil
 		w.claimed = model.Resources{}
+		w.wasReserved, w.reserved = w.reserved, nil
 	}
 	s.roomiest.valid = false
 	for c, steps := range s.byClass() {
@@ -80,7 +89,8 @@
 // workers: under load most waiting steps are settled by it.
 type roomiest struct {
 	valid bool
-	free  map[string]model.Resources // by service
+	free  map[string]model.Resources // by service, on workers that no gang waits for
+	any   map[string]model.Resources // by service, on all workers
 }
 
 // hopeless reports whether no worker has room for one task of the step.
@@ -88,28 +98,42 @@
 	if !s.roomiest.valid {
 		s.findRoomiest()
 	}
-	return !st.room().Fits(s.roomiest.free[st.job.rec.Policy.GetService()])
+	of := s.roomiest.free
+	if st.rec.Gang || s.passesReserved(st) {
+		of = s.roomiest.any
+	}
+	return !st.room().Fits(of[st.job.rec.Policy.GetService()])
 }
 
 func (s *Scheduler) findRoomiest() {
-	s.roomiest.valid = true
-	if s.roomiest.free == nil {
-		s.roomiest.free = make(map[string]model.Resources)
-	}
-	clear(s.roomiest.free)
+	s.roomiest = roomiest{valid: true, free: make(map[string]model.Resources), any: make(map[string]model.Resources)}
 	for _, w := range s.order {
 		if !s.usable(w) {
 			continue
 		}
-		most, free := s.roomiest.free[w.entry.Service], w.free()
-		s.roomiest.free[w.entry.Service] = model.Resources{
-			MilliCPU:     max(most.MilliCPU, free.MilliCPU),
-			MemoryMiB:    max(most.MemoryMiB, free.MemoryMiB),
-			Accelerators: max(most.Accelerators, free.Accelerators),
+		service, free := w.entry.Service, w.free()
+		s.roomiest.any[service] = most(s.roomiest.any[service], free)
+		if w.reserved == nil {
+			s.roomiest.free[service] = most(s.roomiest.free[service], free)
 		}
 	}
 }
 
+func most(a, b model.Resources) model.Resources {
+	return model.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// passPause is the shortest time between two passes: longer with more steps to
+// walk, so that a backlog does not take the processor from the answers of the
+// workers.
+func (s *Scheduler) passPause() time.Duration {
+	return passEvery + time.Duration(len(s.ready.steps))*passPerStep
+}
+
 // class ranks steps by what can still be earned.
 type class int
 
@@ -157,34 +181,48 @@
 
 // pass starts what fits of some steps.
 func (s *Scheduler) pass(steps []*step, c class) {
-	gangs := 0
-	for _, st := range steps {
+	gangs, tries := 0, 0
+	turn := s.turns[c]
+	for i, st := range steps {
 		if s.now < st.notUntil {
 			continue
 		}
-		if s.hopeless(st) {
+		reserving := st.rec.Gang && gangs < reservedGangs
+		if !reserving && s.hopeless(st) {
 			st.blocked = reasonNames[rejectRoom]
-			if st.rec.Gang && gangs < reservedGangs {
-				gangs++
-				s.reserve(st)
-				s.wantAdvice(st)
-			} else if c <= classExcess {
+			if c <= classExcess {
 				s.wantFirstAdvice(st)
 			}
 			continue
 		}
-		if st.rec.Gang {
-			if !s.placeGang(st) && gangs < reservedGangs {
-				gangs++
-				s.reserve(st)
-			}
-		} else {
-			s.placeTasks(st)
+		if tries >= headTries && (i < turn || tries >= headTries+tailTries) {
+			continue
+		}
+		if s.place(st) {
+			continue
 		}
-		if st.anyWaiting() {
-			s.wantAdvice(st)
+		tries++
+		if tries > headTries {
+			s.turns[c] = i + 1
 		}
+		if reserving {
+			gangs++
+			s.reserve(st)
+		}
+		s.wantAdvice(st)
+	}
+	if tries < headTries+tailTries {
+		s.turns[c] = 0
+	}
+}
+
+// place starts what it can of a step and reports whether nothing of it waits.
+func (s *Scheduler) place(st *step) bool {
+	if st.rec.Gang {
+		return s.placeGang(st)
 	}
+	s.placeTasks(st)
+	return !st.anyWaiting()
 }
 
 // explainPlaced logs the tasks of a step that were assigned in this pass, with
@@ -240,9 +278,9 @@
 		}
 	}
 	if best == nil {
-		s.roomiest.valid = s.roomiest.valid && counts[rejectRoom] == 0
 		return nil, counts.summary()
 	}
+	s.roomiest.valid = false // the caller takes room there
 	return best, ""
 }
 
@@ -264,12 +302,18 @@
 		return rejectSpread
 	case st.disturbs(w):
 		return rejectInterference
-	case w.reserved != nil && w.reserved != st && st.job.rec.Policy.GetPriority() > 0:
+	case w.reserved != nil && w.reserved != st && !s.passesReserved(st):
 		return rejectReserved
 	}
 	return fits
 }
 
+// passesReserved reports whether the step may use workers where a gang collects
+// room: only urgent small tasks that can still be on time, as they are over soon.
+func (s *Scheduler) passesReserved(st *step) bool {
+	return st.job.rec.Policy.GetPriority() == 0 && s.now <= st.key && !st.rec.LongRunning
+}
+
 // usable reports whether new work may go to the worker at all.
 func (s *Scheduler) usable(w *worker) bool {
 	return w.listed && !w.entry.Draining && w.fenced &&
@@ -354,6 +398,7 @@
 		st.blocked = why
 		return false
 	}
+	s.roomiest.valid = false
 	number := st.nextGangRun()
 	placed := make([]string, 0, n)
 	for i, t := range st.tasks {
@@ -454,7 +499,9 @@
 
 // reserve keeps other batch work off the workers where a gang can soonest have
 // room, as many as it needs. Without it small tasks take every hole that a wide
-// gang waits for, and it starts only when the load falls.
+// gang waits for, and it starts only when the load falls. Workers that were
+// reserved for the gang before come first: room that was collected on one worker
+// is lost when the gang moves to another.
 func (s *Scheduler) reserve(st *step) {
 	var places []gangPlace
 	for _, w := range s.order {
@@ -469,16 +516,25 @@
 	for total < len(st.tasks) && len(places) > 0 {
 		best := 0
 		for i := range places {
-			if places[i].n > places[best].n {
+			if st.prefers(places[i], places[best]) {
 				best = i
 			}
 		}
 		total += places[best].n
 		places[best].worker.reserved = st
+		s.roomiest.valid = false
 		places = append(places[:best], places[best+1:]...)
 	}
 }
 
+// prefers reports whether a gang rather collects room at a than at b.
+func (st *step) prefers(a, b gangPlace) bool {
+	if keepA, keepB := a.worker.wasReserved == st, b.worker.wasReserved == st; keepA != keepB {
+		return keepA
+	}
+	return a.n > b.n
+}
+
 // suits reports whether the worker could ever run the step.
 func (s *Scheduler) suits(st *step, w *worker) bool {
 	return w.entry.Service == st.job.rec.Policy.GetService() &&
--- a/region/region.go
+++ b/region/region.go
@@ -80,6 +80,7 @@
 	dirty     bool // something changed that may let a task start
 	lastPass  time.Duration
 	roomiest  roomiest
+	turns     [classes]int // where the close look at the tail of each class goes on
 
 	out []Command
 }
--- a/region/worker.go
+++ b/region/worker.go
@@ -30,25 +30,26 @@
 
 // worker is what is believed of one worker.
 type worker struct {
-	entry     model.WorkerEntry
-	listed    bool
-	runs      map[model.TaskID]*run
-	used      model.Resources // of all that may be alive there
-	clockMs   int64           // its clock as last read
-	clockAt   time.Duration   // when that was
-	leaseMs   int64           // end of the longest lease we may have granted, on its clock
-	inherited time.Duration   // until when leases of a predecessor may last
-	fenced    bool            // it has answered under our fencing token
-	looking   bool            // a look is under way
-	missed    bool            // the newest look got no answer
-	lookedAt  time.Duration   // when the newest answered look was sent
-	lives     int64           // how many lives we have seen end
-	lastEnd   int64           // highest end processed
-	acked     int64           // highest end whose record is kept
-	pausedTo  time.Duration   // no new work before
-	health    health
-	reserved  *step           // a gang that collects room here
-	claimed   model.Resources // room that steps ask tickets for, in this pass
+	entry       model.WorkerEntry
+	listed      bool
+	runs        map[model.TaskID]*run
+	used        model.Resources // of all that may be alive there
+	clockMs     int64           // its clock as last read
+	clockAt     time.Duration   // when that was
+	leaseMs     int64           // end of the longest lease we may have granted, on its clock
+	inherited   time.Duration   // until when leases of a predecessor may last
+	fenced      bool            // it has answered under our fencing token
+	looking     bool            // a look is under way
+	missed      bool            // the newest look got no answer
+	lookedAt    time.Duration   // when the newest answered look was sent
+	lives       int64           // how many lives we have seen end
+	lastEnd     int64           // highest end processed
+	acked       int64           // highest end whose record is kept
+	pausedTo    time.Duration   // no new work before
+	health      health
+	reserved    *step           // a gang that collects room here
+	wasReserved *step           // the same in the pass before
+	claimed     model.Resources // room that steps ask tickets for, in this pass
 }
 
 func (w *worker) ref() model.WorkerRef {
