--- a/region/learn.go
+++ b/region/learn.go
@@ -78,12 +78,26 @@
 	}
 }
 
-// progress notes how far a run is.
+// stallAfter is how long a run may show no progress. Looks are up to 0.8 s apart,
+// and the slowest sound tasks gain a percent in a second.
+const stallAfter = 1500 * time.Millisecond
+
+// progress notes how far a run is, and stops one that stands still: a worker on
+// which tasks hang looks sound, as it answers and fails nothing. The run counts
+// as no attempt and goes on elsewhere from its checkpoint. A gang's members are
+// left alone: their progress does not tell which of them hangs.
 func (s *Scheduler) progress(r *run, row model.Running) {
-	if row.Percent != r.percent {
+	if row.Percent != r.percent || r.movedAt == 0 {
 		r.percent = row.Percent
 		r.movedAt = s.now
+		return
+	}
+	st := r.task.step.rec
+	if st.Gang || st.LongRunning || r.phase != phaseRunning || s.now-r.movedAt < stallAfter {
+		return
 	}
+	r.worker.health.stalled(s.now)
+	s.stopRun(r, "no progress")
 }
 
 const (
@@ -115,6 +129,9 @@
 	h.outTo = now + min(out, quarantineMost)
 }
 
+// stalled takes a worker out on which a task hangs: the next one would too.
+func (h *health) stalled(now time.Duration) { h.outTo = max(h.outTo, now+quarantineFirst) }
+
 func (h *health) refused(now time.Duration) { h.failed(now) }
 
 func (h *health) trusted(now time.Duration) bool { return now >= h.outTo }
--- a/region/place.go
+++ b/region/place.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/model"
@@ -23,6 +24,10 @@
 	// reservedGangs is how many gangs collect room at a time. Each keeps other
 	// batch work off a few workers while it waits.
 	reservedGangs = 2
+	// keptGangs is how many further gangs that can still be on time collect room
+	// before work that is late already. As many as come in the time that one
+	// needs to collect, about 2 a second for 3 s.
+	keptGangs = 6
 	// soonFree is how far ahead a gang counts room that running tasks are
 	// expected to free.
 	soonFree = 4 * time.Second
@@ -76,7 +81,7 @@
 	}
 	for _, w := range s.order {
 		w.claimed = model.Resources{}
-		w.wasReserved, w.reserved = w.reserved, nil
+		w.wasReserved, w.reserved, w.kept = cmp.Or(w.reserved, w.kept), nil, nil
 	}
 	s.roomiest.valid = false
 	for c, steps := range s.byClass() {
@@ -90,6 +95,7 @@
 type roomiest struct {
 	valid bool
 	free  map[string]model.Resources // by service, on workers that no gang waits for
+	kept  map[string]model.Resources // the same with those that gangs keep from late work only
 	any   map[string]model.Resources // by service, on all workers
 }
 
@@ -99,14 +105,20 @@
 		s.findRoomiest()
 	}
 	of := s.roomiest.free
-	if st.rec.Gang || s.passesReserved(st) {
+	switch {
+	case st.rec.Gang || s.passesReserved(st):
 		of = s.roomiest.any
+	case s.classOf(st) <= classExcess:
+		of = s.roomiest.kept
 	}
 	return !st.room().Fits(of[st.job.rec.Policy.GetService()])
 }
 
 func (s *Scheduler) findRoomiest() {
-	s.roomiest = roomiest{valid: true, free: make(map[string]model.Resources), any: make(map[string]model.Resources)}
+	s.roomiest = roomiest{
+		valid: true, free: make(map[string]model.Resources),
+		kept: make(map[string]model.Resources), any: make(map[string]model.Resources),
+	}
 	for _, w := range s.order {
 		if !s.usable(w) {
 			continue
@@ -114,6 +126,9 @@
 		service, free := w.entry.Service, w.free()
 		s.roomiest.any[service] = most(s.roomiest.any[service], free)
 		if w.reserved == nil {
+			s.roomiest.kept[service] = most(s.roomiest.kept[service], free)
+		}
+		if w.reserved == nil && w.kept == nil {
 			s.roomiest.free[service] = most(s.roomiest.free[service], free)
 		}
 	}
@@ -187,7 +202,7 @@
 		if s.now < st.notUntil {
 			continue
 		}
-		reserving := st.rec.Gang && gangs < reservedGangs
+		reserving := st.rec.Gang && gangs < reservedGangs+keptGangs && (gangs < reservedGangs || c <= classExcess)
 		if !reserving && s.hopeless(st) {
 			st.blocked = reasonNames[rejectRoom]
 			if c <= classExcess {
@@ -207,7 +222,7 @@
 		}
 		if reserving {
 			gangs++
-			s.reserve(st)
+			s.reserve(st, gangs <= reservedGangs)
 		}
 		s.wantAdvice(st)
 	}
@@ -302,7 +317,7 @@
 		return rejectSpread
 	case st.disturbs(w):
 		return rejectInterference
-	case w.reserved != nil && w.reserved != st && !s.passesReserved(st):
+	case !s.admits(w, st):
 		return rejectReserved
 	}
 	return fits
@@ -314,6 +329,14 @@
 	return st.job.rec.Policy.GetPriority() == 0 && s.now <= st.key && !st.rec.LongRunning
 }
 
+// admits reports whether the step may use a worker for which gangs wait.
+func (s *Scheduler) admits(w *worker, st *step) bool {
+	if w.reserved != nil && w.reserved != st && !s.passesReserved(st) {
+		return false
+	}
+	return w.kept == nil || w.kept == st || s.classOf(st) <= classExcess
+}
+
 // usable reports whether new work may go to the worker at all.
 func (s *Scheduler) usable(w *worker) bool {
 	return w.listed && !w.entry.Draining && w.fenced &&
@@ -501,11 +524,12 @@
 // room, as many as it needs. Without it small tasks take every hole that a wide
 // gang waits for, and it starts only when the load falls. Workers that were
 // reserved for the gang before come first: room that was collected on one worker
-// is lost when the gang moves to another.
-func (s *Scheduler) reserve(st *step) {
+// is lost when the gang moves to another. The first gangs reserve against all but
+// urgent small tasks, further ones against late work alone.
+func (s *Scheduler) reserve(st *step, firmly bool) {
 	var places []gangPlace
 	for _, w := range s.order {
-		if w.reserved != nil || !s.usable(w) || !s.suits(st, w) {
+		if w.reserved != nil || w.kept != nil || !s.usable(w) || !s.suits(st, w) {
 			continue
 		}
 		if n := timesIn(st.room(), w.free().Add(s.freedWithin(w, soonFree))); n > 0 {
@@ -521,7 +545,11 @@
 			}
 		}
 		total += places[best].n
-		places[best].worker.reserved = st
+		if firmly {
+			places[best].worker.reserved = st
+		} else {
+			places[best].worker.kept = st
+		}
 		s.roomiest.valid = false
 		places = append(places[:best], places[best+1:]...)
 	}
--- a/region/run.go
+++ b/region/run.go
@@ -310,6 +310,10 @@
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	s.endOf(t, e.Run, e.Outcome, e.Checkpoint)
+	if e.Outcome == record.Outcome_OUTCOME_FAILED {
+		s.explain(e.Task.Job, "run failed", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step},
+			Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"attempts", t.attempts})
+	}
 	if e.Outcome == record.Outcome_OUTCOME_DONE {
 		if r != nil {
 			s.stopRun(r, "an earlier run is done")
--- a/region/step_test.go
+++ b/region/step_test.go
@@ -119,3 +119,16 @@
 		t.Errorf("job is %v, not cancelled", w.states["a"])
 	}
 }
+
+// Tasks on one worker begin and never move, while it answers every look. The
+// caller's job must not wait for it: its tasks are stopped there and run on
+// the other worker.
+func TestHangingWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 4).hangs = true
+	w.addWorker("w2", 4)
+	w.lead()
+	w.submit(oneStep("a", &record.Step{Count: 6}))
+	w.run(8 * time.Second)
+	w.mustComplete("a")
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -48,7 +48,8 @@
 	pausedTo    time.Duration   // no new work before
 	health      health
 	reserved    *step           // a gang that collects room here
-	wasReserved *step           // the same in the pass before
+	kept        *step           // a further gang that collects room here, before late work
+	wasReserved *step           // either, in the pass before
 	claimed     model.Resources // room that steps ask tickets for, in this pass
 }
 
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -56,6 +56,7 @@
 	until   int64
 	bound   int // ends at the front of the list that a lapse has made void
 	cut     bool
+	hangs   bool           // tasks begin and never move
 	alone   []model.TaskID // gang members that waited in vain
 	tickets map[string]time.Duration
 }
@@ -63,6 +64,7 @@
 type fakeRun struct {
 	number int32
 	room   model.Resources
+	began  time.Duration
 }
 
 type timedEvent struct {
@@ -287,6 +289,14 @@
 	})
 }
 
+// percent moves with time, unless the worker's tasks hang.
+func (fw *fakeWorker) percent(now time.Duration, r *fakeRun) int {
+	if fw.hangs {
+		return 0
+	}
+	return int((now - r.began) / (100 * time.Millisecond))
+}
+
 func (fw *fakeWorker) clock(now time.Duration) int64 { return now.Milliseconds() - 1000 }
 
 func (w *world) start(fw *fakeWorker, o model.StartOrder) CallError {
@@ -333,7 +343,7 @@
 		w.fatal("started after %d failures: %v", n, o.Task)
 	}
 	step := j.Steps[o.Task.Step]
-	r := &fakeRun{number: o.Run, room: model.ResourcesOf(step.Request)}
+	r := &fakeRun{number: o.Run, room: model.ResourcesOf(step.Request), began: w.now}
 	fw.runs[o.Task] = r
 	w.starts[o.Task]++
 	var used model.Resources
@@ -349,7 +359,7 @@
 	}
 	w.at(w.runTime(o.Task), func() {
 		w.lapse(fw)
-		if fw.runs[o.Task] == r {
+		if fw.runs[o.Task] == r && !fw.hangs {
 			w.finish(fw, o.Task)
 		}
 	})
@@ -521,7 +531,7 @@
 		}
 		got = model.Hold{ClockMs: fw.clock(w.now), BornUnix: fw.entry.BornUnix, Ended: append([]model.End(nil), fw.ends...)}
 		for id, r := range fw.runs {
-			got.Running = append(got.Running, model.Running{RunID: model.RunID{Task: id, Run: r.number}})
+			got.Running = append(got.Running, model.Running{RunID: model.RunID{Task: id, Run: r.number}, Percent: fw.percent(w.now, r)})
 		}
 		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
 		return CallOK
