--- a/host/election.go
+++ b/host/election.go
@@ -50,14 +50,15 @@
 	next   int64         // offset after the newest claim read
 	readOK bool          // the claims were read to their end
 
-	hosts      []string // addresses of other hosts, as the leader told them
-	turn       int      // which of them is asked next
-	entriesEnd int64
-	lead       *leader.Leader
+	hosts     []string // addresses of other hosts, as the leader told them
+	turn      int      // which of them is asked next
+	watcher   *leader.Watcher
+	lead      *leader.Leader
+	leadFence int64 // of lead
 }
 
 func newElection(h *Host) *election {
-	return &election{host: h}
+	return &election{host: h, watcher: leader.NewWatcher(h.client)}
 }
 
 // current returns the newest claim and its fencing token.
@@ -116,6 +117,9 @@
 			continue
 		}
 		e.claim, e.fence = c, offset+1
+		if e.lead != nil && e.leadFence < e.fence {
+			e.lead.Depose(e.fence)
+		}
 		e.host.log.WithFields(logrus.Fields{"leader": c.Host, "fence": e.fence}).Info("leader claimed")
 	}
 	e.readOK = e.next >= end
@@ -160,7 +164,7 @@
 	if claim == nil || (claim.Host == e.host.settings.Host && e.leading() == nil) {
 		return true // nobody has ever led, or we did in an earlier life
 	}
-	return !e.ping(ctx, claim) && e.silent(ctx)
+	return !e.ping(ctx, claim) && e.watcher.Silent(ctx, silence)
 }
 
 // others returns addresses of other hosts, a few in turn, the leader first.
@@ -196,20 +200,6 @@
 	return time.Duration(resp.Msg.LogContactMs)*time.Millisecond < staleLead
 }
 
-// silent reports whether the leader's entries stand still for a while. A leader
-// that others cannot reach but that reaches the log goes on leading.
-func (e *election) silent(ctx context.Context) bool {
-	grown, end, err := leader.Fresh(ctx, e.host.client, e.entriesEnd, 0)
-	if err != nil {
-		return false
-	}
-	e.entriesEnd = end
-	_ = grown // since the last look at the log, which may be long ago
-	grown, end, err = leader.Fresh(ctx, e.host.client, e.entriesEnd, silence)
-	e.entriesEnd = max(end, e.entriesEnd)
-	return err == nil && !grown
-}
-
 // try claims the lead after the leader with that fencing token. The claim holds
 // only if no other was written since, so that of several hosts that notice at
 // the same time one succeeds. A host that reads a new claim while it still looks
@@ -219,7 +209,7 @@
 	e.mu.Lock()
 	at, now := e.next, e.fence
 	e.mu.Unlock()
-	if now != fence {
+	if now != fence || e.leading() != nil {
 		return
 	}
 	claim := &record.Claim{Host: e.host.settings.Host, Address: e.host.settings.Control, Incarnation: e.host.incarnation}
@@ -242,7 +232,7 @@
 func (e *election) begin(ctx context.Context, fence int64) {
 	l := leader.New(e.host.leaderConfig(fence))
 	e.mu.Lock()
-	e.lead = l
+	e.lead, e.leadFence = l, fence
 	e.mu.Unlock()
 	e.host.group.Go(func() {
 		began := boottime.Now()
@@ -261,10 +251,12 @@
 // rolling restart it is the least likely to be stopped next. A helper that does
 // not reach the log refuses.
 func (e *election) handOver(ctx context.Context) {
-	if e.leading() == nil {
+	e.mu.Lock()
+	leads, fence := e.lead != nil, e.leadFence
+	e.mu.Unlock()
+	if !leads {
 		return
 	}
-	_, fence := e.current()
 	for _, p := range e.host.helpers.youngestFirst() {
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 		_, err := e.host.peers.helper(p.address).TakeOver(callCtx, newRequest(&hostrpc.TakeOverRequest{Fence: fence}))
--- a/host/host.go
+++ b/host/host.go
@@ -81,7 +81,7 @@
 	h.config.provenAt.Store(int64(boottime.Now() - time.Hour))
 	h.election = newElection(h)
 	h.intake = logwriter.New(client, logwriter.Target{
-		Topic: leader.TopicIntake, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, CallBytes: s.CallBytes,
+		Topic: leader.TopicIntake, Parts: leader.IntakeParts, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, CallBytes: s.CallBytes,
 	})
 	return h
 }
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -172,3 +172,38 @@
 		}
 	}
 }
+
+// Some partitions of the log are down while others work. A leader that stuck to
+// the partition of its entries could start nothing, and each host that took over
+// would be stuck alike; submissions would wait as well. Both go on in the next
+// partition, and a later leader reads the entries in the order they were written.
+func TestPartitionDown(t *testing.T) {
+	f := newFleet(t, 2, 1, 50*time.Millisecond)
+	m := f.leader()
+	if status, _ := f.call(m, http.MethodPost, jobPath(1), "k1", twoTasks); status != http.StatusOK {
+		t.Fatal("not accepted")
+	}
+	f.until("the job is completed", func() bool { return f.completed(m, 1) })
+	f.store.Break("entries", 0, true)
+	f.store.Break("intake", 0, true)
+	if status, _ := f.call(m, http.MethodPost, jobPath(2), "k1", twoTasks); status != http.StatusOK {
+		t.Fatal("not accepted with a partition down")
+	}
+	f.until("the job is completed with a partition down", func() bool { return f.completed(m, 2) })
+	f.store.Break("entries", 0, false)
+	f.store.Break("intake", 0, false)
+	first := f.leader()
+	for _, other := range f.hosts {
+		if other != first {
+			_, fence := other.election.current()
+			other.election.try(other.work, fence)
+		}
+	}
+	f.until("the other host leads", func() bool { l := f.leader(); return l != nil && l != first })
+	f.until("both jobs are known", func() bool { return f.completed(m, 1) && f.completed(m, 2) })
+	for task, n := range f.starts() {
+		if n != 1 {
+			t.Errorf("task %s started %d times", task, n)
+		}
+	}
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -3,7 +3,10 @@
 package leader
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +29,11 @@
 	TopicIntake  = "intake"  // submissions and cancellations, by every host
 	TopicEntries = "entries" // assignments and ends, by the leader
 	producer     = "leader"
+
+	// IntakeParts and entryParts are how many partitions of each topic are
+	// used: the first, and others when it is down. A leader reads them all.
+	IntakeParts = 3
+	entryParts  = 3
 )
 
 const (
@@ -43,7 +51,7 @@
 	// readTimeout bounds a read of the log beyond the time it may wait.
 	readTimeout = 1200 * time.Millisecond
 	// readWait is how long the log may wait for a record.
-	readWait = 2 * time.Second
+	readWait = time.Second
 	// readRetry is the pause after a read that failed.
 	readRetry = 100 * time.Millisecond
 	// listEvery is the shortest time between two reads of the host list: all
@@ -51,7 +59,7 @@
 	listEvery = 250 * time.Millisecond
 	// intakeFresh is how old the newest read of the intake may be for an
 	// unknown job to be called unknown.
-	intakeFresh = 1500 * time.Millisecond
+	intakeFresh = 2500 * time.Millisecond
 )
 
 // Adviser asks the advice service from a host; "" is this one.
@@ -77,8 +85,9 @@
 	events   *ring.Ring[region.Event]
 	writer   *logwriter.Writer
 	loaded   atomic.Bool
-	intakeAt atomic.Int64 // when the newest answered read of the intake was sent
-	loggedAt atomic.Int64 // when the newest append was answered
+	intakeAt [IntakeParts]atomic.Int64 // when the newest answered read of each partition of the intake was sent
+	loggedAt atomic.Int64              // when the newest append was answered
+	ctx      context.Context // ends with the leadership
 	deposed  context.CancelCauseFunc
 }
 
@@ -90,7 +99,9 @@
 
 // New returns a leader that has not begun.
 func New(cfg Config) *Leader {
-	return &Leader{cfg: cfg, board: NewBoard(), events: ring.New[region.Event](eventRing)}
+	l := &Leader{cfg: cfg, board: NewBoard(), events: ring.New[region.Event](eventRing)}
+	l.ctx, l.deposed = context.WithCancelCause(context.Background())
+	return l
 }
 
 // State tells what is known of a job; sure is false where the answer might be
@@ -103,7 +114,12 @@
 	if state != region.StateUnknown {
 		return state, true
 	}
-	return state, boottime.Now()-time.Duration(l.intakeAt.Load()) < intakeFresh
+	for i := range l.intakeAt {
+		if boottime.Now()-time.Duration(l.intakeAt[i].Load()) >= intakeFresh {
+			return state, false
+		}
+	}
+	return state, true
 }
 
 // Loaded reports whether all that earlier leaders kept has been read.
@@ -114,6 +130,11 @@
 	return l.board.Pending(queue), l.loaded.Load()
 }
 
+// Depose ends this leadership: a later claim has been read.
+func (l *Leader) Depose(fence int64) {
+	l.deposed(&DeposedError{Why: "fencing token " + strconv.FormatInt(fence, 10) + " has been claimed"})
+}
+
 // LogContactAge is how long ago the log last answered an append.
 func (l *Leader) LogContactAge() time.Duration {
 	return boottime.Now() - time.Duration(l.loggedAt.Load())
@@ -121,9 +142,9 @@
 
 // Run leads until ctx ends or another host takes over.
 func (l *Leader) Run(parent context.Context) error {
-	ctx, cancel := context.WithCancelCause(parent)
+	ctx, cancel := l.ctx, l.deposed
 	defer cancel(nil)
-	l.deposed = cancel
+	defer context.AfterFunc(parent, func() { cancel(context.Cause(parent)) })()
 	l.loggedAt.Store(int64(boottime.Now()))
 	began := boottime.Now()
 	sched := region.New(l.cfg.Options)
@@ -135,7 +156,9 @@
 		"intake": next}).Info("leading")
 	l.loaded.Store(true)
 	var group conc.WaitGroup
-	group.Go(func() { l.readIntake(ctx, next) })
+	for part, from := range next {
+		group.Go(func() { l.readIntake(ctx, part, from) })
+	}
 	group.Go(func() { l.watchWorkers(ctx) })
 	group.Go(func() {
 		if err := l.writer.Run(ctx); err != nil && ctx.Err() == nil {
@@ -148,37 +171,60 @@
 }
 
 // load fences off earlier leaders and reads all that they kept. It returns the
-// offset of the intake to go on from.
-func (l *Leader) load(ctx context.Context, sched *region.Scheduler) (int64, error) {
-	end, err := l.fenceOff(ctx)
+// offsets of the intake's partitions to go on from.
+func (l *Leader) load(ctx context.Context, sched *region.Scheduler) ([]int64, error) {
+	ends, err := l.fenceOff(ctx)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	now := boottime.Now()
 	sched.Step(now, region.Tick{UnixMs: time.Now().UnixMilli()})
 	// Jobs first: entries refer to them. The intake is read after the fence, so
 	// that every job of an entry is among it.
-	next, err := readAll(ctx, l.cfg.Client, TopicIntake, -1, func(data []byte) error {
-		var r record.Intake
-		if err := proto.Unmarshal(data, &r); err != nil {
-			return err
+	next := make([]int64, IntakeParts)
+	for part := range next {
+		next[part], err = readAll(ctx, l.cfg.Client, TopicIntake, part, -1, func(data []byte) error {
+			var r record.Intake
+			if err := proto.Unmarshal(data, &r); err != nil {
+				return err
+			}
+			l.publishOnly(sched.Step(now, region.IntakeRead{Records: []*record.Intake{&r}}))
+			return nil
+		})
+		if err != nil {
+			return nil, err
 		}
-		l.publishOnly(sched.Step(now, region.IntakeRead{Records: []*record.Intake{&r}}))
-		return nil
-	})
+		l.intakeAt[part].Store(int64(now))
+	}
+	entries, err := l.readEntries(ctx, ends)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	l.intakeAt.Store(int64(now))
-	_, err = readAll(ctx, l.cfg.Client, TopicEntries, end, func(data []byte) error {
-		var e record.Entry
-		if err := proto.Unmarshal(data, &e); err != nil {
-			return err
+	l.publishOnly(sched.Step(now, region.EntriesRead{Entries: entries}))
+	return next, nil
+}
+
+// readEntries reads what earlier leaders kept, in the order in which they wrote
+// it. An entry that stands in two partitions counts once.
+func (l *Leader) readEntries(ctx context.Context, ends []int64) ([]*record.Entry, error) {
+	var all []*record.Entry
+	for part, end := range ends {
+		_, err := readAll(ctx, l.cfg.Client, TopicEntries, part, end, func(data []byte) error {
+			e := &record.Entry{}
+			if err := proto.Unmarshal(data, e); err != nil {
+				return err
+			}
+			all = append(all, e)
+			return nil
+		})
+		if err != nil {
+			return nil, err
 		}
-		l.publishOnly(sched.Step(now, region.EntriesRead{Entries: []*record.Entry{&e}}))
-		return nil
+	}
+	slices.SortStableFunc(all, func(a, b *record.Entry) int {
+		return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.Seq, b.Seq))
 	})
-	return next, err
+	return slices.CompactFunc(all, func(a, b *record.Entry) bool { return a.Fence == b.Fence && a.Seq == b.Seq }), nil
 }
 
 // publishOnly takes over states while loading; nothing else may be done then.
@@ -190,22 +236,34 @@
 	}
 }
 
-// fenceOff makes the log refuse appends of earlier leaders and returns the end
-// of what they wrote.
-func (l *Leader) fenceOff(ctx context.Context) (int64, error) {
-	call := platform.Append{Topic: TopicEntries, Producer: producer, Epoch: l.cfg.Fence, Seq: 0, At: -1}
+// fenceOff makes the log refuse appends of earlier leaders in every partition,
+// and returns the ends of what they wrote.
+func (l *Leader) fenceOff(ctx context.Context) ([]int64, error) {
+	ends := make([]int64, entryParts)
+	for part := range ends {
+		end, err := l.fencePart(ctx, part)
+		if err != nil {
+			return nil, err
+		}
+		ends[part] = end
+	}
+	l.writer = logwriter.New(l.cfg.Client, logwriter.Target{
+		Topic: TopicEntries, Parts: entryParts, Producer: producer, Epoch: l.cfg.Fence, FirstSeq: 1, CallBytes: l.cfg.CallBytes,
+	})
+	return ends, nil
+}
+
+func (l *Leader) fencePart(ctx context.Context, part int) (int64, error) {
+	call := platform.Append{Topic: TopicEntries, Part: part, Producer: producer, Epoch: l.cfg.Fence, Seq: 0, At: -1}
 	for {
 		got, err := l.cfg.Client.Append(ctx, readTimeout, call)
 		switch {
 		case err == nil:
-			l.writer = logwriter.New(l.cfg.Client, logwriter.Target{
-				Topic: TopicEntries, Producer: producer, Epoch: l.cfg.Fence, FirstSeq: 1, CallBytes: l.cfg.CallBytes,
-			})
 			return got.End, nil
 		case platform.Fenced(err):
 			return 0, &DeposedError{Why: "a later leader has fenced this one off"}
 		}
-		l.cfg.Log.WithError(err).Warn("fence not written yet")
+		l.cfg.Log.WithError(err).WithField("part", part).Warn("fence not written yet")
 		if !pause(ctx, readRetry) {
 			return 0, ctx.Err()
 		}
@@ -214,10 +272,10 @@
 
 // readAll reads a partition up to its end, or to the end given if that is not
 // negative, and returns the next offset.
-func readAll(ctx context.Context, client *platform.Client, topic string, end int64, take func([]byte) error) (int64, error) {
+func readAll(ctx context.Context, client *platform.Client, topic string, part int, end int64, take func([]byte) error) (int64, error) {
 	var from int64
 	for {
-		b, err := client.ReadLog(ctx, readTimeout, platform.Read{Topic: topic, From: from})
+		b, err := client.ReadLog(ctx, readTimeout, platform.Read{Topic: topic, Part: part, From: from})
 		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
 			from = expired.First
 			continue
--- a/leader/read.go
+++ b/leader/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflyfold/fireflyfold/boottime"
@@ -12,11 +13,11 @@
 	"github.com/fireflyfold/fireflyfold/region"
 )
 
-// readIntake follows the submissions and cancellations of all hosts.
-func (l *Leader) readIntake(ctx context.Context, from int64) {
+// readIntake follows one partition of the submissions and cancellations of all hosts.
+func (l *Leader) readIntake(ctx context.Context, part int, from int64) {
 	for ctx.Err() == nil {
 		sent := boottime.Now()
-		b, err := l.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: TopicIntake, From: from, Wait: readWait})
+		b, err := l.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: TopicIntake, Part: part, From: from, Wait: readWait})
 		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
 			l.cfg.Log.WithError(err).Error("records of the intake expired unread")
 			from = expired.First
@@ -27,7 +28,7 @@
 			continue
 		}
 		from += int64(len(b.Records))
-		l.intakeAt.Store(int64(sent))
+		l.intakeAt[part].Store(int64(sent))
 		if ev := l.decodeIntake(b.Records); len(ev.Records) > 0 {
 			l.push(ctx, ev)
 		}
@@ -137,15 +138,53 @@
 	}
 }
 
-// Fresh reports whether the region's entries have grown since an offset within
-// wait: some host leads and reaches the log.
-func Fresh(ctx context.Context, client *platform.Client, from int64, wait time.Duration) (grown bool, end int64, err error) {
-	b, err := client.ReadLog(ctx, readTimeout, platform.Read{Topic: TopicEntries, From: from, Wait: wait, MaxKB: 1})
-	if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
-		return true, expired.First, nil
+// Watcher looks whether some host leads and reaches the log.
+type Watcher struct {
+	client *platform.Client
+	ends   [entryParts]int64
+}
+
+// NewWatcher returns a watcher.
+func NewWatcher(client *platform.Client) *Watcher { return &Watcher{client: client} }
+
+// Silent reports whether the region's entries stand still for a while. Every
+// partition has to be read for it, as a leader may write to any.
+func (w *Watcher) Silent(ctx context.Context, wait time.Duration) bool {
+	if _, ok := w.grown(ctx, 0); !ok { // find the ends first
+		return false
 	}
-	if err != nil {
-		return false, from, err
+	grown, ok := w.grown(ctx, wait)
+	return ok && !grown
+}
+
+// grown reads all partitions at once; ok is false if one cannot be read.
+func (w *Watcher) grown(ctx context.Context, wait time.Duration) (grown, ok bool) {
+	var (
+		group conc.WaitGroup
+		more  [entryParts]bool
+		errs  [entryParts]error
+	)
+	for part := range w.ends {
+		group.Go(func() {
+			b, err := w.client.ReadLog(ctx, readTimeout, platform.Read{
+				Topic: TopicEntries, Part: part, From: w.ends[part], Wait: wait, MaxKB: 1,
+			})
+			if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
+				b.End, err = expired.First, nil
+			}
+			errs[part] = err
+			if err == nil {
+				more[part] = b.End > w.ends[part]
+				w.ends[part] = b.End
+			}
+		})
+	}
+	group.Wait()
+	for part := range errs {
+		if errs[part] != nil {
+			return false, false
+		}
+		grown = grown || more[part]
 	}
-	return b.End > from, b.End, nil
+	return grown, true
 }
--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -1,7 +1,12 @@
-// Package logwriter appends records to one partition of the platform's log,
-// many to a call and one call at a time. Calls carry a producer, an epoch and a
-// sequence number, so that one whose answer was lost is repeated without
-// writing its records twice.
+// Package logwriter appends records to a topic of the platform's log, many to a
+// call and one call at a time. Calls carry a producer, an epoch and a sequence
+// number, so that one whose answer was lost is repeated without writing its
+// records twice.
+//
+// A topic has a few partitions, of which one is used as long as it answers. When
+// it does not, the same records go to the next one: some partitions may be down
+// while others work. A record can then stand in two partitions; readers count
+// it once.
 package logwriter
 
 import (
@@ -16,7 +21,7 @@
 const (
 	// firstTimeout is how long the first try of a call may take: the store
 	// answers in milliseconds, and a silent connection costs this much.
-	firstTimeout = 800 * time.Millisecond
+	firstTimeout = 500 * time.Millisecond
 	// longestTimeout bounds later tries, for a store that is slow for everyone.
 	longestTimeout = 3 * time.Second
 	// firstPause and longestPause bound the pause between tries.
@@ -34,7 +39,7 @@
 // Target names where records go and as whom.
 type Target struct {
 	Topic     string
-	Part      int
+	Parts     int // partitions that may be used
 	Producer  string
 	Epoch     int64
 	FirstSeq  int64
@@ -80,7 +85,9 @@
 type Writer struct {
 	store  Store
 	target Target
-	seq    int64
+	lanes  []lane
+	part   int   // partition in use
+	batch  int64 // number of the batch that is being written
 
 	mu      sync.Mutex
 	queue   []*Pending
@@ -89,9 +96,23 @@
 	triedAt time.Duration // when the last try that failed began
 }
 
+// lane is one partition.
+type lane struct {
+	seq int64
+	// open is a call without an answer. It is settled before the next one goes
+	// there: its sequence number may or may not be taken.
+	open  *platform.Append
+	batch int64 // which batch the open call holds
+}
+
 // New returns a writer; Run does the work.
 func New(store Store, target Target) *Writer {
-	return &Writer{store: store, target: target, seq: target.FirstSeq, wake: make(chan struct{}, 1), healthy: true}
+	w := &Writer{store: store, target: target, wake: make(chan struct{}, 1), healthy: true}
+	w.lanes = make([]lane, max(target.Parts, 1))
+	for i := range w.lanes {
+		w.lanes[i].seq = target.FirstSeq
+	}
+	return w
 }
 
 // Write hands in a record. kept is called once it is in the log, from the
@@ -158,29 +179,27 @@
 	return batch
 }
 
-// send repeats one call until it is answered.
+// send writes a batch to one partition after the other until one answers.
 func (w *Writer) send(ctx context.Context, batch []*Pending) (Kept, error) {
-	call := platform.Append{
-		Topic: w.target.Topic, Part: w.target.Part, Producer: w.target.Producer,
-		Epoch: w.target.Epoch, Seq: w.seq, At: -1,
-	}
+	records := make([][]byte, 0, len(batch))
 	for _, p := range batch {
-		call.Records = append(call.Records, p.data)
+		records = append(records, p.data)
 	}
+	w.batch++
 	timeout, pause := firstTimeout, firstPause
 	for {
 		sentAt := boottime.Now()
-		_, err := w.store.Append(ctx, timeout, call)
+		err := w.try(ctx, timeout, records)
 		w.note(err == nil, sentAt)
 		switch {
 		case err == nil:
-			w.seq++
 			return Kept{SentAt: sentAt}, nil
 		case platform.Fenced(err), platform.OutOfSequence(err):
 			return Kept{}, &ReplacedError{Cause: err}
 		case !platform.IsRefused(err):
 			timeout = min(2*timeout, longestTimeout)
 		}
+		w.part = (w.part + 1) % len(w.lanes)
 		if !sleep(ctx, pause) {
 			return Kept{}, ctx.Err()
 		}
@@ -188,6 +207,36 @@
 	}
 }
 
+// try writes records to the partition in use, after settling an open call.
+func (w *Writer) try(ctx context.Context, timeout time.Duration, records [][]byte) error {
+	l := &w.lanes[w.part]
+	if l.open != nil {
+		same := l.batch == w.batch
+		if err := w.call(ctx, timeout, l, *l.open); err != nil || same {
+			return err
+		}
+	}
+	return w.call(ctx, timeout, l, platform.Append{
+		Topic: w.target.Topic, Part: w.part, Producer: w.target.Producer,
+		Epoch: w.target.Epoch, Seq: l.seq, At: -1, Records: records,
+	})
+}
+
+func (w *Writer) call(ctx context.Context, timeout time.Duration, l *lane, a platform.Append) error {
+	_, err := w.store.Append(ctx, timeout, a)
+	switch {
+	case err == nil:
+		l.seq = a.Seq + 1
+		l.open = nil
+	case !platform.IsRefused(err):
+		if l.open == nil {
+			l.batch = w.batch
+		}
+		l.open = &a
+	}
+	return err
+}
+
 func (w *Writer) note(ok bool, at time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- /dev/null
+++ b/logwriter/logwriter_test.go
@@ -0,0 +1,127 @@
+package logwriter
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/fireflyfold/fireflyfold/platform"
+)
+
+// fakeLog answers appends by a script and keeps what it carried out.
+type fakeLog struct {
+	script []error // of the calls in turn; nil for success, and after the end
+	doneIn []bool  // whether a call that fails is carried out all the same
+	calls  []platform.Append
+	kept   [][]string // by partition
+}
+
+func (f *fakeLog) Append(_ context.Context, _ time.Duration, a platform.Append) (platform.Appended, error) {
+	i := len(f.calls)
+	f.calls = append(f.calls, a)
+	var err error
+	if i < len(f.script) {
+		err = f.script[i]
+	}
+	repeat := slices.ContainsFunc(f.calls[:i], func(b platform.Append) bool { return b.Part == a.Part && b.Seq == a.Seq })
+	if (err == nil || f.doneIn[i]) && !repeat {
+		for len(f.kept) <= a.Part {
+			f.kept = append(f.kept, nil)
+		}
+		for _, r := range a.Records {
+			f.kept[a.Part] = append(f.kept[a.Part], string(r))
+		}
+	}
+	return platform.Appended{}, err
+}
+
+var (
+	errNoAnswer = &platform.NoAnswerError{Cause: context.DeadlineExceeded}
+	errBusy     = &platform.StatusError{Status: http.StatusServiceUnavailable}
+	errFenced   = &platform.StatusError{Status: http.StatusConflict, Reason: "fenced"}
+)
+
+// write hands in records one after the other and waits for each.
+func write(t *testing.T, w *Writer, records ...string) {
+	t.Helper()
+	for _, r := range records {
+		done := make(chan struct{})
+		w.Write([]byte(r), func(Kept) { close(done) })
+		<-done
+	}
+}
+
+func run(t *testing.T, f *fakeLog, parts int) *Writer {
+	t.Helper()
+	w := New(f, Target{Topic: "t", Parts: parts, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 1 << 20})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return w
+}
+
+// A call is carried out but its answer is lost. It is repeated under its own
+// number, so that the record stands in the log once.
+func TestLostAnswerIsRepeated(t *testing.T) {
+	f := &fakeLog{script: []error{nil, errNoAnswer}, doneIn: []bool{true, true}}
+	write(t, run(t, f, 1), "a", "b", "c")
+	if diff := cmp.Diff([][]string{{"a", "b", "c"}}, f.kept); diff != "" {
+		t.Error(diff)
+	}
+	if f.calls[1].Seq != f.calls[2].Seq {
+		t.Errorf("repeated as number %d, not %d", f.calls[2].Seq, f.calls[1].Seq)
+	}
+}
+
+// One partition stops answering. Its open call is settled before anything else
+// goes there again: without that, the partition would refuse the next call for
+// its number, and the writer would believe that another one took over.
+func TestOpenCallIsSettledFirst(t *testing.T) {
+	f := &fakeLog{script: []error{nil, errNoAnswer, nil, errNoAnswer, nil, nil}, doneIn: []bool{true, false, true, false, true, true}}
+	write(t, run(t, f, 2), "a", "b", "c", "d")
+	last := f.calls[len(f.calls)-1]
+	var numbers [][2]int64
+	for _, c := range f.calls {
+		numbers = append(numbers, [2]int64{int64(c.Part), c.Seq})
+	}
+	want := [][2]int64{{0, 1}, {0, 2}, {1, 1}, {1, 2}, {0, 2}, {0, 3}, {0, 4}}
+	if diff := cmp.Diff(want, numbers); diff != "" {
+		t.Error(diff)
+	}
+	if string(last.Records[0]) != "d" {
+		t.Errorf("the last call wrote %q", last.Records[0])
+	}
+}
+
+// A record that was never part of a call can be taken back, and then the caller
+// may be told that nothing was kept; one that was sent cannot.
+func TestWithdraw(t *testing.T) {
+	w := New(&fakeLog{}, Target{CallBytes: 100})
+	first := w.Write([]byte("a"), func(Kept) {})
+	second := w.Write([]byte("b"), func(Kept) {})
+	if !second.Withdraw() {
+		t.Error("a record that was not sent could not be taken back")
+	}
+	if batch := w.take(); len(batch) != 1 {
+		t.Errorf("%d records are sent, want 1", len(batch))
+	}
+	if first.Withdraw() {
+		t.Error("a record that was sent was taken back")
+	}
+}
+
+// A writer that another one has replaced stops, and refusals do not stop it.
+func TestReplacedWriterStops(t *testing.T) {
+	f := &fakeLog{script: []error{errBusy, errFenced}, doneIn: []bool{false, false}}
+	w := New(f, Target{Parts: 1, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 100})
+	w.Write([]byte("a"), func(Kept) { t.Error("kept") })
+	err := w.Run(context.Background())
+	if _, replaced := err.(*ReplacedError); !replaced {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/region/job.go
+++ b/region/job.go
@@ -101,6 +101,10 @@
 		s.addOccurrence(j)
 	}
 	s.publish(j)
+	if _, early := s.cancelledEarly[rec.Id]; early {
+		delete(s.cancelledEarly, rec.Id)
+		s.cancel(rec.Id)
+	}
 	return j
 }
 
@@ -205,7 +209,13 @@
 // cancel ends a job at its caller's wish.
 func (s *Scheduler) cancel(id string) {
 	j, known := s.jobs[id]
-	if !known || j.over() {
+	if !known {
+		// The cancellation has overtaken the submission, which lies in another
+		// partition of the log.
+		s.cancelledEarly[id] = s.now
+		return
+	}
+	if j.over() {
 		return
 	}
 	j.cancelled = true
@@ -315,6 +325,11 @@
 		n++
 	}
 	s.finished = s.finished[n:]
+	for id, at := range s.cancelledEarly {
+		if s.now-at > s.opts.StatusKept {
+			delete(s.cancelledEarly, id)
+		}
+	}
 }
 
 func (s *Scheduler) anyAlive(j *job) bool {
--- a/region/region.go
+++ b/region/region.go
@@ -57,17 +57,19 @@
 	unixMs int64 // time of day at the last tick
 	fence  int64 // 0 before leadership
 
-	config    *model.Config
-	jobs      map[string]*job
-	workers   map[string]*worker
-	order     []*worker // workers in a stable order
-	ready     readyList // steps with tasks that wait, most urgent first
-	used      map[string]model.Resources
-	advisers  advisers
-	timed     []*job // jobs with further occurrences
-	finished  []*job // in the order they ended
-	estimates estimates
-	shares    shares
+	config *model.Config
+	jobs   map[string]*job
+	// cancelledEarly holds cancellations of jobs that have not been read yet.
+	cancelledEarly map[string]time.Duration
+	workers        map[string]*worker
+	order          []*worker // workers in a stable order
+	ready          readyList // steps with tasks that wait, most urgent first
+	used           map[string]model.Resources
+	advisers       advisers
+	timed          []*job // jobs with further occurrences
+	finished       []*job // in the order they ended
+	estimates      estimates
+	shares         shares
 
 	entries   []*record.Entry // produced by this Step
 	seq       int64           // number of the last entry produced
@@ -94,10 +96,11 @@
 // New returns a scheduler that has read nothing yet.
 func New(opts Options) *Scheduler {
 	return &Scheduler{
-		opts:    opts,
-		jobs:    make(map[string]*job),
-		workers: make(map[string]*worker),
-		used:    make(map[string]model.Resources),
+		opts:           opts,
+		jobs:           make(map[string]*job),
+		cancelledEarly: make(map[string]time.Duration),
+		workers:        make(map[string]*worker),
+		used:           make(map[string]model.Resources),
 	}
 }
 
@@ -175,8 +178,9 @@
 	if s.seq == s.logged {
 		s.unkeptAt = s.now
 	}
-	s.entries = append(s.entries, e)
 	s.seq++
+	e.Fence, e.Seq = s.fence, s.seq
+	s.entries = append(s.entries, e)
 	s.appendAt = s.now
 	return s.seq
 }
