--- a/boottime/boottime.go
+++ b/boottime/boottime.go
@@ -7,6 +7,7 @@
 package boottime
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -22,3 +23,15 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits and reports whether ctx still goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/host/configwatch.go
+++ b/host/configwatch.go
@@ -58,7 +58,7 @@
 		c.note(err)
 		if err != nil {
 			c.askPeers(ctx)
-			sleep(ctx, configRetry)
+			boottime.Sleep(ctx, configRetry)
 			continue
 		}
 		c.provenAt.Store(int64(sent))
@@ -181,14 +181,3 @@
 	c.log.WithFields(logrus.Fields{"version": next.Version, "queues": len(next.Queues), "keys": len(next.KeyOwner)}).
 		Info("configuration in force")
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/host/election.go
+++ b/host/election.go
@@ -29,7 +29,7 @@
 	// pingEvery is how often a host asks the leader for a sign of life.
 	pingEvery = 300 * time.Millisecond
 	// pingTimeout bounds a ping. A busy host answers within some 100 ms.
-	pingTimeout = 500 * time.Millisecond
+	pingTimeout = 350 * time.Millisecond
 	// silence is how long the leader's entries must stand still, by a read of
 	// the log, before another host takes over. A leader appends every 300 ms.
 	silence = 700 * time.Millisecond
@@ -38,7 +38,7 @@
 	// than an append takes when the log is slow for everyone.
 	staleLead = 900 * time.Millisecond
 	// jitter spreads the claims of hosts that notice at the same time.
-	jitter = 150 * time.Millisecond
+	jitter = 60 * time.Millisecond
 )
 
 // election finds the leader and claims the lead when there is none.
@@ -94,7 +94,7 @@
 			continue
 		}
 		if err != nil {
-			sleep(ctx, configRetry)
+			boottime.Sleep(ctx, configRetry)
 			continue
 		}
 		e.took(from, b.Records, b.End)
@@ -147,7 +147,7 @@
 			continue
 		}
 		if _, fence := e.current(); e.leaderGone(ctx) {
-			sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
+			boottime.Sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
 			e.try(ctx, fence)
 		}
 	}
@@ -164,7 +164,13 @@
 	if claim == nil || (claim.Host == e.host.settings.Host && e.leading() == nil) {
 		return true // nobody has ever led, or we did in an earlier life
 	}
-	return !e.ping(ctx, claim) && e.watcher.Silent(ctx, silence)
+	switch e.ping(ctx, claim) {
+	case leads:
+		return false
+	case gone:
+		return true
+	}
+	return e.watcher.Silent(ctx, silence)
 }
 
 // others returns addresses of other hosts, a few in turn, the leader first.
@@ -186,18 +192,35 @@
 	return out
 }
 
-// ping reports whether the leader answers and reaches the log.
-func (e *election) ping(ctx context.Context, claim *record.Claim) bool {
+// sign is what a ping tells of the leader.
+type sign int
+
+const (
+	doubtful sign = iota // no answer, not leading (yet), or without the log
+	leads
+	gone // its process has ended: another one answers in its place
+)
+
+// ping asks the leader for a sign of life.
+func (e *election) ping(ctx context.Context, claim *record.Claim) sign {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	resp, err := e.host.peers.leader(claim.Address).Ping(ctx, e.host.pingRequest())
-	if err != nil {
-		return false
+	switch {
+	case err != nil:
+		return doubtful
+	case resp.Msg.Incarnation != claim.Incarnation:
+		return gone
+	case !resp.Msg.Leading:
+		return doubtful
 	}
 	e.mu.Lock()
 	e.hosts = resp.Msg.Hosts
 	e.mu.Unlock()
-	return time.Duration(resp.Msg.LogContactMs)*time.Millisecond < staleLead
+	if time.Duration(resp.Msg.LogContactMs)*time.Millisecond >= staleLead {
+		return doubtful
+	}
+	return leads
 }
 
 // try claims the lead after the leader with that fencing token. The claim holds
--- a/host/host.go
+++ b/host/host.go
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	h.election.handOver(ctx)
-	sleep(ctx, drainTime)
+	boottime.Sleep(ctx, drainTime)
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
 			h.log.WithError(err).Warn("connections were still busy at the end")
--- a/host/peers.go
+++ b/host/peers.go
@@ -144,11 +144,13 @@
 func (h *Host) Ping(_ context.Context, req *connect.Request[hostrpc.PingRequest]) (*connect.Response[hostrpc.PingResponse], error) {
 	l := h.election.leading()
 	if l == nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
+		return connect.NewResponse(&hostrpc.PingResponse{Incarnation: h.incarnation}), nil
 	}
 	h.helpers.ping(req.Msg)
-	_, fence := h.election.current()
-	return connect.NewResponse(&hostrpc.PingResponse{Fence: fence, LogContactMs: l.LogContactAge().Milliseconds(), Hosts: h.helpers.addresses()}), nil
+	return connect.NewResponse(&hostrpc.PingResponse{
+		Leading: true, Incarnation: h.incarnation,
+		LogContactMs: l.LogContactAge().Milliseconds(), Hosts: h.helpers.addresses(),
+	}), nil
 }
 
 // State implements hostrpc.LeaderHandler.
--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -50,7 +50,7 @@
 
 func (d *dispatcher) later(after time.Duration, call func()) {
 	d.calls.Go(func() {
-		if after > 0 && !pause(d.ctx, after) {
+		if after > 0 && !boottime.Sleep(d.ctx, after) {
 			return
 		}
 		call()
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -87,7 +87,7 @@
 	loaded   atomic.Bool
 	intakeAt [IntakeParts]atomic.Int64 // when the newest answered read of each partition of the intake was sent
 	loggedAt atomic.Int64              // when the newest append was answered
-	ctx      context.Context // ends with the leadership
+	ctx      context.Context           // ends with the leadership
 	deposed  context.CancelCauseFunc
 }
 
@@ -264,7 +264,7 @@
 			return 0, &DeposedError{Why: "a later leader has fenced this one off"}
 		}
 		l.cfg.Log.WithError(err).WithField("part", part).Warn("fence not written yet")
-		if !pause(ctx, readRetry) {
+		if !boottime.Sleep(ctx, readRetry) {
 			return 0, ctx.Err()
 		}
 	}
@@ -281,7 +281,7 @@
 			continue
 		}
 		if err != nil {
-			if !pause(ctx, readRetry) {
+			if !boottime.Sleep(ctx, readRetry) {
 				return 0, err
 			}
 			continue
@@ -359,14 +359,3 @@
 }
 
 func (l *Leader) push(ctx context.Context, ev region.Event) { l.events.Push(ctx, ev) }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/leader/read.go
+++ b/leader/read.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		if err != nil {
-			pause(ctx, readRetry)
+			boottime.Sleep(ctx, readRetry)
 			continue
 		}
 		from += int64(len(b.Records))
@@ -53,7 +53,7 @@
 	w := &workerWatch{leader: l, listed: make(map[string]bool)}
 	for ctx.Err() == nil {
 		if !w.follow(ctx) {
-			pause(ctx, readRetry)
+			boottime.Sleep(ctx, readRetry)
 		}
 	}
 }
@@ -91,7 +91,7 @@
 		w.entry(ctx, key, value)
 	}
 	if left := listEvery - (boottime.Now() - began); left > 0 {
-		pause(ctx, left)
+		boottime.Sleep(ctx, left)
 	}
 	return true
 }
--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -200,7 +200,7 @@
 			timeout = min(2*timeout, longestTimeout)
 		}
 		w.part = (w.part + 1) % len(w.lanes)
-		if !sleep(ctx, pause) {
+		if !boottime.Sleep(ctx, pause) {
 			return Kept{}, ctx.Err()
 		}
 		pause = min(2*pause, longestPause)
@@ -243,15 +243,3 @@
 	w.healthy = ok
 	w.triedAt = at
 }
-
-// sleep waits and reports whether ctx still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
