Tasks that last: an end as done is not the last one, and they come before other work

Found by TestLongRunningIsRestarted, red before: a lasting task that ended as done completed its job.

--- a/model/model.go
+++ b/model/model.go
@@ -10,6 +10,9 @@
 	"github.com/fireflyfold/fireflyfold/record"
 )
 
+// MilliPerCore is how many thousandths a core has.
+const MilliPerCore = 1000
+
 // Resources is an amount of each resource, in exact integers.
 type Resources struct {
 	MilliCPU     int64
--- a/region/job.go
+++ b/region/job.go
@@ -47,6 +47,9 @@
 	advice   adviceState
 	blocked  string // what held it back at the last look
 	notUntil time.Duration
+
+	waitsFrom  time.Duration // since when a task of it waits
+	madeRoomAt time.Duration // when work was last stopped for it
 }
 
 // task is one task of a step.
--- a/region/pass.go
+++ b/region/pass.go
@@ -119,6 +119,8 @@
 // it is too late, and none would be on time.
 func (s *Scheduler) classOf(st *step) class {
 	switch {
+	case st.rec.LongRunning:
+		return classOnTime // it is to be at work at any time, not by an objective
 	case s.now > st.lateAt:
 		return classRest
 	case s.now > st.key:
@@ -159,6 +161,7 @@
 		reserving := st.rec.Gang && gangs < reservedGangs+keptGangs && (gangs < reservedGangs || c <= classExcess)
 		if !reserving && s.hopeless(st) {
 			st.blocked = reasonNames[rejectRoom]
+			s.makeRoom(st)
 			if c <= classExcess {
 				s.wantFirstAdvice(st)
 			}
@@ -170,6 +173,7 @@
 		if s.place(st) {
 			continue
 		}
+		s.makeRoom(st)
 		tries++
 		if tries > headTries {
 			s.turns[c] = i + 1
--- a/region/place.go
+++ b/region/place.go
@@ -120,9 +120,10 @@
 }
 
 // passesReserved reports whether the step may use workers where a gang collects
-// room: only urgent small tasks that can still be on time, as they are over soon.
+// room: urgent small tasks that can still be on time, as they are over soon, and
+// tasks that last, which come before all else.
 func (s *Scheduler) passesReserved(st *step) bool {
-	return st.job.rec.Policy.GetPriority() == 0 && s.now <= st.key && !st.rec.LongRunning
+	return st.rec.LongRunning || st.job.rec.Policy.GetPriority() == 0 && s.now <= st.key
 }
 
 // admits reports whether the step may use a worker for which gangs wait.
--- a/region/ready.go
+++ b/region/ready.go
@@ -5,11 +5,18 @@
 	"slices"
 )
 
-// readyList holds the steps with tasks that wait, most urgent first: by the
-// queue's priority, then by the latest start that meets the objective.
+// readyList holds the steps with tasks that wait, most urgent first: tasks that
+// last, as their users are without them, then by the queue's priority and by the
+// latest start that meets the objective.
 type readyList struct{ steps []*step }
 
 func compareSteps(a, b *step) int {
+	if a.rec.LongRunning != b.rec.LongRunning {
+		if a.rec.LongRunning {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(
 		cmp.Compare(a.job.rec.Policy.GetPriority(), b.job.rec.Policy.GetPriority()),
 		cmp.Compare(a.key, b.key),
@@ -25,6 +32,7 @@
 		return
 	}
 	st.queued = true
+	st.waitsFrom = s.now
 	at, _ := slices.BinarySearchFunc(s.ready.steps, st, compareSteps)
 	s.ready.steps = slices.Insert(s.ready.steps, at, st)
 }
--- a/region/run.go
+++ b/region/run.go
@@ -293,6 +293,12 @@
 	s.countEnd(t, number, outcome, checkpoint)
 }
 
+// endsAs reports whether an end of that kind is the task's last: one that lasts
+// is started again however it ends.
+func (t *task) endsAs(outcome record.Outcome) bool {
+	return outcome == record.Outcome_OUTCOME_DONE && !t.step.rec.LongRunning
+}
+
 // runEnded applies an end that a worker lists.
 func (s *Scheduler) runEnded(w *worker, e model.End) {
 	t := s.find(e.Task)
@@ -305,7 +311,7 @@
 		s.release(r)
 		r = nil
 	}
-	if e.Run <= t.endedRun && (e.Outcome != record.Outcome_OUTCOME_DONE || t.done) {
+	if e.Run <= t.endedRun && (!t.endsAs(e.Outcome) || t.done) {
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
@@ -314,7 +320,7 @@
 		s.explain(e.Task.Job, "run failed", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step},
 			Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"attempts", t.attempts})
 	}
-	if e.Outcome == record.Outcome_OUTCOME_DONE {
+	if t.endsAs(e.Outcome) {
 		if r != nil {
 			s.stopRun(r, "an earlier run is done")
 		}
--- a/region/step_test.go
+++ b/region/step_test.go
@@ -132,3 +132,62 @@
 	w.run(8 * time.Second)
 	w.mustComplete("a")
 }
+
+// A task that lasts is started again however it ends, as often as it takes, and
+// ends for good only with its job.
+func TestLongRunningIsRestarted(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 4)
+	w.fails = func(_ model.TaskID, run int32) bool { return run%2 == 0 }
+	w.lasting = true
+	w.lead()
+	w.submit(oneStep("a", &record.Step{Count: 1, LongRunning: true}))
+	w.run(10 * time.Second)
+	id := model.TaskID{Job: "a"}
+	if n := w.starts[id]; n < 10 {
+		t.Errorf("started %d times in 10 s of runs of 0.5 s", n)
+	}
+	if w.states["a"] != StateRunning {
+		t.Errorf("job is %v, not running", w.states["a"])
+	}
+	w.cancel("a")
+	w.run(2 * time.Second)
+	n := w.starts[id]
+	w.run(2 * time.Second)
+	if w.starts[id] != n {
+		t.Error("started after its job was cancelled")
+	}
+}
+
+// All workers are full of long batch work when a service is handed in whose
+// users wait for it. It is at work within seconds, at the cost of the batch
+// tasks that lose least, and those are done later.
+func TestLastingTaskMakesRoom(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 4)
+	w.addWorker("w2", 4)
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "service" {
+			return time.Hour
+		}
+		return 20 * time.Second
+	}
+	w.lead()
+	w.submit(oneStep("batch", &record.Step{Count: 8}))
+	w.run(2 * time.Second)
+	w.submit(oneStep("service", &record.Step{Count: 1, LongRunning: true, Request: &record.Resources{MilliCpu: 2000, MemoryMib: 100}}))
+	w.run(3 * time.Second)
+	running := 0
+	for _, fw := range w.workers {
+		for id := range fw.runs {
+			if id.Job == "service" {
+				running++
+			}
+		}
+	}
+	if running != 1 {
+		t.Fatalf("%d tasks of the service run after 3 s", running)
+	}
+	w.run(60 * time.Second)
+	w.mustComplete("batch")
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -361,7 +361,7 @@
 		s.saved(t, checkpoint)
 	}
 	switch {
-	case outcome == record.Outcome_OUTCOME_DONE:
+	case t.endsAs(outcome):
 		s.taskDone(t)
 	case outcome == record.Outcome_OUTCOME_FAILED && first:
 		s.countFailure(t)
