--- a/host/election.go
+++ b/host/election.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,14 @@
 	// others to take over, and before they look whether they reach it: longer
 	// than an append takes when the log is slow for everyone.
 	staleLead = 900 * time.Millisecond
+	// refusedLead is how long the log may do nothing but refuse a leader before it
+	// asks the others to take over: refusals come at once, however slow the log is.
+	refusedLead = 250 * time.Millisecond
+	// closedSilence is the same as silence if the leader's port is closed: its
+	// process has ended, unless a cut makes it look so.
+	closedSilence = 450 * time.Millisecond
+	// handOverTimeout bounds the wait for a helper that claims.
+	handOverTimeout = claimTimeout + 300*time.Millisecond
 	// jitter spreads the claims of hosts that notice at the same time.
 	jitter = 60 * time.Millisecond
 )
@@ -140,7 +149,7 @@
 			continue
 		}
 		if l := e.leading(); l != nil {
-			if l.LogContactAge() > staleLead {
+			if l.LogContactAge() > staleLead || l.LogRefusedFor() > refusedLead {
 				// The log may turn only this host away: whoever reaches it claims.
 				e.handOver(ctx)
 			}
@@ -169,6 +178,8 @@
 		return false
 	case gone:
 		return true
+	case closed:
+		return e.watcher.Silent(ctx, closedSilence)
 	}
 	return e.watcher.Silent(ctx, silence)
 }
@@ -198,7 +209,8 @@
 const (
 	doubtful sign = iota // no answer, not leading (yet), or without the log
 	leads
-	gone // its process has ended: another one answers in its place
+	closed // nobody listens at its port
+	gone   // its process has ended: another one answers in its place
 )
 
 // ping asks the leader for a sign of life.
@@ -207,6 +219,8 @@
 	defer cancel()
 	resp, err := e.host.peers.leader(claim.Address).Ping(ctx, e.host.pingRequest())
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return closed
 	case err != nil:
 		return doubtful
 	case resp.Msg.Incarnation != claim.Incarnation:
@@ -227,13 +241,14 @@
 // only if no other was written since, so that of several hosts that notice at
 // the same time one succeeds. A host that reads a new claim while it still looks
 // at the old leader must not claim behind it: each such claim would cost another
-// change of leader, and every host would have its turn.
-func (e *election) try(ctx context.Context, fence int64) {
+// change of leader, and every host would have its turn. It reports whether this
+// host leads.
+func (e *election) try(ctx context.Context, fence int64) bool {
 	e.mu.Lock()
 	at, now := e.next, e.fence
 	e.mu.Unlock()
 	if now != fence || e.leading() != nil {
-		return
+		return e.leading() != nil
 	}
 	claim := &record.Claim{Host: e.host.settings.Host, Address: e.host.settings.Control, Incarnation: e.host.incarnation}
 	data, err := proto.Marshal(claim)
@@ -245,10 +260,11 @@
 		// Without an answer the claim may stand: watchClaims will read it, and
 		// as it names this host without a leadership, it is claimed anew.
 		e.host.log.WithError(err).WithField("after_fence", fence).Info("lead not claimed")
-		return
+		return false
 	}
 	e.took(got.First, [][]byte{data}, got.First+1)
 	e.begin(ctx, got.First+1)
+	return true
 }
 
 // begin leads in the background until another host takes over.
@@ -281,7 +297,7 @@
 		return
 	}
 	for _, p := range e.host.helpers.youngestFirst() {
-		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		_, err := e.host.peers.helper(p.address).TakeOver(callCtx, newRequest(&hostrpc.TakeOverRequest{Fence: fence}))
 		cancel()
 		if err == nil {
--- a/host/peers.go
+++ b/host/peers.go
@@ -289,7 +289,9 @@
 		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
 	}
 	h.log.WithField("fence", req.Msg.Fence).Info("leader asks this host to take over")
-	h.group.Go(func() { h.election.try(h.work, req.Msg.Fence) })
+	if !h.election.try(h.work, req.Msg.Fence) {
+		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
+	}
 	return connect.NewResponse(&hostrpc.TakeOverResponse{}), nil
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -135,6 +135,14 @@
 	l.deposed(&DeposedError{Why: "fencing token " + strconv.FormatInt(fence, 10) + " has been claimed"})
 }
 
+// LogRefusedFor is how long the log has done nothing but refuse this host.
+func (l *Leader) LogRefusedFor() time.Duration {
+	if !l.loaded.Load() {
+		return 0
+	}
+	return l.writer.RefusedFor()
+}
+
 // LogContactAge is how long ago the log last answered an append.
 func (l *Leader) LogContactAge() time.Duration {
 	return boottime.Now() - time.Duration(l.loggedAt.Load())
--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -93,7 +93,7 @@
 	queue   []*Pending
 	wake    chan struct{}
 	healthy bool          // the last try succeeded
-	triedAt time.Duration // when the last try that failed began
+	refused time.Duration // since when every answer was a refusal; 0 if the last one was not
 }
 
 // lane is one partition.
@@ -190,7 +190,7 @@
 	for {
 		sentAt := boottime.Now()
 		err := w.try(ctx, timeout, records)
-		w.note(err == nil, sentAt)
+		w.note(err, sentAt)
 		switch {
 		case err == nil:
 			return Kept{SentAt: sentAt}, nil
@@ -237,9 +237,24 @@
 	return err
 }
 
-func (w *Writer) note(ok bool, at time.Duration) {
+func (w *Writer) note(err error, at time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.healthy = ok
-	w.triedAt = at
+	w.healthy = err == nil
+	switch {
+	case !platform.IsRefused(err):
+		w.refused = 0
+	case w.refused == 0:
+		w.refused = at
+	}
+}
+
+// RefusedFor returns for how long the log has answered with refusals alone.
+func (w *Writer) RefusedFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refused == 0 {
+		return 0
+	}
+	return boottime.Now() - w.refused
 }
