--- a/host/peers.go
+++ b/host/peers.go
@@ -281,13 +281,16 @@
 }
 
 // TakeOver implements hostrpc.HelperHandler.
-func (h *Host) TakeOver(_ context.Context, req *connect.Request[hostrpc.TakeOverRequest]) (*connect.Response[hostrpc.TakeOverResponse], error) {
+func (h *Host) TakeOver(ctx context.Context, req *connect.Request[hostrpc.TakeOverRequest]) (*connect.Response[hostrpc.TakeOverResponse], error) {
 	if h.stopping.Load() {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errStopping)
 	}
 	if !h.intake.Healthy() || h.config.LogAge() > logContactLife {
 		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
 	}
+	if !h.election.watcher.Reachable(ctx) {
+		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
+	}
 	h.log.WithField("fence", req.Msg.Fence).Info("leader asks this host to take over")
 	if !h.election.try(h.work, req.Msg.Fence) {
 		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -50,6 +50,9 @@
 	adviceSlack = 1500 * time.Millisecond
 	// readTimeout bounds a read of the log beyond the time it may wait.
 	readTimeout = 1200 * time.Millisecond
+	// fenceTimeout bounds the first try to fence a partition off; later ones have
+	// twice as long each, up to readTimeout.
+	fenceTimeout = 300 * time.Millisecond
 	// readWait is how long the log may wait for a record.
 	readWait = time.Second
 	// readRetry is the pause after a read that failed.
@@ -143,9 +146,18 @@
 	return l.writer.RefusedFor()
 }
 
-// LogContactAge is how long ago the log last answered an append.
+// loadGrace is how long loading may take beyond the time of one append before
+// the leader counts as cut off from the log.
+const loadGrace = 2500 * time.Millisecond
+
+// LogContactAge is how long ago the log last answered an append; while loading,
+// how long beyond its grace that takes.
 func (l *Leader) LogContactAge() time.Duration {
-	return boottime.Now() - time.Duration(l.loggedAt.Load())
+	age := boottime.Now() - time.Duration(l.loggedAt.Load())
+	if !l.loaded.Load() {
+		return age - loadGrace
+	}
+	return age
 }
 
 // Run leads until ctx ends or another host takes over.
@@ -162,6 +174,7 @@
 	}
 	l.cfg.Log.WithFields(logrus.Fields{"fence": l.cfg.Fence, "load_ms": (boottime.Now() - began).Milliseconds(),
 		"intake": next}).Info("leading")
+	l.loggedAt.Store(int64(boottime.Now()))
 	l.loaded.Store(true)
 	var group conc.WaitGroup
 	for part, from := range next {
@@ -263,8 +276,8 @@
 
 func (l *Leader) fencePart(ctx context.Context, part int) (int64, error) {
 	call := platform.Append{Topic: TopicEntries, Part: part, Producer: producer, Epoch: l.cfg.Fence, Seq: 0, At: -1}
-	for {
-		got, err := l.cfg.Client.Append(ctx, readTimeout, call)
+	for timeout := fenceTimeout; ; timeout = min(2*timeout, readTimeout) {
+		got, err := l.cfg.Client.Append(ctx, timeout, call)
 		switch {
 		case err == nil:
 			return got.End, nil
--- a/leader/read.go
+++ b/leader/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -141,6 +142,7 @@
 // Watcher looks whether some host leads and reaches the log.
 type Watcher struct {
 	client *platform.Client
+	mu     sync.Mutex // one look at a time
 	ends   [entryParts]int64
 }
 
@@ -157,8 +159,18 @@
 	return ok && !grown
 }
 
+// Reachable reports whether every partition of the entries can be read. A host
+// that takes over must fence them all off and read them all: with one of them
+// down it would be stuck, and what the present leader knows would be lost.
+func (w *Watcher) Reachable(ctx context.Context) bool {
+	_, ok := w.grown(ctx, 0)
+	return ok
+}
+
 // grown reads all partitions at once; ok is false if one cannot be read.
 func (w *Watcher) grown(ctx context.Context, wait time.Duration) (grown, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var (
 		group conc.WaitGroup
 		more  [entryParts]bool
--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -19,10 +19,19 @@
 )
 
 const (
-	// firstTimeout is how long the first try of a call may take: the store
-	// answers in milliseconds, and a silent connection costs this much.
-	firstTimeout = 500 * time.Millisecond
-	// longestTimeout bounds later tries, for a store that is slow for everyone.
+	// leastTimeout bounds a try from below: the store answers in some 10 ms, and
+	// a pause of ours must not look like a lost answer.
+	leastTimeout = 150 * time.Millisecond
+	// timeoutFactor times the usual time of an answer is how long a try may take.
+	// A lost answer then costs little, and a store that is slow for everyone is
+	// given the time it needs after a few tries.
+	timeoutFactor = 8
+	// triesBeforeSlow is how many tries without an answer are taken for lost
+	// answers before the store is taken for slow and given more time.
+	triesBeforeSlow = 3
+	// usualMemory is over how many answers the usual time is a mean.
+	usualMemory = 8
+	// longestTimeout bounds a try from above.
 	longestTimeout = 3 * time.Second
 	// firstPause and longestPause bound the pause between tries.
 	firstPause   = 20 * time.Millisecond
@@ -86,8 +95,9 @@
 	store  Store
 	target Target
 	lanes  []lane
-	part   int   // partition in use
-	batch  int64 // number of the batch that is being written
+	part   int           // partition in use
+	batch  int64         // number of the batch that is being written
+	usual  time.Duration // usual time of an answer
 
 	mu      sync.Mutex
 	queue   []*Pending
@@ -186,18 +196,21 @@
 		records = append(records, p.data)
 	}
 	w.batch++
-	timeout, pause := firstTimeout, firstPause
+	timeout, pause, unanswered := w.firstTimeout(), firstPause, 0
 	for {
 		sentAt := boottime.Now()
 		err := w.try(ctx, timeout, records)
 		w.note(err, sentAt)
 		switch {
 		case err == nil:
+			w.usual += (boottime.Now() - sentAt - w.usual) / usualMemory
 			return Kept{SentAt: sentAt}, nil
 		case platform.Fenced(err), platform.OutOfSequence(err):
 			return Kept{}, &ReplacedError{Cause: err}
 		case !platform.IsRefused(err):
-			timeout = min(2*timeout, longestTimeout)
+			if unanswered++; unanswered >= triesBeforeSlow {
+				timeout = min(2*timeout, longestTimeout)
+			}
 		}
 		w.part = (w.part + 1) % len(w.lanes)
 		if !boottime.Sleep(ctx, pause) {
@@ -207,6 +220,10 @@
 	}
 }
 
+func (w *Writer) firstTimeout() time.Duration {
+	return min(max(timeoutFactor*w.usual, leastTimeout), longestTimeout)
+}
+
 // try writes records to the partition in use, after settling an open call.
 func (w *Writer) try(ctx context.Context, timeout time.Duration, records [][]byte) error {
 	l := &w.lanes[w.part]
