--- a/host/front.go
+++ b/host/front.go
@@ -217,16 +217,16 @@
 	}
 	done := make(chan struct{})
 	p := c.host.intake.Write(data, func(logwriter.Kept) { close(done) })
-	patience := logPatience
+	wait := logPatience
 	if !c.host.intake.Healthy() {
-		patience = 0
+		wait = 0
 	}
 	byPeers := notKept
 	select {
 	case <-done:
 		return kept
 	case <-c.ctx.Done():
-	case <-time.After(patience):
+	case <-time.After(wait):
 		byPeers = c.host.keepByPeers(c.ctx, data)
 	}
 	switch {
--- a/host/host.go
+++ b/host/host.go
@@ -97,6 +97,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.endWork()
+	lost := make(chan struct{})
 	servers, err := h.listen()
 	if err != nil {
 		return err
@@ -108,10 +109,14 @@
 	h.group.Go(func() {
 		if err := h.intake.Run(h.work); err != nil && h.work.Err() == nil {
 			// Somebody writes under our producer's name; a new process has a new one.
-			h.log.WithError(err).Fatal("intake lost")
+			h.log.WithError(err).Error("intake lost")
+			close(lost)
 		}
 	})
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-lost:
+	}
 	h.stop(servers)
 	h.endWork()
 	h.group.Wait()
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -162,6 +162,10 @@
 			t.Errorf("submission %d answered %d", n, status)
 		}
 	}
+	<-first.done
+	if n := len(f.store.Records("claims")); n < 2 {
+		t.Errorf("%d claims when the leader is gone: it handed over to nobody", n)
+	}
 	f.until("another host leads", func() bool { l := f.leader(); return l != nil && l != first })
 	for n := range 40 {
 		f.until("the job is completed", func() bool { return f.completed(other, n) })
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -223,10 +223,10 @@
 	case Publish:
 		w.states[c.Job] = c.State
 	case Start:
-		w.call(life, "start", c.After, c.Order.Worker.ID, func(fw *fakeWorker) CallError { return w.start(fw, c.Order) },
+		w.call(life, "start", c.After, c.Order.Worker, func(fw *fakeWorker) CallError { return w.start(fw, c.Order) },
 			func(e CallError) Event { return StartAnswered{Order: c.Order, Err: e} })
 	case Stop:
-		w.call(life, "stop", c.After, c.Order.Worker.ID, func(fw *fakeWorker) CallError { return w.stop(fw, c.Order) },
+		w.call(life, "stop", c.After, c.Order.Worker, func(fw *fakeWorker) CallError { return w.stop(fw, c.Order) },
 			func(e CallError) Event { return StopAnswered{Order: c.Order, Err: e} })
 	case Hold:
 		w.hold(life, c)
@@ -265,10 +265,10 @@
 }
 
 // call carries out an order at a worker, also if its answer is lost.
-func (w *world) call(life int, name string, after time.Duration, id string, run func(*fakeWorker) CallError, event func(CallError) Event) {
-	fw := w.workers[id]
+func (w *world) call(life int, name string, after time.Duration, ref model.WorkerRef, run func(*fakeWorker) CallError, event func(CallError) Event) {
+	fw := w.workers[ref.ID]
 	const timeout = 400 * time.Millisecond
-	if fw == nil || fw.cut {
+	if fw == nil || fw.cut || fw.entry.Address != ref.Address {
 		w.answer(life, after+timeout, func() Event { return event(CallNoAnswer) })
 		return
 	}
@@ -517,7 +517,7 @@
 func (w *world) hold(life int, c Hold) {
 	sent := w.now + c.After
 	var got model.Hold
-	w.call(life, "hold", c.After, c.Order.Worker.ID, func(fw *fakeWorker) CallError {
+	w.call(life, "hold", c.After, c.Order.Worker, func(fw *fakeWorker) CallError {
 		if c.Order.Fence < fw.fence {
 			return CallFenced
 		}
