The strongest host leads

Hosts of a deployment may have unequal processors, and what the leader has decides how soon work starts. Stronger hosts claim first, are asked first, and a leader hands over to one with half as much again (TestStrongestHostLeads).

--- a/host/election.go
+++ b/host/election.go
@@ -47,7 +47,16 @@
 	// handOverTimeout bounds the wait for a helper that claims.
 	handOverTimeout = claimTimeout + 300*time.Millisecond
 	// jitter spreads the claims of hosts that notice at the same time.
-	jitter = 60 * time.Millisecond
+	jitter = 30 * time.Millisecond
+	// weakDelay is how much later a host without any processor to speak of claims
+	// than one with a whole core: the stronger one shall win.
+	weakDelay = 100 * time.Millisecond
+	// settleTime is how long a host leads at least before it hands over to a
+	// stronger one: by then all hosts have pinged it.
+	settleTime = 3 * time.Second
+	// muchStronger times its own processor makes another host the better leader:
+	// less is not worth a change, which costs a few tenths of a second.
+	muchStronger = 1.5
 )
 
 // election finds the leader and claims the lead when there is none.
@@ -152,16 +161,25 @@
 			if l.LogContactAge() > staleLead || l.LogRefusedFor() > refusedLead {
 				// The log may turn only this host away: whoever reaches it claims.
 				e.handOver(ctx)
+			} else if l.LedFor() > settleTime && e.host.helpers.stronger(e.host.settings.MilliCPU) {
+				e.handOver(ctx)
 			}
 			continue
 		}
 		if _, fence := e.current(); e.leaderGone(ctx) {
-			boottime.Sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
+			boottime.Sleep(ctx, e.claimDelay())
 			e.try(ctx, fence)
 		}
 	}
 }
 
+// claimDelay is how long to wait before a claim.
+func (e *election) claimDelay() time.Duration {
+	const core = 1000
+	weakness := 1 - min(float64(e.host.settings.MilliCPU)/core, 1)
+	return time.Duration(weakness*float64(weakDelay)) + time.Duration(rand.Int64N(int64(jitter)))
+}
+
 // leaderGone reports whether the log shows that nobody leads.
 func (e *election) leaderGone(ctx context.Context) bool {
 	e.mu.Lock()
@@ -286,8 +304,7 @@
 	})
 }
 
-// handOver asks a helper to take over, first the one that started last: in a
-// rolling restart it is the least likely to be stopped next. A helper that does
+// handOver asks helpers to take over until one has claimed. A helper that does
 // not reach the log refuses.
 func (e *election) handOver(ctx context.Context) {
 	e.mu.Lock()
@@ -296,7 +313,7 @@
 	if !leads {
 		return
 	}
-	for _, p := range e.host.helpers.youngestFirst() {
+	for _, p := range e.host.helpers.successors() {
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		_, err := e.host.peers.helper(p.address).TakeOver(callCtx, newRequest(&hostrpc.TakeOverRequest{Fence: fence}))
 		cancel()
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -211,3 +211,15 @@
 		}
 	}
 }
+
+// Hosts have unequal processors and a weak one came first. A strong one joins:
+// it leads before long, as the leader's processor decides how soon work starts.
+func TestStrongestHostLeads(t *testing.T) {
+	f := newFleet(t, 1, 1, 50*time.Millisecond)
+	strong := f.addWith("strong", "limits.cpuShare=4\n")
+	f.until("the strong host leads", func() bool { return f.leader() == strong })
+	if status, _ := f.call(f.hosts[0], http.MethodPost, jobPath(1), "k1", twoTasks); status != http.StatusOK {
+		t.Fatal("not accepted")
+	}
+	f.until("the job is completed", func() bool { return f.completed(strong, 1) })
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -71,6 +72,7 @@
 	first   time.Duration // when it was first seen in this incarnation
 	last    time.Duration
 	inc     string
+	cpu     int64 // thousandths of a core
 }
 
 func newHelpers() *helpers { return &helpers{seen: make(map[string]*helper)} }
@@ -85,7 +87,7 @@
 	now := boottime.Now()
 	p, ok := h.seen[r.Host]
 	if !ok || p.inc != r.Incarnation {
-		p = &helper{name: r.Host, address: r.Address, first: now, inc: r.Incarnation}
+		p = &helper{name: r.Host, address: r.Address, first: now, inc: r.Incarnation, cpu: r.MilliCpu}
 		h.seen[r.Host] = p
 	}
 	p.last = now
@@ -132,12 +134,29 @@
 	return p.address, true
 }
 
-func (h *helpers) youngestFirst() []*helper {
+// successors returns the helpers in the order in which they are asked to take
+// over: those with the most processor first, as leading takes most of it, and
+// among equals the one that started last. In a rolling restart it is the least
+// likely to be stopped next.
+func (h *helpers) successors() []*helper {
 	out := h.alive()
-	slices.SortStableFunc(out, func(a, b *helper) int { return int(b.first - a.first) })
+	slices.SortStableFunc(out, func(a, b *helper) int {
+		return cmp.Or(cmp.Compare(b.cpu, a.cpu), cmp.Compare(b.first, a.first))
+	})
 	return out
 }
 
+// stronger reports whether some helper has so much more processor than this
+// host that it should lead instead.
+func (h *helpers) stronger(than int64) bool {
+	for _, p := range h.alive() {
+		if float64(p.cpu) >= muchStronger*float64(than) {
+			return true
+		}
+	}
+	return false
+}
+
 var errNotLeading = errors.New("this host does not lead")
 
 // Ping implements hostrpc.LeaderHandler.
@@ -307,7 +326,7 @@
 func (h *Host) pingRequest() *connect.Request[hostrpc.PingRequest] {
 	return newRequest(&hostrpc.PingRequest{
 		Host: h.settings.Host, Address: h.settings.Control, Zone: h.settings.Zone,
-		Incarnation: h.incarnation, Leaving: h.stopping.Load(),
+		Incarnation: h.incarnation, Leaving: h.stopping.Load(), MilliCpu: h.settings.MilliCPU,
 	})
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -89,6 +89,7 @@
 	writer   *logwriter.Writer
 	loaded   atomic.Bool
 	intakeAt [IntakeParts]atomic.Int64 // when the newest answered read of each partition of the intake was sent
+	ledAt    atomic.Int64              // when loading was over
 	loggedAt atomic.Int64              // when the newest append was answered
 	ctx      context.Context           // ends with the leadership
 	deposed  context.CancelCauseFunc
@@ -146,6 +147,14 @@
 	return l.writer.RefusedFor()
 }
 
+// LedFor is how long this host has led; 0 while it loads.
+func (l *Leader) LedFor() time.Duration {
+	if !l.loaded.Load() {
+		return 0
+	}
+	return boottime.Now() - time.Duration(l.ledAt.Load())
+}
+
 // loadGrace is how long loading may take beyond the time of one append before
 // the leader counts as cut off from the log.
 const loadGrace = 2500 * time.Millisecond
@@ -175,6 +184,7 @@
 	l.cfg.Log.WithFields(logrus.Fields{"fence": l.cfg.Fence, "load_ms": (boottime.Now() - began).Milliseconds(),
 		"intake": next}).Info("leading")
 	l.loggedAt.Store(int64(boottime.Now()))
+	l.ledAt.Store(int64(boottime.Now()))
 	l.loaded.Store(true)
 	var group conc.WaitGroup
 	for part, from := range next {
