--- a/leader/leader.go
+++ b/leader/leader.go
@@ -42,10 +42,11 @@
 	eventRing = 8192
 	// tickEvery is how often time passes for the scheduler.
 	tickEvery = 20 * time.Millisecond
-	// orderTimeout bounds a start or stop: workers answer within milliseconds.
-	orderTimeout = 400 * time.Millisecond
+	// orderTimeout bounds a start or stop. Workers answer within milliseconds, and
+	// an order that is sent again does no harm: a lost answer is to cost little.
+	orderTimeout = 200 * time.Millisecond
 	// lookTimeout bounds a look beyond the time that the worker may wait.
-	lookTimeout = 500 * time.Millisecond
+	lookTimeout = 300 * time.Millisecond
 	// adviceSlack is added to the expected length of a call for advice.
 	adviceSlack = 1500 * time.Millisecond
 	// readTimeout bounds a read of the log beyond the time it may wait.
--- a/region/run.go
+++ b/region/run.go
@@ -12,9 +12,9 @@
 const (
 	// startTries is how often a start without an answer is sent before it is
 	// stopped instead.
-	startTries = 3
+	startTries = 4
 	// startRetry is the pause before a start is sent again.
-	startRetry = 60 * time.Millisecond
+	startRetry = 30 * time.Millisecond
 	// stopRetry is the pause before a stop is sent again.
 	stopRetry = 300 * time.Millisecond
 )
--- a/region/worker.go
+++ b/region/worker.go
@@ -11,6 +11,10 @@
 	// lookWait is how long a worker may wait for an end before it answers a
 	// look: longer saves looks, shorter notices a lost worker sooner.
 	lookWait = 700 * time.Millisecond
+	// lossyWait is the same for a worker that missed a look within lossyFor: where
+	// answers get lost, a short wait finds it out sooner.
+	lossyWait = 150 * time.Millisecond
+	lossyFor  = 5 * time.Second
 	// lookGap is the pause between two looks at a worker with ends: several
 	// ends then share a look. A look costs about 1% of a small task's worth, and
 	// 100 ms are a sixth of the slack of the shortest tasks. A calm day has 11,300
@@ -42,6 +46,7 @@
 	fenced      bool            // it has answered under our fencing token
 	looking     bool            // a look is under way
 	missed      bool            // the newest look got no answer
+	lossyTo     time.Duration   // it has missed a look not long before this
 	lookedAt    time.Duration   // when the newest answered look was sent
 	lives       int64           // how many lives we have seen end
 	lastEnd     int64           // highest end processed
@@ -202,6 +207,9 @@
 	// for good could never be taken for dead.
 	if w.fenced && !w.missed {
 		order.Wait = lookWait
+		if s.now < w.lossyTo {
+			order.Wait = lossyWait
+		}
 		order.UntilMs = s.leaseEnd(w)
 	}
 	w.looking = true
@@ -241,6 +249,7 @@
 		return
 	default:
 		w.missed = true
+		w.lossyTo = s.now + lossyFor
 		s.lookAgain(w, lookRetry)
 		return
 	}
