Names of the platform that nothing uses yet are gone

Waves, pace and the bounds that belong to them were decoded and never used; they come back with what uses them (docs/PLATFORM.md lists what is not built).

--- a/host/host.go
+++ b/host/host.go
@@ -214,7 +214,6 @@
 		Client: h.client, Fence: fence, CallBytes: h.settings.CallBytes,
 		Options: region.Options{
 			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
-			StopTime: h.settings.StopTime, GangWait: h.settings.GangWait, FarFactor: h.settings.FarFactor,
 			LogRetention: h.settings.LogRetention, StatusKept: h.settings.StatusRetention,
 		},
 		Config: h.config.Config, Hosts: h.helpers.names, Advise: h.adviseFrom,
--- a/model/model.go
+++ b/model/model.go
@@ -179,14 +179,6 @@
 	Fence  int64
 }
 
-// PaceOrder asks a worker to let a run work at a share of its speed.
-type PaceOrder struct {
-	RunID
-	Worker  WorkerRef
-	Percent int
-	Fence   int64
-}
-
 // HoldOrder renews the leases of all that runs on a worker, forgets ends that
 // are known, and looks at the rest.
 type HoldOrder struct {
--- a/region/region.go
+++ b/region/region.go
@@ -25,9 +25,6 @@
 type Options struct {
 	MaxLease     time.Duration // workers shorten a longer lease
 	Lease        time.Duration // what we ask for
-	StopTime     time.Duration // a stop takes at most this
-	GangWait     time.Duration // a gang member waits so long for the others
-	FarFactor    float64       // slowdown off the data's rack
 	LogRetention time.Duration // records of the log expire after this
 	StatusKept   time.Duration // a finished job's state is answered so long
 }
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -99,8 +99,7 @@
 
 func testOptions() Options {
 	return Options{
-		MaxLease: testLease, Lease: testLease, StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second,
-		FarFactor: 2, LogRetention: 300 * time.Second, StatusKept: 120 * time.Second,
+		MaxLease: testLease, Lease: testLease, LogRetention: 300 * time.Second, StatusKept: 120 * time.Second,
 	}
 }
 
