--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -36,7 +36,7 @@
 const testConfig = `{"version":%d,"routes":[{"name":"q","host":"jobs.example","pathPrefix":"/p/","service":"svc","priority":1,
 "maxAttempts":3,"stretch":2,"targetLatencyMs":1000}],"services":[{"name":"svc"}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"ws","weight":1000,"apiKeys":[%s]}]}`
+"tenants":[{"name":"ws","weight":1000,"apiKeys":[%s]},{"name":"other","weight":1,"apiKeys":["o1"]}]}`
 
 func newFleet(t testing.TB, hosts, workers int, runTime time.Duration) *fleet {
 	f := &fleet{t: t, store: fakeplatform.NewStore()}
--- a/host/front.go
+++ b/host/front.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -35,6 +36,9 @@
 	// revocationMargin is taken off the time within which a withdrawn key must
 	// stop working: a request that passes the check is answered within it.
 	revocationMargin = 1500 * time.Millisecond
+	// defaultBodyBytes bounds a submission where the configuration does not: a spec
+	// of 4,000 bytes and some thousand steps.
+	defaultBodyBytes = 1 << 20
 	// retrySoon is the Retry-After, in seconds, of a refusal that another host
 	// or a moment mends.
 	retrySoon = 1
@@ -167,7 +171,7 @@
 // the loss of every host.
 func (c *call) submit() {
 	began := boottime.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, max(c.config.Limits.MaxBodyBytes, 1)))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, cmp.Or(c.config.Limits.MaxBodyBytes, defaultBodyBytes)))
 	if err != nil {
 		c.answer(http.StatusRequestEntityTooLarge, nil)
 		return
@@ -272,22 +276,32 @@
 	c.answer(http.StatusOK, platform.EncodeState(stateNames[state]))
 }
 
-// ask asks the leader for a job's state.
+// ask asks the leader for the state of the caller's job. A job of another
+// workspace is as good as unknown: its callers must not be able to read or cancel
+// it with a key of their own.
 func (c *call) ask() (region.State, bool) {
+	state, workspace, ok := c.askLeader()
+	if ok && workspace != c.owner {
+		return region.StateUnknown, true
+	}
+	return state, ok
+}
+
+func (c *call) askLeader() (state region.State, workspace string, ok bool) {
 	if l := c.host.election.leading(); l != nil {
 		return l.State(c.job)
 	}
 	claim, _ := c.host.election.current()
 	if claim == nil {
-		return region.StateUnknown, false
+		return region.StateUnknown, "", false
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
 	defer cancel()
 	resp, err := c.host.peers.leader(claim.Address).State(ctx, newRequest(&hostrpc.StateRequest{Job: c.job}))
 	if err != nil {
-		return region.StateUnknown, false
+		return region.StateUnknown, "", false
 	}
-	return region.State(resp.Msg.State), true
+	return region.State(resp.Msg.State), resp.Msg.Workspace, true
 }
 
 // pending counts the queue's waiting jobs.
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -23,6 +23,30 @@
 	}
 }
 
+// A caller of another workspace knows a job's id. It can neither read nor cancel
+// the job with its own key.
+func TestJobsOfOtherWorkspaces(t *testing.T) {
+	f := newFleet(t, 2, 1, 300*time.Millisecond)
+	for _, m := range f.hosts {
+		f.until("the configuration is there", func() bool { return m.config.Config() != nil })
+	}
+	if status, _ := f.call(f.hosts[0], http.MethodPost, jobPath(1), "k1", twoTasks); status != http.StatusOK {
+		t.Fatal("not accepted")
+	}
+	for _, m := range f.hosts {
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			f.until("the other's key finds nothing", func() bool {
+				status, _ := f.call(m, method, jobPath(1), "o1", "")
+				if status == http.StatusOK {
+					t.Fatalf("%s answered %d", method, status)
+				}
+				return status == http.StatusGone
+			})
+		}
+	}
+	f.until("the job is completed", func() bool { return f.completed(f.hosts[1], 1) })
+}
+
 // A caller's submission is written to the log, but the log's answer is lost.
 // The host asks again under the same sequence number: the caller gets its
 // answer, the job is in the log once, and it runs once.
--- a/host/peers.go
+++ b/host/peers.go
@@ -178,11 +178,11 @@
 	if l == nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
 	}
-	state, sure := l.State(req.Msg.Job)
+	state, workspace, sure := l.State(req.Msg.Job)
 	if !sure {
 		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
 	}
-	return connect.NewResponse(&hostrpc.StateResponse{State: int32(state)}), nil
+	return connect.NewResponse(&hostrpc.StateResponse{State: int32(state), Workspace: workspace}), nil
 }
 
 // Pending implements hostrpc.LeaderHandler.
--- a/leader/board.go
+++ b/leader/board.go
@@ -15,9 +15,10 @@
 }
 
 type boardEntry struct {
-	state region.State
-	queue string
-	timed bool
+	state     region.State
+	queue     string
+	workspace string
+	timed     bool
 }
 
 // NewBoard returns an empty board.
@@ -36,17 +37,19 @@
 		delete(b.jobs, p.Job)
 		return
 	}
-	b.jobs[p.Job] = boardEntry{state: p.State, queue: p.Queue, timed: p.Timed}
+	b.jobs[p.Job] = boardEntry{state: p.State, queue: p.Queue, workspace: p.Workspace, timed: p.Timed}
 	if p.State == region.StateQueued && !p.Timed {
 		b.pending[p.Queue]++
 	}
 }
 
-// State returns the state of a job, or region.StateUnknown.
-func (b *Board) State(job string) region.State {
+// State returns the state of a job and the workspace that handed it in, or
+// region.StateUnknown.
+func (b *Board) State(job string) (region.State, string) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	return b.jobs[job].state
+	e := b.jobs[job]
+	return e.state, e.workspace
 }
 
 // Pending counts the jobs of a queue of which no task has started.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -109,22 +109,25 @@
 	return l
 }
 
-// State tells what is known of a job; sure is false where the answer might be
-// out of date.
-func (l *Leader) State(job string) (state region.State, sure bool) {
+// State tells what is known of a job and the workspace that handed it in; sure
+// is false where the answer might be out of date.
+func (l *Leader) State(job string) (state region.State, workspace string, sure bool) {
 	if !l.loaded.Load() {
-		return region.StateUnknown, false
-	}
-	state = l.board.State(job)
-	if state != region.StateUnknown {
-		return state, true
+		return region.StateUnknown, "", false
 	}
+	state, workspace = l.board.State(job)
+	return state, workspace, state != region.StateUnknown || l.intakeFresh()
+}
+
+// intakeFresh reports whether every partition of the intake has been read
+// lately: only then is a job that is not known certainly not there.
+func (l *Leader) intakeFresh() bool {
 	for i := range l.intakeAt {
 		if boottime.Now()-time.Duration(l.intakeAt[i].Load()) >= intakeFresh {
-			return state, false
+			return false
 		}
 	}
-	return state, true
+	return true
 }
 
 // Loaded reports whether all that earlier leaders kept has been read.
--- a/region/event.go
+++ b/region/event.go
@@ -150,10 +150,11 @@
 
 	// Publish tells a job's state. An empty state forgets the job.
 	Publish struct {
-		Job   string
-		Queue string
-		State State
-		Timed bool // runs at set times: not counted as waiting
+		Job       string
+		Queue     string
+		Workspace string
+		State     State
+		Timed     bool // runs at set times: not counted as waiting
 	}
 
 	// Deposed tells that a worker has seen a higher fencing token: another host
--- a/region/job.go
+++ b/region/job.go
@@ -264,7 +264,7 @@
 		return
 	}
 	j.state = state
-	s.emit(Publish{Job: j.rec.Id, Queue: j.rec.Queue, State: state, Timed: j.timed()})
+	s.emit(Publish{Job: j.rec.Id, Queue: j.rec.Queue, Workspace: j.rec.Workspace, State: state, Timed: j.timed()})
 }
 
 func (j *job) currentState() State {
