A check that had been narrowed without a trace is strict again; KNOWN-RED names its fault

It may carry them out again: of 1,500 histories five are red (514, 795, 872, 958, 1089), kept as TestLateOrderReachesNextLife and listed in KNOWN-RED.txt. Seeds that were red before are played in each run.

--- a/region/history_test.go
+++ b/region/history_test.go
@@ -18,8 +18,27 @@
 	for seed := uint64(1); seed <= histories; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomHistory(t, seed) })
 	}
+	for _, seed := range onceRed {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomHistory(t, seed) })
+	}
 }
 
+// A start gets no answer, its worker crashes and is back under its old id, and the
+// task is started elsewhere. Seconds later the first start is carried out in the
+// new life, before that life has answered a look under a higher fencing token:
+// the task runs twice, or again when it is done. Known to be red, see
+// KNOWN-RED.txt.
+func TestLateOrderReachesNextLife(t *testing.T) {
+	for _, seed := range []uint64{514, 795, 872, 958, 1089} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomHistory(t, seed) })
+	}
+}
+
+// onceRed are further seeds that once showed a fault: starts under way that
+// reached a worker's next life (98 to 568), and one that was late by seconds and
+// did so (245).
+var onceRed = []uint64{98, 152, 216, 245, 272, 384, 489, 490, 568}
+
 func randomHistory(t *testing.T, seed uint64) {
 	w := newWorld(t, seed)
 	for i := range 8 {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -272,11 +272,9 @@
 		return
 	}
 	late := w.late(name)
-	born := fw.entry.BornUnix
 	w.at(after+testDelay+late, func() {
-		// An order that is late by seconds is gone with the life that it was for;
-		// one that was just under way may reach the next life.
-		if fw.cut || late > 0 && fw.entry.BornUnix != born {
+		// An order names its worker by id alone: a late one may reach the next life.
+		if fw.cut {
 			w.answer(life, timeout, func() Event { return event(CallNoAnswer) })
 			return
 		}
