--- a/host/host_test.go
+++ b/host/host_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/fireflyfold/fireflyfold/logwriter"
 )
 
 // A job handed in at one host is done and every host tells so.
@@ -201,6 +203,32 @@
 	}
 }
 
+// The log is slow for everyone when the leader is stopped as planned, so that the
+// last append of every other host ran out of time. A host that took its own
+// lost append for a lost log would refuse to take over, and callers' work would
+// wait for seconds until somebody noticed that nobody leads.
+func TestPlannedStopWhileTheLogIsSlow(t *testing.T) {
+	f := newFleet(t, 3, 2, 100*time.Millisecond)
+	first := f.leader()
+	f.until("the leader knows the others", func() bool { return len(first.helpers.alive()) == 2 })
+	const answerTime = 300 * time.Millisecond // twice what a writer gives a log that was quick so far
+	for _, m := range f.hosts {
+		m.door.Slow(answerTime)
+	}
+	for _, m := range f.hosts {
+		if m == first {
+			continue
+		}
+		m.intake.Write([]byte{}, func(logwriter.Kept) {})
+		f.until("its append runs out of time", func() bool { return !m.intake.Healthy() })
+	}
+	first.stop()
+	<-first.done
+	if n := len(f.store.Records("claims")); n < 2 {
+		t.Errorf("%d claims when the leader is gone: it handed over to nobody", n)
+	}
+}
+
 // Some partitions of the log are down while others work. A leader that stuck to
 // the partition of its entries could start nothing, and each host that took over
 // would be stuck alike; submissions would wait as well. Both go on in the next
--- a/host/peers.go
+++ b/host/peers.go
@@ -304,10 +304,10 @@
 	if h.stopping.Load() {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errStopping)
 	}
-	if !h.intake.Healthy() || h.config.LogAge() > logContactLife {
-		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
-	}
-	if !h.election.watcher.Reachable(ctx) {
+	// That this host's own last append got no answer tells nothing: the log may be
+	// slow for everyone, and then every helper would refuse and nobody lead for
+	// seconds. The reads here and the claim itself tell whether it is reached.
+	if h.config.LogAge() > logContactLife || !h.election.watcher.Reachable(ctx) {
 		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
 	}
 	h.log.WithField("fence", req.Msg.Fence).Info("leader asks this host to take over")
--- a/region/history_test.go
+++ b/region/history_test.go
@@ -123,7 +123,8 @@
 }
 
 // crash ends a worker's life; a new one begins at once under the same id. Ends
-// that nobody has taken note of are as if they had never been.
+// that nobody has taken note of are as if they had never been, and tickets of
+// the earlier life do not hold in the new one.
 func crash(w *world, fw *fakeWorker) {
 	for _, e := range fw.ends[fw.bound:] {
 		w.forgetEnd(e)
@@ -131,6 +132,7 @@
 	fw.bound = 0
 	fw.runs = make(map[model.TaskID]*fakeRun)
 	fw.highest = make(map[model.TaskID]int32)
+	fw.tickets = make(map[string]time.Duration)
 	fw.ends, fw.nextEnd, fw.until, fw.fence = nil, 0, 0, 0
 	fw.entry.BornUnix++
 	w.tell(WorkerListed{Entry: fw.entry})
