A pass looks only at the workers that advice allows; what steps know of workers lies in slices

Each look went over all 350 workers for each task that waited, with a map look-up by worker and by run.

Change: candidates of a step with advice are the workers that the service called good; the workers that fit are found once for a step, not once for each task; marks and runs lie in slices; expected ends are worked out once for a run; a call for advice that no host could take is not prepared; records of old jobs wait in order instead of a walk over all jobs at every tick.

--- a/region/advice.go
+++ b/region/advice.go
@@ -36,7 +36,9 @@
 
 // adviceState is what is known of the workers that may run a step.
 type adviceState struct {
-	marks   map[string]*adviceMark
+	marks   []adviceMark // by the worker's slot
+	known   int          // workers that the service has spoken about
+	good    []*worker    // those of them that may run the step
 	asking  bool
 	firstAt time.Duration // when the first advice came
 	retryAt time.Duration
@@ -45,17 +47,52 @@
 // adviceMark is what the advice service said of one worker. Which workers are
 // good for a step never changes; tickets expire.
 type adviceMark struct {
+	worker *worker // nil where nothing is known
 	good   bool
 	ticket string
 	until  time.Duration
 }
 
-func (a *adviceState) expire(worker string) {
-	if m, ok := a.marks[worker]; ok {
+// mark returns what is known of a worker, or nil. A slot may have had another
+// worker when the service spoke.
+func (a *adviceState) mark(w *worker) *adviceMark {
+	if w.slot >= len(a.marks) || a.marks[w.slot].worker != w {
+		return nil
+	}
+	return &a.marks[w.slot]
+}
+
+// note keeps what the service said of a worker.
+func (a *adviceState) note(m adviceMark) {
+	if missing := m.worker.slot + 1 - len(a.marks); missing > 0 {
+		a.marks = append(a.marks, make([]adviceMark, missing)...)
+	}
+	old := a.mark(m.worker)
+	if old == nil {
+		a.known++
+	}
+	if m.good && (old == nil || !old.good) {
+		a.good = append(a.good, m.worker)
+	}
+	a.marks[m.worker.slot] = m
+}
+
+func (a *adviceState) expire(w *worker) {
+	if m := a.mark(w); m != nil {
 		m.until = 0
 	}
 }
 
+// candidates returns the workers that the step might start on, as far as advice
+// goes. Of a step with advice those are few, and looking at no others makes a
+// pass over a region of 350 workers several times cheaper (BenchmarkPass).
+func (s *Scheduler) candidates(st *step) []*worker {
+	if st.advised() {
+		return st.advice.good
+	}
+	return s.order
+}
+
 // advised steps need a ticket of the advice service.
 func (st *step) advised() bool { return st.job.rec.Policy.GetAdvice() != nil }
 
@@ -65,15 +102,18 @@
 	if !st.advised() {
 		return true
 	}
-	m, ok := st.advice.marks[w.entry.ID]
-	return ok && m.good && now < m.until
+	m := st.advice.mark(w)
+	return m != nil && m.good && now < m.until
 }
 
 // ruledOut reports whether the advice service said that the worker may not run
 // the step.
 func (st *step) ruledOut(w *worker) bool {
-	m, ok := st.advice.marks[w.entry.ID]
-	return st.advised() && ok && !m.good
+	if !st.advised() {
+		return false
+	}
+	m := st.advice.mark(w)
+	return m != nil && !m.good
 }
 
 // wantAdvice asks for advice when the step has too little and could use it: at
@@ -83,21 +123,46 @@
 // could start wait behind them.
 func (s *Scheduler) wantAdvice(st *step) {
 	if st.advised() {
-		s.ask(st, s.claimRoom(st))
+		room := s.claimRoom(st)
+		if s.canAsk(st) {
+			s.ask(st, room)
+		}
 	}
 }
 
 // wantFirstAdvice asks about a step that nothing is known of and that has no
 // room yet, if the advice service is idle.
 func (s *Scheduler) wantFirstAdvice(st *step) {
-	if st.advised() && len(st.advice.marks) == 0 {
+	if st.advised() && st.advice.known == 0 && s.canAsk(st) {
 		s.ask(st, false)
 	}
 }
 
+// canAsk reports whether a call about the step could go out now. The longest
+// call that it may need finds a host at least as easily as a shorter one, so that
+// with all hosts busy no list of workers is made in vain.
+func (s *Scheduler) canAsk(st *step) bool {
+	if st.advice.asking || s.now < st.advice.retryAt {
+		return false
+	}
+	if s.advisers.pick(st.adviceCost(st.mostAsked()), s.now) == nil {
+		st.blocked = "advice backlog"
+		s.dirty = true
+		return false
+	}
+	return true
+}
+
+// mostAsked is how many workers one call about the step names at most.
+func (st *step) mostAsked() int {
+	if st.rec.Gang {
+		return maxAsked
+	}
+	return min(maxAsked, max(fewAsked, askedPerTask*len(st.tasks)))
+}
+
 func (s *Scheduler) ask(st *step, room bool) {
-	first := len(st.advice.marks) == 0
-	if st.advice.asking || s.now < st.advice.retryAt || (!first && !room) {
+	if st.advice.known > 0 && !room {
 		return
 	}
 	names := s.adviceWanted(st)
@@ -132,11 +197,11 @@
 	}
 	ahead := st.adviceCost(len(s.order)) + adviceMargin
 	found := 0
-	for _, w := range s.order {
+	for _, w := range s.usableNow {
 		if found >= want {
 			break
 		}
-		if !s.usable(w) || !s.suits(st, w) {
+		if !s.suits(st, w) {
 			continue
 		}
 		room := w.free().Sub(w.claimed)
@@ -166,9 +231,9 @@
 		if !w.listed || w.entry.Draining || !s.suits(st, w) {
 			continue
 		}
-		m, ok := st.advice.marks[w.entry.ID]
+		m := st.advice.mark(w)
 		switch {
-		case !ok:
+		case m == nil:
 			unknown++
 		case m.good && m.until < soonest:
 			stale++
@@ -181,16 +246,12 @@
 			full = append(full, w.entry.ID)
 		}
 	}
-	if stale == 0 && len(st.advice.marks) > 0 && unknown <= len(st.advice.marks)/4 {
+	if stale == 0 && st.advice.known > 0 && unknown <= st.advice.known/4 {
 		// A few new workers are worth no call of their own.
 		return nil
 	}
-	most := maxAsked
-	if !st.rec.Gang {
-		most = min(most, max(fewAsked, askedPerTask*len(st.tasks)))
-	}
 	names := append(roomy, full...)
-	return names[:min(len(names), most)]
+	return names[:min(len(names), st.mostAsked())]
 }
 
 func (s *Scheduler) advised(ev Advised) {
@@ -206,18 +267,28 @@
 		s.advisers.failed(ev.Order.Host, s.now)
 		return
 	}
-	if st.advice.marks == nil {
-		st.advice.marks = make(map[string]*adviceMark, len(ev.Order.Workers))
-	}
 	if st.advice.firstAt == 0 {
 		st.advice.firstAt = s.now
 	}
-	for _, id := range ev.Order.Workers {
-		st.advice.marks[id] = &adviceMark{}
+	if st.open == 0 {
+		return // done meanwhile: nothing of it starts any more
 	}
-	until := ev.At + time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs())*time.Millisecond - adviceMargin
+	tickets := make(map[string]string, len(ev.Tickets))
 	for _, k := range ev.Tickets {
-		st.advice.marks[k.Worker] = &adviceMark{good: true, ticket: k.Ticket, until: until}
+		tickets[k.Worker] = k.Ticket
+	}
+	until := ev.At + time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs())*time.Millisecond - adviceMargin
+	for _, id := range ev.Order.Workers {
+		w, known := s.workers[id]
+		if !known {
+			continue // it has left since
+		}
+		ticket, good := tickets[id]
+		m := adviceMark{worker: w, good: good, ticket: ticket}
+		if good {
+			m.until = until
+		}
+		st.advice.note(m)
 	}
 	s.dirty = true
 }
@@ -252,6 +323,16 @@
 // choose returns the host with the shortest backlog of those that may take a
 // call of that length, if its backlog is short enough.
 func (a *advisers) choose(cost, now time.Duration) (string, bool) {
+	best := a.pick(cost, now)
+	if best == nil {
+		return "", false
+	}
+	best.backlog += cost
+	return best.name, true
+}
+
+// pick is choose without the call.
+func (a *advisers) pick(cost, now time.Duration) *adviser {
 	from := 0
 	switch n := len(a.hosts); {
 	case cost >= slowAdvice:
@@ -268,10 +349,9 @@
 	}
 	limit := max(leastBacklog, time.Duration(backlogShare*float64(cost)))
 	if best == nil || best.backlog > limit {
-		return "", false
+		return nil
 	}
-	best.backlog += cost
-	return best.name, true
+	return best
 }
 
 func (a *advisers) answered(name string, cost time.Duration) {
--- a/region/bench_test.go
+++ b/region/bench_test.go
@@ -35,9 +35,8 @@
 			Advice: &record.Advice{DecideMs: 5, EachMs: 0.1, ValidMs: 2000}}
 		s.Step(now, IntakeRead{Records: []*record.Intake{{Kind: &record.Intake_Submitted{Submitted: j}}}})
 		st := s.jobs[j.Id].occs[0].steps[0]
-		st.advice.marks = make(map[string]*adviceMark)
 		for n, w := range s.order {
-			st.advice.marks[w.entry.ID] = &adviceMark{good: (n+i)%3 == 0}
+			st.advice.note(adviceMark{worker: w, good: (n+i)%3 == 0})
 		}
 	}
 	return s, now
--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -74,7 +74,7 @@
 		places []gangPlace
 		total  int
 	)
-	for _, w := range s.order {
+	for _, w := range s.candidates(st) {
 		if rack != "" && w.entry.Rack() != rack {
 			continue
 		}
@@ -144,8 +144,8 @@
 // urgent small tasks, further ones against late work alone.
 func (s *Scheduler) reserve(st *step, firmly bool) {
 	var places []gangPlace
-	for _, w := range s.order {
-		if w.reserved != nil || w.kept != nil || !s.usable(w) || !s.suits(st, w) {
+	for _, w := range s.usableNow {
+		if w.reserved != nil || w.kept != nil || !s.suits(st, w) {
 			continue
 		}
 		if n := timesIn(st.room(), w.free().Add(s.freedWithin(w, soonFree))); n > 0 {
@@ -191,7 +191,7 @@
 func (s *Scheduler) freedWithin(w *worker, within time.Duration) model.Resources {
 	var sum model.Resources
 	for _, r := range w.runs {
-		if s.estimates.endsAt(r) < s.now+within {
+		if r.endsAt < s.now+within {
 			sum = sum.Add(r.room)
 		}
 	}
--- a/region/job.go
+++ b/region/job.go
@@ -97,6 +97,7 @@
 	j := &job{rec: rec, acceptedAt: s.acceptedAt(rec.AcceptedUnixMs)}
 	j.writtenAt = j.acceptedAt
 	s.jobs[rec.Id] = j
+	s.written = append(s.written, j)
 	j.excess = !s.shares.take(s.share(rec.Workspace), rec.Workspace, j.acceptedAt)
 	if j.timed() {
 		s.timed = append(s.timed, j)
@@ -295,6 +296,7 @@
 		return
 	}
 	s.dequeue(st)
+	st.advice.marks, st.advice.good = nil, nil
 	if st.occ.open > 0 {
 		s.openSteps(st.occ)
 		return
--- a/region/pass.go
+++ b/region/pass.go
@@ -33,9 +33,13 @@
 	if !s.proven() || s.logStalled() {
 		return
 	}
+	s.usableNow = s.usableNow[:0]
 	for _, w := range s.order {
 		w.claimed = model.Resources{}
 		w.wasReserved, w.reserved, w.kept = cmp.Or(w.reserved, w.kept), nil, nil
+		if s.usable(w) {
+			s.usableNow = append(s.usableNow, w)
+		}
 	}
 	s.roomiest.valid = false
 	for c, steps := range s.byClass() {
@@ -73,10 +77,7 @@
 		valid: true, free: make(map[string]model.Resources),
 		kept: make(map[string]model.Resources), any: make(map[string]model.Resources),
 	}
-	for _, w := range s.order {
-		if !s.usable(w) {
-			continue
-		}
+	for _, w := range s.usableNow {
 		service, free := w.entry.Service, w.free()
 		s.roomiest.any[service] = most(s.roomiest.any[service], free)
 		if w.reserved == nil {
--- a/region/place.go
+++ b/region/place.go
@@ -1,5 +1,7 @@
 package region
 
+import "slices"
+
 // reason tells why a worker cannot take a task now.
 type reason int
 
@@ -51,6 +53,7 @@
 func (s *Scheduler) placeTasks(st *step) {
 	var placed []string
 	defer func() { s.explainPlaced(st, placed) }()
+	fitting, why := s.fitting(st)
 	for _, t := range st.tasks {
 		if !t.waiting() {
 			continue
@@ -59,40 +62,52 @@
 			st.blocked = "cap"
 			return
 		}
-		w, why := s.best(st)
-		if w == nil {
+		if len(fitting) == 0 {
 			st.blocked = why
 			return
 		}
+		at := s.best(st, fitting)
+		w := fitting[at]
 		s.assign(t, w, t.lastRun+1)
+		s.roomiest.valid = false
 		placed = append(placed, w.entry.ID)
+		// The assignment changes nothing for the step on any other worker.
+		if rejection := s.reject(st, w); rejection != fits {
+			why = reasonNames[rejection]
+			fitting = slices.Delete(fitting, at, at+1)
+		}
 	}
 	st.blocked = ""
 }
 
-// best returns the worker that suits the step best, or the main reason why
-// there is none.
-func (s *Scheduler) best(st *step) (*worker, string) {
-	var (
-		best      *worker
-		bestScore float64
-		counts    rejected
-	)
-	for _, w := range s.order {
+// fitting returns the workers that can take a task of the step now, or the main
+// reason why there is none. The result is valid until the next call.
+func (s *Scheduler) fitting(st *step) ([]*worker, string) {
+	var counts rejected
+	s.scratch = s.scratch[:0]
+	for _, w := range s.candidates(st) {
 		why := s.reject(st, w)
 		counts[why]++
-		if why != fits {
-			continue
-		}
-		if score := s.score(st, w); best == nil || score > bestScore {
-			best, bestScore = w, score
+		if why == fits {
+			s.scratch = append(s.scratch, w)
 		}
 	}
-	if best == nil {
-		return nil, counts.summary()
+	if st.advised() && len(s.candidates(st)) == 0 {
+		return nil, reasonNames[rejectAdvice]
+	}
+	return s.scratch, counts.summary()
+}
+
+// best returns the place of the worker that suits the step best.
+func (s *Scheduler) best(st *step, fitting []*worker) int {
+	best := 0
+	bestScore := s.score(st, fitting[0])
+	for i, w := range fitting[1:] {
+		if score := s.score(st, w); score > bestScore {
+			best, bestScore = i+1, score
+		}
 	}
-	s.roomiest.valid = false // the caller takes room there
-	return best, ""
+	return best
 }
 
 // reject is the chain of filters that a worker passes before a task goes
--- a/region/preempt.go
+++ b/region/preempt.go
@@ -30,8 +30,8 @@
 		bestLoss time.Duration
 		found    bool
 	)
-	for _, w := range s.order {
-		if !s.usable(w) || !s.suits(st, w) || !st.ticketHolds(w, s.now) {
+	for _, w := range s.usableNow {
+		if !s.suits(st, w) || !st.ticketHolds(w, s.now) {
 			continue
 		}
 		victims, loss, ok := s.victims(st, w)
--- a/region/region.go
+++ b/region/region.go
@@ -15,6 +15,8 @@
 package region
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/model"
@@ -60,10 +62,14 @@
 	cancelledEarly map[string]time.Duration
 	workers        map[string]*worker
 	order          []*worker // workers in a stable order
+	slots          slots
+	usableNow      []*worker // those that can take work, in this pass
+	scratch        []*worker // of fitting
 	ready          readyList // steps with tasks that wait, most urgent first
 	used           map[string]model.Resources
 	advisers       advisers
 	timed          []*job // jobs with further occurrences
+	written        []*job // jobs by when their newest whole record was written
 	finished       []*job // in the order they ended
 	estimates      estimates
 	shares         shares
@@ -224,6 +230,7 @@
 	for _, w := range s.order {
 		s.takeOver(w)
 	}
+	slices.SortStableFunc(s.written, func(a, b *job) int { return cmp.Compare(a.writtenAt, b.writtenAt) })
 	for _, j := range s.jobs {
 		s.publish(j)
 	}
--- a/region/replay.go
+++ b/region/replay.go
@@ -95,16 +95,20 @@
 // the log is over.
 func (s *Scheduler) rewriteOld() {
 	const perTick = 4 // spreads the records of many old jobs
-	written := 0
-	for _, j := range s.jobs {
-		if j.over() || s.now-j.writtenAt < s.opts.LogRetention/2 {
+	for written := 0; written < perTick && len(s.written) > 0; {
+		j := s.written[0]
+		if s.now-j.writtenAt < s.opts.LogRetention/2 {
+			return
+		}
+		s.written[0] = nil
+		s.written = s.written[1:]
+		if j.over() {
 			continue
 		}
 		j.writtenAt = s.now
+		s.written = append(s.written, j)
 		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: keptJob(j)}})
-		if written++; written == perTick {
-			return
-		}
+		written++
 	}
 }
 
--- a/region/run.go
+++ b/region/run.go
@@ -41,6 +41,7 @@
 	ticket    string
 	assigned  time.Duration
 	startedAt time.Duration // when the worker was known to have it
+	endsAt    time.Duration // when it is expected to end
 	maybeSent bool          // a start got no answer: it may be carried out yet
 	settledAt time.Duration // a look sent later that does not list it proves that it is over; 0 for not settled
 	tries     int
@@ -65,10 +66,7 @@
 
 // sortedRuns returns the runs of a worker in a stable order.
 func (w *worker) sortedRuns() []*run {
-	out := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
+	out := slices.Clone(w.runs)
 	slices.SortFunc(out, func(a, b *run) int {
 		x, y := a.task.id(), b.task.id()
 		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence),
@@ -92,7 +90,8 @@
 	t := r.task
 	r.room = t.step.room()
 	t.run = r
-	r.worker.runs[t.id()] = r
+	r.worker.runs = append(r.worker.runs, r)
+	r.endsAt = s.estimates.endsAt(r)
 	r.worker.used = r.worker.used.Add(r.room)
 	ws := t.step.job.rec.Workspace
 	s.used[ws] = s.used[ws].Add(t.step.request)
@@ -105,7 +104,7 @@
 		return
 	}
 	t.run = nil
-	delete(r.worker.runs, t.id())
+	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(o *run) bool { return o == r })
 	r.worker.used = r.worker.used.Sub(r.room)
 	ws := t.step.job.rec.Workspace
 	s.used[ws] = s.used[ws].Sub(t.step.request)
@@ -116,7 +115,7 @@
 // kept, so that a successor knows of whatever may run.
 func (s *Scheduler) assign(t *task, w *worker, number int32) {
 	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now}
-	if mark, ok := t.step.advice.marks[w.entry.ID]; ok {
+	if mark := t.step.advice.mark(w); mark != nil {
 		r.ticket = mark.ticket
 	}
 	s.occupy(r)
@@ -196,7 +195,7 @@
 		r.worker.pausedTo = s.now + unhealthyPause
 		s.giveUp(r, "its worker had no room")
 	case CallNoTicket:
-		r.task.step.advice.expire(r.ref.ID)
+		r.task.step.advice.expire(r.worker)
 		s.giveUp(r, "the ticket did not hold")
 	}
 }
@@ -214,6 +213,7 @@
 func (s *Scheduler) confirm(r *run) {
 	r.phase = phaseRunning
 	r.startedAt = s.now
+	r.endsAt = s.estimates.endsAt(r)
 	r.movedAt = s.now
 	if r.settledAt == 0 {
 		r.settledAt = s.now
--- a/region/worker.go
+++ b/region/worker.go
@@ -37,7 +37,8 @@
 type worker struct {
 	entry       model.WorkerEntry
 	listed      bool
-	runs        map[model.TaskID]*run
+	slot        int             // index of the worker in the marks of steps
+	runs        []*run          // what may be alive there
 	used        model.Resources // of all that may be alive there
 	clockMs     int64           // its clock as last read
 	clockAt     time.Duration   // when that was
@@ -84,7 +85,7 @@
 func (s *Scheduler) workerNamed(id string) *worker {
 	w, known := s.workers[id]
 	if !known {
-		w = &worker{entry: model.WorkerEntry{ID: id}, runs: make(map[model.TaskID]*run)}
+		w = &worker{entry: model.WorkerEntry{ID: id}, slot: s.slots.take()}
 		s.workers[id] = w
 		s.order = append(s.order, w)
 		if s.leading() {
@@ -187,6 +188,7 @@
 // forget drops a worker that left and holds nothing.
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
+	s.slots.giveBack(w.slot)
 	for i, o := range s.order {
 		if o == w {
 			s.order = append(s.order[:i], s.order[i+1:]...)
