Room is worked out anew only when a close look fails

Cause: profile of BenchmarkPass: 45% of a pass worked out the roomiest workers again after each assignment. It now counts as too large until a step fails at a close look, which costs that one look at most.

--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -37,7 +37,7 @@
 		st.blocked = why
 		return false
 	}
-	s.roomiest.valid = false
+	s.roomiest.taken = true
 	number := st.nextGangRun()
 	placed := make([]string, 0, n)
 	for i, t := range st.tasks {
--- a/region/pass.go
+++ b/region/pass.go
@@ -49,12 +49,19 @@
 
 // roomiest is the most of each resource that is free on any one worker. A step
 // that asks for more finds no room, which is then known without a look at all
-// workers: under load most waiting steps are settled by it.
+// workers: under load most waiting steps are settled by it. Assignments make it
+// too large until it is worked out again, which only costs a close look at a step.
 type roomiest struct {
-	valid bool
-	free  map[string]model.Resources // by service, on workers that no gang waits for
-	kept  map[string]model.Resources // the same with those that gangs keep from late work only
-	any   map[string]model.Resources // by service, on all workers
+	valid     bool
+	taken     bool // room was taken since
+	byService map[string]*roomiestOf
+}
+
+// roomiestOf is the most of each resource that is free on any worker of a service.
+type roomiestOf struct {
+	free model.Resources // on workers that no gang waits for
+	kept model.Resources // the same with those that gangs keep from late work only
+	any  model.Resources // on all workers
 }
 
 // hopeless reports whether no worker has room for one task of the step.
@@ -62,33 +69,50 @@
 	if !s.roomiest.valid {
 		s.findRoomiest()
 	}
-	of := s.roomiest.free
+	of, known := s.roomiest.byService[st.job.rec.Policy.GetService()]
+	if !known {
+		return true
+	}
 	switch {
 	case st.rec.Gang || s.passesReserved(st):
-		of = s.roomiest.any
+		return !st.room().Fits(of.any)
 	case s.classOf(st) <= classExcess:
-		of = s.roomiest.kept
+		return !st.room().Fits(of.kept)
 	}
-	return !st.room().Fits(of[st.job.rec.Policy.GetService()])
+	return !st.room().Fits(of.free)
 }
 
 func (s *Scheduler) findRoomiest() {
-	s.roomiest = roomiest{
-		valid: true, free: make(map[string]model.Resources),
-		kept: make(map[string]model.Resources), any: make(map[string]model.Resources),
-	}
+	s.roomiest = roomiest{valid: true, byService: make(map[string]*roomiestOf)}
+	var (
+		of      *roomiestOf
+		service string
+	)
 	for _, w := range s.usableNow {
-		service, free := w.entry.Service, w.free()
-		s.roomiest.any[service] = most(s.roomiest.any[service], free)
+		if of == nil || w.entry.Service != service {
+			service = w.entry.Service
+			of = s.roomiest.of(service)
+		}
+		free := w.free()
+		of.any = most(of.any, free)
 		if w.reserved == nil {
-			s.roomiest.kept[service] = most(s.roomiest.kept[service], free)
+			of.kept = most(of.kept, free)
 		}
 		if w.reserved == nil && w.kept == nil {
-			s.roomiest.free[service] = most(s.roomiest.free[service], free)
+			of.free = most(of.free, free)
 		}
 	}
 }
 
+func (r *roomiest) of(service string) *roomiestOf {
+	of, known := r.byService[service]
+	if !known {
+		of = &roomiestOf{}
+		r.byService[service] = of
+	}
+	return of
+}
+
 func most(a, b model.Resources) model.Resources {
 	return model.Resources{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
@@ -174,6 +198,9 @@
 		if s.place(st) {
 			continue
 		}
+		if s.roomiest.taken {
+			s.roomiest.valid = false
+		}
 		s.makeRoom(st)
 		tries++
 		if tries > headTries {
--- a/region/place.go
+++ b/region/place.go
@@ -69,7 +69,7 @@
 		at := s.best(st, fitting)
 		w := fitting[at]
 		s.assign(t, w, t.lastRun+1)
-		s.roomiest.valid = false
+		s.roomiest.taken = true
 		placed = append(placed, w.entry.ID)
 		// The assignment changes nothing for the step on any other worker.
 		if rejection := s.reject(st, w); rejection != fits {
