--- a/region/advice.go
+++ b/region/advice.go
@@ -153,12 +153,19 @@
 	return true
 }
 
-// mostAsked is how many workers one call about the step names at most.
+// mostAsked is how many workers one call about the step names at most. As many as
+// double the length of the call are asked about in any case: in a full region a
+// step that knows a few good workers finds no room on any of them and asks again
+// and again, and each call costs the leader as much as a start.
 func (st *step) mostAsked() int {
 	if st.rec.Gang {
 		return maxAsked
 	}
-	return min(maxAsked, max(fewAsked, askedPerTask*len(st.tasks)))
+	most := max(fewAsked, askedPerTask*len(st.tasks))
+	if a := st.job.rec.Policy.GetAdvice(); a.GetEachMs() > 0 {
+		most = max(most, int(a.GetDecideMs()/a.GetEachMs()))
+	}
+	return min(maxAsked, most)
 }
 
 func (s *Scheduler) ask(st *step, room bool) {
