Lanes for calls for advice follow from the queues that are configured

Change: queues whose calls differ by more than three times get lanes of their own, worked out from the configuration; a region whose calls are alike uses every host for them.

--- a/region/advice.go
+++ b/region/advice.go
@@ -12,12 +12,6 @@
 	adviceMargin = 200 * time.Millisecond
 	// maxAsked is how many workers one call for advice may name.
 	maxAsked = 100
-	// quickAdvice and slowAdvice part calls for advice by length. Calls of one
-	// host are answered one after the other, so that a quick call behind a slow
-	// one would wait for it: the first quarter of the hosts is kept for quick
-	// calls, the first half for those that are not slow.
-	quickAdvice = 40 * time.Millisecond
-	slowAdvice  = 150 * time.Millisecond
 	// leastBacklog and backlogShare bound the advice that a host may have been
 	// asked for when a further call joins: leastBacklog, or backlogShare of the
 	// call's own length if that is longer. What waits here can still be put
@@ -145,7 +139,7 @@
 	if st.advice.asking || s.now < st.advice.retryAt {
 		return false
 	}
-	if s.advisers.pick(st.adviceCost(st.mostAsked()), s.now) == nil {
+	if s.advisers.pick(s.lanes, st.job.rec.Queue, st.adviceCost(st.mostAsked()), s.now) == nil {
 		st.blocked = "advice backlog"
 		s.dirty = true
 		return false
@@ -177,15 +171,16 @@
 		return
 	}
 	cost := st.adviceCost(len(names))
-	host, ok := s.advisers.choose(cost, s.now)
-	if !ok {
+	host := s.advisers.pick(s.lanes, st.job.rec.Queue, cost, s.now)
+	if host == nil {
 		st.blocked = "advice backlog"
 		s.dirty = true
 		return
 	}
+	host.backlog += cost
 	st.advice.asking = true
 	s.emit(Advise{
-		Host: host, Job: st.job.rec.Id, Occurrence: st.occ.k, Step: st.index, Workers: names, Expected: cost,
+		Host: host.name, Job: st.job.rec.Id, Occurrence: st.occ.k, Step: st.index, Workers: names, Expected: cost,
 	})
 }
 
@@ -327,29 +322,11 @@
 	}
 }
 
-// choose returns the host with the shortest backlog of those that may take a
-// call of that length, if its backlog is short enough.
-func (a *advisers) choose(cost, now time.Duration) (string, bool) {
-	best := a.pick(cost, now)
-	if best == nil {
-		return "", false
-	}
-	best.backlog += cost
-	return best.name, true
-}
-
-// pick is choose without the call.
-func (a *advisers) pick(cost, now time.Duration) *adviser {
-	from := 0
-	switch n := len(a.hosts); {
-	case cost >= slowAdvice:
-		from = (n + 1) / 2
-	case cost >= quickAdvice:
-		from = (n + 3) / 4
-	}
-	from = min(from, max(len(a.hosts)-1, 0))
+// pick returns the host with the shortest backlog of those that may take a call
+// of that queue and length, or nil if none has a backlog that is short enough.
+func (a *advisers) pick(l lanes, queue string, cost, now time.Duration) *adviser {
 	var best *adviser
-	for _, h := range a.hosts[from:] {
+	for _, h := range a.hosts[l.first(queue, len(a.hosts)):] {
 		if now >= h.badTo && (best == nil || h.backlog < best.backlog) {
 			best = h
 		}
--- a/region/region.go
+++ b/region/region.go
@@ -68,6 +68,7 @@
 	ready          readyList // steps with tasks that wait, most urgent first
 	used           map[string]model.Resources
 	advisers       advisers
+	lanes          lanes
 	timed          []*job // jobs with further occurrences
 	written        []*job // jobs by when their newest whole record was written
 	finished       []*job // in the order they ended
@@ -127,6 +128,9 @@
 		s.lead(ev.Fence)
 	case ConfigRead:
 		s.config = ev.Config
+		if ev.Config != nil {
+			s.lanes = lanesOf(ev.Config)
+		}
 		s.dirty = true
 	case WorkerListed:
 		s.workerListed(ev.Entry)
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -182,11 +182,13 @@
 }
 
 // submit keeps a job in the log and tells the scheduler.
-func (w *world) submit(j *record.Job) {
+func (w *world) submit(j *record.Job) { w.submitTo(j, "q") }
+
+func (w *world) submitTo(j *record.Job, queue string) {
 	if j.Policy == nil {
 		j.Policy = &record.Policy{Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000}
 	}
-	j.Workspace, j.Queue, j.AcceptedUnixMs = "ws", "q", w.now.Milliseconds()
+	j.Workspace, j.Queue, j.AcceptedUnixMs = "ws", queue, w.now.Milliseconds()
 	r := &record.Intake{Kind: &record.Intake_Submitted{Submitted: j}}
 	w.intake = append(w.intake, r)
 	w.tell(IntakeRead{Records: []*record.Intake{r}})
