Looks at workers are paced while events wait for the leader

Change: the driver tells how late it handles a tick; the pause between two looks at a worker with ends grows with it, from 100 to 300 ms at most. TestLooksArePacedWhileEventsWait.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -355,7 +355,7 @@
 		case ev := <-l.events.Items():
 			d.do(sched.Step(boottime.Now(), ev))
 			l.drain(d, sched)
-		case <-ticker.C:
+		case due := <-ticker.C:
 			if c := l.cfg.Config(); c != config {
 				config = c
 				d.do(sched.Step(boottime.Now(), region.ConfigRead{Config: c}))
@@ -363,7 +363,7 @@
 			if names := l.cfg.Hosts(); hosts.changed(names) {
 				d.do(sched.Step(boottime.Now(), region.HostsSeen{Hosts: names}))
 			}
-			d.do(sched.Step(boottime.Now(), region.Tick{UnixMs: time.Now().UnixMilli()}))
+			d.do(sched.Step(boottime.Now(), region.Tick{UnixMs: time.Now().UnixMilli(), Behind: time.Since(due)}))
 		}
 		d.do(sched.Step(boottime.Now(), region.Schedule{}))
 	}
--- /dev/null
+++ b/region/behind_test.go
@@ -0,0 +1,38 @@
+package region
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+)
+
+// A burst of work keeps the leader's processor busy, so that every answer waits.
+// Looks that go on at the pace of a calm day are half of its calls: starts and
+// advice wait behind them, run out of time and are made again, and the region
+// does not recover when the burst is over.
+func TestLooksArePacedWhileEventsWait(t *testing.T) {
+	pause := func(behind time.Duration) time.Duration {
+		s, now := backlog(1, 0, 0)
+		for range 20 * behindMemory {
+			s.Step(now, Tick{UnixMs: now.Milliseconds(), Behind: behind})
+		}
+		order := model.HoldOrder{Worker: model.WorkerRef{ID: "w000", BornUnix: 1}}
+		for _, c := range s.Step(now, Held{Order: order, SentAt: now, Hold: model.Hold{ClockMs: 1, BornUnix: 1}}) {
+			if h, ok := c.(Hold); ok {
+				return h.After
+			}
+		}
+		t.Fatal("no further look")
+		return 0
+	}
+	if got := pause(0); got != lookGap {
+		t.Errorf("pause %v with no event waiting, want %v", got, lookGap)
+	}
+	if got, most := pause(10*time.Millisecond), lookGap+pausePerBehind*10*time.Millisecond; got <= lookGap+most/4 || got > most {
+		t.Errorf("pause %v with events waiting 10 ms, want close to %v", got, most)
+	}
+	if got := pause(time.Second); got != mostLookPause {
+		t.Errorf("pause %v with events waiting a second, want %v", got, mostLookPause)
+	}
+}
--- a/region/event.go
+++ b/region/event.go
@@ -74,8 +74,12 @@
 	// HostsSeen lists the hosts that can be asked for advice.
 	HostsSeen struct{ Hosts []string }
 
-	// Tick passes time. UnixMs is the time of day.
-	Tick struct{ UnixMs int64 }
+	// Tick passes time. UnixMs is the time of day, and Behind how late the driver
+	// came to handle the tick: with a busy processor, every event waits as long.
+	Tick struct {
+		UnixMs int64
+		Behind time.Duration
+	}
 
 	// Schedule looks for room for what waits. The driver sends it when it has
 	// no other event at hand.
--- a/region/region.go
+++ b/region/region.go
@@ -83,7 +83,8 @@
 	unkeptAt  time.Duration   // since when the oldest entry on its way has waited, at the latest
 	whenKept  []afterLog      // what waits for the log, by entry number
 	leadSince time.Duration
-	dirty     bool // something changed that may let a task start
+	behind    time.Duration // how long events wait for us, a running mean
+	dirty     bool          // something changed that may let a task start
 	lastPass  time.Duration
 	roomiest  roomiest
 	turns     [classes]int // where the close look at the tail of each class goes on
@@ -243,6 +244,7 @@
 
 func (s *Scheduler) tick(ev Tick) {
 	s.unixMs = ev.UnixMs
+	s.behind += (ev.Behind - s.behind) / behindMemory
 	if !s.leading() {
 		return
 	}
--- a/region/worker.go
+++ b/region/worker.go
@@ -20,6 +20,13 @@
 	// 100 ms are a sixth of the slack of the shortest tasks. A calm day has 11,300
 	// looks with 60 ms and 9,100 with 130 ms.
 	lookGap = 100 * time.Millisecond
+	// pausePerBehind times as long as events wait for us is added to that pause, up
+	// to mostLookPause: looks are half of a leader's calls, and in a burst of
+	// work starts and advice would wait behind them.
+	pausePerBehind = 8
+	mostLookPause  = 300 * time.Millisecond
+	// behindMemory is over how many ticks, of 20 ms each, that is a running mean.
+	behindMemory = 16
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 150 * time.Millisecond
 	// reachable is how old the newest answered look of a worker may be for new
@@ -261,7 +268,12 @@
 		s.lookAgain(w, 0)
 		return
 	}
-	s.lookAgain(w, lookGap)
+	s.lookAgain(w, s.lookPause())
+}
+
+// lookPause is the pause before the next look at a worker with ends.
+func (s *Scheduler) lookPause() time.Duration {
+	return lookGap + min(pausePerBehind*s.behind, mostLookPause-lookGap)
 }
 
 // lookAgain goes on looking, unless the worker left and holds nothing.
