--- /dev/null
+++ b/region/end.go
@@ -0,0 +1,109 @@
+package region
+
+import (
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// lose ends a run that left no end of its own. It counts as no attempt.
+func (s *Scheduler) lose(r *run, why string) {
+	t := r.task
+	s.explain(t.step.job.rec.Id, "run lost", Field{"why", why}, Field{"worker", r.ref.ID},
+		Field{"step", t.step.index}, Field{"task", t.index}, Field{"run", r.number},
+		Field{"phase", int(r.phase)}, Field{"looked_ms_ago", (s.now - r.worker.lookedAt).Milliseconds()})
+	s.release(r)
+	s.endOf(t, r.number, record.Outcome_OUTCOME_LOST, "")
+	s.breakGang(t, r.number)
+}
+
+// endOf keeps an end and counts it.
+func (s *Scheduler) endOf(t *task, number int32, outcome record.Outcome, checkpoint string) {
+	s.append(&record.Entry{Kind: &record.Entry_Ended{Ended: &record.Ended{
+		Task: t.id().Record(), Run: number, Outcome: outcome, Checkpoint: checkpoint,
+	}}})
+	s.countEnd(t, number, outcome, checkpoint)
+}
+
+// endsAs reports whether an end of that kind is the task's last: one that lasts
+// is started again however it ends.
+func (t *task) endsAs(outcome record.Outcome) bool {
+	return outcome == record.Outcome_OUTCOME_DONE && !t.step.rec.LongRunning
+}
+
+// runEnded applies an end that a worker lists.
+func (s *Scheduler) runEnded(w *worker, e model.End) {
+	t := s.find(e.Task)
+	if t == nil {
+		return
+	}
+	r := t.run
+	if r != nil && r.number == e.Run && r.worker == w {
+		s.learn(r, e.Outcome)
+		s.release(r)
+		r = nil
+	}
+	if e.Run <= t.endedRun && (!t.endsAs(e.Outcome) || t.done) {
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	s.endOf(t, e.Run, e.Outcome, e.Checkpoint)
+	if e.Outcome == record.Outcome_OUTCOME_FAILED {
+		s.explain(e.Task.Job, "run failed", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step},
+			Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"attempts", t.attempts})
+	}
+	if t.endsAs(e.Outcome) {
+		if r != nil {
+			s.stopRun(r, "an earlier run is done")
+		}
+		s.gangDone(t, e.Run)
+		return
+	}
+	if e.Alone {
+		s.explain(e.Task.Job, "gang member ended alone", Field{"step", e.Task.Step}, Field{"task", e.Task.Index}, Field{"run", e.Run})
+	}
+	s.breakGang(t, e.Run)
+}
+
+// countEnd counts the end of a run towards its task and job.
+func (s *Scheduler) countEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
+	first := number > t.endedRun
+	t.endedRun = max(t.endedRun, number)
+	if checkpoint != "" {
+		s.saved(t, checkpoint)
+	}
+	switch {
+	case t.endsAs(outcome):
+		s.taskDone(t)
+	case outcome == record.Outcome_OUTCOME_FAILED && first:
+		s.countFailure(t)
+	}
+	if t.waiting() && !t.step.job.over() && t.step.started {
+		s.enqueue(t.step)
+	}
+	s.dirty = true
+}
+
+// countFailure uses up an attempt; a gang has its attempts in common.
+func (s *Scheduler) countFailure(t *task) {
+	if t.step.rec.LongRunning {
+		return
+	}
+	if t.step.rec.Gang {
+		t = t.step.tasks[0]
+	}
+	t.attempts++
+	if t.attempts >= t.step.job.rec.Policy.GetMaxAttempts() {
+		s.fail(t.step.job, t)
+	}
+}
+
+// saved remembers a checkpoint; any member's is valid for its gang.
+func (s *Scheduler) saved(t *task, checkpoint string) {
+	if !t.step.rec.Gang {
+		t.checkpoint = checkpoint
+		return
+	}
+	for _, m := range t.step.tasks {
+		m.checkpoint = checkpoint
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -4,40 +4,15 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/model"
-	"github.com/fireflyfold/fireflyfold/record"
 )
 
 const (
-	// lookWait is how long a worker may wait for an end before it answers a
-	// look: longer saves looks, shorter notices a lost worker sooner.
-	lookWait = 700 * time.Millisecond
-	// lossyWait is the same for a worker that missed a look within lossyFor: where
-	// answers get lost, a short wait finds it out sooner.
-	lossyWait = 150 * time.Millisecond
-	lossyFor  = 5 * time.Second
-	// lookGap is the pause between two looks at a worker with ends: several
-	// ends then share a look. A look costs about 1% of a small task's worth, and
-	// 100 ms are a sixth of the slack of the shortest tasks. A calm day has 11,300
-	// looks with 60 ms and 9,100 with 130 ms.
-	lookGap = 100 * time.Millisecond
-	// pausePerBehind times as long as events wait for us is added to that pause, up
-	// to mostLookPause: looks are half of a leader's calls, and in a burst of
-	// work starts and advice would wait behind them.
-	pausePerBehind = 8
-	mostLookPause  = 300 * time.Millisecond
-	// behindMemory is over how many ticks, of 20 ms each, that is a running mean.
-	behindMemory = 16
-	// lookRetry is the pause after a look that failed.
-	lookRetry = 150 * time.Millisecond
 	// reachable is how old the newest answered look of a worker may be for new
 	// work to go there: a wait and a round trip, with one lost answer.
 	reachable = 1500 * time.Millisecond
 	// unhealthyPause is how long a worker that refused an order for its own
 	// state gets no further ones.
 	unhealthyPause = 500 * time.Millisecond
-	// maxEndsListed is how many ends a worker lists at most in one answer; a
-	// full list says nothing about runs that it does not name.
-	maxEndsListed = 500
 )
 
 // worker is what is believed of one worker.
@@ -204,163 +179,6 @@
 	}
 }
 
-// look renews the worker's leases and reads what runs and what has ended. One
-// look at a time is under way, so that answers do not overtake each other.
-func (s *Scheduler) look(w *worker, after time.Duration) {
-	if w.looking || !s.leading() || w.entry.Address == "" {
-		return
-	}
-	order := model.HoldOrder{Worker: w.ref(), Fence: s.fenceOf(w), AckedUpTo: w.acked}
-	// A worker that does not answer gets no longer lease until it does: each
-	// renewal may be carried out late, and what runs on a worker that is gone
-	// for good could never be taken for dead.
-	if w.fenced && !w.missed {
-		order.Wait = lookWait
-		if s.now < w.lossyTo {
-			order.Wait = lossyWait
-		}
-		order.UntilMs = s.leaseEnd(w)
-	}
-	w.looking = true
-	s.emit(Hold{Order: order, After: after})
-}
-
-// leaseEnd returns the end of a lease that is granted now, on the worker's
-// clock, or 0 if it is not certain that no other host leads.
-func (s *Scheduler) leaseEnd(w *worker) int64 {
-	if !s.proven() {
-		return 0
-	}
-	until := w.clock(s.now) + s.opts.Lease.Milliseconds()
-	w.leaseMs = max(w.leaseMs, until)
-	return until
-}
-
-func (s *Scheduler) held(ev Held) {
-	w, known := s.workers[ev.Order.Worker.ID]
-	if !known {
-		return
-	}
-	w.looking = false
-	if ev.Order.Worker.BornUnix != w.entry.BornUnix {
-		s.look(w, 0)
-		return
-	}
-	switch ev.Err {
-	case CallOK:
-	case CallFenced:
-		s.emit(Deposed{Worker: w.entry.ID})
-		return
-	case CallOtherLife:
-		s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
-		s.newLife(w, false)
-		s.lookAgain(w, lookRetry)
-		return
-	default:
-		w.missed = true
-		w.lossyTo = s.now + lossyFor
-		s.lookAgain(w, lookRetry)
-		return
-	}
-	s.readLook(w, ev)
-	if w.missed {
-		w.missed = false
-		s.lookAgain(w, 0)
-		return
-	}
-	s.lookAgain(w, s.lookPause())
-}
-
-// lookPause is the pause before the next look at a worker with ends.
-func (s *Scheduler) lookPause() time.Duration {
-	return lookGap + min(pausePerBehind*s.behind, mostLookPause-lookGap)
-}
-
-// lookAgain goes on looking, unless the worker left and holds nothing.
-func (s *Scheduler) lookAgain(w *worker, after time.Duration) {
-	if !w.listed && len(w.runs) == 0 {
-		s.forget(w)
-		return
-	}
-	s.look(w, after)
-}
-
-func (s *Scheduler) readLook(w *worker, ev Held) {
-	w.clockMs, w.clockAt = ev.Hold.ClockMs, s.now
-	if !w.fenced {
-		w.fenced = true
-		// Whatever a predecessor granted ends within a whole lease from here.
-		w.leaseMs = max(w.leaseMs, ev.Hold.ClockMs+s.opts.MaxLease.Milliseconds())
-		s.dirty = true
-	}
-	w.lookedAt = max(w.lookedAt, ev.SentAt)
-	for _, e := range ev.Hold.Ended {
-		s.readEnd(w, e)
-	}
-	listed := make(map[model.TaskID]bool, len(ev.Hold.Running))
-	for _, row := range ev.Hold.Running {
-		listed[row.Task] = true
-		s.readRunning(w, row)
-	}
-	if len(ev.Hold.Ended) < maxEndsListed {
-		s.clearUnlisted(w, listed, ev.SentAt)
-	}
-}
-
-func (s *Scheduler) readEnd(w *worker, e model.End) {
-	if e.Number <= w.lastEnd {
-		return
-	}
-	w.lastEnd = e.Number
-	s.runEnded(w, e)
-	number := e.Number
-	life := w.entry.BornUnix
-	s.afterKept(s.seq, func() {
-		if w.entry.BornUnix == life {
-			w.acked = max(w.acked, number)
-		}
-	})
-}
-
-func (s *Scheduler) readRunning(w *worker, row model.Running) {
-	t := s.find(row.Task)
-	if t == nil || t.run == nil || t.run.number != row.Run || t.run.worker != w {
-		s.stopStray(w, row.RunID)
-		return
-	}
-	r := t.run
-	if row.Checkpoint != "" {
-		s.saved(t, row.Checkpoint)
-	}
-	s.progress(r, row)
-	if r.phase == phaseInherited || r.phase == phaseSending {
-		s.confirm(r)
-	}
-	if t.done || t.step.job.over() {
-		s.stopRun(r, "job is over")
-	}
-}
-
-// stopStray stops a run that nobody wants: an order that was carried out late,
-// or of a job that is over.
-func (s *Scheduler) stopStray(w *worker, id model.RunID) {
-	s.explain(id.Task.Job, "stray run stopped", Field{"worker", w.entry.ID}, Field{"run", id.Run}, Field{"step", id.Task.Step}, Field{"task", id.Task.Index})
-	s.emit(Stop{Order: model.StopOrder{RunID: id, Worker: w.ref(), Fence: s.fenceOf(w)}})
-}
-
-// clearUnlisted settles runs that a look did not list although it was sent
-// after the worker had settled them. A member of a gang may be missing because
-// another member's end stands for all: the gang starts again only when every
-// member is settled, and that end is read before its own member is.
-func (s *Scheduler) clearUnlisted(w *worker, listed map[model.TaskID]bool, sentAt time.Duration) {
-	for _, r := range w.sortedRuns() {
-		if listed[r.task.id()] || !r.settledBefore(sentAt) {
-			continue
-		}
-		s.lose(r, "its worker does not list it")
-	}
-}
-
 // expireRuns ends the runs on workers whose leases are over for certain.
 func (s *Scheduler) expireRuns() {
 	for i := len(s.order) - 1; i >= 0; i-- {
@@ -375,47 +193,3 @@
 		}
 	}
 }
-
-// countEnd counts the end of a run towards its task and job.
-func (s *Scheduler) countEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
-	first := number > t.endedRun
-	t.endedRun = max(t.endedRun, number)
-	if checkpoint != "" {
-		s.saved(t, checkpoint)
-	}
-	switch {
-	case t.endsAs(outcome):
-		s.taskDone(t)
-	case outcome == record.Outcome_OUTCOME_FAILED && first:
-		s.countFailure(t)
-	}
-	if t.waiting() && !t.step.job.over() && t.step.started {
-		s.enqueue(t.step)
-	}
-	s.dirty = true
-}
-
-// countFailure uses up an attempt; a gang has its attempts in common.
-func (s *Scheduler) countFailure(t *task) {
-	if t.step.rec.LongRunning {
-		return
-	}
-	if t.step.rec.Gang {
-		t = t.step.tasks[0]
-	}
-	t.attempts++
-	if t.attempts >= t.step.job.rec.Policy.GetMaxAttempts() {
-		s.fail(t.step.job, t)
-	}
-}
-
-// saved remembers a checkpoint; any member's is valid for its gang.
-func (s *Scheduler) saved(t *task, checkpoint string) {
-	if !t.step.rec.Gang {
-		t.checkpoint = checkpoint
-		return
-	}
-	for _, m := range t.step.tasks {
-		m.checkpoint = checkpoint
-	}
-}
