--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -49,7 +49,7 @@
 	log                           *proxy // its way to the log
 	door                          *fakeplatform.Door
 
-	mu     sync.Mutex
+	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{} // of cmd
 }
