--- /dev/null
+++ b/region/worldworker_test.go
@@ -0,0 +1,242 @@
+package region
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// percent moves with time, unless the worker's tasks hang.
+func (fw *fakeWorker) percent(now time.Duration, r *fakeRun) int {
+	if fw.hangs {
+		return 0
+	}
+	return int((now - r.began) / (100 * time.Millisecond))
+}
+
+func (fw *fakeWorker) clock(now time.Duration) int64 { return now.Milliseconds() - 1000 }
+
+func (w *world) start(fw *fakeWorker, o model.StartOrder) CallError {
+	if o.Fence < fw.fence {
+		return CallFenced
+	}
+	fw.fence = o.Fence
+	w.lapse(fw)
+	if o.UntilMs < fw.clock(w.now) {
+		return CallLate
+	}
+	fw.until = max(fw.until, min(o.UntilMs, fw.clock(w.now)+testLease.Milliseconds()))
+	if r, ok := fw.runs[o.Task]; ok && r.number == o.Run {
+		return CallOK
+	}
+	if o.Run <= fw.highest[o.Task] {
+		return CallOldRun
+	}
+	if until, ok := fw.tickets[o.Ticket]; o.Ticket != "" && (!ok || w.now > until) {
+		return CallNoTicket
+	}
+	w.started(fw, o)
+	return CallOK
+}
+
+// started notes a start and checks the promises that a start can break.
+func (w *world) started(fw *fakeWorker, o model.StartOrder) {
+	j := w.job(o.Task.Job)
+	if j == nil {
+		w.t.Fatalf("a task started that nobody submitted: %v", o.Task)
+	}
+	for _, name := range w.names {
+		w.lapse(w.workers[name])
+	}
+	if w.doneRuns[o.Task] > 0 && !w.lasting {
+		w.fatal("started again after it was done: %v run %d", o.Task, o.Run)
+	}
+	for id, other := range w.workers {
+		if _, alive := other.runs[o.Task]; alive && other.until >= other.clock(w.now) {
+			w.fatal("two runs at once: %v run %d on %s while on %s", o.Task, o.Run, fw.entry.ID, id)
+		}
+	}
+	if n := w.failures[o.Task]; n >= int(j.Policy.MaxAttempts) && !j.Steps[o.Task.Step].LongRunning {
+		w.fatal("started after %d failures: %v", n, o.Task)
+	}
+	step := j.Steps[o.Task.Step]
+	r := &fakeRun{number: o.Run, room: model.ResourcesOf(step.Request), began: w.now}
+	fw.runs[o.Task] = r
+	w.starts[o.Task]++
+	var used model.Resources
+	for _, x := range fw.runs {
+		used = used.Add(x.room)
+	}
+	if !used.Fits(fw.entry.Capacity) {
+		w.fatal("worker %s over capacity: %v of %v", fw.entry.ID, used, fw.entry.Capacity)
+	}
+	if step.Gang {
+		w.joinGang(fw, o.Task, r, step)
+		return
+	}
+	w.at(w.runTime(o.Task), func() {
+		w.lapse(fw)
+		if fw.runs[o.Task] == r && !fw.hangs {
+			w.finish(fw, o.Task)
+		}
+	})
+}
+
+// finish ends a run by itself.
+func (w *world) finish(fw *fakeWorker, id model.TaskID) {
+	number := fw.runs[id].number
+	if w.fails(id, number) {
+		w.failures[id]++
+		w.end(fw, id, record.Outcome_OUTCOME_FAILED)
+		return
+	}
+	w.doneRuns[id] = number
+	w.end(fw, id, record.Outcome_OUTCOME_DONE)
+}
+
+// forgetEnd forgets an end that was not taken note of; the end of a gang's
+// member stands for all of them.
+func (w *world) forgetEnd(e model.End) {
+	id := e.RunID
+	if e.Outcome == record.Outcome_OUTCOME_FAILED {
+		w.failures[id.Task]--
+	}
+	if e.Outcome != record.Outcome_OUTCOME_DONE {
+		return
+	}
+	gang := w.job(id.Task.Job).Steps[id.Task.Step].Gang
+	for m, number := range w.doneRuns {
+		same := m == id.Task || gang && m.Job == id.Task.Job && m.Occurrence == id.Task.Occurrence && m.Step == id.Task.Step
+		if same && number == id.Run {
+			delete(w.doneRuns, m)
+		}
+	}
+}
+
+const testGangWait = 3 * time.Second
+
+// joinGang lets a gang work from the moment when all members of a run are
+// there. A member that waits too long ends alone. Members end together: one
+// lists the end for all, or, if it fails, the others are broken.
+func (w *world) joinGang(fw *fakeWorker, id model.TaskID, r *fakeRun, step *record.Step) {
+	w.at(testGangWait, func() {
+		if fw.runs[id] == r && len(w.members(id, r.number)) < int(step.Count) {
+			fw.alone = append(fw.alone, id)
+			w.end(fw, id, record.Outcome_OUTCOME_LOST)
+		}
+	})
+	if len(w.members(id, r.number)) < int(step.Count) {
+		return
+	}
+	w.at(w.runTime(id), func() {
+		members := w.members(id, r.number)
+		if len(members) < int(step.Count) {
+			w.breakRest(id, r.number)
+			return
+		}
+		if w.fails(id, r.number) {
+			w.failures[id]++
+			w.end(members[id], id, record.Outcome_OUTCOME_FAILED)
+			w.breakRest(id, r.number)
+			return
+		}
+		for m, on := range members {
+			w.doneRuns[m] = r.number
+			if m == id {
+				w.end(on, m, record.Outcome_OUTCOME_DONE)
+				continue
+			}
+			on.highest[m] = max(on.highest[m], r.number)
+			delete(on.runs, m)
+		}
+	})
+}
+
+// members returns where the members of a gang's run are alive.
+func (w *world) members(id model.TaskID, number int32) map[model.TaskID]*fakeWorker {
+	out := make(map[model.TaskID]*fakeWorker)
+	for _, name := range w.names {
+		fw := w.workers[name]
+		w.lapse(fw)
+		for m, r := range fw.runs {
+			if m.Job == id.Job && m.Occurrence == id.Occurrence && m.Step == id.Step && r.number == number {
+				out[m] = fw
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) breakRest(id model.TaskID, number int32) {
+	for m, fw := range w.members(id, number) {
+		w.end(fw, m, record.Outcome_OUTCOME_LOST)
+	}
+}
+
+func (w *world) stop(fw *fakeWorker, o model.StopOrder) CallError {
+	if o.Fence < fw.fence {
+		return CallFenced
+	}
+	fw.fence = o.Fence
+	fw.highest[o.Task] = max(fw.highest[o.Task], o.Run)
+	if r, ok := fw.runs[o.Task]; ok && r.number == o.Run {
+		w.end(fw, o.Task, record.Outcome_OUTCOME_STOPPED)
+	}
+	return CallOK
+}
+
+func (w *world) end(fw *fakeWorker, id model.TaskID, outcome record.Outcome) {
+	r := fw.runs[id]
+	delete(fw.runs, id)
+	fw.highest[id] = max(fw.highest[id], r.number)
+	fw.nextEnd++
+	fw.ends = append(fw.ends, model.End{Number: fw.nextEnd, RunID: model.RunID{Task: id, Run: r.number}, Outcome: outcome})
+}
+
+// lapse ends what runs on a worker whose lease is over.
+func (w *world) lapse(fw *fakeWorker) {
+	if fw.until >= fw.clock(w.now) {
+		return
+	}
+	// An end that was not taken note of before the lease was over does not
+	// bind for good.
+	for ; fw.bound < len(fw.ends); fw.bound++ {
+		w.forgetEnd(fw.ends[fw.bound])
+	}
+	ids := make([]model.TaskID, 0, len(fw.runs))
+	for id := range fw.runs {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return fmt.Sprint(ids[i]) < fmt.Sprint(ids[j]) })
+	for _, id := range ids {
+		w.end(fw, id, record.Outcome_OUTCOME_LOST)
+	}
+}
+
+func (w *world) hold(life int, c Hold) {
+	sent := w.now + c.After
+	var got model.Hold
+	w.call(life, "hold", c.After, c.Order.Worker, func(fw *fakeWorker) CallError {
+		if c.Order.Fence < fw.fence {
+			return CallFenced
+		}
+		fw.fence = c.Order.Fence
+		w.lapse(fw)
+		if c.Order.UntilMs > 0 {
+			fw.until = max(fw.until, min(c.Order.UntilMs, fw.clock(w.now)+testLease.Milliseconds()))
+		}
+		for len(fw.ends) > 0 && fw.ends[0].Number <= c.Order.AckedUpTo {
+			fw.ends = fw.ends[1:]
+			fw.bound = max(0, fw.bound-1)
+		}
+		got = model.Hold{ClockMs: fw.clock(w.now), BornUnix: fw.entry.BornUnix, Ended: append([]model.End(nil), fw.ends...)}
+		for id, r := range fw.runs {
+			got.Running = append(got.Running, model.Running{RunID: model.RunID{Task: id, Run: r.number}, Percent: fw.percent(w.now, r)})
+		}
+		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
+		return CallOK
+	}, func(e CallError) Event { return Held{Order: c.Order, SentAt: sent, Hold: got, Err: e} })
+}
