A run is over with the life of its worker that it was assigned to

Cause: keepStarts kept starts under way to a worker's earlier life as if they could begin in the next one, and a run that a predecessor had assigned to an earlier life waited for a look. Since calls reach only the life that they name, neither can begin any more; both kept their tasks from running elsewhere until the next answered look. An answer of another life ended the one run that it was about, and the next starts went to the same worker until its look came back.

Change: whatever belongs to an earlier life of a worker is lost at once, also runs of predecessors; an answer of another life ends the known one. The worker gets no work until the host list tells of the new life, which may be of another kind or size. keepStarts goes.

--- a/region/history_test.go
+++ b/region/history_test.go
@@ -137,6 +137,13 @@
 // that nobody has taken note of are as if they had never been, and tickets of
 // the earlier life do not hold in the new one.
 func crash(w *world, fw *fakeWorker) {
+	fw.endLife(w)
+	fw.entry.BornUnix++
+	w.tell(WorkerListed{Entry: fw.entry})
+}
+
+// endLife forgets all that the worker knows.
+func (fw *fakeWorker) endLife(w *world) {
 	for _, e := range fw.ends[fw.bound:] {
 		w.forgetEnd(e)
 	}
@@ -145,8 +152,6 @@
 	fw.highest = make(map[model.TaskID]int32)
 	fw.tickets = make(map[string]time.Duration)
 	fw.ends, fw.nextEnd, fw.until, fw.fence = nil, 0, 0, 0
-	fw.entry.BornUnix++
-	w.tell(WorkerListed{Entry: fw.entry})
 }
 
 // describe tells where a job's tasks stand.
--- a/region/look.go
+++ b/region/look.go
@@ -73,8 +73,7 @@
 		s.emit(Deposed{Worker: w.entry.ID})
 		return
 	case CallOtherLife:
-		s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
-		s.newLife(w, false)
+		s.otherLife(w)
 		s.lookAgain(w, lookRetry)
 		return
 	default:
@@ -92,6 +91,17 @@
 	s.lookAgain(w, s.lookPause())
 }
 
+// otherLife ends the life that is known of a worker, as another one answers in its
+// place. The worker gets no work until the host list tells of that one: it may be of
+// another kind or size.
+func (s *Scheduler) otherLife(w *worker) {
+	if !w.fenced && len(w.runs) == 0 {
+		return // known already
+	}
+	s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
+	s.newLife(w)
+}
+
 // lookPause is the pause before the next look at a worker with ends.
 func (s *Scheduler) lookPause() time.Duration {
 	return lookGap + min(pausePerBehind*s.behind, mostLookPause-lookGap)
--- a/region/run.go
+++ b/region/run.go
@@ -204,7 +204,7 @@
 		r.leaseTo = 0
 		s.retryStart(r)
 	case CallOtherLife:
-		s.lose(r, "another life of its worker answered")
+		s.otherLife(r.worker)
 	case CallRefused:
 		r.worker.pausedTo = s.now + unhealthyPause
 		r.worker.health.refused(s.now)
@@ -288,7 +288,7 @@
 	case CallFenced:
 		s.emit(Deposed{Worker: r.ref.ID})
 	case CallOtherLife:
-		s.lose(r, "another life of its worker answered")
+		s.otherLife(r.worker)
 	default:
 		s.sendStop(r, stopRetry)
 	}
--- a/region/worker.go
+++ b/region/worker.go
@@ -96,8 +96,7 @@
 	w := s.workerNamed(e.ID)
 	if w.entry.BornUnix != e.BornUnix && w.entry.BornUnix != 0 {
 		s.explain("", "worker has a new life", Field{"worker", e.ID}, Field{"runs_lost", len(w.runs)})
-		s.keepStarts(w)
-		s.newLife(w, true)
+		s.newLife(w)
 	}
 	if w.listed && e.Draining && !w.entry.Draining {
 		s.explain("", "worker drains", Field{"worker", e.ID}, Field{"runs", len(w.runs)})
@@ -107,6 +106,7 @@
 	}
 	w.entry = e
 	w.listed = true
+	s.loseEarlierRuns(w)
 	s.dirty = true
 	s.look(w, 0)
 }
@@ -118,31 +118,28 @@
 		if w.entry.Address != e.Address || w.entry.ID == e.ID || w.entry.BornUnix >= e.BornUnix {
 			continue
 		}
-		s.newLife(w, false)
+		s.newLife(w)
 		w.listed = false
 	}
 }
 
-// keepStarts keeps the starts that are still under way to a worker that has a
-// new life under its old id. Such a start may reach the new life, which knows
-// nothing of the old one, and a second run elsewhere would be beside it. The
-// next look settles them: it raises the fencing token that the new life has
-// seen, so that a start it does not list can come no more.
-func (s *Scheduler) keepStarts(w *worker) {
-	for _, r := range w.runs {
-		if r.phase == phaseSending || r.maybeSent {
-			r.phase = phaseInherited
+// loseEarlierRuns ends the runs that belong to earlier lives of the worker, also those
+// that a predecessor assigned. Starts that are still on their way are over as well:
+// calls reach only the life that they are for (platform.Client), so that none of them
+// can begin in the new one.
+func (s *Scheduler) loseEarlierRuns(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.ref.BornUnix != w.entry.BornUnix {
+			s.lose(r, "its worker has a new life")
 		}
 	}
 }
 
-// newLife ends the runs of a worker's earlier life, but for those that the next
-// look has to settle, if the new life has the same id.
-func (s *Scheduler) newLife(w *worker, sameID bool) {
+// newLife ends all that is known of a worker's life: another one has begun, here or
+// at its address.
+func (s *Scheduler) newLife(w *worker) {
 	for _, r := range w.sortedRuns() {
-		if r.phase != phaseInherited || !sameID {
-			s.lose(r, "its worker has a new life")
-		}
+		s.lose(r, "its worker has a new life")
 	}
 	w.clockMs, w.leaseMs, w.lastEnd, w.acked = 0, 0, 0, 0
 	w.inherited = s.now + s.maxLease() + lapseMargin
@@ -155,10 +152,9 @@
 const livesBits = 16
 
 // fenceOf returns the fencing token of orders to a worker. It rises with each
-// leader, and with each new life of the worker under the same id: an order to
-// the earlier life that is carried out late would otherwise start a task there
-// that has been started elsewhere since. The new life refuses it once it has
-// answered one look.
+// leader, and with each new life of the worker under the same id. Orders to the
+// earlier life end with its connections; should something on the way deliver one to
+// the new life all the same, that refuses it from its first answered look on.
 func (s *Scheduler) fenceOf(w *worker) int64 { return s.fence<<livesBits | w.lives }
 
 func (s *Scheduler) workerUnlisted(id string) {
