--- a/region/history_test.go
+++ b/region/history_test.go
@@ -56,12 +56,7 @@
 		w.addWorker(fmt.Sprintf("w%d", i), 8)
 	}
 	calm := false
-	w.runTime = func(model.TaskID) time.Duration {
-		return 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(2*time.Second)))
-	}
-	w.fails = func(model.TaskID, int32) bool { return !calm && w.rng.IntN(30) == 0 }
-	w.good = func(step, worker string) bool { return (len(step)+int(worker[1]))%3 != 0 }
-	w.lost = func(string) bool { return !calm && w.rng.IntN(40) == 0 }
+	w.mixed(&calm)
 	w.late = func(call string) time.Duration {
 		if calm || call == "hold" || w.rng.IntN(60) != 0 {
 			return 0
@@ -77,9 +72,25 @@
 			w.submit(j)
 			jobs = append(jobs, j.Id)
 		}
-		disturb(w)
+		disturb(w, 60, crash)
 	}
 	calm = true
+	w.mustEnd(jobs)
+}
+
+// mixed gives tasks run times that differ, lets some fail and some answers get lost
+// until all is calm, and lets a third of the workers run no task of a step.
+func (w *world) mixed(calm *bool) {
+	w.runTime = func(model.TaskID) time.Duration {
+		return 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(2*time.Second)))
+	}
+	w.fails = func(model.TaskID, int32) bool { return !*calm && w.rng.IntN(30) == 0 }
+	w.good = func(step, worker string) bool { return (len(step)+int(worker[1]))%3 != 0 }
+	w.lost = func(string) bool { return !*calm && w.rng.IntN(40) == 0 }
+}
+
+// mustEnd ends all faults and fails unless every job is over a minute later.
+func (w *world) mustEnd(jobs []string) {
 	w.logDown = false
 	for _, fw := range w.workers {
 		fw.cut = false
@@ -111,10 +122,10 @@
 	return j
 }
 
-// disturb causes a fault now and then.
-func disturb(w *world) {
+// disturb causes a fault of each kind once in as many calls.
+func disturb(w *world, calls int, crash func(*world, *fakeWorker)) {
 	fw := w.workers[w.names[w.rng.IntN(len(w.names))]]
-	switch w.rng.IntN(60) {
+	switch w.rng.IntN(calls) {
 	case 0:
 		w.stopLeading()
 		w.at(time.Duration(w.rng.Int64N(int64(3*time.Second))), func() {
--- a/region/life_test.go
+++ b/region/life_test.go
@@ -8,6 +8,60 @@
 	"github.com/fireflyfold/fireflyfold/record"
 )
 
+// lateEntry runs a task of a minute in the second life of w1 and returns what w1 wrote
+// into the host list in its first life.
+func lateEntry(w *world) model.WorkerEntry {
+	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
+	fw := w.addWorker("w1", 1)
+	earlier := fw.entry
+	w.lead()
+	w.run(100 * time.Millisecond)
+	crash(w, fw)
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(200 * time.Millisecond)
+	w.addWorker("w2", 1)
+	return earlier
+}
+
+// A caller's task runs twice at once. Its worker was born again, and a write of its
+// first life into the host list is carried out only after that of the second one, in
+// which the task runs. The entry looks like a new life:
+//
+//	worker has a new life  worker w1  runs_lost 1
+//	assigned               a          workers [w2]
+//
+// A life that answers looks is not over, whatever the list says.
+func TestEntryOfAnEarlierLifeComesLate(t *testing.T) {
+	w := newWorld(t, 1)
+	earlier := lateEntry(w)
+	w.tell(WorkerListed{Entry: earlier})
+	w.run(2 * time.Second)
+	if n := len(w.workers["w2"].runs); n != 0 {
+		t.Errorf("%d runs on w2 while the task runs on w1", n)
+	}
+}
+
+// The same with a leader that comes after that write: it finds the first life in the
+// host list, and a run that its predecessor assigned to the second one. That run is
+// alive until a look or the end of its lease says otherwise.
+func TestNewLeaderFindsAnEarlierLifeListed(t *testing.T) {
+	w := newWorld(t, 1)
+	earlier := lateEntry(w)
+	w.stopLeading()
+	w.workers["w1"].listed = &earlier
+	w.lead()
+	w.run(2 * time.Second)
+	if n := len(w.workers["w2"].runs); n != 0 {
+		t.Errorf("%d runs on w2 while the task runs on w1", n)
+	}
+	w.tell(WorkerListed{Entry: w.workers["w1"].entry})
+	w.run(time.Second)
+	if n := len(w.workers["w1"].runs); n != 1 {
+		t.Errorf("%d runs on w1, which is listed again, want 1", n)
+	}
+}
+
 // A worker's time of day has gone back before its next life, which is born earlier than
 // the one before by its own word. It gets work again: looks find the earlier life gone.
 func TestLifeBornBeforeTheEarlierOne(t *testing.T) {
--- /dev/null
+++ b/region/strict_test.go
@@ -0,0 +1,286 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// strict is what a world keeps in addition when the platform is at its worst: calls
+// of every kind are carried out 2 to 12 s late, after their caller has given up;
+// a worker's next life begins after a while, with a clock and numbers of ends that
+// start anew and perhaps another size, and the host list tells of it later still.
+type strict struct {
+	ended     map[model.TaskID]bool            // has ended as done, noted or not
+	cancelled map[string]bool                  // cancellations that a scheduler was told
+	saves     map[model.TaskID]map[string]bool // checkpoints that a task has saved
+}
+
+func newStrict() *strict {
+	return &strict{
+		ended: make(map[model.TaskID]bool), cancelled: make(map[string]bool),
+		saves: make(map[model.TaskID]map[string]bool),
+	}
+}
+
+const (
+	// strictCap is the workspace's cap, in thousandths of a core: two thirds of what
+	// the workers have.
+	strictCap = 40_000
+	// strictOverage is how far it may be exceeded, beside one task.
+	strictOverage = 1.1
+	// saveEvery is how often a task saves its progress.
+	saveEvery = 500 * time.Millisecond
+	// callTimeout is how long a caller waits for a worker.
+	callTimeout = 400 * time.Millisecond
+	// reportEvery is how often a worker writes its entry.
+	reportEvery = 1500 * time.Millisecond
+	// newConnection is one in how many calls a connection is made for.
+	newConnection = 8
+)
+
+func (w *world) config() *model.Config {
+	c := testConfig()
+	if w.strict != nil {
+		c.Workspaces["ws"] = model.Workspace{Name: "ws", Cap: model.Resources{MilliCPU: strictCap}}
+	}
+	return c
+}
+
+// ordered checks a start as the scheduler sends it.
+func (w *world) ordered(o model.StartOrder) {
+	if w.strict != nil && w.strict.cancelled[o.Task.Job] {
+		w.fatal("started after its job was cancelled: %v run %d", o.Task, o.Run)
+	}
+}
+
+// mayStart checks the promises beside those of started: what a step depends on, how
+// many of its tasks a worker may run, the workspace's cap, and the checkpoint.
+func (w *world) mayStart(fw *fakeWorker, o model.StartOrder, j *record.Job) {
+	if w.strict == nil {
+		return
+	}
+	step := j.Steps[o.Task.Step]
+	for _, before := range step.DependsOn {
+		for i := range j.Steps[before].Count {
+			if !w.strict.ended[model.TaskID{Job: o.Task.Job, Step: before, Index: i}] {
+				w.fatal("started before step %d was done: %v run %d", before, o.Task, o.Run)
+			}
+		}
+	}
+	together := int32(1)
+	for other := range fw.runs {
+		if other != o.Task && other.Job == o.Task.Job && other.Step == o.Task.Step {
+			together++
+		}
+	}
+	if step.AntiAffinity > 0 && together > step.AntiAffinity {
+		w.fatal("%d tasks of a step on one worker, at most %d may be: %v run %d", together, step.AntiAffinity, o.Task, o.Run)
+	}
+	if running := w.running(); float64(running) > strictCap*strictOverage {
+		w.fatal("%d thousandths of a core run when one more starts, the cap is %d: %v", running, strictCap, o.Task)
+	}
+	if o.Checkpoint != "" && !w.strict.saves[o.Task][o.Checkpoint] {
+		w.fatal("started from a checkpoint that is not the task's: %v run %d, %s", o.Task, o.Run, o.Checkpoint)
+	}
+}
+
+// running is what runs on all workers.
+func (w *world) running() int64 {
+	var sum int64
+	for _, name := range w.names {
+		fw := w.workers[name]
+		w.lapse(fw)
+		for _, r := range fw.runs {
+			sum += r.room.MilliCPU
+		}
+	}
+	return sum
+}
+
+// isDone notes an end as done.
+func (w *world) isDone(id model.TaskID, number int32) {
+	w.doneRuns[id] = number
+	if w.strict != nil {
+		w.strict.ended[id] = true
+	}
+}
+
+// save returns the newest checkpoint of a run. That of a gang is the same for all.
+func (w *world) save(id model.TaskID, r *fakeRun) string {
+	j := w.job(id.Job)
+	if w.strict == nil || !j.Steps[id.Step].Checkpointing {
+		return ""
+	}
+	if n := (w.now - r.began) / saveEvery; n > 0 && !j.Steps[id.Step].Gang {
+		r.saved = fmt.Sprintf("%s.%d.%d run %d save %d", id.Job, id.Step, id.Index, r.number, n)
+		if w.strict.saves[id] == nil {
+			w.strict.saves[id] = make(map[string]bool)
+		}
+		w.strict.saves[id][r.saved] = true
+	}
+	return r.saved
+}
+
+// strictCall makes a call to a worker. A late one gets no answer in time and is
+// carried out long after; whatever is on its way to a life ends with it.
+func (w *world) strictCall(life int, name string, after time.Duration, ref model.WorkerRef, run func(*fakeWorker) CallError, event func(CallError) Event) {
+	tell := func(after time.Duration, e CallError) { w.answer(life, after, func() Event { return event(e) }) }
+	w.at(after, func() {
+		fw := w.workers[ref.ID]
+		switch {
+		case fw.cut:
+			tell(callTimeout, CallNoAnswer)
+			return
+		case fw.down:
+			tell(testDelay, CallNotSent)
+			return
+		case fw.entry.BornUnix != ref.BornUnix:
+			tell(2*testDelay, CallOtherLife)
+			return
+		case w.rng.IntN(newConnection) == 0 && w.late("proof") > 0:
+			tell(callTimeout, CallNotSent)
+			return
+		}
+		late := w.late(name)
+		lost := late > 0 || w.lost(name)
+		if lost {
+			tell(callTimeout, CallNoAnswer)
+		}
+		w.at(testDelay+late, func() {
+			if fw.cut || fw.down || fw.entry.BornUnix != ref.BornUnix {
+				if !lost {
+					tell(callTimeout, CallNoAnswer)
+				}
+				return
+			}
+			if err := run(fw); !lost {
+				tell(testDelay, err)
+			}
+		})
+	})
+}
+
+// rebirth ends a worker's life. The next one begins after a while under the same id
+// and address, and the host list tells of it later.
+func rebirth(w *world, fw *fakeWorker) {
+	if fw.down {
+		return
+	}
+	fw.endLife(w)
+	fw.down = true
+	if fw.listed == nil {
+		before := fw.entry
+		fw.listed = &before
+	}
+	down := time.Duration(w.rng.Int64N(int64(2 * time.Second)))
+	told := time.Duration(w.rng.Int64N(int64(1500 * time.Millisecond)))
+	if w.rng.IntN(4) == 0 { // long enough for its entry to expire
+		down += 5 * time.Second
+		w.at(4500*time.Millisecond, func() {
+			fw.listed = &model.WorkerEntry{}
+			w.tell(WorkerUnlisted{ID: fw.entry.ID})
+		})
+	}
+	w.at(down, func() {
+		fw.down = false
+		fw.bornAt = w.now
+		fw.drift = float64(w.rng.IntN(20)) / 1000
+		fw.entry.BornUnix = w.now.Milliseconds()
+		fw.entry.Capacity.MilliCPU = 6000 + w.rng.Int64N(3)*1000
+		entry := fw.entry
+		w.at(told, func() { w.list(fw, entry) })
+	})
+}
+
+// list writes a worker's entry into the host list. One that was held up until the next
+// life has written its own is put right with that life's next report.
+func (w *world) list(fw *fakeWorker, entry model.WorkerEntry) {
+	fw.listed = &entry
+	w.tell(WorkerListed{Entry: entry})
+	if entry.BornUnix != fw.entry.BornUnix {
+		w.at(reportEvery, func() { w.list(fw, fw.entry) })
+	}
+}
+
+// Random histories on a platform at its worst. All promises of TestRandomHistories
+// are checked, and beside them what a step depends on, spread, caps, cancellations
+// and checkpoints.
+func TestStrictHistories(t *testing.T) {
+	const histories = 24
+	for seed := uint64(1); seed <= histories; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { strictHistory(t, seed) })
+	}
+	for i := range *seedCount {
+		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { strictHistory(t, *firstSeed+i) })
+	}
+}
+
+func strictHistory(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	w.strict = newStrict()
+	for i := range 8 {
+		fw := w.addWorker(fmt.Sprintf("w%d", i), 8)
+		fw.bornAt = w.now - time.Duration(w.rng.Int64N(int64(time.Minute)))
+	}
+	calm := false
+	w.mixed(&calm)
+	w.late = func(string) time.Duration {
+		if calm || w.rng.IntN(30) != 0 {
+			return 0
+		}
+		return 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
+	}
+	w.lead()
+	var jobs []string
+	for i := range 400 {
+		w.run(50 * time.Millisecond)
+		if i%3 == 0 {
+			j := strictJob(w, fmt.Sprintf("j%03d", i))
+			w.submit(j)
+			jobs = append(jobs, j.Id)
+		}
+		if len(jobs) > 10 && w.rng.IntN(20) == 0 {
+			w.cancelStrict(jobs[len(jobs)-1-w.rng.IntN(10)])
+		}
+		disturb(w, 40, rebirth)
+	}
+	calm = true
+	w.mustEnd(jobs)
+	for name, fw := range w.workers {
+		for id := range fw.runs {
+			w.fatal("%v runs on %s when all is over", id, name)
+		}
+	}
+}
+
+func strictJob(w *world, id string) *record.Job {
+	j := randomJob(w, id)
+	for _, s := range j.Steps {
+		s.Checkpointing = w.rng.IntN(2) == 0
+		if w.rng.IntN(3) == 0 {
+			s.AntiAffinity = 1 + int32(w.rng.IntN(2))
+		}
+	}
+	return j
+}
+
+// cancelStrict cancels a job; from then on a scheduler that was told may not start it.
+func (w *world) cancelStrict(id string) {
+	w.cancel(id)
+	if w.sched != nil {
+		w.strict.cancelled[id] = true
+	}
+}
+
+// told notes the cancellations that a new scheduler has read.
+func (s *strict) told(intake []*record.Intake) {
+	for _, r := range intake {
+		if id := r.GetCancelled(); id != "" {
+			s.cancelled[id] = true
+		}
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/model"
@@ -94,6 +95,10 @@
 func (s *Scheduler) workerListed(e model.WorkerEntry) {
 	s.endPredecessorAt(e)
 	w := s.workerNamed(e.ID)
+	if w.outdated(e) {
+		s.explain("", "entry of an earlier life passed over", Field{"worker", e.ID}, Field{"born", e.BornUnix}, Field{"known", w.entry.BornUnix})
+		return
+	}
 	if w.entry.BornUnix != e.BornUnix && w.entry.BornUnix != 0 {
 		s.explain("", "worker has a new life", Field{"worker", e.ID}, Field{"runs_lost", len(w.runs)})
 		s.newLife(w)
@@ -111,6 +116,21 @@
 	s.look(w, 0)
 }
 
+// outdated reports whether an entry of the host list is of an earlier life than the
+// one that is known, from a later entry or from a run that was assigned to it.
+//
+// The guard is against a worker's write that is carried out after its next life has
+// written its own. Taken for a new life, it would end runs that are alive, and their
+// tasks would run twice. Should the worker's time of day have gone back instead, a
+// look finds the known life gone, or its leases end, and the entry counts when it
+// comes again.
+func (w *worker) outdated(e model.WorkerEntry) bool {
+	if e.BornUnix < w.entry.BornUnix && w.fenced && !w.missed {
+		return true
+	}
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.ref.BornUnix > e.BornUnix })
+}
+
 // endPredecessorAt ends the runs of a worker that had the address before: a
 // new life holds nothing of the old one, under whatever id.
 func (s *Scheduler) endPredecessorAt(e model.WorkerEntry) {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -25,8 +25,9 @@
 	life    int // which scheduler is in charge; answers to earlier ones are dropped
 	fence   int64
 	logDown bool
-	lasting bool // an end as done does not bind: the tasks of this test last
-	adviceN int  // calls for advice
+	lasting bool    // an end as done does not bind: the tasks of this test last
+	adviceN int     // calls for advice
+	strict  *strict // the platform at its worst; nil for a milder one
 
 	intake  []*record.Intake
 	entries []*record.Entry
@@ -57,9 +58,13 @@
 	until   int64
 	bound   int // ends at the front of the list that a lapse has made void
 	cut     bool
-	hangs   bool           // tasks begin and never move
-	slow    time.Duration  // how many times as long tasks take; 0 for once
-	alone   []model.TaskID // gang members that waited in vain
+	hangs   bool               // tasks begin and never move
+	slow    time.Duration      // how many times as long tasks take; 0 for once
+	bornAt  time.Duration      // when its clock began
+	drift   float64            // how much slower than ours its clock runs
+	down    bool               // between two lives
+	listed  *model.WorkerEntry // what the host list says of it; nil for what it is
+	alone   []model.TaskID     // gang members that waited in vain
 	tickets map[string]time.Duration
 }
 
@@ -68,6 +73,7 @@
 	room   model.Resources
 	began  time.Duration
 	takes  time.Duration // run time; 0 for a gang's member
+	saved  string        // newest checkpoint
 }
 
 type timedEvent struct {
@@ -153,18 +159,31 @@
 	w.life++
 	w.fence++
 	w.sched = New(testOptions())
+	if w.strict != nil {
+		w.strict.told(w.intake)
+	}
 	w.step(Tick{UnixMs: w.now.Milliseconds()})
 	w.step(IntakeRead{Records: w.intake})
 	w.step(EntriesRead{Entries: w.entries})
 	w.step(Lead{Fence: w.fence})
-	w.step(ConfigRead{Config: testConfig()})
+	w.step(ConfigRead{Config: w.config()})
 	w.step(HostsSeen{Hosts: []string{"", "h2", "h3"}})
 	for _, id := range w.names {
-		w.step(WorkerListed{Entry: w.workers[id].entry})
+		w.listTo(w.workers[id])
 	}
 	w.tick(w.life)
 }
 
+// listTo tells a new scheduler what the host list says of a worker.
+func (w *world) listTo(fw *fakeWorker) {
+	switch {
+	case fw.listed == nil:
+		w.step(WorkerListed{Entry: fw.entry})
+	case fw.listed.ID != "":
+		w.step(WorkerListed{Entry: *fw.listed})
+	}
+}
+
 // stopLeading leaves the region without a scheduler.
 func (w *world) stopLeading() { w.life++; w.sched = nil }
 
@@ -226,6 +245,7 @@
 	case Publish:
 		w.states[c.Job] = c.State
 	case Start:
+		w.ordered(c.Order)
 		w.call(life, "start", c.After, c.Order.Worker, func(fw *fakeWorker) CallError { return w.start(fw, c.Order) },
 			func(e CallError) Event { return StartAnswered{Order: c.Order, Err: e} })
 	case Stop:
@@ -272,6 +292,10 @@
 // answered, and what is held up on its way ends with that life (package platform
 // proves it with sockets).
 func (w *world) call(life int, name string, after time.Duration, ref model.WorkerRef, run func(*fakeWorker) CallError, event func(CallError) Event) {
+	if w.strict != nil {
+		w.strictCall(life, name, after, ref, run, event)
+		return
+	}
 	fw := w.workers[ref.ID]
 	const timeout = 400 * time.Millisecond
 	if fw == nil || fw.cut || fw.entry.Address != ref.Address {
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -21,7 +21,13 @@
 	return int(100 * (now - r.began) / r.takes)
 }
 
-func (fw *fakeWorker) clock(now time.Duration) int64 { return now.Milliseconds() - 1000 }
+// clock is the worker's steady clock, which starts anew in each life.
+func (fw *fakeWorker) clock(now time.Duration) int64 {
+	if fw.bornAt == 0 {
+		return now.Milliseconds() - 1000
+	}
+	return int64(float64((now - fw.bornAt).Milliseconds()) * (1 - fw.drift))
+}
 
 func (w *world) start(fw *fakeWorker, o model.StartOrder) CallError {
 	if o.Fence < fw.fence {
@@ -67,7 +73,8 @@
 		w.fatal("started after %d failures: %v", n, o.Task)
 	}
 	step := j.Steps[o.Task.Step]
-	r := &fakeRun{number: o.Run, room: model.ResourcesOf(step.Request), began: w.now}
+	w.mayStart(fw, o, j)
+	r := &fakeRun{number: o.Run, room: model.ResourcesOf(step.Request), began: w.now, saved: o.Checkpoint}
 	fw.runs[o.Task] = r
 	w.starts[o.Task]++
 	var used model.Resources
@@ -98,7 +105,7 @@
 		w.end(fw, id, record.Outcome_OUTCOME_FAILED)
 		return
 	}
-	w.doneRuns[id] = number
+	w.isDone(id, number)
 	w.end(fw, id, record.Outcome_OUTCOME_DONE)
 }
 
@@ -150,7 +157,7 @@
 			return
 		}
 		for m, on := range members {
-			w.doneRuns[m] = r.number
+			w.isDone(m, r.number)
 			if m == id {
 				w.end(on, m, record.Outcome_OUTCOME_DONE)
 				continue
@@ -199,7 +206,7 @@
 	delete(fw.runs, id)
 	fw.highest[id] = max(fw.highest[id], r.number)
 	fw.nextEnd++
-	fw.ends = append(fw.ends, model.End{Number: fw.nextEnd, RunID: model.RunID{Task: id, Run: r.number}, Outcome: outcome})
+	fw.ends = append(fw.ends, model.End{Number: fw.nextEnd, RunID: model.RunID{Task: id, Run: r.number}, Outcome: outcome, Checkpoint: w.save(id, r)})
 }
 
 // lapse ends what runs on a worker whose lease is over.
@@ -240,7 +247,9 @@
 		}
 		got = model.Hold{ClockMs: fw.clock(w.now), BornUnix: fw.entry.BornUnix, Ended: append([]model.End(nil), fw.ends...)}
 		for id, r := range fw.runs {
-			got.Running = append(got.Running, model.Running{RunID: model.RunID{Task: id, Run: r.number}, Percent: fw.percent(w.now, r)})
+			got.Running = append(got.Running, model.Running{
+				RunID: model.RunID{Task: id, Run: r.number}, Checkpoint: w.save(id, r), Percent: fw.percent(w.now, r),
+			})
 		}
 		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
 		return CallOK
