--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -83,6 +83,14 @@
 	}},
 }
 
+// rebirth is a worker that crashes and is back at once under its id and address. It
+// comes in a list of its own, as the order of faults that belongs to a seed follows
+// from the list.
+var rebirth = fault{"worker born again", func(f *fleet, _, w int) func() {
+	f.rebirth(w)
+	return nil
+}}
+
 func withProxy(of func(*fleet, int, int) *proxy, m mode) func(*fleet, int, int) func() {
 	return func(f *fleet, h, w int) func() {
 		p := of(f, h, w)
@@ -91,9 +99,9 @@
 	}
 }
 
-// trouble causes random faults until ctx ends, and ends them all. It returns what
-// it did.
-func trouble(ctx context.Context, f *fleet, rng *rand.Rand) []string {
+// trouble causes random faults of a list until ctx ends, and ends them all. It returns
+// what it did.
+func trouble(ctx context.Context, f *fleet, faults []fault, rng *rand.Rand) []string {
 	var (
 		group sync.WaitGroup
 		did   []string
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -102,6 +102,14 @@
 	f.addWorker()
 }
 
+// rebirth ends a worker's life and begins the next one at the same address.
+func (f *fleet) rebirth(i int) {
+	f.mu.Lock()
+	w := f.workers[i%len(f.workers)]
+	f.mu.Unlock()
+	w.Restart()
+}
+
 // way returns the hosts' way to a worker.
 func (f *fleet) way(i int) *proxy {
 	f.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -47,6 +48,30 @@
 // true: what was accepted is completed, what was refused never runs; and workers
 // see no task twice, none after it was done, none before those it depends on.
 func TestSoak(t *testing.T) {
+	program := build(t)
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint(*first+i), func(t *testing.T) { play(t, program, faults, *first+i) })
+	}
+	for _, seed := range once {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, program, faults, seed) })
+	}
+}
+
+// The same while workers are born again under their id and address, a fifth of all
+// faults, beside cuts that hold calls up and let them go seconds later. A start that
+// was held up must not run in the next life: its task may have run elsewhere.
+func TestSoakOfLives(t *testing.T) {
+	program := build(t)
+	list := slices.Clone(faults)
+	for len(list) < len(faults)*5/4 {
+		list = append(list, rebirth)
+	}
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint(*first+i), func(t *testing.T) { play(t, program, list, *first+i) })
+	}
+}
+
+func build(t *testing.T) string {
 	if testing.Short() {
 		t.Skip("runs processes")
 	}
@@ -54,17 +79,12 @@
 	if out, err := exec.Command("go", "build", "-o", program, "../cmd/fireflyfold").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for i := range uint64(*seeds) {
-		t.Run(fmt.Sprint(*first+i), func(t *testing.T) { play(t, program, *first+i) })
-	}
-	for _, seed := range once {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, program, seed) })
-	}
+	return program
 }
 
 // play is one seed. The order of faults follows from it; the moments in which they
 // meet the hosts do not.
-func play(t *testing.T, program string, seed uint64) {
+func play(t *testing.T, program string, faults []fault, seed uint64) {
 	f := newFleet(t, program)
 	c := newCallers(f)
 	ctx, cancel := context.WithTimeout(context.Background(), *span)
@@ -73,7 +93,7 @@
 	for i := range uint64(3) {
 		group.Go(func() { c.handIn(ctx, rand.New(rand.NewPCG(seed, i+1))) })
 	}
-	did := trouble(ctx, f, rand.New(rand.NewPCG(seed, 0)))
+	did := trouble(ctx, f, faults, rand.New(rand.NewPCG(seed, 0)))
 	group.Wait()
 	for _, id := range c.withFate(accepted) {
 		until(t, settle, func() bool { return c.completed(id) }, "accepted job %s is completed", id)
