A gang's members are stopped as soon as one member's start is given up

Cause: a start without an answer is given up after four tries and stopped; the other members were stopped only when that one was settled.

Change: giving up stops the others at once, as the run cannot become whole any more. TestGangWithAStartGivenUp is red without it.

--- a/region/run.go
+++ b/region/run.go
@@ -244,10 +244,13 @@
 }
 
 // giveUp ends a run that did not start. One that may have been sent is stopped
-// instead: the stop makes the worker refuse it if it comes later.
+// instead: the stop makes the worker refuse it if it comes later. Of a gang, the other
+// members are stopped at once: without it they would wait, and hold their room, until
+// the stop is settled.
 func (s *Scheduler) giveUp(r *run, why string) {
 	if r.maybeSent {
 		s.stopRun(r, why)
+		s.breakGang(r.task, r.number)
 		return
 	}
 	s.lose(r, why)
--- a/region/step_test.go
+++ b/region/step_test.go
@@ -261,3 +261,37 @@
 	w.run(60 * time.Second)
 	w.mustComplete("batch")
 }
+
+// A gang's members wait for one that never comes, and hold their room for nothing. The
+// worker of one member does not answer its starts; they are given up, and a stop goes
+// there, which is not answered either:
+//
+//	31.724 task 1 begins, and waits for the others
+//	32.606 run stopped        task 0  its worker did not answer
+//	33.222 stop failed        task 0  no answer (three times)
+//	34.724 task 1 ends alone
+//
+// From the moment at which one member's start is given up the run cannot become whole:
+// the others are to be stopped then, not when that member is settled.
+func TestGangWithAStartGivenUp(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 1)
+	w.addWorker("w2", 1)
+	w.lead()
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("gang", &record.Step{Count: 2, Gang: true}))
+	for assigned := false; !assigned; {
+		w.run(time.Millisecond)
+		for _, e := range w.entries {
+			assigned = assigned || e.GetAssigned() != nil
+		}
+	}
+	w.workers["w1"].cut = true
+	w.run(testGangWait + time.Second)
+	if alone := w.workers["w2"].alone; len(alone) != 0 {
+		t.Errorf("%v waited to the end for a member whose start had been given up", alone)
+	}
+	w.workers["w1"].cut = false
+	w.run(15 * time.Second)
+	w.mustComplete("gang")
+}
