A test of the guard that gives a slow log its time

The leader's contact age leaves out what an append takes anyway; the guard had no test. Red with the guard removed: an age of twice the answer's time counts as silence.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -178,8 +178,10 @@
 // it takes anyway; while loading, beyond the grace for that. A leader that is
 // replaced because the log is slow for everyone leaves the region without one for as
 // long as its successor needs to load from the same log.
-func (l *Leader) LogContactAge() time.Duration {
-	age := boottime.Now() - time.Duration(l.loggedAt.Load())
+func (l *Leader) LogContactAge() time.Duration { return l.contactAge(boottime.Now()) }
+
+func (l *Leader) contactAge(now time.Duration) time.Duration {
+	age := now - time.Duration(l.loggedAt.Load())
 	if !l.loaded.Load() {
 		return age - loadGrace
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fireflyfold/fireflyfold/logwriter"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/platform/fakeplatform"
 	"github.com/fireflyfold/fireflyfold/record"
@@ -53,3 +55,40 @@
 		t.Error(diff)
 	}
 }
+
+// slowStore answers appends after a while.
+type slowStore struct{ by time.Duration }
+
+func (s slowStore) Append(context.Context, time.Duration, platform.Append) (platform.Appended, error) {
+	time.Sleep(s.by)
+	return platform.Appended{}, nil
+}
+
+// The log is slow for everyone, 0.5 s and more for an append. The leader's answers come
+// as far apart, and it counted as cut off from the log: it handed over to a host for
+// which the log is as slow, and callers were without a leader while that one loaded. The
+// time that an append takes is no silence; what goes beyond twice of it is.
+func TestSlowLogIsNoLostLog(t *testing.T) {
+	l := New(Config{})
+	l.writer = logwriter.New(slowStore{by: 20 * time.Millisecond}, logwriter.Target{Topic: TopicEntries, Parts: 1, FirstSeq: 1, CallBytes: 1 << 20})
+	ctx, cancel := context.WithCancel(context.Background())
+	var run conc.WaitGroup
+	run.Go(func() { _ = l.writer.Run(ctx) }) // ends with ctx
+	kept := make(chan struct{})
+	l.writer.Write([]byte("x"), func(logwriter.Kept) { close(kept) })
+	<-kept
+	cancel()
+	run.Wait()
+	l.loaded.Store(true)
+	took := l.writer.AnswerTime()
+	l.loggedAt.Store(int64(time.Hour))
+	for _, c := range []struct{ since, want time.Duration }{
+		{took, 0},
+		{slowLogFactor * took, 0},
+		{slowLogFactor*took + time.Second, time.Second},
+	} {
+		if got := l.contactAge(time.Hour + c.since); got != c.want {
+			t.Errorf("%v after an answer that took %v the log counts as silent for %v, want %v", c.since, took, got, c.want)
+		}
+	}
+}
