--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -91,6 +91,14 @@
 	return nil
 }}
 
+// lateOrders is a worker that leaves calls unanswered and carries them out 2 to 5 s
+// later, after newer ones.
+var lateOrders = fault{"worker late", func(f *fleet, h, w int) func() {
+	late := f.worker(w)
+	late.Late(time.Duration(2+h) * time.Second)
+	return func() { late.Late(0) }
+}}
+
 func withProxy(of func(*fleet, int, int) *proxy, m mode) func(*fleet, int, int) func() {
 	return func(f *fleet, h, w int) func() {
 		p := of(f, h, w)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -104,11 +104,13 @@
 }
 
 // rebirth ends a worker's life and begins the next one at the same address.
-func (f *fleet) rebirth(i int) {
+func (f *fleet) rebirth(i int) { f.worker(i).Restart() }
+
+// worker returns one of the workers there are.
+func (f *fleet) worker(i int) *worker {
 	f.mu.Lock()
-	w := f.workers[i%len(f.workers)]
-	f.mu.Unlock()
-	w.Restart()
+	defer f.mu.Unlock()
+	return f.workers[i%len(f.workers)]
 }
 
 // workerOf returns the worker with that id.
@@ -119,11 +121,7 @@
 }
 
 // way returns the hosts' way to a worker.
-func (f *fleet) way(i int) *proxy {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.workers[i%len(f.workers)].way
-}
+func (f *fleet) way(i int) *proxy { return f.worker(i).way }
 
 func (f *fleet) addHost(program, name string) {
 	t := f.t
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,10 +69,7 @@
 // was held up must not run in the next life: its task may have run elsewhere.
 func TestSoakOfLives(t *testing.T) {
 	program := build(t)
-	list := slices.Clone(faults)
-	for len(list) < len(faults)*5/4 {
-		list = append(list, rebirth)
-	}
+	list := withFifth(faults, rebirth)
 	for i := range uint64(*seeds) {
 		t.Run(fmt.Sprint(*first+i), func(t *testing.T) { play(t, program, list, *first+i) })
 	}
@@ -81,6 +78,25 @@
 	}
 }
 
+// The same once more while workers also leave orders unanswered and carry them out
+// seconds later, a fifth of all faults too.
+func TestSoakOfLateOrders(t *testing.T) {
+	program := build(t)
+	list := withFifth(withFifth(faults, rebirth), lateOrders)
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint(*first+i), func(t *testing.T) { play(t, program, list, *first+i) })
+	}
+}
+
+// withFifth adds a fault so often that it is a fifth of the list.
+func withFifth(faults []fault, one fault) []fault {
+	list := slices.Clone(faults)
+	for len(list) < len(faults)*5/4 {
+		list = append(list, one)
+	}
+	return list
+}
+
 func build(t *testing.T) string {
 	if testing.Short() {
 		t.Skip("runs processes")
