--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -95,7 +95,7 @@
 // later, after newer ones.
 var lateOrders = fault{"worker late", func(f *fleet, h, w int) func() {
 	late := f.worker(w)
-	late.Late(time.Duration(2+h) * time.Second)
+	late.Late(time.Duration(2+h%4) * time.Second)
 	return func() { late.Late(0) }
 }}
 
@@ -117,7 +117,7 @@
 	)
 	for ctx.Err() == nil {
 		one := faults[rng.IntN(len(faults))]
-		h, w := rng.IntN(hosts), rng.IntN(workers)
+		h, w := rng.IntN(*hosts), rng.IntN(*workers)
 		lasts := time.Duration(200+rng.IntN(4000)) * time.Millisecond
 		did = append(did, fmt.Sprintf("%v %s host %d worker %d for %v", time.Since(began).Round(time.Millisecond), one.name, h, w, lasts))
 		group.Go(func() {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	hosts   = 4
-	workers = 4
 	// lease is the longest lease of a worker: short, so that cuts outlast it.
 	lease = 3 * time.Second
 	// runTime is how long a task takes.
@@ -64,10 +62,10 @@
 func newFleet(t *testing.T, program string) *fleet {
 	f := &fleet{t: t, store: fakeplatform.NewStore(), audit: newAudit()}
 	f.configure()
-	for range workers {
+	for range *workers {
 		f.addWorker()
 	}
-	for i := range hosts {
+	for i := range *hosts {
 		f.addHost(program, fmt.Sprintf("h%d", i))
 	}
 	return f
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,10 +15,12 @@
 )
 
 var (
-	seeds = flag.Int("soak.seeds", 2, "how many seeds to play")
-	first = flag.Uint64("soak.first", 1, "the first seed")
-	span  = flag.Duration("soak.for", 8*time.Second, "how long faults come in each")
-	logs  = flag.String("soak.logs", "", "folder to keep the logs of a seed that failed")
+	seeds   = flag.Int("soak.seeds", 2, "how many seeds to play")
+	first   = flag.Uint64("soak.first", 1, "the first seed")
+	span    = flag.Duration("soak.for", 8*time.Second, "how long faults come in each")
+	logs    = flag.String("soak.logs", "", "folder to keep the logs of a seed that failed")
+	hosts   = flag.Int("soak.hosts", 4, "how many hosts; another number changes the course of a seed")
+	workers = flag.Int("soak.workers", 4, "how many workers; likewise")
 )
 
 // settle bounds the wait for accepted jobs once all faults are over; it only ends
