--- a/host/peers.go
+++ b/host/peers.go
@@ -19,36 +19,40 @@
 
 // peers keeps the clients of other hosts.
 type peers struct {
-	http    *http.Client
-	mu      sync.Mutex
-	leaders map[string]hostrpc.LeaderClient
-	helps   map[string]hostrpc.HelperClient
+	leaders clients[hostrpc.LeaderClient]
+	helps   clients[hostrpc.HelperClient]
 }
 
 func newPeers(client *http.Client) *peers {
-	return &peers{http: client, leaders: make(map[string]hostrpc.LeaderClient), helps: make(map[string]hostrpc.HelperClient)}
+	return &peers{
+		leaders: clients[hostrpc.LeaderClient]{make: func(url string) hostrpc.LeaderClient { return hostrpc.NewLeaderClient(client, url) }},
+		helps:   clients[hostrpc.HelperClient]{make: func(url string) hostrpc.HelperClient { return hostrpc.NewHelperClient(client, url) }},
+	}
 }
 
-func (p *peers) leader(address string) hostrpc.LeaderClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.leaders[address]
-	if !ok {
-		c = hostrpc.NewLeaderClient(p.http, "http://"+address)
-		p.leaders[address] = c
-	}
-	return c
+func (p *peers) leader(address string) hostrpc.LeaderClient { return p.leaders.of(address) }
+func (p *peers) helper(address string) hostrpc.HelperClient { return p.helps.of(address) }
+
+// clients keeps one client for each address.
+type clients[C any] struct {
+	make func(url string) C
+
+	mu sync.Mutex
+	by map[string]C
 }
 
-func (p *peers) helper(address string) hostrpc.HelperClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.helps[address]
+func (c *clients[C]) of(address string) C {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.by[address]
 	if !ok {
-		c = hostrpc.NewHelperClient(p.http, "http://"+address)
-		p.helps[address] = c
+		client = c.make("http://" + address)
+		if c.by == nil {
+			c.by = make(map[string]C)
+		}
+		c.by[address] = client
 	}
-	return c
+	return client
 }
 
 var errNotLeading = errors.New("this host does not lead")
