--- a/region/place.go
+++ b/region/place.go
@@ -47,7 +47,7 @@
 	}
 	s.explain(st.job.rec.Id, "assigned", Field{"occurrence", st.occ.k}, Field{"step", st.index}, Field{"workers", workers},
 		Field{"waited_ms", (s.now - st.openAt).Milliseconds()}, Field{"slack_ms", (st.key - s.now).Milliseconds()},
-		Field{"advised_ms_after", (st.advice.firstAt - st.openAt).Milliseconds()}, Field{"held_by", st.blocked})
+		Field{"advised_ms_after", max(0, st.advice.firstAt-st.openAt).Milliseconds()}, Field{"held_by", st.blocked})
 }
 
 // placeTasks starts as many waiting tasks of a step as fit.
