Reads that are tried again tell when they begin to fail and when they succeed

The leader's reads of the intake and the host list, loading, and the hosts' reads of claims swallowed their errors: an operator found nothing about a region that did not hear of new work.

--- a/host/election.go
+++ b/host/election.go
@@ -16,6 +16,7 @@
 	"github.com/fireflyfold/fireflyfold/leader"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/record"
+	"github.com/fireflyfold/fireflyfold/telemetry"
 )
 
 // topicClaims holds one record for each leadership; its offset plus one is the
@@ -99,6 +100,7 @@
 
 // watchClaims follows the claims.
 func (e *election) watchClaims(ctx context.Context) {
+	tries := telemetry.Repeated{Name: "claim_reads", What: "reading claims", Log: e.host.log, Metrics: e.host.metrics}
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		from := e.next
@@ -115,7 +117,10 @@
 			e.mu.Unlock()
 			continue
 		}
-		if err != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		if !tries.Ended(err) {
 			boottime.Sleep(ctx, configRetry)
 			continue
 		}
--- a/leader/load.go
+++ b/leader/load.go
@@ -62,7 +62,7 @@
 			end = ends[part]
 		}
 		group.Go(func() {
-			next[part], errs[part] = readAll(ctx, l.cfg.Client, topic, part, end, func(data []byte) {
+			next[part], errs[part] = l.readAll(ctx, topic, part, end, func(data []byte) {
 				records[part] = append(records[part], data)
 			})
 		})
@@ -140,15 +140,16 @@
 
 // readAll reads a partition up to its end, or to the end given if that is not
 // negative, and returns the next offset.
-func readAll(ctx context.Context, client *platform.Client, topic string, part int, end int64, take func([]byte)) (int64, error) {
+func (l *Leader) readAll(ctx context.Context, topic string, part int, end int64, take func([]byte)) (int64, error) {
 	var from int64
+	tries := l.repeated("load_reads", "loading "+topic)
 	for {
-		b, err := client.ReadLog(ctx, readTimeout, platform.Read{Topic: topic, Part: part, From: from})
+		b, err := l.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: topic, Part: part, From: from})
 		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
 			from = expired.First
 			continue
 		}
-		if err != nil {
+		if !tries.Ended(err) {
 			if !boottime.Sleep(ctx, readRetry) {
 				return 0, err
 			}
--- a/leader/read.go
+++ b/leader/read.go
@@ -12,10 +12,12 @@
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/record"
 	"github.com/fireflyfold/fireflyfold/region"
+	"github.com/fireflyfold/fireflyfold/telemetry"
 )
 
 // readIntake follows one partition of the submissions and cancellations of all hosts.
 func (l *Leader) readIntake(ctx context.Context, part int, from int64) {
+	tries := l.repeated("intake_reads", "reading the intake")
 	for ctx.Err() == nil {
 		sent := boottime.Now()
 		b, err := l.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: TopicIntake, Part: part, From: from, Wait: readWait})
@@ -24,7 +26,10 @@
 			from = expired.First
 			continue
 		}
-		if err != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		if !tries.Ended(err) {
 			boottime.Sleep(ctx, readRetry)
 			continue
 		}
@@ -37,6 +42,11 @@
 	}
 }
 
+// repeated tells of reads of the log that go on as long as this host leads.
+func (l *Leader) repeated(name, what string) telemetry.Repeated {
+	return telemetry.Repeated{Name: name, What: what, Log: l.cfg.Log, Metrics: l.cfg.Metrics}
+}
+
 func (l *Leader) decodeIntake(records [][]byte) region.IntakeRead {
 	var ev region.IntakeRead
 	for _, data := range records {
@@ -53,8 +63,10 @@
 // watchWorkers follows the host list.
 func (l *Leader) watchWorkers(ctx context.Context) {
 	w := &workerWatch{leader: l, listed: make(map[string]bool)}
+	tries := l.repeated("host_list_reads", "reading the host list")
 	for ctx.Err() == nil {
-		if !w.follow(ctx) {
+		err := w.follow(ctx)
+		if ctx.Err() == nil && !tries.Ended(err) {
 			boottime.Sleep(ctx, readRetry)
 		}
 	}
@@ -68,8 +80,8 @@
 	whole  bool // the list has been read whole, and is followed from next on
 }
 
-// follow reads on and reports whether that succeeded.
-func (w *workerWatch) follow(ctx context.Context) bool {
+// follow reads on.
+func (w *workerWatch) follow(ctx context.Context) error {
 	if !w.whole {
 		return w.readWhole(ctx)
 	}
@@ -78,10 +90,10 @@
 	if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
 		// The list's history may be dropped at any time; what is newest stays.
 		w.whole = false
-		return true
+		return nil
 	}
 	if err != nil {
-		return false
+		return err
 	}
 	w.next += int64(len(b.Records))
 	for _, data := range b.Records {
@@ -95,13 +107,13 @@
 	if left := listEvery - (boottime.Now() - began); left > 0 {
 		boottime.Sleep(ctx, left)
 	}
-	return true
+	return nil
 }
 
-func (w *workerWatch) readWhole(ctx context.Context) bool {
+func (w *workerWatch) readWhole(ctx context.Context) error {
 	items, next, err := w.leader.cfg.Client.Newest(ctx, readTimeout, platform.TopicWorkers)
 	if err != nil {
-		return false
+		return err
 	}
 	seen := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -114,7 +126,7 @@
 		}
 	}
 	w.next, w.whole = next, true
-	return true
+	return nil
 }
 
 func (w *workerWatch) entry(ctx context.Context, id string, value []byte) {
