--- a/region/look.go
+++ b/region/look.go
@@ -39,11 +39,13 @@
 	if w.looking || !s.leading() || w.entry.Address == "" {
 		return
 	}
-	order := model.HoldOrder{Worker: w.ref(), Fence: s.fenceOf(w), AckedUpTo: w.acked}
+	order := model.HoldOrder{Worker: w.ref(), Fence: s.fenceOf(w)}
 	// A worker that does not answer gets no longer lease until it does: each
 	// renewal may be carried out late, and what runs on a worker that is gone
-	// for good could never be taken for dead.
+	// for good could never be taken for dead. A look that renews nothing and takes
+	// note of nothing also serves as the proof of its connection.
 	if w.fenced && !w.missed {
+		order.AckedUpTo = w.acked
 		order.Wait = lookWait
 		if len(w.runs) > 0 {
 			order.Wait = min(lookWait, s.leaseFor(w)/leaseLooks)
