--- a/region/history_test.go
+++ b/region/history_test.go
@@ -31,7 +31,11 @@
 // The cause was that nothing tied an order to the life that it was for: it names its
 // worker by id alone. In these histories nobody led meanwhile,
 //
-//	9353   run lost  j162 0 1  its worker does not list it  w5
+//	8521   start     j162 0 1 run 1 to w5, no answer
+//	9353   run lost  j162 0 1 run 1: its worker, born again, does not list it
+//	9357   start     j162 0 1 run 2 to w5, where it is done
+//	10150  the leader stops
+//	10200  w5 is born again
 //	10219  started again after it was done: j162 0 1 run 1
 //
 // in others the start came between the birth of the new life and its first answered
