--- a/host/host.go
+++ b/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/hostrpc"
 	"github.com/fireflyfold/fireflyfold/leader"
+	"github.com/fireflyfold/fireflyfold/linkstats"
 	"github.com/fireflyfold/fireflyfold/logwriter"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/region"
@@ -50,6 +51,7 @@
 	client      *platform.Client
 	log         *logrus.Entry
 	metrics     tally.Scope
+	meter       *linkstats.Meter
 	tel         *telemetry.Telemetry
 
 	config   *configWatch
@@ -68,11 +70,12 @@
 
 // New returns a host that has not begun.
 func New(s platform.Settings, tel *telemetry.Telemetry) *Host {
-	client := platform.NewClient(s.Names, connsPerAddress)
+	meter := linkstats.New(tel.Metrics.SubScope("link"))
+	client := platform.NewClient(s.Names, connsPerAddress, meter)
 	h := &Host{
-		settings: s, incarnation: newIncarnation(), client: client,
+		settings: s, incarnation: newIncarnation(), client: client, meter: meter,
 		log: tel.Log, metrics: tel.Metrics, tel: tel,
-		helpers: newHelpers(), peers: newPeers(platform.NewHTTPClient(connsPerAddress)),
+		helpers: newHelpers(), peers: newPeers(platform.NewHTTPClient(connsPerAddress, meter)),
 	}
 	h.work, h.endWork = context.WithCancel(context.Background())
 	h.config = &configWatch{client: client, log: h.log}
@@ -175,15 +178,19 @@
 	for _, p := range []struct {
 		address string
 		handler http.Handler
-	}{{h.settings.Control, control}, {h.settings.Ready, ready}, {h.settings.Front, front}} {
+	}{
+		{h.settings.Control, h.meter.Server("", control)},
+		{h.settings.Ready, h.meter.Server("ready", ready)},
+		{h.settings.Front, h.meter.Server("front", front)},
+	} {
 		l, err := net.Listen("tcp", p.address)
 		if err != nil {
 			return nil, &ListenError{Address: p.address, Cause: err}
 		}
-		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: nil}
+		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: linkstats.ConnContext}
 		servers = append([]*http.Server{s}, servers...)
 		h.group.Go(func() {
-			if err := s.Serve(l); err != http.ErrServerClosed {
+			if err := s.Serve(h.meter.Listener(l)); err != http.ErrServerClosed {
 				h.log.WithError(err).Error("listener ended")
 			}
 		})
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -23,7 +23,7 @@
 	store := fakeplatform.NewStore()
 	door := store.Door()
 	defer door.Close()
-	client := platform.NewClient(platform.Names{Store: door.Address()}, 2)
+	client := platform.NewClient(platform.Names{Store: door.Address()}, 2, nil)
 	parts := [entryParts][][2]int64{{{1, 1}, {1, 4}, {2, 1}}, {{1, 2}, {1, 3}, {1, 4}}, {{2, 2}}}
 	var ends []int64
 	for part, entries := range parts {
