A leader behind a full link: waits follow answers, looks follow the link

Cause: calls were given up after 0.2 s and made again over a full link, each on a connection that had to be made and proven anew; reads of a MiB never came within 1.2 s, so that loading failed for ever; each leader that loaded was taken for gone by its silence.

Waits for workers follow their answers as TCP's do (RFC 6298), looks are paced and leases longer as the link fills, reads while loading shrink and get more time, and a leader appends signs of life from its fence to its first entry of its own. LogContactAge of a new leader counts from its birth: it used to hand over at once ('nobody to hand over to').

Tests: TestWaitsFollowAnswers, TestReadsThatComeTooLateShrink, TestLeaderThatLoadsShowsLife, TestLooksArePacedWhileTheLinkIsFull.

--- a/host/host.go
+++ b/host/host.go
@@ -52,6 +52,7 @@
 	log         *logrus.Entry
 	metrics     tally.Scope
 	meter       *linkstats.Meter
+	load        *linkstats.Load
 	tel         *telemetry.Telemetry
 
 	config   *configWatch
@@ -73,7 +74,8 @@
 	meter := linkstats.New(tel.Metrics.SubScope("link"))
 	client := platform.NewClient(s.Names, connsPerAddress, meter)
 	h := &Host{
-		settings: s, incarnation: newIncarnation(), client: client, meter: meter,
+		settings: s, incarnation: newIncarnation(), client: client,
+		meter: meter, load: linkstats.NewLoad(meter, s.LinkBps),
 		log: tel.Log, metrics: tel.Metrics, tel: tel,
 		helpers: newHelpers(), peers: newPeers(platform.NewHTTPClient(connsPerAddress, meter)),
 	}
@@ -225,7 +227,8 @@
 			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
 			LogRetention: h.settings.LogRetention, StatusKept: h.settings.StatusRetention,
 		},
-		Config: h.config.Config, Hosts: h.helpers.names, Advise: h.adviseFrom,
+		LinkLoad: func() float64 { return h.load.At(boottime.Now()) },
+		Config:   h.config.Config, Hosts: h.helpers.names, Advise: h.adviseFrom,
 		Log: h.log, Metrics: h.metrics.SubScope("leader"),
 	}
 }
--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -75,15 +75,32 @@
 	}
 }
 
+func (d *dispatcher) orderTimeout() time.Duration {
+	return d.leader.answers.timeout(orderTimeout, mostTimeout)
+}
+
+// noteAnswer notes how a call to a worker ended that was sent at a time. A worker that was
+// allowed to wait may have answered sooner, which tells nothing.
+func (d *dispatcher) noteAnswer(sent, wait time.Duration, err error) {
+	switch took := boottime.Now() - sent; {
+	case platform.IsNoAnswer(err) && d.ctx.Err() == nil:
+		d.leader.answers.missed()
+	case err == nil && took > wait:
+		d.leader.answers.answered(took - wait)
+	}
+}
+
 func (d *dispatcher) start(c region.Start) {
 	sent := boottime.Now()
-	receipt, err := d.leader.cfg.Client.Start(d.ctx, orderTimeout, c.Order)
+	receipt, err := d.leader.cfg.Client.Start(d.ctx, d.orderTimeout(), c.Order)
+	d.noteAnswer(sent, 0, err)
 	d.leader.push(d.ctx, region.StartAnswered{Order: c.Order, SentAt: sent, Err: callError(receipt, err)})
 }
 
 func (d *dispatcher) stop(c region.Stop) {
 	sent := boottime.Now()
-	receipt, err := d.leader.cfg.Client.Stop(d.ctx, orderTimeout, c.Order)
+	receipt, err := d.leader.cfg.Client.Stop(d.ctx, d.orderTimeout(), c.Order)
+	d.noteAnswer(sent, 0, err)
 	if failed := errors.CombineErrors(err, receipt.Err); failed != nil {
 		d.leader.cfg.Log.WithError(failed).WithFields(logrus.Fields{"job": c.Order.Task.Job, "worker": c.Order.Worker.ID, "run": c.Order.Run}).Info("stop failed")
 	}
@@ -92,7 +109,8 @@
 
 func (d *dispatcher) hold(c region.Hold) {
 	sent := boottime.Now()
-	hold, err := d.leader.cfg.Client.Hold(d.ctx, lookTimeout, c.Order)
+	hold, err := d.leader.cfg.Client.Hold(d.ctx, d.leader.answers.timeout(lookTimeout, mostTimeout), c.Order)
+	d.noteAnswer(sent, c.Order.Wait, err)
 	d.leader.push(d.ctx, region.Held{Order: c.Order, SentAt: sent, Hold: hold, Err: callError(platform.Receipt{Err: err}, nil)})
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -8,9 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/logwriter"
@@ -39,15 +41,26 @@
 	eventRing = 8192
 	// tickEvery is how often time passes for the scheduler.
 	tickEvery = 20 * time.Millisecond
-	// orderTimeout bounds a start or stop. Workers answer within milliseconds, and
-	// an order that is sent again does no harm: a lost answer is to cost little.
+	// orderTimeout is how long the answer to a start or stop may take at least. Workers
+	// answer within milliseconds, and an order that is sent again does no harm: a lost
+	// answer is to cost little.
 	orderTimeout = 200 * time.Millisecond
-	// lookTimeout bounds a look beyond the time that the worker may wait.
+	// lookTimeout is the same for a look, beyond the time that the worker may wait.
 	lookTimeout = 300 * time.Millisecond
+	// mostTimeout bounds either.
+	mostTimeout = 2 * time.Second
 	// adviceSlack is added to the expected length of a call for advice.
 	adviceSlack = 1500 * time.Millisecond
-	// readTimeout bounds a read of the log beyond the time it may wait.
-	readTimeout = 1200 * time.Millisecond
+	// readTimeout bounds a read of the log beyond the time it may wait; while loading it is
+	// the least such bound, and mostReadTimeout the most.
+	readTimeout     = 1200 * time.Millisecond
+	mostReadTimeout = 6 * time.Second
+	// mostReadKB and leastReadKB bound how much one read of the log brings while loading.
+	mostReadKB  = 1024
+	leastReadKB = 16
+	// lifeSignEvery is how often a leader that still loads appends a sign of life. Others
+	// take a leader whose entries stand still for gone, however long loading takes.
+	lifeSignEvery = 100 * time.Millisecond
 	// fenceTimeout bounds the first try to fence a partition off; later ones have
 	// twice as long each, up to readTimeout.
 	fenceTimeout = 300 * time.Millisecond
@@ -79,6 +92,7 @@
 	Config    func() *model.Config // newest configuration; nil if there is none
 	Hosts     func() []string      // hosts that can be asked for advice
 	Advise    Adviser
+	LinkLoad  func() float64 // share of this host's link that is in use; nil if it is not known
 	Log       *logrus.Entry
 	Metrics   tally.Scope
 }
@@ -93,6 +107,7 @@
 	intakeAt [IntakeParts]atomic.Int64 // when the newest answered read of each partition of the intake was sent
 	ledAt    atomic.Int64              // when loading was over
 	loggedAt atomic.Int64              // when the newest append was answered
+	answers  answerTimes               // of workers
 	ctx      context.Context           // ends with the leadership
 	deposed  context.CancelCauseFunc
 }
@@ -106,6 +121,7 @@
 // New returns a leader that has not begun.
 func New(cfg Config) *Leader {
 	l := &Leader{cfg: cfg, board: NewBoard(), events: ring.New[region.Event](eventRing)}
+	l.loggedAt.Store(int64(boottime.Now()))
 	l.ctx, l.deposed = context.WithCancelCause(context.Background())
 	return l
 }
@@ -195,31 +211,65 @@
 	defer context.AfterFunc(parent, func() { cancel(context.Cause(parent)) })()
 	l.loggedAt.Store(int64(boottime.Now()))
 	began := boottime.Now()
-	sched := region.New(l.cfg.Options)
-	next, err := l.load(ctx, sched)
+	ends, err := l.fenceOff(ctx)
 	if err != nil {
 		return err
 	}
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel(nil)
+	group.Go(func() {
+		if err := l.writer.Run(ctx); err != nil && ctx.Err() == nil {
+			cancel(&DeposedError{Why: err.Error()})
+		}
+	})
+	group.Go(func() { l.showLife(ctx) })
+	sched := region.New(l.cfg.Options)
+	next, err := l.load(ctx, sched, ends)
+	if err != nil {
+		return errors.CombineErrors(context.Cause(ctx), err)
+	}
 	l.cfg.Log.WithFields(logrus.Fields{"fence": l.cfg.Fence, "load_ms": (boottime.Now() - began).Milliseconds(),
 		"intake": next}).Info("leading")
 	l.loggedAt.Store(int64(boottime.Now()))
 	l.ledAt.Store(int64(boottime.Now()))
 	l.loaded.Store(true)
-	var group conc.WaitGroup
 	for part, from := range next {
 		group.Go(func() { l.readIntake(ctx, part, from) })
 	}
 	group.Go(func() { l.watchWorkers(ctx) })
-	group.Go(func() {
-		if err := l.writer.Run(ctx); err != nil && ctx.Err() == nil {
-			cancel(&DeposedError{Why: err.Error()})
-		}
-	})
 	l.loop(ctx, sched)
-	group.Wait()
 	return context.Cause(ctx)
 }
 
+// showLife appends signs of life until the scheduler does.
+//
+// The guard is against hosts that claim the lead from a leader that still loads: each
+// successor would have to load as well, and with a slow log or a narrow link nobody would
+// ever lead.
+func (l *Leader) showLife(ctx context.Context) {
+	for !l.loaded.Load() {
+		sign := &record.Entry{Fence: l.cfg.Fence, Kind: &record.Entry_AliveUnixMs{AliveUnixMs: time.Now().UnixMilli()}}
+		data, err := proto.Marshal(sign)
+		if err != nil {
+			panic(err) // entries are built by this program and always encode
+		}
+		kept := make(chan struct{})
+		l.writer.Write(data, func(logwriter.Kept) {
+			l.loggedAt.Store(int64(boottime.Now()))
+			close(kept)
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-kept:
+		}
+		if !boottime.Sleep(ctx, lifeSignEvery) {
+			return
+		}
+	}
+}
+
 // loop is the scheduler's goroutine.
 func (l *Leader) loop(ctx context.Context, sched *region.Scheduler) {
 	d := &dispatcher{leader: l, ctx: ctx}
@@ -246,7 +296,11 @@
 			if names := l.cfg.Hosts(); hosts.changed(names) {
 				d.do(sched.Step(boottime.Now(), region.HostsSeen{Hosts: names}))
 			}
-			d.do(sched.Step(boottime.Now(), region.Tick{UnixMs: time.Now().UnixMilli(), Behind: time.Since(due)}))
+			tick := region.Tick{UnixMs: time.Now().UnixMilli(), Behind: time.Since(due)}
+			if l.cfg.LinkLoad != nil {
+				tick.LinkLoad = l.cfg.LinkLoad()
+			}
+			d.do(sched.Step(boottime.Now(), tick))
 		}
 		d.do(sched.Step(boottime.Now(), region.Schedule{}))
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -92,3 +92,100 @@
 		}
 	}
 }
+
+// A leader takes seconds to read what its predecessors kept, over a narrow link or from a
+// slow log. The others saw its entries stand still, took it for gone and claimed the lead,
+// one after the other, and each had to load anew: for half a minute nobody led. It appends
+// signs of life until the scheduler does.
+func TestLeaderThatLoadsShowsLife(t *testing.T) {
+	store := fakeplatform.NewStore()
+	door := store.Door()
+	defer door.Close()
+	l := New(Config{Client: platform.NewClient(platform.Names{Store: door.Address()}, 4, nil), Fence: 1, CallBytes: 1 << 20})
+	ctx, cancel := context.WithCancel(context.Background())
+	var run conc.WaitGroup
+	defer run.Wait()
+	defer cancel()
+	if _, err := l.fenceOff(ctx); err != nil {
+		t.Fatal(err)
+	}
+	run.Go(func() { _ = l.writer.Run(ctx) }) // ends with ctx
+	run.Go(func() { l.showLife(ctx) })
+	w := NewWatcher(platform.NewClient(platform.Names{Store: door.Address()}, 4, nil))
+	signs := 0
+	for range 100 { // on a busy machine signs may come late
+		if grown, _ := w.grown(ctx, lifeSignEvery); grown {
+			signs++
+		}
+		if signs == 3 {
+			break
+		}
+	}
+	if signs < 3 {
+		t.Fatal("the entries stand still while the leader loads")
+	}
+	if age := l.LogContactAge(); age > staleContact {
+		t.Errorf("the log counts as silent for %v", age)
+	}
+}
+
+const staleContact = 10 * time.Second // only a leader that never noted an answer is so far off
+
+// What is read while loading does not come in time over a narrow link: the read was made
+// again as it was, and failed again, for ever. Less is asked for, and given more time.
+func TestReadsThatComeTooLateShrink(t *testing.T) {
+	late := &platform.NoAnswerError{Cause: context.DeadlineExceeded}
+	s := newReadSize()
+	for range 10 {
+		s.ended(late)
+	}
+	if s.kb != leastReadKB || s.timeout != mostReadTimeout {
+		t.Errorf("%d KiB in %v after ten failures", s.kb, s.timeout)
+	}
+	s.ended(&platform.StatusError{Status: 503})
+	if s.kb != leastReadKB {
+		t.Errorf("%d KiB after a refusal", s.kb)
+	}
+	for range 10 {
+		s.ended(nil)
+	}
+	if s.kb != mostReadKB {
+		t.Errorf("%d KiB after ten answers", s.kb)
+	}
+}
+
+// The link is full, so that every answer takes a second. Calls were given up after 0.2 s and
+// made again, which kept it full for ever. Answers are waited for as long as they take; a
+// few workers that are gone do not make the wait for the others longer.
+func TestWaitsFollowAnswers(t *testing.T) {
+	var times answerTimes
+	wait := func() time.Duration { return times.timeout(orderTimeout, mostTimeout) }
+	for range 100 {
+		times.answered(5 * time.Millisecond)
+	}
+	if got := wait(); got != orderTimeout {
+		t.Errorf("%v where answers take 5 ms, want %v", got, orderTimeout)
+	}
+	for range missesPerDoubling - 1 {
+		times.missed()
+	}
+	if got := wait(); got != orderTimeout {
+		t.Errorf("%v with a few workers gone, want %v", got, orderTimeout)
+	}
+	times.missed()
+	if got := wait(); got != 2*orderTimeout {
+		t.Errorf("%v with all answers late, want %v", got, 2*orderTimeout)
+	}
+	for range 200 {
+		times.answered(time.Second)
+	}
+	if got := wait(); got < time.Second || got > mostTimeout {
+		t.Errorf("%v where answers take a second", got)
+	}
+	for range 1000 {
+		times.answered(5 * time.Millisecond)
+	}
+	if got := wait(); got > 2*orderTimeout {
+		t.Errorf("%v long after the link was full", got)
+	}
+}
--- a/leader/load.go
+++ b/leader/load.go
@@ -17,13 +17,10 @@
 	"github.com/fireflyfold/fireflyfold/region"
 )
 
-// load fences off earlier leaders and reads all that they kept. It returns the
-// offsets of the intake's partitions to go on from.
-func (l *Leader) load(ctx context.Context, sched *region.Scheduler) ([]int64, error) {
-	ends, err := l.fenceOff(ctx)
-	if err != nil {
-		return nil, err
-	}
+// load reads all that earlier leaders kept, up to the ends of the entries' partitions
+// at which they were fenced off. It returns the offsets of the intake's partitions to go
+// on from.
+func (l *Leader) load(ctx context.Context, sched *region.Scheduler, ends []int64) ([]int64, error) {
 	now := boottime.Now()
 	sched.Step(now, region.Tick{UnixMs: time.Now().UnixMilli()})
 	// The intake is read after the fence, so that every job of an entry is among
@@ -143,12 +140,14 @@
 func (l *Leader) readAll(ctx context.Context, topic string, part int, end int64, take func([]byte)) (int64, error) {
 	var from int64
 	tries := l.repeated("load_reads", "loading "+topic)
+	size := newReadSize()
 	for {
-		b, err := l.cfg.Client.ReadLog(ctx, readTimeout, platform.Read{Topic: topic, Part: part, From: from})
+		b, err := l.cfg.Client.ReadLog(ctx, size.timeout, platform.Read{Topic: topic, Part: part, From: from, MaxKB: size.kb})
 		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
 			from = expired.First
 			continue
 		}
+		size.ended(err)
 		if !tries.Ended(err) {
 			if !boottime.Sleep(ctx, readRetry) {
 				return 0, err
@@ -168,3 +167,26 @@
 		}
 	}
 }
+
+// readSize is how much a read asks for and how long its answer may take. Over a narrow
+// link that others use as well, a large answer never comes in time, however often it is
+// asked for: after each failure less is asked for, and given more time.
+type readSize struct {
+	kb      int
+	timeout time.Duration
+}
+
+// readStep is by how much a read's size changes after a failure or a success.
+const readStep = 4
+
+func newReadSize() readSize { return readSize{kb: mostReadKB, timeout: readTimeout} }
+
+func (s *readSize) ended(err error) {
+	switch {
+	case err == nil:
+		s.kb = min(s.kb*readStep, mostReadKB)
+	case !platform.IsRefused(err):
+		s.kb = max(s.kb/readStep, leastReadKB)
+		s.timeout = min(2*s.timeout, mostReadTimeout)
+	}
+}
--- a/region/behind_test.go
+++ b/region/behind_test.go
@@ -56,3 +56,23 @@
 		t.Errorf("not stalled %v after the last answer", 2*append)
 	}
 }
+
+// The leader's link is full. Looks, most of its calls, would keep it so: starts and appends
+// wait behind them, answers come too late, leases of pressing work lapse, and what lapsed is
+// sent again. Looks are paced as the link fills, and leases outlast the late ones.
+func TestLooksArePacedWhileTheLinkIsFull(t *testing.T) {
+	at := func(load float64) (pause, lease time.Duration) {
+		s, now := backlog(1, 0, 0)
+		s.Step(now, Tick{UnixMs: now.Milliseconds(), LinkLoad: load})
+		return s.lookPause(), s.leaseFor(&worker{counts: runCounts{pressing: 1}})
+	}
+	if pause, lease := at(busyLink); pause != lookGap || lease != shortLease {
+		t.Errorf("pause %v, lease %v with the link half used", pause, lease)
+	}
+	if pause, _ := at((busyLink + fullLink) / 2); pause <= lookGap || pause >= mostLookPause {
+		t.Errorf("pause %v with a busy link", pause)
+	}
+	if pause, lease := at(1); pause != mostLookPause || lease != testOptions().Lease {
+		t.Errorf("pause %v, lease %v with the link full", pause, lease)
+	}
+}
--- a/region/event.go
+++ b/region/event.go
@@ -74,11 +74,13 @@
 	// HostsSeen lists the hosts that can be asked for advice.
 	HostsSeen struct{ Hosts []string }
 
-	// Tick passes time. UnixMs is the time of day, and Behind how late the driver
-	// came to handle the tick: with a busy processor, every event waits as long.
+	// Tick passes time. UnixMs is the time of day, Behind how late the driver came to
+	// handle the tick: with a busy processor, every event waits as long. LinkLoad is the
+	// share of the driver's link that is in use.
 	Tick struct {
-		UnixMs int64
-		Behind time.Duration
+		UnixMs   int64
+		Behind   time.Duration
+		LinkLoad float64
 	}
 
 	// Schedule looks for room for what waits. The driver sends it when it has
--- a/region/lease.go
+++ b/region/lease.go
@@ -57,9 +57,10 @@
 }
 
 // leaseFor returns the lease that a worker gets. An idle one gets a short one: it
-// never shortens, and would be borne by the pressing work that comes next.
+// never shortens, and would be borne by the pressing work that comes next. With the link
+// full, looks come too late for short ones, and what lapses has to be sent again.
 func (s *Scheduler) leaseFor(w *worker) time.Duration {
-	if w.counts.patient > 0 {
+	if w.counts.patient > 0 || s.linkLoad > fullLink {
 		return s.opts.Lease
 	}
 	return min(shortLease, s.opts.Lease)
--- a/region/look.go
+++ b/region/look.go
@@ -24,6 +24,10 @@
 	// work starts and advice would wait behind them.
 	pausePerBehind = 8
 	mostLookPause  = 300 * time.Millisecond
+	// busyLink is the share of the link in use from which looks are paced too: the pause
+	// grows to mostLookPause at fullLink, where starts and appends would wait for looks.
+	busyLink = 0.5
+	fullLink = 0.8
 	// behindMemory is over how many ticks, of 20 ms each, that is a running mean.
 	behindMemory = 16
 	// lookRetry is the pause after a look that failed.
@@ -106,7 +110,9 @@
 
 // lookPause is the pause before the next look at a worker with ends.
 func (s *Scheduler) lookPause() time.Duration {
-	return lookGap + min(pausePerBehind*s.behind, mostLookPause-lookGap)
+	const most = mostLookPause - lookGap
+	crowded := min(max(s.linkLoad-busyLink, 0)/(fullLink-busyLink), 1)
+	return lookGap + max(min(pausePerBehind*s.behind, most), time.Duration(crowded*float64(most)))
 }
 
 // lookAgain goes on looking, unless the worker left and holds nothing.
--- a/region/region.go
+++ b/region/region.go
@@ -91,6 +91,7 @@
 	// usualAnswer is how long a worker takes to answer an order, a running mean.
 	usualAnswer time.Duration
 	behind      time.Duration // how long events wait for us, a running mean
+	linkLoad    float64       // share of the driver's link in use
 	dirty       bool          // something changed that may let a task start
 	lastPass    time.Duration
 	roomiest    roomiest
@@ -254,6 +255,7 @@
 func (s *Scheduler) tick(ev Tick) {
 	s.unixMs = ev.UnixMs
 	s.behind += (ev.Behind - s.behind) / behindMemory
+	s.linkLoad = ev.LinkLoad
 	if !s.leading() {
 		return
 	}
