Pings that cost the same at any size; successors that are named; takeovers that converge

A leader answered each of n hosts every 0.3 s with the addresses of all n: bytes with the square of the hosts, 600 KB/s at 97 by count. Now it takes 60 pings a second from all together, and each answer names six addresses in turn. Hosts that cannot be reached leave the list of advisers at once; a host is isolated by calls that fail, not by pings that are rarer than before.

A host now asks those that the leader named as its successors, the strongest by processor, link and memory, and claims only if none does. A leader that does not stop hands over to those alone, and after 1 s instead of 3. A claim that finds another one reads it at once. The silence that a takeover needs doubles with each one of the last 10 s.

--- a/host/contact.go
+++ b/host/contact.go
@@ -10,25 +10,34 @@
 )
 
 const (
-	// isolatedAfter is how long no other host may have answered for this one to take
-	// itself for cut off: two pings and the pause between them.
-	isolatedAfter = 2*pingTimeout + pingEvery
+	// isolatedAfter is how long calls to other hosts must have failed, without an answer
+	// of any, for this one to take itself for cut off: a second ping has failed by then.
+	isolatedAfter = pingEvery
 	// readyLook is how often a host looks whether callers are still well served
 	// here: often beside the second in which the balancer asks the same.
 	readyLook = 50 * time.Millisecond
 )
 
-// contact tells when another host last answered this one.
-type contact struct{ at atomic.Int64 }
+// contact tells since when no other host has answered this one.
+type contact struct{ failedAt atomic.Int64 } // 0 if the newest call was answered
 
-func (c *contact) heard() { c.at.Store(int64(boottime.Now())) }
+func (c *contact) heard() { c.failedAt.Store(0) }
 
-func (c *contact) age() time.Duration { return boottime.Now() - time.Duration(c.at.Load()) }
+func (c *contact) failed() { c.failedAt.CompareAndSwap(0, int64(boottime.Now())) }
+
+// lostFor is how long calls to other hosts have failed.
+func (c *contact) lostFor() time.Duration {
+	at := c.failedAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return boottime.Now() - time.Duration(at)
+}
 
 // isolated reports whether this host reaches neither the log nor any other host.
 // Nothing that a caller asks for can be had here then, and waiting does not help.
 func (h *Host) isolated() bool {
-	return !h.intake.Healthy() && h.election.leading() == nil && h.contact.age() > isolatedAfter
+	return !h.intake.Healthy() && h.election.leading() == nil && h.contact.lostFor() > isolatedAfter
 }
 
 // sendCallersAway closes the connections of callers while they are not well
--- a/host/election.go
+++ b/host/election.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflyfold/fireflyfold/boottime"
@@ -28,8 +30,10 @@
 	claimsWait = 5 * time.Second
 	// claimTimeout bounds the append of a claim, and reads beyond their wait.
 	claimTimeout = 900 * time.Millisecond
-	// pingEvery is how often a host asks the leader for a sign of life.
-	pingEvery = 300 * time.Millisecond
+	// mostPingPause bounds what a leader may ask for.
+	mostPingPause = 10 * time.Second
+	// pingJitter parts a pause: it is shorter by up to a pingJitter-th.
+	pingJitter = 4
 	// pingTimeout bounds a ping. A busy host answers within some 100 ms; one that
 	// takes longer still has the log to show that it leads.
 	pingTimeout = 200 * time.Millisecond
@@ -57,10 +61,18 @@
 	weakDelay = 50 * time.Millisecond
 	// settleTime is how long a host leads at least before it hands over to a
 	// stronger one: by then all hosts have pinged it.
-	settleTime = 3 * time.Second
-	// muchStronger times its own processor makes another host the better leader:
+	settleTime = time.Second
+	// nominateTimeout bounds the wait for a successor that is asked to claim, and
+	// nominateGap is how much later than the one before each is asked.
+	nominateTimeout = 600 * time.Millisecond
+	nominateGap     = 60 * time.Millisecond
+	// muchStronger times its own strength makes another host the better leader:
 	// less is not worth a change, which costs a few tenths of a second.
 	muchStronger = 1.5
+	// claimMemory is how long a claim counts among the recent ones, of which each but the
+	// first doubles the silence that another takeover needs, up to mostDoublings times.
+	claimMemory   = 10 * time.Second
+	mostDoublings = 4
 )
 
 // election finds the leader and claims the lead when there is none.
@@ -72,12 +84,17 @@
 	next   int64         // offset after the newest claim read
 	readOK bool          // the claims were read to their end
 
-	hosts     []string // addresses of other hosts, as the leader told them
-	turn      int      // which of them is asked next
-	watcher   *leader.Watcher
-	lead      *leader.Leader
-	leadFence int64         // of lead
-	claimed   chan struct{} // a claim has been read
+	claimTimes []time.Duration // when claims were read, those of late
+
+	hosts     []string      // addresses of some other hosts, as the leader told them
+	pingEvery time.Duration // as the leader asked for
+
+	successors []string // addresses of the hosts that should lead next, as the leader told them
+	turn       int      // which of them is asked next
+	watcher    *leader.Watcher
+	lead       *leader.Leader
+	leadFence  int64         // of lead
+	claimed    chan struct{} // a claim has been read
 }
 
 func newElection(h *Host) *election {
@@ -144,6 +161,9 @@
 			continue
 		}
 		e.claim, e.fence = c, offset+1
+		if e.readOK {
+			e.claimTimes = append(e.claimTimes, boottime.Now())
+		}
 		if e.lead != nil && e.leadFence < e.fence {
 			e.lead.Depose(e.fence)
 		}
@@ -160,33 +180,93 @@
 // pinged as soon as its claim is read: until it knows the other hosts it asks for
 // all advice by itself, and what came while nobody led waits behind that.
 func (e *election) run(ctx context.Context) {
-	first := make(chan time.Time, 1)
-	first <- time.Time{}
-	var wait <-chan time.Time = first
-	for ; ; wait = time.After(pingEvery) {
+	for due := boottime.Now(); ctx.Err() == nil; {
+		if boottime.Now() >= due || !e.host.intake.Healthy() {
+			e.check(ctx)
+			due = boottime.Now() + e.pingPause()
+		}
+		wait := time.NewTimer(min(pingEvery, due-boottime.Now()))
 		select {
 		case <-ctx.Done():
-			return
-		case <-wait:
+		case <-wait.C:
 		case <-e.claimed:
+			due = 0
 		}
-		if e.host.stopping.Load() {
-			continue
+		wait.Stop()
+	}
+}
+
+// check looks once after the lead.
+func (e *election) check(ctx context.Context) {
+	if e.host.stopping.Load() {
+		return
+	}
+	if l := e.leading(); l != nil {
+		if l.LogContactAge() > staleLead || l.LogRefusedFor() > refusedLead {
+			// The log may turn only this host away: whoever reaches it claims.
+			e.handOver(ctx)
+		} else if l.LedFor() > settleTime && e.host.helpers.stronger(e.host.strength()) {
+			e.handOver(ctx)
 		}
-		if l := e.leading(); l != nil {
-			if l.LogContactAge() > staleLead || l.LogRefusedFor() > refusedLead {
-				// The log may turn only this host away: whoever reaches it claims.
-				e.handOver(ctx)
-			} else if l.LedFor() > settleTime && e.host.helpers.stronger(e.host.settings.MilliCPU) {
-				e.handOver(ctx)
-			}
-			continue
+		return
+	}
+	if _, fence := e.current(); e.leaderGone(ctx) {
+		if e.nominate(ctx, fence) {
+			return
 		}
-		if _, fence := e.current(); e.leaderGone(ctx) {
-			boottime.Sleep(ctx, e.claimDelay())
-			e.try(ctx, fence)
+		boottime.Sleep(ctx, e.claimDelay())
+		e.try(ctx, fence)
+	}
+}
+
+// nominate asks the hosts that the leader named as its successors to take over from it,
+// unless this host is one of them. It reports whether one has.
+//
+// In a large region most hosts are small, so that the one which notices first that the
+// leader is gone is likely to be too small to lead.
+func (e *election) nominate(ctx context.Context, fence int64) bool {
+	e.mu.Lock()
+	named := slices.Clone(e.successors)
+	e.mu.Unlock()
+	if slices.Contains(named, e.host.settings.Control) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, nominateTimeout)
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	took := make(chan bool, len(named))
+	for i, address := range named {
+		calls.Go(func() {
+			if !boottime.Sleep(ctx, time.Duration(i)*nominateGap) {
+				took <- false
+				return
+			}
+			_, err := e.host.peers.helper(address).TakeOver(ctx, newRequest(&hostrpc.TakeOverRequest{Fence: fence}))
+			if err != nil {
+				e.host.log.WithError(err).WithFields(logrus.Fields{"address": address, "fence": fence}).Debug("nominated host does not lead")
+			}
+			took <- err == nil
+		})
+	}
+	for range named {
+		if <-took {
+			return true
 		}
 	}
+	return false
+}
+
+// pingPause is how long to wait before the next ping, a little different each time so that
+// the hosts that learned of a leader together do not ping together for ever.
+func (e *election) pingPause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	every := max(e.pingEvery, pingEvery)
+	if e.lead != nil || !e.readOK {
+		every = pingEvery
+	}
+	return every - time.Duration(rand.Int64N(int64(every)/pingJitter))
 }
 
 // claimDelay is how long to wait before a claim.
@@ -215,7 +295,17 @@
 	case closed:
 		return e.watcher.Silent(ctx, closedSilence)
 	}
-	return e.watcher.Silent(ctx, silence)
+	return e.watcher.Silent(ctx, e.patience(boottime.Now()))
+}
+
+// patience is how long the entries must stand still before this host takes over from a
+// leader that does not answer. It grows with the takeovers of late, so that takeovers
+// converge where a leader needs longer to be heard than silence: over a full link, say.
+func (e *election) patience(now time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claimTimes = slices.DeleteFunc(e.claimTimes, func(at time.Duration) bool { return now-at > claimMemory })
+	return silence << min(max(len(e.claimTimes)-1, 0), mostDoublings)
 }
 
 // others returns addresses of other hosts, a few in turn, the leader first.
@@ -254,8 +344,10 @@
 	resp, err := e.host.peers.leader(claim.Address).Ping(ctx, e.host.pingRequest())
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
+		e.host.contact.failed()
 		return closed
 	case err != nil:
+		e.host.contact.failed()
 		return doubtful
 	}
 	e.host.contact.heard()
@@ -267,6 +359,8 @@
 	}
 	e.mu.Lock()
 	e.hosts = resp.Msg.Hosts
+	e.successors = resp.Msg.Successors
+	e.pingEvery = min(time.Duration(resp.Msg.NextMs)*time.Millisecond, mostPingPause)
 	e.mu.Unlock()
 	if time.Duration(resp.Msg.LogContactMs)*time.Millisecond >= staleLead {
 		return doubtful
@@ -297,6 +391,9 @@
 		// Without an answer the claim may stand: watchClaims will read it, and
 		// as it names this host without a leadership, it is claimed anew.
 		e.host.log.WithError(err).WithField("after_fence", fence).Info("lead not claimed")
+		if platform.Moved(err) {
+			e.readNow(ctx)
+		}
 		return false
 	}
 	e.took(got.First, [][]byte{data}, got.First+1)
@@ -304,6 +401,19 @@
 	return true
 }
 
+// readNow reads the claims at once: watchClaims may be waiting for an answer that is lost.
+func (e *election) readNow(ctx context.Context) {
+	e.mu.Lock()
+	from := e.next
+	e.mu.Unlock()
+	b, err := e.host.client.ReadLog(ctx, claimTimeout, platform.Read{Topic: topicClaims, From: from})
+	if err != nil {
+		e.host.log.WithError(err).Debug("claims not read; they are watched as well")
+		return
+	}
+	e.took(from, b.Records, b.End)
+}
+
 // begin leads in the background until another host takes over.
 func (e *election) begin(ctx context.Context, fence int64) {
 	l := leader.New(e.host.leaderConfig(fence))
@@ -332,7 +442,13 @@
 	if !leads {
 		return
 	}
-	for _, p := range e.host.helpers.successors() {
+	successors := e.host.helpers.successors()
+	if !e.host.stopping.Load() {
+		// If none of these reaches the log, it is hardly this host alone that it turns away,
+		// and a weaker one would lead worse when it is back.
+		successors = successors[:min(len(successors), successorsNamed)]
+	}
+	for _, p := range successors {
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		_, err := e.host.peers.helper(p.address).TakeOver(callCtx, newRequest(&hostrpc.TakeOverRequest{Fence: fence}))
 		cancel()
--- a/host/front.go
+++ b/host/front.go
@@ -162,7 +162,7 @@
 }
 
 func (c *call) answer(status int, body []byte) {
-	if c.host.stopping.Load() {
+	if c.host.stopping.Load() || c.host.isolated() {
 		// The caller's next request goes to another host.
 		c.w.Header().Set("Connection", "close")
 	}
--- a/host/helpers.go
+++ b/host/helpers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -11,23 +12,38 @@
 	"github.com/fireflyfold/fireflyfold/hostrpc"
 )
 
-// helperLife is how long after its last ping a host counts as a helper: three
-// pings and a slow one.
-const helperLife = 1500 * time.Millisecond
+const (
+	// pingEvery is how often a host asks the leader for a sign of life, in a region
+	// where no leader has asked for less.
+	pingEvery = 300 * time.Millisecond
+	// pingsPerSecond is how many pings a leader takes from all hosts together. With
+	// more hosts each pings less often: some other one notices all the same.
+	pingsPerSecond = 60
+	// helperPings is how many pings a helper may miss, and helperSlack how late the next
+	// one may be.
+	helperPings = 3
+	helperSlack = 600 * time.Millisecond
+	// successorsNamed is how many hosts a leader names that should lead after it.
+	successorsNamed = 4
+	// addressSample is how many addresses of other hosts the answer to a ping holds.
+	// All of them in each answer would cost bytes with the square of the hosts.
+	addressSample = 6
+)
 
 // helpers are the hosts that have pinged this one, as the leader.
 type helpers struct {
 	mu   sync.Mutex
 	seen map[string]*helper
+	turn int // of sample
 }
 
 type helper struct {
 	name    string
 	address string
 	first   time.Duration // when it was first seen in this incarnation
-	last    time.Duration
+	until   time.Duration // when it no longer counts without another ping
 	inc     string
-	cpu     int64 // thousandths of a core
+	strength
 }
 
 func newHelpers() *helpers { return &helpers{seen: make(map[string]*helper)} }
@@ -40,12 +56,41 @@
 		return
 	}
 	now := boottime.Now()
+	every := h.pingPause()
 	p, ok := h.seen[r.Host]
 	if !ok || p.inc != r.Incarnation {
-		p = &helper{name: r.Host, address: r.Address, first: now, inc: r.Incarnation, cpu: r.MilliCpu}
+		p = &helper{name: r.Host, address: r.Address, first: now, inc: r.Incarnation, strength: strength{r.MilliCpu, r.LinkBps, r.MemoryMib}}
 		h.seen[r.Host] = p
 	}
-	p.last = now
+	p.until = now + helperPings*every + helperSlack
+}
+
+// pingPause is how long the leader wants a host to wait before its next ping.
+func (h *helpers) pingPause() time.Duration {
+	return max(pingEvery, time.Duration(len(h.seen))*time.Second/pingsPerSecond)
+}
+
+// answerPing fills in the answer to a ping: how long the host is to wait before its next
+// one, addresses of a few others, and who should lead next.
+func (h *helpers) answerPing(resp *hostrpc.PingResponse) {
+	alive, next := h.alive(), h.successors()
+	for _, p := range next[:min(len(next), successorsNamed)] {
+		resp.Successors = append(resp.Successors, p.address)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for range min(addressSample, len(alive)) {
+		h.turn++
+		resp.Hosts = append(resp.Hosts, alive[h.turn%len(alive)].address)
+	}
+	resp.NextMs = h.pingPause().Milliseconds()
+}
+
+// lost takes a host that cannot be reached off the list until it pings again.
+func (h *helpers) lost(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.seen, name)
 }
 
 func (h *helpers) alive() []*helper {
@@ -53,10 +98,12 @@
 	defer h.mu.Unlock()
 	var out []*helper
 	now := boottime.Now()
-	for _, p := range h.seen {
-		if now-p.last < helperLife {
-			out = append(out, p)
+	for name, p := range h.seen {
+		if now > p.until {
+			delete(h.seen, name)
+			continue
 		}
+		out = append(out, p)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
 	return out
@@ -71,14 +118,6 @@
 	return out
 }
 
-func (h *helpers) addresses() []string {
-	var out []string
-	for _, p := range h.alive() {
-		out = append(out, p.address)
-	}
-	return out
-}
-
 func (h *helpers) address(name string) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -89,23 +128,32 @@
 	return p.address, true
 }
 
+// strength is what a host may use of what leading takes: thousandths of a core, bytes a
+// second of its link, and mebibytes.
+type strength struct{ milliCPU, linkBps, memoryMiB int64 }
+
+// over returns how many times as much a host has as another one: the mean of the three
+// ratios, so that a host with more of everything is stronger whatever the units.
+func (s strength) over(o strength) float64 {
+	ratio := func(a, b int64) float64 { return float64(max(a, 1)) / float64(max(b, 1)) }
+	return math.Cbrt(ratio(s.milliCPU, o.milliCPU) * ratio(s.linkBps, o.linkBps) * ratio(s.memoryMiB, o.memoryMiB))
+}
+
 // successors returns the helpers in the order in which they are asked to take
-// over: those with the most processor first, as leading takes most of it, and
-// among equals the one that started last. In a rolling restart it is the least
-// likely to be stopped next.
+// over: the strongest first, and among equals the one that started last. In a rolling
+// restart it is the least likely to be stopped next.
 func (h *helpers) successors() []*helper {
 	out := h.alive()
 	slices.SortStableFunc(out, func(a, b *helper) int {
-		return cmp.Or(cmp.Compare(b.cpu, a.cpu), cmp.Compare(b.first, a.first))
+		return cmp.Or(cmp.Compare(b.over(strength{}), a.over(strength{})), cmp.Compare(b.first, a.first))
 	})
 	return out
 }
 
-// stronger reports whether some helper has so much more processor than this
-// host that it should lead instead.
-func (h *helpers) stronger(than int64) bool {
+// stronger reports whether some helper is so much stronger that it should lead instead.
+func (h *helpers) stronger(than strength) bool {
 	for _, p := range h.alive() {
-		if float64(p.cpu) >= muchStronger*float64(than) {
+		if p.over(than) >= muchStronger {
 			return true
 		}
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -100,6 +100,10 @@
 	return hex.EncodeToString(b[:])
 }
 
+func (h *Host) strength() strength {
+	return strength{milliCPU: h.settings.MilliCPU, linkBps: h.settings.LinkBps, memoryMiB: h.settings.MemoryMB}
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.endWork()
--- a/host/peers.go
+++ b/host/peers.go
@@ -64,10 +64,9 @@
 		return connect.NewResponse(&hostrpc.PingResponse{Incarnation: h.incarnation}), nil
 	}
 	h.helpers.ping(req.Msg)
-	return connect.NewResponse(&hostrpc.PingResponse{
-		Leading: true, Incarnation: h.incarnation,
-		LogContactMs: l.LogContactAge().Milliseconds(), Hosts: h.helpers.addresses(),
-	}), nil
+	resp := &hostrpc.PingResponse{Leading: true, Incarnation: h.incarnation, LogContactMs: l.LogContactAge().Milliseconds()}
+	h.helpers.answerPing(resp)
+	return connect.NewResponse(resp), nil
 }
 
 // State implements hostrpc.LeaderHandler.
@@ -134,6 +133,11 @@
 // configOfPeers asks other hosts for the configuration.
 func (h *Host) configOfPeers(ctx context.Context, have int64) (peerConfig, error) {
 	var last error = errNoPeers
+	defer func() {
+		if last != nil {
+			h.contact.failed()
+		}
+	}()
 	for _, address := range h.election.others(peerTries) {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		resp, err := h.peers.helper(address).Config(callCtx, newRequest(&hostrpc.ConfigRequest{Version: have}))
@@ -143,6 +147,7 @@
 			continue
 		}
 		h.contact.heard()
+		last = nil
 		m := resp.Msg
 		return peerConfig{version: m.Version, age: time.Duration(m.AgeMs) * time.Millisecond, raw: m.Config}, nil
 	}
@@ -156,13 +161,16 @@
 	if h.stopping.Load() {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errStopping)
 	}
+	if _, fence := h.election.current(); fence != req.Msg.Fence && h.election.leading() == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading) // somebody else leads by now
+	}
 	// That this host's own last append got no answer tells nothing: the log may be
 	// slow for everyone, and then every helper would refuse and nobody lead for
 	// seconds. The reads here and the claim itself tell whether it is reached.
 	if h.config.LogAge() > logContactLife || !h.election.watcher.Reachable(ctx) {
 		return nil, connect.NewError(connect.CodeUnavailable, errLogAway)
 	}
-	h.log.WithField("fence", req.Msg.Fence).Info("leader asks this host to take over")
+	h.log.WithField("fence", req.Msg.Fence).Info("asked to take over")
 	if !h.election.try(h.work, req.Msg.Fence) {
 		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
 	}
@@ -179,6 +187,7 @@
 	return newRequest(&hostrpc.PingRequest{
 		Host: h.settings.Host, Address: h.settings.Control, Zone: h.settings.Zone,
 		Incarnation: h.incarnation, Leaving: h.stopping.Load(), MilliCpu: h.settings.MilliCPU,
+		LinkBps: h.settings.LinkBps, MemoryMib: h.settings.MemoryMB,
 	})
 }
 
@@ -198,6 +207,9 @@
 		Step: step, Workers: a.Workers, TimeoutMs: timeout.Milliseconds(),
 	}))
 	if err != nil {
+		if !connect.IsWireError(err) {
+			h.helpers.lost(a.Host)
+		}
 		return nil, errors.Wrap(err, "advice by another host")
 	}
 	tickets := make([]model.Ticket, 0, len(resp.Msg.Tickets))
