--- a/host/helpers.go
+++ b/host/helpers.go
@@ -16,9 +16,14 @@
 	// pingEvery is how often a host asks the leader for a sign of life, in a region
 	// where no leader has asked for less.
 	pingEvery = 300 * time.Millisecond
-	// pingsPerSecond is how many pings a leader takes from all hosts together. With
-	// more hosts each pings less often: some other one notices all the same.
-	pingsPerSecond = 60
+	// mostPings and leastPings bound how many pings a second a leader takes from all hosts
+	// together. With more hosts each pings less often: some other one notices all the same.
+	mostPings  = 60
+	leastPings = 8
+	// pingBytes is what a ping and its answer take of a leader's link, and pingShare what all
+	// of them may take.
+	pingBytes = 700
+	pingShare = 0.02
 	// helperPings is how many pings a helper may miss, and helperSlack how late the next
 	// one may be.
 	helperPings = 3
@@ -34,7 +39,8 @@
 type helpers struct {
 	mu   sync.Mutex
 	seen map[string]*helper
-	turn int // of sample
+	turn int // of the addresses told
+	rate int // pings a second from all of them together
 }
 
 type helper struct {
@@ -46,7 +52,11 @@
 	strength
 }
 
-func newHelpers() *helpers { return &helpers{seen: make(map[string]*helper)} }
+// newHelpers returns the helpers of a host whose link carries linkBps bytes a second.
+func newHelpers(linkBps int64) *helpers {
+	rate := int(min(pingShare*float64(linkBps)/pingBytes, mostPings))
+	return &helpers{seen: make(map[string]*helper), rate: max(rate, leastPings)}
+}
 
 func (h *helpers) ping(r *hostrpc.PingRequest) {
 	h.mu.Lock()
@@ -67,7 +77,7 @@
 
 // pingPause is how long the leader wants a host to wait before its next ping.
 func (h *helpers) pingPause() time.Duration {
-	return max(pingEvery, time.Duration(len(h.seen))*time.Second/pingsPerSecond)
+	return max(pingEvery, time.Duration(len(h.seen))*time.Second/time.Duration(h.rate))
 }
 
 // answerPing fills in the answer to a ping: how long the host is to wait before its next
--- a/host/helpers_test.go
+++ b/host/helpers_test.go
@@ -16,7 +16,10 @@
 // manyHelpers returns the helpers of a region of that many hosts, all alike but for
 // strong ones.
 func manyHelpers(hosts int, strong ...int) *helpers {
-	h := newHelpers()
+	return manyHelpersOf(newHelpers(25e6), hosts, strong...)
+}
+
+func manyHelpersOf(h *helpers, hosts int, strong ...int) *helpers {
 	for i := range hosts {
 		h.ping(&hostrpc.PingRequest{Host: fmt.Sprintf("h%03d", i), Address: fmt.Sprintf("10.0.%d.%d:8180", i/250, i%250), MilliCpu: 200, LinkBps: 2e6, MemoryMib: 200})
 	}
@@ -37,8 +40,8 @@
 	}
 	for _, hosts := range []int{97, 300, 1000} {
 		perSecond, bytes := cost(hosts)
-		if perSecond > 1.01*pingsPerSecond {
-			t.Errorf("%d hosts: %.0f pings a second, want at most %d", hosts, perSecond, pingsPerSecond)
+		if perSecond > 1.01*mostPings {
+			t.Errorf("%d hosts: %.0f pings a second, want at most %d", hosts, perSecond, mostPings)
 		}
 		if _, few := cost(20); bytes > 2*few {
 			t.Errorf("%d hosts: an answer has %d bytes, with 20 hosts %d", hosts, bytes, few)
@@ -49,6 +52,17 @@
 	}
 }
 
+// A leader behind a link of 2 Mbit/s spends a fifth of it on pings of eighteen hosts.
+func TestPingsOverANarrowLink(t *testing.T) {
+	const linkBps = 250e3
+	h := manyHelpersOf(newHelpers(linkBps), 18)
+	resp := &hostrpc.PingResponse{}
+	h.answerPing(resp)
+	if used := 18 * pingBytes * 1000 / float64(resp.NextMs); used > 1.2*pingShare*linkBps {
+		t.Errorf("pings take %.0f bytes a second of %.0f", used, linkBps)
+	}
+}
+
 // Every host is told of some others sooner or later, so that it can ask one when the
 // leader is gone.
 func TestAddressesTakeTurns(t *testing.T) {
--- a/host/host.go
+++ b/host/host.go
@@ -77,7 +77,7 @@
 		settings: s, incarnation: newIncarnation(), client: client,
 		meter: meter, load: linkstats.NewLoad(meter, s.LinkBps),
 		log: tel.Log, metrics: tel.Metrics, tel: tel,
-		helpers: newHelpers(), peers: newPeers(platform.NewHTTPClient(connsPerAddress, meter)),
+		helpers: newHelpers(s.LinkBps), peers: newPeers(platform.NewHTTPClient(connsPerAddress, meter)),
 	}
 	h.work, h.endWork = context.WithCancel(context.Background())
 	h.config = &configWatch{client: client, log: h.log}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflyfold/fireflyfold/logwriter"
@@ -99,19 +101,21 @@
 // signs of life until the scheduler does.
 func TestLeaderThatLoadsShowsLife(t *testing.T) {
 	store := fakeplatform.NewStore()
-	door := store.Door()
+	door, watching := store.Door(), store.Door()
 	defer door.Close()
-	l := New(Config{Client: platform.NewClient(platform.Names{Store: door.Address()}, 4, nil), Fence: 1, CallBytes: 1 << 20})
+	defer watching.Close()
+	door.Stall("log-read")
+	defer door.Stall("")
+	l := New(Config{
+		Client: platform.NewClient(platform.Names{Store: door.Address()}, 16, nil), Fence: 1, CallBytes: 1 << 20,
+		Log: logrus.NewEntry(logrus.New()), Metrics: tally.NoopScope,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var run conc.WaitGroup
 	defer run.Wait()
 	defer cancel()
-	if _, err := l.fenceOff(ctx); err != nil {
-		t.Fatal(err)
-	}
-	run.Go(func() { _ = l.writer.Run(ctx) }) // ends with ctx
-	run.Go(func() { l.showLife(ctx) })
-	w := NewWatcher(platform.NewClient(platform.Names{Store: door.Address()}, 4, nil))
+	run.Go(func() { _ = l.Run(ctx) }) // ends with ctx
+	w := NewWatcher(platform.NewClient(platform.Names{Store: watching.Address()}, 4, nil))
 	signs := 0
 	for range 100 { // on a busy machine signs may come late
 		if grown, _ := w.grown(ctx, lifeSignEvery); grown {
@@ -124,12 +128,18 @@
 	if signs < 3 {
 		t.Fatal("the entries stand still while the leader loads")
 	}
-	if age := l.LogContactAge(); age > staleContact {
-		t.Errorf("the log counts as silent for %v", age)
+	if l.Loaded() {
+		t.Error("the leader has loaded without a read")
 	}
 }
 
-const staleContact = 10 * time.Second // only a leader that never noted an answer is so far off
+// A new leader took the log for lost, as it had not answered since the beginning of time:
+// its first act was to look for a successor.
+func TestNewLeaderHasNotLostTheLog(t *testing.T) {
+	if age := New(Config{}).LogContactAge(); age > time.Minute {
+		t.Errorf("the log counts as silent for %v", age)
+	}
+}
 
 // What is read while loading does not come in time over a narrow link: the read was made
 // again as it was, and failed again, for ever. Less is asked for, and given more time.
--- a/region/advice.go
+++ b/region/advice.go
@@ -133,6 +133,11 @@
 	if st.advice.asking || s.now < st.advice.retryAt {
 		return false
 	}
+	if s.linkLoad > fullLink && !st.pressing {
+		st.blocked = "link" // calls for advice name many workers: they are the largest
+		s.dirty = true
+		return false
+	}
 	if s.advisers.pick(s.lanes, st.job.rec.Queue, st.adviceCost(st.mostAsked()), s.now) == nil {
 		st.blocked = "advice backlog"
 		s.dirty = true
--- a/region/behind_test.go
+++ b/region/behind_test.go
@@ -76,3 +76,22 @@
 		t.Errorf("pause %v, lease %v with the link full", pause, lease)
 	}
 }
+
+// The leader's link takes no more. Work that is started all the same, and calls for advice,
+// fill it further, so that leases of what runs already are renewed too late. Nothing new is
+// started until the link is free again, and then it is.
+func TestNothingIsStartedOverAFullLink(t *testing.T) {
+	w := mixedWorld(t, 2)
+	w.linkLoad = 1.2
+	w.run(100 * time.Millisecond)
+	w.submitTo(slowJob("s1", 2), "slow")
+	w.run(500 * time.Millisecond)
+	if n := len(w.starts); n != 0 {
+		t.Errorf("%d tasks are started over a full link", n)
+	}
+	w.linkLoad = 0.3
+	w.run(500 * time.Millisecond)
+	if n := len(w.starts); n != 2 {
+		t.Errorf("%d tasks are started over the free link, want 2", n)
+	}
+}
--- a/region/look.go
+++ b/region/look.go
@@ -28,6 +28,9 @@
 	// grows to mostLookPause at fullLink, where starts and appends would wait for looks.
 	busyLink = 0.5
 	fullLink = 0.8
+	// overfullLink is the share from which nothing new is started: more is handed to the
+	// link than it carries, and renewals of what runs already would wait behind it.
+	overfullLink = 1.0
 	// behindMemory is over how many ticks, of 20 ms each, that is a running mean.
 	behindMemory = 16
 	// lookRetry is the pause after a look that failed.
--- a/region/pass.go
+++ b/region/pass.go
@@ -30,7 +30,7 @@
 	}
 	s.lastPass = s.now
 	s.dirty = false
-	if !s.proven() || s.logStalled() {
+	if !s.proven() || s.logStalled() || s.linkLoad > overfullLink {
 		return
 	}
 	s.usableNow = s.usableNow[:0]
--- a/region/region.go
+++ b/region/region.go
@@ -92,6 +92,7 @@
 	usualAnswer time.Duration
 	behind      time.Duration // how long events wait for us, a running mean
 	linkLoad    float64       // share of the driver's link in use
+	fullAt      time.Duration // when that was last full
 	dirty       bool          // something changed that may let a task start
 	lastPass    time.Duration
 	roomiest    roomiest
@@ -256,6 +257,9 @@
 	s.unixMs = ev.UnixMs
 	s.behind += (ev.Behind - s.behind) / behindMemory
 	s.linkLoad = ev.LinkLoad
+	if s.linkLoad > fullLink {
+		s.fullAt = s.now
+	}
 	if !s.leading() {
 		return
 	}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -16,18 +16,19 @@
 // keep the orders' contract, and an advice service, in virtual time. It checks
 // the promises that hold at every step.
 type world struct {
-	t       *testing.T
-	rng     *rand.Rand
-	now     time.Duration
-	events  eventHeap
-	order   int64
-	sched   *Scheduler
-	life    int // which scheduler is in charge; answers to earlier ones are dropped
-	fence   int64
-	logDown bool
-	lasting bool    // an end as done does not bind: the tasks of this test last
-	adviceN int     // calls for advice
-	strict  *strict // the platform at its worst; nil for a milder one
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	order    int64
+	sched    *Scheduler
+	life     int // which scheduler is in charge; answers to earlier ones are dropped
+	fence    int64
+	logDown  bool
+	linkLoad float64 // of the leader
+	lasting  bool    // an end as done does not bind: the tasks of this test last
+	adviceN  int     // calls for advice
+	strict   *strict // the platform at its worst; nil for a milder one
 
 	intake  []*record.Intake
 	entries []*record.Entry
@@ -162,7 +163,7 @@
 	if w.strict != nil {
 		w.strict.told(w.intake)
 	}
-	w.step(Tick{UnixMs: w.now.Milliseconds()})
+	w.step(Tick{UnixMs: w.now.Milliseconds(), LinkLoad: w.linkLoad})
 	w.step(IntakeRead{Records: w.intake})
 	w.step(EntriesRead{Entries: w.entries})
 	w.step(Lead{Fence: w.fence})
@@ -191,7 +192,7 @@
 	if life != w.life || w.sched == nil {
 		return
 	}
-	w.step(Tick{UnixMs: w.now.Milliseconds()})
+	w.step(Tick{UnixMs: w.now.Milliseconds(), LinkLoad: w.linkLoad})
 	w.step(Schedule{})
 	w.at(20*time.Millisecond, func() { w.tick(life) })
 }
