Workers' speeds are learned: gangs on workers alike, urgent work on fast ones

A gang ends with its slowest member.

Each gang's members are compared by their progress, the tasks of other steps by their run times, against the median; a few samples, bounded and forgotten, so that a worker that lies or turns slow moves itself alone. Gangs take the set of places that differs least in speed, pressing work prefers fast workers, other work slow ones, and expected ends follow.

--- a/region/end.go
+++ b/region/end.go
@@ -37,6 +37,9 @@
 		return
 	}
 	r := t.run
+	if t.step.rec.Gang && e.Outcome == record.Outcome_OUTCOME_DONE {
+		s.learnFromGang(t.step, e.Run)
+	}
 	if r != nil && r.number == e.Run && r.worker == w {
 		s.learn(r, e.Outcome)
 		s.release(r)
--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -1,6 +1,9 @@
 package region
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/model"
@@ -93,9 +96,36 @@
 	if total < len(st.tasks) {
 		return nil, counts.summary()
 	}
-	return spreadGang(places, len(st.tasks)), ""
+	return spreadGang(alike(places, len(st.tasks)), len(st.tasks)), ""
 }
 
+// alike returns the places of those that have room for all members whose workers differ
+// least in speed: a gang is as slow as its slowest member, and the room of the faster ones
+// is held for nothing meanwhile. Among sets that are as good the faster one counts.
+func alike(places []gangPlace, members int) []gangPlace {
+	slices.SortStableFunc(places, func(a, b gangPlace) int { return cmp.Compare(b.worker.speed.log, a.worker.speed.log) })
+	var (
+		best   []gangPlace
+		spread = math.Inf(1)
+		room   int
+		from   int
+	)
+	for to, p := range places {
+		room += p.n
+		for room-places[from].n >= members {
+			room -= places[from].n
+			from++
+		}
+		if d := places[from].worker.speed.log - p.worker.speed.log; room >= members && d < spread-speedTolerance {
+			best, spread = places[from:to+1], d
+		}
+	}
+	return best
+}
+
+// speedTolerance is a difference in speed that does not count.
+const speedTolerance = 0.03
+
 // gangPlace is a worker and how many members it takes.
 type gangPlace struct {
 	worker *worker
--- a/region/job.go
+++ b/region/job.go
@@ -60,12 +60,14 @@
 	step       *step
 	index      int32
 	done       bool
-	attempts   int32  // ends that counted as failed
-	lastRun    int32  // highest run assigned
-	endedRun   int32  // highest run whose end was counted
-	checkpoint string // newest saved progress
-	crawled    bool   // it was moved away from a slow worker once
-	run        *run   // what may be alive; nil if nothing is
+	attempts   int32         // ends that counted as failed
+	lastRun    int32         // highest run assigned
+	endedRun   int32         // highest run whose end was counted
+	checkpoint string        // newest saved progress
+	crawled    bool          // it was moved away from a slow worker once
+	run        *run          // what may be alive; nil if nothing is
+	ran        time.Duration // how long the run took that was done
+	ranOn      *worker       // where
 }
 
 func (t *task) id() model.TaskID {
@@ -300,6 +302,7 @@
 	if st.open > 0 {
 		return
 	}
+	s.learnFromStep(st)
 	s.dequeue(st)
 	st.advice.marks, st.advice.good = nil, nil
 	if st.occ.open > 0 {
--- a/region/learn.go
+++ b/region/learn.go
@@ -57,7 +57,7 @@
 	if from == 0 {
 		from = r.assigned
 	}
-	return from + r.task.step.job.runTime(r.task.step.rec)
+	return from + r.task.step.runTimeOn(r.worker)
 }
 
 // learn takes an end into account.
@@ -68,6 +68,9 @@
 		if r.startedAt > 0 && r.task.step.rec.EstimateMs > 0 {
 			q := r.task.step.job.queue
 			took := s.now - r.startedAt
+			if r.task.checkpoint == "" {
+				r.task.ran, r.task.ranOn = took, r.worker
+			}
 			seen := float64(took) / float64(time.Duration(r.task.step.rec.EstimateMs)*time.Millisecond)
 			q.n = min(q.n+1, estimateMemory)
 			q.ratio += (seen - q.ratio) / q.n
--- a/region/place.go
+++ b/region/place.go
@@ -215,5 +215,18 @@
 	if w.reserved != nil && w.reserved != st {
 		score -= reservedPenalty
 	}
-	return score + s.apartScore(st, w) - w.health.penalty(s.now)
+	return score + st.speedScore(w) + s.apartScore(st, w) - w.health.penalty(s.now)
+}
+
+// speedWeight is what a worker counts for that is e times as fast as the others, in
+// thousandths of a core left over.
+const speedWeight = 2e4
+
+// speedScore puts pressing work on fast workers, where it still ends in time, and leaves
+// it the fast ones by putting work that can wait on slow ones.
+func (st *step) speedScore(w *worker) float64 {
+	if st.pressing {
+		return speedWeight * w.speed.log
+	}
+	return -speedWeight * w.speed.log
 }
--- a/region/worker.go
+++ b/region/worker.go
@@ -40,6 +40,7 @@
 	orders      ordersOut       // without an answer yet
 	overdue     bool            // one of them is out for too long, as of the newest pass
 	health      health
+	speed       speed
 	reserved    *step           // a gang that collects room here
 	kept        *step           // a further gang that collects room here, before late work
 	wasReserved *step           // either, in the pass before
@@ -166,6 +167,7 @@
 	w.fenced = false
 	w.lives++
 	w.health = health{}
+	w.speed = speed{}
 }
 
 // livesBits is how many bits of a fencing token count a worker's lives.
