--- a/host/election.go
+++ b/host/election.go
@@ -71,8 +71,8 @@
 	muchStronger = 1.5
 	// claimMemory is how long a claim counts among the recent ones, of which each but the
 	// first doubles the silence that another takeover needs, up to mostDoublings times.
-	claimMemory   = 10 * time.Second
-	mostDoublings = 4
+	claimMemory   = 20 * time.Second
+	mostDoublings = 3
 )
 
 // election finds the leader and claims the lead when there is none.
--- a/host/host.go
+++ b/host/host.go
@@ -37,6 +37,10 @@
 	// loss of the leader and cuts of some seconds; a short one frees the work of
 	// a lost worker sooner.
 	leaseShare = 1.0
+	// startShare of a leader's link is for starts, each of which takes startBytes in the
+	// mean, with its record in the log and the advice before it.
+	startShare = 0.6
+	startBytes = 1000
 	// drainTime is how long a stopping host goes on answering on its open
 	// connections before it closes idle ones.
 	drainTime = 1200 * time.Millisecond
@@ -226,10 +230,11 @@
 
 func (h *Host) leaderConfig(fence int64) leader.Config {
 	return leader.Config{
-		Client: h.client, Fence: fence, CallBytes: h.settings.CallBytes,
+		Client: h.client, Fence: fence, CallBytes: h.settings.CallBytes, LinkBps: h.settings.LinkBps,
 		Options: region.Options{
 			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
 			LogRetention: h.settings.LogRetention, StatusKept: h.settings.StatusRetention,
+			StartsPerS: startShare * float64(h.settings.LinkBps) / startBytes,
 		},
 		LinkLoad: func() float64 { return h.load.At(boottime.Now()) },
 		Config:   h.config.Config, Hosts: h.helpers.names, Advise: h.adviseFrom,
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -55,9 +55,12 @@
 	// the least such bound, and mostReadTimeout the most.
 	readTimeout     = 1200 * time.Millisecond
 	mostReadTimeout = 6 * time.Second
-	// mostReadKB and leastReadKB bound how much one read of the log brings while loading.
+	// mostReadKB and leastReadKB bound how much one read of the log brings while loading, and
+	// readTime how long its answer may take the link: six partitions are read at a time, and
+	// answers to signs of life and pings wait behind them.
 	mostReadKB  = 1024
 	leastReadKB = 16
+	readTime    = 30 * time.Millisecond
 	// lifeSignEvery is how often a leader that still loads appends a sign of life. Others
 	// take a leader whose entries stand still for gone, however long loading takes.
 	lifeSignEvery = 100 * time.Millisecond
@@ -89,6 +92,7 @@
 	Fence     int64
 	Options   region.Options
 	CallBytes int
+	LinkBps   int64                // bytes a second that this host's link carries; 0 if it is not known
 	Config    func() *model.Config // newest configuration; nil if there is none
 	Hosts     func() []string      // hosts that can be asked for advice
 	Advise    Adviser
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -145,7 +145,10 @@
 // again as it was, and failed again, for ever. Less is asked for, and given more time.
 func TestReadsThatComeTooLateShrink(t *testing.T) {
 	late := &platform.NoAnswerError{Cause: context.DeadlineExceeded}
-	s := newReadSize()
+	if s := newReadSize(250e3); s.kb != leastReadKB {
+		t.Errorf("%d KiB are asked for first over 2 Mbit/s", s.kb)
+	}
+	s := newReadSize(0)
 	for range 10 {
 		s.ended(late)
 	}
--- a/leader/load.go
+++ b/leader/load.go
@@ -140,7 +140,7 @@
 func (l *Leader) readAll(ctx context.Context, topic string, part int, end int64, take func([]byte)) (int64, error) {
 	var from int64
 	tries := l.repeated("load_reads", "loading "+topic)
-	size := newReadSize()
+	size := newReadSize(l.cfg.LinkBps)
 	for {
 		b, err := l.cfg.Client.ReadLog(ctx, size.timeout, platform.Read{Topic: topic, Part: part, From: from, MaxKB: size.kb})
 		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
@@ -172,19 +172,26 @@
 // link that others use as well, a large answer never comes in time, however often it is
 // asked for: after each failure less is asked for, and given more time.
 type readSize struct {
-	kb      int
-	timeout time.Duration
+	kb, most int
+	timeout  time.Duration
 }
 
 // readStep is by how much a read's size changes after a failure or a success.
 const readStep = 4
 
-func newReadSize() readSize { return readSize{kb: mostReadKB, timeout: readTimeout} }
+// newReadSize returns the size of the first read over a link.
+func newReadSize(linkBps int64) readSize {
+	most := mostReadKB
+	if linkBps > 0 {
+		most = min(max(int(float64(linkBps)*readTime.Seconds())>>10, leastReadKB), mostReadKB)
+	}
+	return readSize{kb: most, most: most, timeout: readTimeout}
+}
 
 func (s *readSize) ended(err error) {
 	switch {
 	case err == nil:
-		s.kb = min(s.kb*readStep, mostReadKB)
+		s.kb = min(s.kb*readStep, s.most)
 	case !platform.IsRefused(err):
 		s.kb = max(s.kb/readStep, leastReadKB)
 		s.timeout = min(2*s.timeout, mostReadTimeout)
--- a/region/pass.go
+++ b/region/pass.go
@@ -33,6 +33,7 @@
 	if !s.proven() || s.logStalled() || s.linkLoad > overfullLink {
 		return
 	}
+	s.pacer.refill(s.opts.StartsPerS, s.now)
 	s.usableNow = s.usableNow[:0]
 	before := s.overdueBefore()
 	for _, w := range s.order {
@@ -186,6 +187,11 @@
 		if s.now < st.notUntil {
 			continue
 		}
+		if !s.mayStart() {
+			st.blocked = "link"
+			s.dirty = true
+			return
+		}
 		reserving := st.rec.Gang && gangs < reservedGangs+keptGangs && (gangs < reservedGangs || c <= classExcess)
 		if !reserving && s.hopeless(st) {
 			st.blocked = reasonNames[rejectRoom]
--- a/region/region.go
+++ b/region/region.go
@@ -29,6 +29,7 @@
 	Lease        time.Duration // what we ask for
 	LogRetention time.Duration // records of the log expire after this
 	StatusKept   time.Duration // a finished job's state is answered so long
+	StartsPerS   float64       // what the driver's link carries besides all else; 0 for no bound
 }
 
 const (
@@ -96,6 +97,7 @@
 	dirty       bool          // something changed that may let a task start
 	lastPass    time.Duration
 	roomiest    roomiest
+	pacer       startPacer
 	turns       [classes]int // where the close look at the tail of each class goes on
 
 	out []Command
--- a/region/run.go
+++ b/region/run.go
@@ -127,6 +127,7 @@
 		r.ticket = mark.ticket
 	}
 	s.occupy(r)
+	s.pacer.tokens--
 	t.lastRun = number
 	seq := s.append(&record.Entry{Kind: &record.Entry_Assigned{Assigned: &record.Assigned{
 		Task: t.id().Record(), Run: number, Worker: w.entry.ID, BornUnixMs: w.entry.BornUnix,
