--- a/host/helpers.go
+++ b/host/helpers.go
@@ -50,6 +50,7 @@
 	until   time.Duration // when it no longer counts without another ping
 	inc     string
 	strength
+	rank float64 // by strength
 }
 
 // newHelpers returns the helpers of a host whose link carries linkBps bytes a second.
@@ -70,6 +71,7 @@
 	p, ok := h.seen[r.Host]
 	if !ok || p.inc != r.Incarnation {
 		p = &helper{name: r.Host, address: r.Address, first: now, inc: r.Incarnation, strength: strength{r.MilliCpu, r.LinkBps, r.MemoryMib}}
+		p.rank = p.over(strength{})
 		h.seen[r.Host] = p
 	}
 	p.until = now + helperPings*every + helperSlack
@@ -155,7 +157,7 @@
 func (h *helpers) successors() []*helper {
 	out := h.alive()
 	slices.SortStableFunc(out, func(a, b *helper) int {
-		return cmp.Or(cmp.Compare(b.over(strength{}), a.over(strength{})), cmp.Compare(b.first, a.first))
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.first, a.first))
 	})
 	return out
 }
--- a/host/helpers_test.go
+++ b/host/helpers_test.go
@@ -24,7 +24,9 @@
 		h.ping(&hostrpc.PingRequest{Host: fmt.Sprintf("h%03d", i), Address: fmt.Sprintf("10.0.%d.%d:8180", i/250, i%250), MilliCpu: 200, LinkBps: 2e6, MemoryMib: 200})
 	}
 	for _, i := range strong {
-		h.seen[fmt.Sprintf("h%03d", i)].strength = strength{milliCPU: 800, linkBps: 2e7, memoryMiB: 500}
+		p := h.seen[fmt.Sprintf("h%03d", i)]
+		p.strength = strength{milliCPU: 800, linkBps: 2e7, memoryMiB: 500}
+		p.rank = p.over(strength{})
 	}
 	return h
 }
