--- a/leader/leader.go
+++ b/leader/leader.go
@@ -57,13 +57,13 @@
 	mostReadTimeout = 6 * time.Second
 	// mostReadKB and leastReadKB bound how much one read of the log brings while loading, and
 	// readTime how long its answer may take the link: six partitions are read at a time, and
-	// answers to signs of life and pings wait behind them.
+	// answers to heartbeats and pings wait behind them.
 	mostReadKB  = 1024
 	leastReadKB = 16
 	readTime    = 30 * time.Millisecond
-	// lifeSignEvery is how often a leader that still loads appends a sign of life. Others
+	// heartbeatEvery is how often a leader that still loads appends a heartbeat. Others
 	// take a leader whose entries stand still for gone, however long loading takes.
-	lifeSignEvery = 100 * time.Millisecond
+	heartbeatEvery = 100 * time.Millisecond
 	// fenceTimeout bounds the first try to fence a partition off; later ones have
 	// twice as long each, up to readTimeout.
 	fenceTimeout = 300 * time.Millisecond
@@ -227,7 +227,7 @@
 			cancel(&DeposedError{Why: err.Error()})
 		}
 	})
-	group.Go(func() { l.showLife(ctx) })
+	group.Go(func() { l.heartbeat(ctx) })
 	sched := region.New(l.cfg.Options)
 	next, err := l.load(ctx, sched, ends)
 	if err != nil {
@@ -246,15 +246,15 @@
 	return context.Cause(ctx)
 }
 
-// showLife appends signs of life until the scheduler does.
+// heartbeat appends heartbeats until the scheduler does.
 //
 // The guard is against hosts that claim the lead from a leader that still loads: each
 // successor would have to load as well, and with a slow log or a narrow link nobody would
 // ever lead.
-func (l *Leader) showLife(ctx context.Context) {
+func (l *Leader) heartbeat(ctx context.Context) {
 	for !l.loaded.Load() {
-		sign := &record.Entry{Fence: l.cfg.Fence, Kind: &record.Entry_AliveUnixMs{AliveUnixMs: time.Now().UnixMilli()}}
-		data, err := proto.Marshal(sign)
+		beat := &record.Entry{Fence: l.cfg.Fence, Kind: &record.Entry_AliveUnixMs{AliveUnixMs: time.Now().UnixMilli()}}
+		data, err := proto.Marshal(beat)
 		if err != nil {
 			panic(err) // entries are built by this program and always encode
 		}
@@ -268,7 +268,7 @@
 			return
 		case <-kept:
 		}
-		if !boottime.Sleep(ctx, lifeSignEvery) {
+		if !boottime.Sleep(ctx, heartbeatEvery) {
 			return
 		}
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -98,7 +98,7 @@
 // A leader takes seconds to read what its predecessors kept, over a narrow link or from a
 // slow log. The others saw its entries stand still, took it for gone and claimed the lead,
 // one after the other, and each had to load anew: for half a minute nobody led. It appends
-// signs of life until the scheduler does.
+// heartbeats until the scheduler does.
 func TestLeaderThatLoadsShowsLife(t *testing.T) {
 	store := fakeplatform.NewStore()
 	door, watching := store.Door(), store.Door()
@@ -118,7 +118,7 @@
 	w := NewWatcher(platform.NewClient(platform.Names{Store: watching.Address()}, 4, nil))
 	signs := 0
 	for range 100 { // on a busy machine signs may come late
-		if grown, _ := w.grown(ctx, lifeSignEvery); grown {
+		if grown, _ := w.grown(ctx, heartbeatEvery); grown {
 			signs++
 		}
 		if signs == 3 {
--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -96,13 +96,13 @@
 	if total < len(st.tasks) {
 		return nil, counts.summary()
 	}
-	return spreadGang(alike(places, len(st.tasks)), len(st.tasks)), ""
+	return spreadGang(uniform(places, len(st.tasks)), len(st.tasks)), ""
 }
 
-// alike returns the places of those that have room for all members whose workers differ
+// uniform returns the places of those that have room for all members whose workers differ
 // least in speed: a gang is as slow as its slowest member, and the room of the faster ones
 // is held for nothing meanwhile. Among sets that are as good the faster one counts.
-func alike(places []gangPlace, members int) []gangPlace {
+func uniform(places []gangPlace, members int) []gangPlace {
 	slices.SortStableFunc(places, func(a, b gangPlace) int { return cmp.Compare(b.worker.speed.log, a.worker.speed.log) })
 	var (
 		best   []gangPlace
--- a/region/pacer.go
+++ b/region/pacer.go
@@ -20,5 +20,5 @@
 	p.at = now
 }
 
-// mayStart reports whether another step may start tasks in this pass.
-func (s *Scheduler) mayStart() bool { return s.opts.StartsPerS <= 0 || s.pacer.tokens > 0 }
+// canStart reports whether another step may start tasks in this pass.
+func (s *Scheduler) canStart() bool { return s.opts.StartsPerS <= 0 || s.pacer.tokens > 0 }
--- a/region/pass.go
+++ b/region/pass.go
@@ -187,7 +187,7 @@
 		if s.now < st.notUntil {
 			continue
 		}
-		if !s.mayStart() {
+		if !s.canStart() {
 			st.blocked = "link"
 			s.dirty = true
 			return
--- a/region/speed_test.go
+++ b/region/speed_test.go
@@ -87,7 +87,7 @@
 		places = append(places, gangPlace{worker: w, n: 2})
 	}
 	for members, slowest := range map[int]float64{8: 1.25, 9: 1, 16: 1, 17: 0.8, 24: 0.8} {
-		got := alike(places, members)
+		got := uniform(places, members)
 		room := 0
 		lowest := math.Inf(1)
 		for _, p := range got {
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -57,9 +57,9 @@
 	}
 }
 
-// mayStart checks the promises beside those of started: what a step depends on, how
+// canStart checks the promises beside those of started: what a step depends on, how
 // many of its tasks a worker may run, the workspace's cap, and the checkpoint.
-func (w *world) mayStart(fw *fakeWorker, o model.StartOrder, j *record.Job) {
+func (w *world) canStart(fw *fakeWorker, o model.StartOrder, j *record.Job) {
 	if w.strict == nil {
 		return
 	}
--- a/region/worker.go
+++ b/region/worker.go
@@ -201,27 +201,27 @@
 }
 
 const (
-	// chokedFor is how long after the link was full answers may be late because of it.
-	chokedFor = time.Second
-	// chokedPatience bounds how long the end of a lease is not acted upon for it.
-	chokedPatience = 3 * time.Second
+	// congestedFor is how long after the link was full answers may be late because of it.
+	congestedFor = time.Second
+	// congestedPatience bounds how long the end of a lease is not acted upon for it.
+	congestedPatience = 3 * time.Second
 )
 
-// silenceIsOurs reports whether a worker may be silent because our own link is full.
+// delayedByLink reports whether a worker may be silent because our own link is full.
 //
 // The guard is against a task that runs again when it is done: the worker has listed the
 // end, and the answer that tells of it waits in the link behind our other calls, until the
 // lease is over. It holds for as long as answers usually wait there, and costs nothing
 // where the link is not full.
-func (s *Scheduler) silenceIsOurs(w *worker) bool {
-	return s.fullAt > 0 && s.now-s.fullAt < chokedFor && s.now < w.lapsesAt()+chokedPatience
+func (s *Scheduler) delayedByLink(w *worker) bool {
+	return s.fullAt > 0 && s.now-s.fullAt < congestedFor && s.now < w.lapsesAt()+congestedPatience
 }
 
 // expireRuns ends the runs on workers whose leases are over for certain.
 func (s *Scheduler) expireRuns() {
 	for i := len(s.order) - 1; i >= 0; i-- {
 		w := s.order[i]
-		if len(w.runs) > 0 && s.now > w.lapsesAt() && !s.silenceIsOurs(w) {
+		if len(w.runs) > 0 && s.now > w.lapsesAt() && !s.delayedByLink(w) {
 			for _, r := range w.sortedRuns() {
 				s.lose(r, "its lease is over")
 			}
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -73,7 +73,7 @@
 		w.fatal("started after %d failures: %v", n, o.Task)
 	}
 	step := j.Steps[o.Task.Step]
-	w.mayStart(fw, o, j)
+	w.canStart(fw, o, j)
 	r := &fakeRun{number: o.Run, room: model.ResourcesOf(step.Request), began: w.now, saved: o.Checkpoint}
 	fw.runs[o.Task] = r
 	w.starts[o.Task]++
