The queue of each host at the advice service is kept as it is, also where calls failed

What callers saw: an accepted job of a wide gang never runs though most workers are free.

(1) A call that ran out of its time was taken for a host that is gone: it left the list, was back with its next ping, and all that was known of its queue was forgotten, pause included. (2) A failed call was taken off the backlog at once, while the service works on it. (3) A call had 1.5 s beyond its own length, with up to 1.2 lengths ahead of it.

Change: region keeps the calls of each host in their order; an answer shows that the service is through with those before it, a call out of time that it may only be about to begin. The queue outlives absence. Advise carries the time that the answer may take. A call out of time does not take its host off the list.

Ruled out: a slow service (answered calls took their time). An earlier leader's calls begin the clog, but drain by themselves.

--- a/host/helpers_test.go
+++ b/host/helpers_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflyfold/fireflyfold/hostrpc"
@@ -164,3 +166,22 @@
 		t.Errorf("%v long after, want %v", got, silence)
 	}
 }
+
+// Guards against a host that is taken for gone because the advice service is slow to answer
+// it: it would be back with its next ping, and be asked as if nothing were known of it.
+func TestAdviceOutOfTimeKeepsItsHost(t *testing.T) {
+	timeout := connect.NewError(connect.CodeDeadlineExceeded, context.DeadlineExceeded)
+	gone := connect.NewError(connect.CodeUnavailable, syscall.ECONNREFUSED)
+	for _, tc := range []struct {
+		err             error
+		listed, notSent bool
+	}{{timeout, true, false}, {gone, false, true}} {
+		h := &Host{helpers: manyHelpers(2)}
+		if got := platform.IsNotSent(h.adviceFailed("h000", tc.err)); got != tc.notSent {
+			t.Errorf("%v: not sent is %v, want %v", tc.err, got, tc.notSent)
+		}
+		if _, listed := h.helpers.address("h000"); listed != tc.listed {
+			t.Errorf("%v: listed is %v, want %v", tc.err, listed, tc.listed)
+		}
+	}
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -99,7 +99,10 @@
 func (h *Host) Advise(ctx context.Context, req *connect.Request[hostrpc.AdviseRequest]) (*connect.Response[hostrpc.AdviseResponse], error) {
 	m := req.Msg
 	tickets, err := h.client.Advise(ctx, time.Duration(m.TimeoutMs)*time.Millisecond, m.Step, m.Workers)
-	if err != nil {
+	switch {
+	case platform.IsNoAnswer(err):
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
+	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	resp := &hostrpc.AdviseResponse{}
@@ -199,7 +202,7 @@
 	}
 	address, ok := h.helpers.address(a.Host)
 	if !ok {
-		return nil, &unknownHostError{name: a.Host}
+		return nil, &platform.NotSentError{Cause: &unknownHostError{name: a.Host}}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -207,10 +210,7 @@
 		Step: step, Workers: a.Workers, TimeoutMs: timeout.Milliseconds(),
 	}))
 	if err != nil {
-		if !connect.IsWireError(err) {
-			h.helpers.lost(a.Host)
-		}
-		return nil, errors.Wrap(err, "advice by another host")
+		return nil, h.adviceFailed(a.Host, err)
 	}
 	tickets := make([]model.Ticket, 0, len(resp.Msg.Tickets))
 	for _, t := range resp.Msg.Tickets {
@@ -219,6 +219,20 @@
 	return tickets, nil
 }
 
+// adviceFailed sorts the failure of a call for advice by another host. One that ran out of
+// its time tells of the host's queue at the advice service, not of the host.
+func (h *Host) adviceFailed(host string, err error) error {
+	wrapped := errors.Wrap(err, "advice by another host")
+	switch connect.CodeOf(err) {
+	case connect.CodeDeadlineExceeded, connect.CodeCanceled:
+		return wrapped
+	}
+	if !connect.IsWireError(err) {
+		h.helpers.lost(host)
+	}
+	return &platform.NotSentError{Cause: wrapped}
+}
+
 type unknownHostError struct{ name string }
 
 func (e *unknownHostError) Error() string { return "host " + e.name + " is not known" }
--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -115,12 +115,12 @@
 }
 
 func (d *dispatcher) advise(c region.Advise) {
-	tickets, err := d.leader.cfg.Advise(d.ctx, c.Expected+adviceSlack, c)
+	tickets, err := d.leader.cfg.Advise(d.ctx, c.Timeout, c)
 	if err != nil {
 		d.leader.cfg.Metrics.Counter("advice_failures").Inc(1)
 		d.leader.cfg.Log.WithError(err).WithFields(logrus.Fields{"job": c.Job, "asked_by": c.Host}).Info("advice failed")
 	}
-	d.leader.push(d.ctx, region.Advised{Order: c, Tickets: tickets, At: boottime.Now(), Failed: err != nil})
+	d.leader.push(d.ctx, region.Advised{Order: c, Tickets: tickets, At: boottime.Now(), Failed: err != nil, NotSent: platform.IsNotSent(err) || platform.IsRefused(err)})
 }
 
 func (d *dispatcher) explain(c region.Explain) {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -49,8 +49,6 @@
 	lookTimeout = 300 * time.Millisecond
 	// mostTimeout bounds either.
 	mostTimeout = 2 * time.Second
-	// adviceSlack is added to the expected length of a call for advice.
-	adviceSlack = 1500 * time.Millisecond
 	// readTimeout bounds a read of the log beyond the time it may wait; while loading it is
 	// the least such bound, and mostReadTimeout the most.
 	readTimeout     = 1200 * time.Millisecond
--- a/region/advice.go
+++ b/region/advice.go
@@ -176,11 +176,12 @@
 		s.dirty = true
 		return
 	}
-	host.backlog += cost
 	st.advice.asking = true
-	s.emit(Advise{
+	call := Advise{
 		Host: host.name, Job: st.job.rec.Id, Occurrence: st.occ.k, Step: st.index, Workers: names, Expected: cost,
-	})
+	}
+	call.Timeout = host.ask(call.about(), cost, s.now)
+	s.emit(call)
 }
 
 // claimRoom reports whether the step's waiting tasks could start if their
@@ -255,8 +256,20 @@
 	return names[:min(len(names), st.mostAsked())]
 }
 
+// noteAdviser notes what an answer tells of the host that was asked.
+func (s *Scheduler) noteAdviser(ev Advised) {
+	switch {
+	case !ev.Failed:
+		s.advisers.answered(ev.Order.Host, ev.Order.about(), s.now)
+	case ev.NotSent:
+		s.advisers.notAsked(ev.Order.Host, ev.Order.about(), s.now)
+	default:
+		s.advisers.unanswered(ev.Order.Host, ev.Order.about(), s.now)
+	}
+}
+
 func (s *Scheduler) advised(ev Advised) {
-	s.advisers.answered(ev.Order.Host, ev.Order.Expected)
+	s.noteAdviser(ev)
 	t := s.find(model.TaskID{Job: ev.Order.Job, Occurrence: ev.Order.Occurrence, Step: ev.Order.Step})
 	if t == nil {
 		return
@@ -265,7 +278,6 @@
 	st.advice.asking = false
 	if ev.Failed {
 		st.advice.retryAt = s.now + adviceRetry
-		s.advisers.failed(ev.Order.Host, s.now)
 		return
 	}
 	if st.advice.firstAt == 0 {
--- a/region/event.go
+++ b/region/event.go
@@ -69,6 +69,7 @@
 		Tickets []model.Ticket
 		At      time.Duration // when the answer came
 		Failed  bool
+		NotSent bool // it failed before it reached the service
 	}
 
 	// HostsSeen lists the hosts that can be asked for advice.
@@ -151,7 +152,8 @@
 		Occurrence int32
 		Step       int32
 		Workers    []string
-		Expected   time.Duration // how long the service takes
+		Expected   time.Duration // how long the service works on it
+		Timeout    time.Duration // how long the answer may take, with what the service works on before
 	}
 
 	// Publish tells a job's state. An empty state forgets the job.
--- a/region/region.go
+++ b/region/region.go
@@ -161,7 +161,7 @@
 	case Advised:
 		s.advised(ev)
 	case HostsSeen:
-		s.advisers.set(ev.Hosts)
+		s.advisers.set(ev.Hosts, s.now)
 	case Tick:
 		s.tick(ev)
 	case Schedule:
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -25,10 +25,11 @@
 	life     int // which scheduler is in charge; answers to earlier ones are dropped
 	fence    int64
 	logDown  bool
-	linkLoad float64 // of the leader
-	lasting  bool    // an end as done does not bind: the tasks of this test last
-	adviceN  int     // calls for advice
-	strict   *strict // the platform at its worst; nil for a milder one
+	linkLoad float64        // of the leader
+	lasting  bool           // an end as done does not bind: the tasks of this test last
+	adviceN  int            // calls for advice
+	strict   *strict        // the platform at its worst; nil for a milder one
+	advice   *adviceService // nil for one that answers each call at once
 
 	intake  []*record.Intake
 	entries []*record.Entry
@@ -335,8 +336,15 @@
 
 func (w *world) advise(life int, c Advise) {
 	w.adviceN++
-	w.answer(life, c.Expected+2*testDelay, func() Event {
-		ev := Advised{Order: c, At: w.now}
+	took, answered := c.Expected+2*testDelay, true
+	if w.advice != nil {
+		took, answered = w.advice.advise(c)
+	}
+	w.answer(life, took, func() Event {
+		ev := Advised{Order: c, At: w.now, Failed: !answered}
+		if ev.Failed {
+			return ev
+		}
 		for _, id := range c.Workers {
 			step := fmt.Sprint(c.Job, c.Occurrence, c.Step)
 			if fw := w.workers[id]; fw != nil && w.good(step, id) {
