A run in doubt outlives the lease of its worker's next life

Cause: the end of what a silent next life may have been granted (some 6.4 s) ended runs in doubt as well, before 8 s had passed since their starts. TestDoubtOutlivesTheLeaseOfTheNextLife is red without the change.

--- a/region/doubt_test.go
+++ b/region/doubt_test.go
@@ -90,6 +90,19 @@
 	w.mustComplete("a")
 }
 
+// Guards against a doubt that ends too soon: the next life does not answer, and what it may
+// have been granted is over before the start is.
+func TestDoubtOutlivesTheLeaseOfTheNextLife(t *testing.T) {
+	w, fw := lateStart(t, time.Hour, &record.Step{Count: 1})
+	sent := w.now
+	crash(w, fw)
+	fw.cut = true
+	w.run(lateCall - time.Second - (w.now - sent))
+	if n := len(w.workers["w2"].runs); n != 0 {
+		t.Errorf("%d runs on w2 while the start at w1 may come", n)
+	}
+}
+
 // Guards against a wait for a start that no later life can carry out: its ticket holds in
 // the life that it was given for alone.
 func TestStartWithTicketIsNotWaitedFor(t *testing.T) {
--- a/region/worker.go
+++ b/region/worker.go
@@ -226,7 +226,9 @@
 		w := s.order[i]
 		if len(w.runs) > 0 && s.now > w.lapsesAt() && !s.delayedByLink(w) {
 			for _, r := range w.sortedRuns() {
-				s.lose(r, "its lease is over")
+				if r.phase != phaseInDoubt {
+					s.lose(r, "its lease is over")
+				}
 			}
 		}
 		if !w.listed && len(w.runs) == 0 && !w.looking {
