Jobs that never began are queued under a new leader

Cause: a job counted as begun for good once an earlier leader had assigned a task of it, though the start may never have arrived. Runs in doubt made it last for seconds.

Change: an inherited run counts until its worker has answered, then what it lists. TestJobThatNeverBeganWaits is red without it, with and without advice.

--- a/region/doubt.go
+++ b/region/doubt.go
@@ -86,6 +86,7 @@
 		Field{"step", r.task.step.index}, Field{"task", r.task.index}, Field{"run", r.number},
 		Field{"unanswered", r.calls.unanswered}, Field{"inherited", r.calls.unknown})
 	s.breakGang(r.task, r.number)
+	s.publish(r.task.step.job)
 }
 
 // resolveDoubts ends the runs in doubt that can begin no more.
--- a/region/end.go
+++ b/region/end.go
@@ -24,6 +24,7 @@
 	s.release(r)
 	s.endOf(t, r.number, record.Outcome_OUTCOME_LOST, "")
 	s.breakGang(t, r.number)
+	s.publish(t.step.job)
 }
 
 // endOf keeps an end and counts it.
--- a/region/job.go
+++ b/region/job.go
@@ -283,7 +283,7 @@
 		return StateFailed
 	case j.complete():
 		return StateCompleted
-	case j.begun:
+	case j.hasBegun():
 		return StateRunning
 	}
 	return StateQueued
@@ -325,13 +325,19 @@
 	})
 }
 
+// hasBegun reports whether a task of the job has started. What an earlier leader assigned
+// counts until its worker has answered.
+func (j *job) hasBegun() bool {
+	return j.begun || j.anyRun(func(r *run) bool { return r.phase == phaseInherited })
+}
+
 // retireJobs forgets jobs whose state need not be answered any more. Late
 // repeats of a submission come within seconds, long before.
 func (s *Scheduler) retireJobs() {
 	n := 0
 	for n < len(s.finished) && s.now-s.finished[n].endedAt > 2*s.opts.StatusKept {
 		j := s.finished[n]
-		if s.anyAlive(j) {
+		if j.anyRun(func(*run) bool { return true }) {
 			break
 		}
 		delete(s.jobs, j.rec.Id)
@@ -346,11 +352,12 @@
 	}
 }
 
-func (s *Scheduler) anyAlive(j *job) bool {
+// anyRun reports whether one of the job's runs that may be alive is of that kind.
+func (j *job) anyRun(is func(*run) bool) bool {
 	for _, occ := range j.occs {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
-				if t.run != nil {
+				if t.run != nil && is(t.run) {
 					return true
 				}
 			}
--- a/region/replay.go
+++ b/region/replay.go
@@ -53,7 +53,6 @@
 	}
 	s.occupy(r)
 	t.lastRun = max(t.lastRun, a.Run)
-	t.step.job.begun = true
 }
 
 func (s *Scheduler) replayEnded(e *record.Ended) {
@@ -65,6 +64,9 @@
 		s.release(t.run)
 	}
 	t.lastRun = max(t.lastRun, e.Run)
+	if e.Outcome != record.Outcome_OUTCOME_LOST {
+		t.step.job.begun = true // a run that is lost may never have begun
+	}
 	s.countEnd(t, e.Run, e.Outcome, e.Checkpoint)
 }
 
--- a/region/takeover_test.go
+++ b/region/takeover_test.go
@@ -114,3 +114,31 @@
 		t.Errorf("the lease was renewed by %d ms", later-until)
 	}
 }
+
+// Guards against a count of waiting jobs that is too low: jobs whose starts never arrived
+// count as begun for the next leader.
+func TestJobThatNeverBeganWaits(t *testing.T) {
+	for name, advice := range map[string]*record.Advice{"without advice": nil, "with advice": {DecideMs: 5, EachMs: 1, ValidMs: 2000}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			fw := w.addWorker("w1", 8)
+			w.lead()
+			w.run(100 * time.Millisecond)
+			w.late = func(call string) time.Duration { return map[string]time.Duration{"start": time.Hour}[call] }
+			j := oneStep("a", &record.Step{Count: 1})
+			j.Policy = &record.Policy{Service: "svc", MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000, Advice: advice}
+			w.submit(j)
+			w.run(100 * time.Millisecond)
+			w.stopLeading()
+			fw.entry.Draining = true // no work goes there any more
+			w.lead()
+			if w.states["a"] != StateRunning {
+				t.Errorf("the job is %v before its worker has answered, want running", w.states["a"])
+			}
+			w.run(100 * time.Millisecond)
+			if w.states["a"] != StateQueued {
+				t.Errorf("the job is %v, want queued", w.states["a"])
+			}
+		})
+	}
+}
