--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -99,6 +99,12 @@
 	return func() { late.Late(0) }
 }}
 
+// outlivingOrders is the same with calls that outlive the life that they are for.
+var outlivingOrders = fault{"worker late, in any life", func(f *fleet, h, w int) func() {
+	f.worker(w).Outlive()
+	return lateOrders.do(f, h, w)
+}}
+
 func withProxy(of func(*fleet, int, int) *proxy, m mode) func(*fleet, int, int) func() {
 	return func(f *fleet, h, w int) func() {
 		p := of(f, h, w)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,9 @@
 	220,
 }
 
+// onceOfOutliving are the same for TestSoakOfCallsThatOutlive.
+var onceOfOutliving = []uint64{3002}
+
 // Hosts are killed, stopped, paused and cut off from the log, workers are cut off
 // and lost, connections are reset and slowed, in series that overlap, while callers
 // hand in jobs and keep their connections open. Whatever callers were told stays
@@ -90,6 +93,19 @@
 	}
 }
 
+// Guards against a start that is held up and carried out in its worker's next life, after its
+// task was done: something on the way takes calls in and dials anew for them.
+func TestSoakOfCallsThatOutlive(t *testing.T) {
+	program := build(t)
+	list := withFifth(withFifth(faults, rebirth), outlivingOrders)
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint(*first+i), func(t *testing.T) { play(t, program, list, *first+i) })
+	}
+	for _, seed := range onceOfOutliving {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, program, list, seed) })
+	}
+}
+
 // withFifth adds a fault so often that it is a fifth of the list.
 func withFifth(faults []fault, one fault) []fault {
 	list := slices.Clone(faults)
