A call for advice under way counts in full until it is answered

Cause: with a host's queue kept as a time at which the service is through, a call counted less and less while it was out; a service that is slower than it says was asked for a third call before it had answered the first. TestAdviceUnderWayCounts is red without the change.

--- a/region/advisers.go
+++ b/region/advisers.go
@@ -82,8 +82,17 @@
 	return now < h.freeAt || now < h.pausedTo
 }
 
-// backlog is how long the service works on what the host was asked for.
-func (h *adviser) backlog(now time.Duration) time.Duration { return max(0, h.freeAt-now) }
+// backlog is how long the service may work on what the host was asked for. A call under way
+// counts in full: when the service began with it is not known.
+func (h *adviser) backlog(now time.Duration) time.Duration {
+	var underWay time.Duration
+	for _, c := range h.calls {
+		if !c.givenUp {
+			underWay += c.cost
+		}
+	}
+	return max(underWay, h.freeAt-now)
+}
 
 // takes reports whether a call of that length may join now.
 func (h *adviser) takes(cost, now time.Duration) bool {
@@ -109,7 +118,7 @@
 	}
 	h.freeAt = max(h.freeAt, now) + cost
 	h.calls = append(h.calls, adviceCall{step: step, cost: cost})
-	return h.freeAt - now + adviceSlack
+	return h.backlog(now) + adviceSlack
 }
 
 // answered notes that the service is through with a call, and so with those before it.
