--- a/region/life_test.go
+++ b/region/life_test.go
@@ -82,7 +82,7 @@
 
 // A task ends as done in the old life of a worker, and the end is not taken note of; a
 // new leader finds the worker in its next life. The run is over with its life, and the
-// task runs again at once: nothing of the old life can begin any more.
+// task runs again at once: its start was answered, so that none can come any more.
 func TestInheritedRunOfAnEarlierLife(t *testing.T) {
 	w := newWorld(t, 1)
 	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
--- a/region/region.go
+++ b/region/region.go
@@ -12,6 +12,8 @@
 //     refuses orders below the highest fencing token it has seen.
 //   - A run that may be alive is started nowhere else until its worker lists
 //     its end, has a new life, or its lease is over for certain.
+//   - Where a worker has a new life, or a run of an earlier leader is not found,
+//     a start that got no answer may still come: its task waits for that.
 package region
 
 import (
--- a/region/run.go
+++ b/region/run.go
@@ -28,7 +28,7 @@
 	phaseRunning                // the worker has it
 	phaseStopping               // a stop is on its way to the worker
 	phaseInherited              // an earlier leader assigned it
-	phaseInDoubt                // over where it was assigned, but a start of it may come late
+	phaseInDoubt                // over as far as is known, but a start of it may come late
 )
 
 // run is one run of a task that may be alive.
@@ -48,7 +48,7 @@
 	maybeSent bool          // a start got no answer: it may be carried out yet
 	settledAt time.Duration // a look sent later that does not list it proves that it is over; 0 for not settled
 	tries     int
-	calls     startCalls
+	calls     startCalls // that asked for it
 	percent   int
 	movedAt   time.Duration // when percent last changed
 }
