A run that is listed after one of its starts was answered says nothing of the others

What callers would see: a task without a ticket runs twice. One of two starts of its run had been answered, a look listed the run, and the other start was no longer counted as one that may come: a run that ended otherwise than done was started elsewhere at once.

Found by TestEndOfARunThatWasStartedTwice, written as the guard in runEnded had not been seen red; red before, green now, red with that guard removed. TestSpeculativeStartIsNotWaitedFor is red without the exemption of speculative steps. mustRunOnce takes what two tests repeated.

--- a/region/doubt.go
+++ b/region/doubt.go
@@ -16,6 +16,7 @@
 type startCalls struct {
 	unanswered int           // under way, or without an answer for good
 	executed   bool          // one of those has been carried out: the worker has listed the run
+	confirmed  bool          // another one was answered: that the run is listed tells nothing of those
 	until      time.Duration // when the newest of them is settled, whatever became of it
 	unknown    bool          // an earlier leader made them and kept no record of their answers
 	recorded   bool          // a record says that all of them are settled
@@ -32,13 +33,13 @@
 	}
 	c.unanswered--
 	if err == CallOK {
-		c.executed = false // the calls that are left may all be under way
+		c.executed, c.confirmed = false, true
 	}
 }
 
 // seen notes that the worker has listed the run.
 func (c *startCalls) seen() {
-	c.executed = true
+	c.executed = !c.confirmed
 	c.unknown = false
 }
 
--- a/region/doubt_test.go
+++ b/region/doubt_test.go
@@ -35,6 +35,15 @@
 	return w, fw
 }
 
+// mustRunOnce fails unless the job of one task is completed and was started once.
+func (w *world) mustRunOnce(id string) {
+	w.t.Helper()
+	w.mustComplete(id)
+	if n := w.starts[model.TaskID{Job: id}]; n != 1 {
+		w.t.Errorf("started %d times, want once", n)
+	}
+}
+
 // Guards against a task that runs twice: its start is carried out in its worker's third
 // life, after the second one has shown that nothing runs there.
 func TestStartInTheThirdLife(t *testing.T) {
@@ -53,10 +62,7 @@
 	}
 	w.lead()
 	w.run(20 * time.Second)
-	w.mustComplete("a")
-	if n := w.starts[model.TaskID{Job: "a"}]; n != 1 {
-		t.Errorf("started %d times, want once", n)
-	}
+	w.mustRunOnce("a")
 }
 
 // Guards against the same under a new leader, which does not know what its predecessor's
@@ -177,10 +183,7 @@
 	w.stopLeading()
 	w.lead()
 	w.run(20 * time.Second)
-	w.mustComplete("a")
-	if n := w.starts[model.TaskID{Job: "a"}]; n != 1 {
-		t.Errorf("started %d times, want once", n)
-	}
+	w.mustRunOnce("a")
 }
 
 // Guards against an end that is forgotten unread: its worker left, was forgotten and is back
@@ -206,3 +209,32 @@
 		t.Errorf("token %d in the new life, %d in the one before", fw.fence, before)
 	}
 }
+
+// Guards against a task that is started elsewhere while one of two starts of its run may come:
+// the other was carried out, and the worker lists its end.
+func TestEndOfARunThatWasStartedTwice(t *testing.T) {
+	w, fw := lateStart(t, 2*time.Second, &record.Step{Count: 1})
+	id := model.TaskID{Job: "a"}
+	r := w.sched.find(id).run
+	w.tell(StartAnswered{Order: model.StartOrder{RunID: r.id(), Worker: r.ref}, Err: CallNoAnswer})
+	w.run(100 * time.Millisecond)
+	if n := len(fw.runs); n != 1 {
+		t.Fatalf("%d runs on w1, want that of the second start", n)
+	}
+	w.end(fw, id, record.Outcome_OUTCOME_LOST)
+	w.run(time.Second)
+	if n := len(fw.runs) + len(w.workers["w2"].runs); n != 0 {
+		t.Errorf("%d runs while the first start may come", n)
+	}
+}
+
+// Guards against a wait for a start that may run beside another: copies of the step's tasks
+// are allowed.
+func TestSpeculativeStartIsNotWaitedFor(t *testing.T) {
+	w, fw := lateStart(t, time.Hour, &record.Step{Count: 1, Speculative: true})
+	crash(w, fw)
+	w.run(500 * time.Millisecond)
+	if n := len(fw.runs) + len(w.workers["w2"].runs); n != 1 {
+		t.Errorf("%d runs, want the new one", n)
+	}
+}
