region: tests that force a held-up start into its worker's next incarnation

Cause: random histories show the failure, but not which orders of events lead to it. Change: each test holds up one start call, ends the run by the other one, restarts the worker and lets the start come before the next incarnation has answered a probe. Held up for 3, 7.9, 9 and 11.9 s.

--- /dev/null
+++ b/region/second_start_test.go
@@ -0,0 +1,354 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// The tests of this file force one order of events each: a start call without an answer is
+// held up, and is executed in its worker's next incarnation, before that has answered a
+// probe. They do not depend on how the scheduler avoids the failure.
+
+// holds are the times after sending at which a start that is held up is executed. The
+// platform executes late calls after up to 12 s.
+var holds = []time.Duration{3 * time.Second, 7900 * time.Millisecond, 9 * time.Second, 11900 * time.Millisecond}
+
+const (
+	// rebirthLead is how long before the late start its worker's next incarnation begins.
+	rebirthLead = 50 * time.Millisecond
+	// listingDelay is how long after that the host list shows the next incarnation.
+	listingDelay = 200 * time.Millisecond
+	// dropped delays a call beyond the end of a test.
+	dropped = time.Hour
+)
+
+// heldWorld is a world in which the first start calls can be held up. It checks in addition
+// that no task starts after its job was published as completed or failed, or after the
+// start of a task that depends on it.
+type heldWorld struct {
+	*world
+	delays    []time.Duration // delays of the start calls in the order of sending; none for later ones
+	answered  func(n int)     // called when start call n is sent; may be nil
+	calls     int             // start calls sent
+	firstSent time.Duration   // when the first of them was sent
+	seen      map[model.TaskID]int
+	ended     map[string]State // jobs published as completed or failed
+	trace     []string
+	explained int
+	logged    int
+	lastEnds  map[string]string
+	lastState map[string]State
+}
+
+func newHeldWorld(t *testing.T, cores int64, delays ...time.Duration) (*heldWorld, *fakeWorker) {
+	h := &heldWorld{
+		world: newWorld(t, 1), delays: delays, seen: make(map[model.TaskID]int), ended: make(map[string]State),
+		lastEnds: make(map[string]string), lastState: make(map[string]State),
+	}
+	h.strict = newStrictLateCalls()
+	h.runTime = func(model.TaskID) time.Duration { return time.Second }
+	h.callDelay = h.delay
+	fw := h.addWorker("w1", cores)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, line := range h.trace {
+				t.Log(line)
+			}
+		}
+	})
+	h.startLeader()
+	h.advance(100 * time.Millisecond)
+	return h, fw
+}
+
+func (h *heldWorld) delay(call string) time.Duration {
+	if call != "start" {
+		return 0
+	}
+	h.calls++
+	if h.calls == 1 {
+		h.firstSent = h.now
+	}
+	var d time.Duration
+	if h.calls <= len(h.delays) {
+		d = h.delays[h.calls-1]
+	}
+	h.note("start call %d sent, held up for %v", h.calls, d)
+	if h.answered != nil {
+		h.answered(h.calls)
+	}
+	return d
+}
+
+func (h *heldWorld) note(format string, args ...any) {
+	h.trace = append(h.trace, fmt.Sprintf("%6d ", (h.now-time.Hour).Milliseconds())+fmt.Sprintf(format, args...))
+}
+
+// advance runs the world and checks it each millisecond.
+func (h *heldWorld) advance(d time.Duration) {
+	h.t.Helper()
+	for until := h.now + d; h.now < until; {
+		h.run(min(time.Millisecond, until-h.now))
+		h.observe()
+	}
+}
+
+// until runs the world until a time after the first start call was sent.
+func (h *heldWorld) until(after time.Duration) {
+	h.t.Helper()
+	h.advance(h.firstSent + after - h.now)
+}
+
+// untilTrue runs the world until a condition holds.
+func (h *heldWorld) untilTrue(what string, is func() bool) {
+	h.t.Helper()
+	for range 20_000 {
+		if is() {
+			return
+		}
+		h.advance(time.Millisecond)
+	}
+	h.fatal("no time at which %s", what)
+}
+
+func (h *heldWorld) observe() {
+	h.t.Helper()
+	for ; h.explained < len(h.explanations); h.explained++ {
+		h.trace = append(h.trace, "       leader: "+h.explanations[h.explained])
+	}
+	for ; h.logged < len(h.entries); h.logged++ {
+		if e := h.entries[h.logged]; e.GetAssigned() != nil || e.GetEnded() != nil || e.GetSettled() != nil {
+			h.note("log: %v", e)
+		}
+	}
+	for id, n := range h.starts {
+		if n > h.seen[id] {
+			h.seen[id] = n
+			h.note("start executed: %v, execution %d", id, n)
+			h.checkStart(id)
+		}
+	}
+	for name, fw := range h.workers {
+		if ends := fmt.Sprint(fw.ends); ends != h.lastEnds[name] {
+			h.lastEnds[name] = ends
+			h.note("%s has the ends %s", name, ends)
+		}
+	}
+	for id, s := range h.states {
+		if s != h.lastState[id] {
+			h.lastState[id] = s
+			h.note("job %s published as %v", id, stateName(s))
+		}
+		if s == StateCompleted || s == StateFailed {
+			h.ended[id] = s
+		}
+	}
+}
+
+func stateName(s State) string {
+	return [...]string{"unknown", "queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+func (h *heldWorld) checkStart(id model.TaskID) {
+	h.t.Helper()
+	j := h.job(id.Job)
+	if j.Steps[id.Step].Speculative {
+		return
+	}
+	if s, over := h.ended[id.Job]; over {
+		h.t.Errorf("%v started after its job was published as %s", id, stateName(s))
+	}
+	for other, n := range h.starts {
+		if other.Job != id.Job || other.Occurrence != id.Occurrence || n == 0 {
+			continue
+		}
+		for _, d := range j.Steps[other.Step].DependsOn {
+			if d == id.Step {
+				h.t.Errorf("%v started after %v, which depends on it", id, other)
+			}
+		}
+	}
+}
+
+// restart begins the next incarnation of a worker, with a new clock. The host list shows it
+// after listingDelay.
+func (h *heldWorld) restart(fw *fakeWorker) {
+	earlier := fw.entry
+	fw.clearState(h.world)
+	fw.listed = &earlier
+	fw.unreachable = false
+	fw.bornAt = h.now
+	fw.entry.BornUnix = h.now.Milliseconds()
+	h.note("%s crashes and its next incarnation begins", fw.entry.ID)
+	entry := fw.entry
+	h.after(listingDelay, func() { h.note("%s is listed", fw.entry.ID); h.list(fw, entry) })
+}
+
+// restartBefore restarts a worker shortly before the start that was held up for d is executed.
+func (h *heldWorld) restartBefore(fw *fakeWorker, d time.Duration) {
+	h.t.Helper()
+	h.until(d - rebirthLead)
+	h.restart(fw)
+	h.until(d + rebirthLead)
+}
+
+func (h *heldWorld) changeLeader() {
+	h.note("the leader stops")
+	h.stopLeader()
+	h.advance(20 * time.Millisecond)
+	h.note("another host leads")
+	h.startLeader()
+}
+
+// finish runs the world until the job must be completed.
+func (h *heldWorld) finish(id string) {
+	h.t.Helper()
+	h.advance(45 * time.Second)
+	h.mustComplete(id)
+}
+
+// loseProbes loses the answers of probes for a time.
+func (h *heldWorld) loseProbes(d time.Duration) {
+	until := h.now + d
+	h.losesAnswer = func(call string) bool { return call == "hold" && h.now < until }
+}
+
+// deferrable returns a job of one task whose leases are long.
+func deferrable(id string, s *record.Step) *record.Job {
+	s.EstimateMs = 10_000
+	if s.Count == 0 {
+		s.Count = 1
+	}
+	return oneStep(id, s)
+}
+
+// eachHold runs a test for each time of holds.
+func eachHold(t *testing.T, test func(t *testing.T, hold time.Duration)) {
+	for _, d := range holds {
+		t.Run(d.String(), func(t *testing.T) { test(t, d) })
+	}
+}
+
+// Guards against a task that runs again after its job was completed: its first start is held
+// up, the second one was executed.
+func TestFirstStartInNextLifeAfterDone(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.submit(deferrable("a", &record.Step{}))
+		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.restartBefore(fw, hold)
+		h.finish("a")
+	})
+}
+
+// Guards against the same where the next incarnation begins, and the start is executed, while
+// there is no leader.
+func TestFirstStartInNextLifeWithoutLeader(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.submit(deferrable("a", &record.Step{}))
+		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.until(hold - 100*time.Millisecond)
+		h.stopLeader()
+		h.restartBefore(fw, hold)
+		h.startLeader()
+		h.finish("a")
+	})
+}
+
+// Guards against the same where the first start was executed without an answer, and the
+// second one is held up.
+func TestSecondStartInNextLifeAfterDone(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, 0, hold)
+		h.answered = func(n int) {
+			if n == 1 {
+				until := h.now + 300*time.Millisecond
+				h.losesAnswer = func(string) bool { return h.now < until }
+			}
+		}
+		h.submit(deferrable("a", &record.Step{}))
+		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.until(600 * time.Millisecond)
+		if h.calls < 2 {
+			h.finish("a") // a scheduler without a second start
+			return
+		}
+		h.restartBefore(fw, hold+430*time.Millisecond)
+		h.finish("a")
+	})
+}
+
+// Guards against a start beyond the allowed attempts: the run of the other start has failed,
+// and its job was shown as failed.
+func TestFirstStartInNextLifeAfterLastFailure(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.fails = func(model.TaskID, int32) bool { return true }
+		j := deferrable("a", &record.Step{})
+		j.Policy = &record.Policy{Service: "svc", MaxAttempts: 1, Stretch: 2, TargetLatencyMs: 1000}
+		h.submit(j)
+		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.restartBefore(fw, hold)
+		h.advance(45 * time.Second)
+		if h.states["a"] != StateFailed {
+			h.fatal("job is %v, want failed", h.states["a"])
+		}
+	})
+}
+
+// Guards against a task that runs twice at once, or again after it was done: a run of it has
+// failed, the next one is on another worker, and a start of the failed one is executed.
+func TestFirstStartInNextLifeAfterFailure(t *testing.T) {
+	for name, second := range map[string]time.Duration{"next run done": time.Second, "next run under way": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			eachHold(t, func(t *testing.T, hold time.Duration) {
+				h, fw := newHeldWorld(t, 8, hold)
+				h.fails = func(_ model.TaskID, run int32) bool { return run == 1 }
+				h.runTime = func(model.TaskID) time.Duration {
+					if h.failures[model.TaskID{Job: "a"}] > 0 {
+						return second
+					}
+					return time.Second
+				}
+				h.submit(deferrable("a", &record.Step{}))
+				h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+				h.addWorker("w2", 8)
+				h.restartBefore(fw, hold)
+				h.finish("a")
+			})
+		})
+	}
+}
+
+// Guards against the loss of an outstanding start at a change of leader: the new one knows
+// from the log only that the run was assigned, or that it has ended.
+func TestFirstStartInNextLifeAfterChangeOfLeader(t *testing.T) {
+	id := model.TaskID{Job: "a"}
+	changes := map[string]func(h *heldWorld, fw *fakeWorker) bool{
+		"before the end": func(h *heldWorld, fw *fakeWorker) bool {
+			return len(fw.runs) > 0 && h.now > h.firstSent+800*time.Millisecond
+		},
+		"before the acknowledgement": func(h *heldWorld, fw *fakeWorker) bool { return len(fw.ends) > 0 },
+		"after the acknowledgement":  func(h *heldWorld, fw *fakeWorker) bool { return h.doneRuns[id] > 0 && len(fw.ends) == 0 },
+	}
+	for name, due := range changes {
+		t.Run(name, func(t *testing.T) {
+			eachHold(t, func(t *testing.T, hold time.Duration) {
+				h, fw := newHeldWorld(t, 8, hold)
+				h.submit(deferrable("a", &record.Step{}))
+				h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+				for h.now < h.firstSent+hold-4*rebirthLead && !due(h, fw) {
+					h.advance(time.Millisecond)
+				}
+				h.changeLeader()
+				h.restartBefore(fw, hold)
+				h.finish("a")
+			})
+		})
+	}
+}
