region: force further orders of events around a held-up start

Gangs, leases that are over, preemption, cancellation, dependent tasks, late stops and probes, tickets, speculative tasks and outcomes other than no answer. Evidence: GOMAXPROCS=2 go test ./region -run 'InNextLife|LateProbe|LateStop|NoLateStart|NoWaitAfter|SpeculativeTask'.

--- a/region/second_start_test.go
+++ b/region/second_start_test.go
@@ -1,7 +1,6 @@
 package region
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -13,233 +12,12 @@
 // held up, and is executed in its worker's next incarnation, before that has answered a
 // probe. They do not depend on how the scheduler avoids the failure.
 
-// holds are the times after sending at which a start that is held up is executed. The
-// platform executes late calls after up to 12 s.
-var holds = []time.Duration{3 * time.Second, 7900 * time.Millisecond, 9 * time.Second, 11900 * time.Millisecond}
-
-const (
-	// rebirthLead is how long before the late start its worker's next incarnation begins.
-	rebirthLead = 50 * time.Millisecond
-	// listingDelay is how long after that the host list shows the next incarnation.
-	listingDelay = 200 * time.Millisecond
-	// dropped delays a call beyond the end of a test.
-	dropped = time.Hour
-)
-
-// heldWorld is a world in which the first start calls can be held up. It checks in addition
-// that no task starts after its job was published as completed or failed, or after the
-// start of a task that depends on it.
-type heldWorld struct {
-	*world
-	delays    []time.Duration // delays of the start calls in the order of sending; none for later ones
-	answered  func(n int)     // called when start call n is sent; may be nil
-	calls     int             // start calls sent
-	firstSent time.Duration   // when the first of them was sent
-	seen      map[model.TaskID]int
-	ended     map[string]State // jobs published as completed or failed
-	trace     []string
-	explained int
-	logged    int
-	lastEnds  map[string]string
-	lastState map[string]State
-}
-
-func newHeldWorld(t *testing.T, cores int64, delays ...time.Duration) (*heldWorld, *fakeWorker) {
-	h := &heldWorld{
-		world: newWorld(t, 1), delays: delays, seen: make(map[model.TaskID]int), ended: make(map[string]State),
-		lastEnds: make(map[string]string), lastState: make(map[string]State),
-	}
-	h.strict = newStrictLateCalls()
-	h.runTime = func(model.TaskID) time.Duration { return time.Second }
-	h.callDelay = h.delay
-	fw := h.addWorker("w1", cores)
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, line := range h.trace {
-				t.Log(line)
-			}
-		}
-	})
-	h.startLeader()
-	h.advance(100 * time.Millisecond)
-	return h, fw
-}
-
-func (h *heldWorld) delay(call string) time.Duration {
-	if call != "start" {
-		return 0
-	}
-	h.calls++
-	if h.calls == 1 {
-		h.firstSent = h.now
-	}
-	var d time.Duration
-	if h.calls <= len(h.delays) {
-		d = h.delays[h.calls-1]
-	}
-	h.note("start call %d sent, held up for %v", h.calls, d)
-	if h.answered != nil {
-		h.answered(h.calls)
-	}
-	return d
-}
-
-func (h *heldWorld) note(format string, args ...any) {
-	h.trace = append(h.trace, fmt.Sprintf("%6d ", (h.now-time.Hour).Milliseconds())+fmt.Sprintf(format, args...))
-}
-
-// advance runs the world and checks it each millisecond.
-func (h *heldWorld) advance(d time.Duration) {
-	h.t.Helper()
-	for until := h.now + d; h.now < until; {
-		h.run(min(time.Millisecond, until-h.now))
-		h.observe()
-	}
-}
-
-// until runs the world until a time after the first start call was sent.
-func (h *heldWorld) until(after time.Duration) {
-	h.t.Helper()
-	h.advance(h.firstSent + after - h.now)
-}
-
-// untilTrue runs the world until a condition holds.
-func (h *heldWorld) untilTrue(what string, is func() bool) {
-	h.t.Helper()
-	for range 20_000 {
-		if is() {
-			return
-		}
-		h.advance(time.Millisecond)
-	}
-	h.fatal("no time at which %s", what)
-}
-
-func (h *heldWorld) observe() {
-	h.t.Helper()
-	for ; h.explained < len(h.explanations); h.explained++ {
-		h.trace = append(h.trace, "       leader: "+h.explanations[h.explained])
-	}
-	for ; h.logged < len(h.entries); h.logged++ {
-		if e := h.entries[h.logged]; e.GetAssigned() != nil || e.GetEnded() != nil || e.GetSettled() != nil {
-			h.note("log: %v", e)
-		}
-	}
-	for id, n := range h.starts {
-		if n > h.seen[id] {
-			h.seen[id] = n
-			h.note("start executed: %v, execution %d", id, n)
-			h.checkStart(id)
-		}
-	}
-	for name, fw := range h.workers {
-		if ends := fmt.Sprint(fw.ends); ends != h.lastEnds[name] {
-			h.lastEnds[name] = ends
-			h.note("%s has the ends %s", name, ends)
-		}
-	}
-	for id, s := range h.states {
-		if s != h.lastState[id] {
-			h.lastState[id] = s
-			h.note("job %s published as %v", id, stateName(s))
-		}
-		if s == StateCompleted || s == StateFailed {
-			h.ended[id] = s
-		}
-	}
-}
-
-func stateName(s State) string {
-	return [...]string{"unknown", "queued", "running", "completed", "failed", "cancelled"}[s]
-}
-
-func (h *heldWorld) checkStart(id model.TaskID) {
-	h.t.Helper()
-	j := h.job(id.Job)
-	if j.Steps[id.Step].Speculative {
-		return
-	}
-	if s, over := h.ended[id.Job]; over {
-		h.t.Errorf("%v started after its job was published as %s", id, stateName(s))
-	}
-	for other, n := range h.starts {
-		if other.Job != id.Job || other.Occurrence != id.Occurrence || n == 0 {
-			continue
-		}
-		for _, d := range j.Steps[other.Step].DependsOn {
-			if d == id.Step {
-				h.t.Errorf("%v started after %v, which depends on it", id, other)
-			}
-		}
-	}
-}
-
-// restart begins the next incarnation of a worker, with a new clock. The host list shows it
-// after listingDelay.
-func (h *heldWorld) restart(fw *fakeWorker) {
-	earlier := fw.entry
-	fw.clearState(h.world)
-	fw.listed = &earlier
-	fw.unreachable = false
-	fw.bornAt = h.now
-	fw.entry.BornUnix = h.now.Milliseconds()
-	h.note("%s crashes and its next incarnation begins", fw.entry.ID)
-	entry := fw.entry
-	h.after(listingDelay, func() { h.note("%s is listed", fw.entry.ID); h.list(fw, entry) })
-}
-
-// restartBefore restarts a worker shortly before the start that was held up for d is executed.
-func (h *heldWorld) restartBefore(fw *fakeWorker, d time.Duration) {
-	h.t.Helper()
-	h.until(d - rebirthLead)
-	h.restart(fw)
-	h.until(d + rebirthLead)
-}
-
-func (h *heldWorld) changeLeader() {
-	h.note("the leader stops")
-	h.stopLeader()
-	h.advance(20 * time.Millisecond)
-	h.note("another host leads")
-	h.startLeader()
-}
-
-// finish runs the world until the job must be completed.
-func (h *heldWorld) finish(id string) {
-	h.t.Helper()
-	h.advance(45 * time.Second)
-	h.mustComplete(id)
-}
-
-// loseProbes loses the answers of probes for a time.
-func (h *heldWorld) loseProbes(d time.Duration) {
-	until := h.now + d
-	h.losesAnswer = func(call string) bool { return call == "hold" && h.now < until }
-}
-
-// deferrable returns a job of one task whose leases are long.
-func deferrable(id string, s *record.Step) *record.Job {
-	s.EstimateMs = 10_000
-	if s.Count == 0 {
-		s.Count = 1
-	}
-	return oneStep(id, s)
-}
-
-// eachHold runs a test for each time of holds.
-func eachHold(t *testing.T, test func(t *testing.T, hold time.Duration)) {
-	for _, d := range holds {
-		t.Run(d.String(), func(t *testing.T) { test(t, d) })
-	}
-}
-
 // Guards against a task that runs again after its job was completed: its first start is held
 // up, the second one was executed.
 func TestFirstStartInNextLifeAfterDone(t *testing.T) {
 	eachHold(t, func(t *testing.T, hold time.Duration) {
 		h, fw := newHeldWorld(t, 8, hold)
-		h.submit(deferrable("a", &record.Step{}))
-		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.submitHeld(deferrable("a", &record.Step{}))
 		h.restartBefore(fw, hold)
 		h.finish("a")
 	})
@@ -250,8 +28,7 @@
 func TestFirstStartInNextLifeWithoutLeader(t *testing.T) {
 	eachHold(t, func(t *testing.T, hold time.Duration) {
 		h, fw := newHeldWorld(t, 8, hold)
-		h.submit(deferrable("a", &record.Step{}))
-		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.submitHeld(deferrable("a", &record.Step{}))
 		h.until(hold - 100*time.Millisecond)
 		h.stopLeader()
 		h.restartBefore(fw, hold)
@@ -265,14 +42,13 @@
 func TestSecondStartInNextLifeAfterDone(t *testing.T) {
 	eachHold(t, func(t *testing.T, hold time.Duration) {
 		h, fw := newHeldWorld(t, 8, 0, hold)
-		h.answered = func(n int) {
+		h.onSent = func(n int) {
 			if n == 1 {
 				until := h.now + 300*time.Millisecond
 				h.losesAnswer = func(string) bool { return h.now < until }
 			}
 		}
-		h.submit(deferrable("a", &record.Step{}))
-		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.submitHeld(deferrable("a", &record.Step{}))
 		h.until(600 * time.Millisecond)
 		if h.calls < 2 {
 			h.finish("a") // a scheduler without a second start
@@ -291,8 +67,7 @@
 		h.fails = func(model.TaskID, int32) bool { return true }
 		j := deferrable("a", &record.Step{})
 		j.Policy = &record.Policy{Service: "svc", MaxAttempts: 1, Stretch: 2, TargetLatencyMs: 1000}
-		h.submit(j)
-		h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+		h.submitHeld(j)
 		h.restartBefore(fw, hold)
 		h.advance(45 * time.Second)
 		if h.states["a"] != StateFailed {
@@ -315,8 +90,7 @@
 					}
 					return time.Second
 				}
-				h.submit(deferrable("a", &record.Step{}))
-				h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+				h.submitHeld(deferrable("a", &record.Step{}))
 				h.addWorker("w2", 8)
 				h.restartBefore(fw, hold)
 				h.finish("a")
@@ -340,8 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			eachHold(t, func(t *testing.T, hold time.Duration) {
 				h, fw := newHeldWorld(t, 8, hold)
-				h.submit(deferrable("a", &record.Step{}))
-				h.untilTrue("a start is sent", func() bool { return h.calls > 0 })
+				h.submitHeld(deferrable("a", &record.Step{}))
 				for h.now < h.firstSent+hold-4*rebirthLead && !due(h, fw) {
 					h.advance(time.Millisecond)
 				}
@@ -352,3 +125,328 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice at once: after a change of leader the worker lists
+// the run, which says nothing of the other start. The worker crashes, and the task is
+// started elsewhere.
+func TestFirstStartInNextLifeOfInheritedRun(t *testing.T) {
+	for name, change := range map[string]bool{"one leader": false, "two leaders": true} {
+		t.Run(name, func(t *testing.T) {
+			eachHold(t, func(t *testing.T, hold time.Duration) {
+				h, fw := newHeldWorld(t, 8, hold)
+				h.runTime = func(model.TaskID) time.Duration { return 15 * time.Second }
+				h.submitHeld(deferrable("a", &record.Step{}))
+				h.addWorker("w2", 8)
+				h.until(900 * time.Millisecond)
+				if change {
+					h.changeLeader()
+				}
+				h.listAfter = 0
+				h.until(hold - 2*rebirthLead)
+				fw.unreachable = true // the first probe of the next incarnation is lost
+				h.until(hold - rebirthLead)
+				h.restart(fw)
+				fw.unreachable = true
+				h.until(hold)
+				fw.unreachable = false
+				h.finish("a")
+			})
+		})
+	}
+}
+
+// Guards against a task that starts again after callers saw its job as completed: the end is
+// in the log, and its worker crashes before the acknowledgement.
+func TestFirstStartInNextLifeAfterPublication(t *testing.T) {
+	h, fw := newHeldWorld(t, 8, dropped)
+	id := model.TaskID{Job: "a"}
+	var request model.StartRequest
+	h.onSent = func(n int) {
+		if n == 1 {
+			request = h.requestOf(id)
+		}
+	}
+	h.runTime = func(model.TaskID) time.Duration { return 2500 * time.Millisecond }
+	h.submitHeld(deferrable("a", &record.Step{}))
+	for h.now < h.firstSent+11*time.Second && h.ended["a"] == StateUnknown {
+		h.advance(time.Millisecond)
+	}
+	h.restart(fw)
+	h.advance(rebirthLead)
+	h.note("the held-up start arrives, outcome %d", h.start(fw, request))
+	h.finish("a")
+}
+
+// Guards against a gang member that starts again after its gang was done: its first start is
+// held up. One member lists the end for all.
+func TestGangStartInNextLifeAfterDone(t *testing.T) {
+	for name, other := range map[string]bool{"end listed by its own worker": false, "end listed by another worker": true} {
+		t.Run(name, func(t *testing.T) {
+			eachHold(t, func(t *testing.T, hold time.Duration) {
+				delays := []time.Duration{hold}
+				if other {
+					delays = []time.Duration{hold, dropped} // the member whose start is held up joins first
+				}
+				h, _ := newHeldWorld(t, 1, delays...)
+				h.addWorker("w2", 1)
+				h.advance(100 * time.Millisecond)
+				h.submitHeld(deferrable("a", &record.Step{Count: 2, Gang: true}))
+				h.untilTrue("a member is there", func() bool { return len(h.seen) > 0 })
+				fw := h.soleWorker(other)
+				h.restartBefore(fw, hold)
+				h.finish("a")
+			})
+		})
+	}
+}
+
+// Guards against a task that runs twice at once, or again after it was done: a start to an
+// unreachable worker was never answered, its lease is over, and the task runs elsewhere.
+func TestStartInNextLifeAfterLeaseIsOver(t *testing.T) {
+	for lease, estimateMs := range map[string]int64{"short lease": 500, "long lease": 10_000} {
+		for name, second := range map[string]time.Duration{"next run done": time.Second, "next run under way": 15 * time.Second} {
+			t.Run(lease+" "+name, func(t *testing.T) {
+				eachHold(t, func(t *testing.T, hold time.Duration) {
+					h, fw := newHeldWorld(t, 8, hold)
+					h.advance(2 * testLease)
+					h.runTime = func(model.TaskID) time.Duration { return second }
+					h.cutOffAfterFirstStart(fw)
+					j := deferrable("a", &record.Step{})
+					j.Steps[0].EstimateMs = estimateMs
+					h.submitHeld(j)
+					h.addWorker("w2", 8)
+					h.restartBefore(fw, hold)
+					h.finish("a")
+				})
+			})
+		}
+	}
+}
+
+// Guards against a wait for a start that was answered: nothing of it is on its way when the
+// lease of its worker is over.
+func TestNoLateStartAfterAnsweredOne(t *testing.T) {
+	h, fw := newHeldWorld(t, 8)
+	h.advance(2 * testLease)
+	h.runTime = func(model.TaskID) time.Duration { return 3 * time.Second }
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.addWorker("w2", 8)
+	h.advance(100 * time.Millisecond)
+	fw.unreachable = true
+	h.advance(testLease + time.Second)
+	if n := len(h.workers["w2"].runs); n != 1 {
+		t.Errorf("%d runs on w2 after the lease of w1 is over, want 1", n)
+	}
+	h.restart(fw)
+	h.finish("a")
+}
+
+// Guards against a task that runs twice at once: its run was preempted, it runs elsewhere, and
+// the held-up start of the preempted run is executed.
+func TestFirstStartInNextLifeAfterPreemption(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 1, hold)
+		h.runTime = func(id model.TaskID) time.Duration {
+			if id.Job == "lasting" {
+				return dropped
+			}
+			return 15 * time.Second
+		}
+		h.submitHeld(deferrable("a", &record.Step{}))
+		h.until(600 * time.Millisecond)
+		h.submit(oneStep("lasting", &record.Step{Count: 1, LongRunning: true}))
+		h.until(2800 * time.Millisecond)
+		h.addWorker("w2", 8)
+		h.restartBefore(fw, hold)
+		h.finish("a")
+	})
+}
+
+// Guards against a task of a cancelled job that runs on: the start of its stopped run is
+// executed late, and the run must be stopped.
+func TestFirstStartInNextLifeAfterCancellation(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.runTime = func(model.TaskID) time.Duration { return 15 * time.Second }
+		h.submitHeld(deferrable("a", &record.Step{}))
+		h.until(time.Second)
+		h.cancelStrict("a")
+		h.restartBefore(fw, hold)
+		h.advance(listingDelay + time.Second)
+		if n := len(fw.runs); n != 0 || h.states["a"] != StateCancelled {
+			t.Errorf("%d runs of a job that is %v, want none and cancelled", n, h.states["a"])
+		}
+	})
+}
+
+// Guards against a gang member that runs twice at once: another member ended, the gang runs
+// again on other workers, and a start of the earlier run is executed.
+func TestFirstStartInNextLifeAfterGangBroke(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, _ := newHeldWorld(t, 1, hold)
+		h.runTime = func(model.TaskID) time.Duration { return 5 * time.Second }
+		h.addWorker("w2", 1)
+		h.advance(100 * time.Millisecond)
+		h.submitHeld(deferrable("a", &record.Step{Count: 2, Gang: true}))
+		h.untilTrue("a member is there", func() bool { return len(h.seen) > 0 })
+		fw, other := h.soleWorker(false), h.soleWorker(true)
+		h.until(time.Second)
+		for id := range other.runs {
+			h.end(other, id, record.Outcome_OUTCOME_LOST)
+		}
+		fw.entry.Draining = true // the next run is not placed there
+		h.deliver(WorkerListed{Entry: fw.entry})
+		h.addWorker("w3", 1)
+		h.restartBefore(fw, hold)
+		h.finish("a")
+	})
+}
+
+// Guards against a task that starts again after a task that depends on it has started.
+func TestFirstStartInNextLifeAfterDependentStarted(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.runTime = func(id model.TaskID) time.Duration { return time.Second + time.Duration(id.Step)*14*time.Second }
+		j := deferrable("a", &record.Step{})
+		j.Steps = append(j.Steps, deferrable("", &record.Step{DependsOn: []int32{0}}).Steps[0])
+		h.submitHeld(j)
+		h.until(hold - rebirthLead)
+		t.Logf("the dependent task has started %d times while a start of the first is on its way", h.starts[model.TaskID{Job: "a", Step: 1}])
+		h.restart(fw)
+		h.finish("a")
+	})
+}
+
+// Guards against a task that runs again after it was done in the next incarnation: its start
+// and a probe, which acknowledges ends of the earlier incarnation, both are held up. The probe
+// drops the end before it was read.
+func TestLateProbeDropsEndOfLateStart(t *testing.T) {
+	for name, acknowledges := range map[string]bool{"acknowledges nothing": false, "acknowledges an end": true} {
+		t.Run(name, func(t *testing.T) {
+			const hold = 3 * time.Second
+			h, fw := newHeldWorld(t, 8)
+			h.listAfter = 1200 * time.Millisecond
+			h.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
+			if acknowledges {
+				h.submit(deferrable("earlier", &record.Step{}))
+				h.advance(2 * time.Second)
+				h.mustComplete("earlier")
+			}
+			h.calls, h.delays = 0, []time.Duration{hold}
+			probeHeld := false
+			h.probeHeld = func() time.Duration {
+				if h.calls == 0 || probeHeld {
+					return 0
+				}
+				probeHeld = true
+				h.note("a probe is held up, ends up to %d are acknowledged", h.sched.workers["w1"].acked)
+				return h.firstSent + hold + 700*time.Millisecond - h.now
+			}
+			h.submitHeld(deferrable("a", &record.Step{}))
+			h.until(200 * time.Millisecond) // the next probe has left
+			fw.unreachable = true
+			h.addWorker("w2", 8)
+			h.restartBefore(fw, hold)
+			h.finish("a")
+		})
+	}
+}
+
+// Guards against a late stop that does harm in the next incarnation: it arrives before or
+// after the late start of the same run.
+func TestLateStopInNextLife(t *testing.T) {
+	for name, offset := range map[string]time.Duration{"before the start": -20 * time.Millisecond, "after the start": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			const hold = 3 * time.Second
+			h, fw := newHeldWorld(t, 8, hold, dropped, dropped, dropped)
+			stops := 0
+			h.stopHeld = func() time.Duration {
+				if stops++; stops > 1 {
+					return 0
+				}
+				h.note("a stop is held up")
+				return h.firstSent + hold + offset - h.now
+			}
+			h.submitHeld(deferrable("a", &record.Step{}))
+			h.addWorker("w2", 8)
+			h.restartBefore(fw, hold)
+			h.advance(10 * rebirthLead)
+			h.finish("a")
+		})
+	}
+}
+
+// A start with a ticket is refused in the next incarnation.
+func TestStartWithTicketInNextLife(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		j := deferrable("a", &record.Step{})
+		j.Policy = &record.Policy{Service: "svc", MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000,
+			Advice: &record.Advice{DecideMs: 5, EachMs: 1, ValidMs: 2000}}
+		h.submitHeld(j)
+		h.restartBefore(fw, hold)
+		h.finish("a")
+		h.mustRunOnce("a")
+	})
+}
+
+// A copy of a speculative task may start late. Its job stays completed, and the copy is
+// stopped.
+func TestStartOfSpeculativeTaskInNextLife(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.longRunning = true // a copy may start after the task was done
+		h.submitHeld(deferrable("a", &record.Step{Speculative: true}))
+		h.restartBefore(fw, hold)
+		h.mustComplete("a")
+		h.advance(listingDelay + 500*time.Millisecond)
+		if n := len(fw.runs); n != 0 {
+			t.Errorf("%d copies still run", n)
+		}
+		h.finish("a")
+	})
+}
+
+// outcomes are those after which a start was certainly not executed.
+var outcomes = map[string]CallError{
+	"not sent": CallNotSent, "lease expired": CallLeaseExpired, "refused": CallRefused, "no room": CallNoRoom, "old run": CallOldRun,
+}
+
+// Guards against an outcome of the second start that hides that the first one may still be
+// executed.
+func TestFirstStartInNextLifeAfterOtherOutcome(t *testing.T) {
+	for name, outcome := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			eachHold(t, func(t *testing.T, hold time.Duration) {
+				h, fw := newHeldWorld(t, 8, hold, dropped)
+				h.onSent = func(n int) {
+					if n == 2 {
+						h.answerWith(model.TaskID{Job: "a"}, outcome)
+					}
+				}
+				h.submitHeld(deferrable("a", &record.Step{}))
+				h.addWorker("w2", 8)
+				h.restartBefore(fw, hold)
+				h.finish("a")
+			})
+		})
+	}
+}
+
+// Guards against a wait after an outcome that leaves no start on its way.
+func TestNoWaitAfterOutcomeOtherThanNoAnswer(t *testing.T) {
+	for name, outcome := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newHeldWorld(t, 8, dropped)
+			h.onSent = func(n int) {
+				if n == 1 {
+					h.answerWith(model.TaskID{Job: "a"}, outcome)
+				}
+			}
+			h.submitHeld(deferrable("a", &record.Step{}))
+			h.addWorker("w2", 8)
+			h.until(3 * time.Second)
+			h.mustRunOnce("a")
+		})
+	}
+}
