--- a/region/second_start_test.go
+++ b/region/second_start_test.go
@@ -450,3 +450,93 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice at once: its start is executed in an incarnation that
+// answers no probe, just before that is no longer possible, and the lease that it grants there
+// lasts for longer.
+func TestLeaseOfLateStartOutlastsWait(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		h.runTime = func(model.TaskID) time.Duration { return 15 * time.Second }
+		h.submitHeld(deferrable("a", &record.Step{}))
+		h.addWorker("w2", 8)
+		h.until(200 * time.Millisecond)
+		h.listAfter = 0
+		h.restart(fw)
+		fw.unreachable = true
+		h.until(hold)
+		fw.unreachable = false
+		h.advance(2 * testDelay)
+		fw.unreachable = true
+		h.advance(testLease + 2*time.Second)
+		fw.unreachable = false
+		h.finish("a")
+	})
+}
+
+// Guards against two runs at once of a task that is to run until its job is cancelled: a run
+// has failed, the next one is on another worker, and a start of the failed one is executed.
+func TestFirstStartInNextLifeOfLongRunningTask(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, hold)
+		id := model.TaskID{Job: "a"}
+		h.fails = func(_ model.TaskID, run int32) bool { return run == 1 }
+		h.runTime = func(model.TaskID) time.Duration {
+			if h.failures[id] > 0 {
+				return dropped
+			}
+			return time.Second
+		}
+		h.submitHeld(deferrable("a", &record.Step{LongRunning: true}))
+		h.addWorker("w2", 8)
+		h.restartBefore(fw, hold)
+		h.advance(20 * time.Second)
+		if n := len(fw.runs) + len(h.workers["w2"].runs); n != 1 {
+			t.Errorf("%d runs, want 1", n)
+		}
+	})
+}
+
+// A held-up start is refused in the incarnation in which its run has ended, and in a later one
+// that has answered a probe.
+func TestHeldUpStartIsRefused(t *testing.T) {
+	for name, lead := range map[string]time.Duration{"same incarnation": 0, "next incarnation": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			eachHold(t, func(t *testing.T, hold time.Duration) {
+				h, fw := newHeldWorld(t, 8, hold)
+				h.submitHeld(deferrable("a", &record.Step{}))
+				h.until(hold - lead)
+				if lead > 0 {
+					h.listAfter = 0
+					h.restart(fw)
+				}
+				h.finish("a")
+				h.mustRunOnce("a")
+			})
+		})
+	}
+}
+
+// Guards against a task that runs again after its job was completed: the next incarnation is
+// listed at once, but the start comes before its first probe, which is sent only when that to
+// the earlier incarnation is over.
+func TestFirstStartInListedNextLife(t *testing.T) {
+	eachHold(t, func(t *testing.T, hold time.Duration) {
+		h, fw := newHeldWorld(t, 8, dropped)
+		var request model.StartRequest
+		h.onSent = func(n int) {
+			if n == 1 {
+				request = h.requestOf(model.TaskID{Job: "a"})
+			}
+		}
+		h.submitHeld(deferrable("a", &record.Step{}))
+		h.until(hold - 4*rebirthLead)
+		before := h.sched.workers["w1"].probedAt
+		h.untilTrue("a probe is answered", func() bool { return h.sched.workers["w1"].probedAt != before })
+		h.listAfter = 0
+		h.restart(fw)
+		h.advance(rebirthLead)
+		h.note("the held-up start arrives, outcome %d", h.start(fw, request))
+		h.finish("a")
+	})
+}
