--- a/region/heldworld_test.go
+++ b/region/heldworld_test.go
@@ -76,14 +76,14 @@
 	if h.calls == 1 {
 		h.firstSent = h.now
 	}
+	if h.onSent != nil {
+		h.onSent(h.calls)
+	}
 	var d time.Duration
 	if h.calls <= len(h.delays) {
 		d = h.delays[h.calls-1]
 	}
 	h.note("start call %d sent, held up for %v", h.calls, d)
-	if h.onSent != nil {
-		h.onSent(h.calls)
-	}
 	return d
 }
 
@@ -249,18 +249,9 @@
 	h.after(callTimeout+1, func() { h.generation-- })
 }
 
-// soleWorker returns the only worker with runs, or without any.
-func (h *heldWorld) soleWorker(withRuns bool) *fakeWorker {
-	var found *fakeWorker
-	for _, name := range h.names {
-		if fw := h.workers[name]; (len(fw.runs) > 0) == withRuns {
-			if found != nil {
-				h.fatal("more than one such worker")
-			}
-			found = fw
-		}
-	}
-	return found
+// workerOf returns the worker of a task's present run.
+func (h *heldWorld) workerOf(id model.TaskID) *fakeWorker {
+	return h.workers[h.sched.findTask(id).run.ref.ID]
 }
 
 // deferrable returns a job of one task whose leases are long.
