region: a late probe cannot acknowledge the end of a late start

Callers would see a task run again after it was done. A start was executed late by its worker's next incarnation and the run ended there; a probe to the earlier incarnation, late as well, acknowledged ends up to a number that the new one had just given to that end. Nobody had read it, so the run was lost and the task started again.

Change: ends are acknowledged once, and not while a start to the worker may be late. A start that is sent after an acknowledgement has a higher fencing token, so that an incarnation that has executed it refuses the probe. A call that a worker refuses because a later one has overtaken it is sent again. A leader that has used up the 65,535 tokens of a worker steps down.

--- a/region/deferred_end_test.go
+++ b/region/deferred_end_test.go
@@ -4,9 +4,38 @@
 	"testing"
 	"time"
 
+	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/record"
 )
 
+// Guards against a task that runs again after it was done: a probe that acknowledges ends of
+// the earlier incarnation is sent before the start, both are held up, and the next
+// incarnation executes the start first.
+func TestLateAcknowledgementBeforeLateStart(t *testing.T) {
+	const hold = 3 * time.Second
+	h, fw := newHeldWorld(t, 8)
+	h.listAfter = 1200 * time.Millisecond
+	h.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
+	h.submit(deferrable("earlier", &record.Step{}))
+	h.untilTrue("the end of the earlier task is in the log", func() bool { return h.sched.workers["w1"].ends.unacked() > 0 })
+	probeHeld := false
+	h.probeHeld = func() time.Duration {
+		if w := h.sched.workers["w1"]; probeHeld || w.ackFence != h.sched.fenceOf(w) {
+			return 0
+		}
+		probeHeld = true
+		return hold + 800*time.Millisecond
+	}
+	h.untilTrue("a probe that acknowledges is sent", func() bool { return probeHeld })
+	h.calls, h.delays = 0, []time.Duration{hold}
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.until(hold - rebirthLead)
+	fw.unreachable = true
+	h.addWorker("w2", 8)
+	h.restartBefore(fw, hold)
+	h.finish("a")
+}
+
 // Guards against a worker that is idle while the end of a run on it is deferred.
 func TestDeferredEndFreesRoom(t *testing.T) {
 	h, fw := newHeldWorld(t, 2, 9*time.Second)
@@ -62,3 +91,25 @@
 		t.Errorf("%d starts were sent, want 1", h.calls)
 	}
 }
+
+// Guards against a worker that refuses the calls of the next leader: fencing tokens of one
+// leader must stay below those of its successor.
+func TestLeaderStepsDownWhenFencingTokensAreUsedUp(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(100 * time.Millisecond)
+	of := w.sched.workers["w1"]
+	of.fenceSteps = 1<<fenceStepBits - 1
+	w.sched.out = nil
+	w.sched.raiseFence(of)
+	if token, next := w.sched.fenceOf(of), (w.sched.fence+1)<<fenceStepBits; token >= next {
+		t.Errorf("fencing token %d, want less than that of the next leader, %d", token, next)
+	}
+	if len(w.sched.out) != 1 {
+		t.Fatalf("%d commands, want one", len(w.sched.out))
+	}
+	if _, ok := w.sched.out[0].(StepDown); !ok {
+		t.Errorf("command %T, want StepDown", w.sched.out[0])
+	}
+}
--- a/region/probe.go
+++ b/region/probe.go
@@ -56,7 +56,7 @@
 	// could never be declared lost. Such a probe renews and acknowledges nothing and only
 	// shows whether the worker answers.
 	if w.fenced && !w.probeMissed {
-		request.AckedUpTo = w.ends.unacked()
+		request.AckedUpTo = s.acknowledgement(w)
 		request.Wait = probeWait
 		if len(w.runs) > 0 {
 			request.Wait = min(probeWait, s.leaseFor(w)/probesPerLease)
@@ -83,6 +83,10 @@
 	switch ev.Err {
 	case CallOK:
 	case CallFenced:
+		if ev.Request.Fence < s.fenceOf(w) {
+			s.probe(w, 0)
+			return
+		}
 		s.emit(StepDown{Worker: w.entry.ID})
 		return
 	case CallOtherIncarnation:
@@ -169,6 +173,30 @@
 	s.afterCommit(s.seq, func() { ends.inLog(e.Number) })
 }
 
+// acknowledgement returns up to which end a probe acknowledges, or 0 for none.
+//
+// The guard is against a probe that is executed by the worker's next incarnation after a
+// late start: it would acknowledge the end of that run, which was never read, and the task
+// would run again. Therefore no probe acknowledges while a start may be late, and starts
+// that are sent later have a higher fencing token (outdateAcks).
+func (s *Scheduler) acknowledgement(w *worker) int64 {
+	number := w.ends.unacked()
+	if number == 0 || s.lateStartPossible(w) {
+		return 0
+	}
+	w.ackFence = s.fenceOf(w)
+	return number
+}
+
+// outdateAcks raises the worker's fencing token if a probe with the present one has
+// acknowledged ends. An incarnation that executes a start with the new one refuses the
+// probe.
+func (s *Scheduler) outdateAcks(w *worker) {
+	if w.ackFence == s.fenceOf(w) {
+		s.raiseFence(w)
+	}
+}
+
 func (s *Scheduler) readRunning(w *worker, row model.Running) {
 	t := s.findTask(row.Task)
 	if t == nil || t.run == nil || t.run.number != row.Run || t.run.worker != w {
--- a/region/run.go
+++ b/region/run.go
@@ -186,6 +186,10 @@
 	case CallOK, CallOldRun:
 		r.settledAt = s.now
 	case CallFenced:
+		if ev.Request.Fence < s.fenceOf(r.worker) {
+			s.sendStop(r, 0)
+			return
+		}
 		s.emit(StepDown{Worker: r.ref.ID})
 	case CallOtherIncarnation:
 		s.otherIncarnation(r.worker)
--- a/region/start.go
+++ b/region/start.go
@@ -38,6 +38,9 @@
 		s.abortStart(r, "the log was not reached lately")
 		return
 	}
+	if !r.task.step.bound() {
+		s.outdateAcks(r.worker)
+	}
 	r.phase = phaseSending
 	r.startAttempts++
 	r.calls.sent(s.now + after)
--- a/region/worker.go
+++ b/region/worker.go
@@ -35,6 +35,7 @@
 	probedAt       time.Duration   // when the newest answered probe was sent
 	grantedAt      time.Duration   // when a lease was last granted
 	fenceSteps     int64           // how often its fencing token was raised under this leader
+	ackFence       int64           // fencing token of the newest probe that acknowledged ends
 	ends           *endLog         // ends of its incarnation
 	idleRuns       int             // how many of runs are idle
 	pausedUntil    time.Duration   // no new work before this time
@@ -173,7 +174,7 @@
 	w.ends = &endLog{}
 	w.inheritedUntil = s.now + s.maxLease() + lapseMargin
 	w.fenced = false
-	w.fenceSteps++
+	s.raiseFence(w)
 	w.health = health{}
 	w.speed = speed{}
 }
@@ -182,13 +183,23 @@
 // fenceSteps.
 const fenceStepBits = 16
 
-// fenceOf returns the fencing token of calls to a worker. It rises with each leader, and
-// with each new incarnation of the worker under the same id. Calls to an earlier
+// fenceOf returns the fencing token of calls to a worker. It rises with each leader, with
+// each new incarnation of the worker under the same id, and with outdateAcks. Calls to an earlier
 // incarnation end with its connections (package lifeconn). If the network delivers one to
 // the new incarnation nevertheless, that refuses it once it has answered its first probe;
 // mayStartLate covers starts that arrive before.
 func (s *Scheduler) fenceOf(w *worker) int64 { return s.fence<<fenceStepBits | w.fenceSteps }
 
+// raiseFence raises the worker's fencing token. A leader that has used up the tokens of a
+// worker steps down: those of its successor are higher.
+func (s *Scheduler) raiseFence(w *worker) {
+	if w.fenceSteps == 1<<fenceStepBits-1 {
+		s.emit(StepDown{Worker: w.entry.ID})
+		return
+	}
+	w.fenceSteps++
+}
+
 func (s *Scheduler) workerUnlisted(id string) {
 	w, known := s.workers[id]
 	if !known || !w.listed {
