region: a lease that is over does not end a run whose start may be late

Change: such a run waits like any other whose start may be late. Nothing that the scheduler sees tells a start that was dropped from one that is held up, so it does not send one there: a latency-sensitive run without a ticket is started once its worker has answered a stop of the task's run before, which is sent while the assignment is recorded and changes nothing. A stop without an answer costs no wait, and the task is placed elsewhere at once.

What is left: a cut within the milliseconds between that answer and the start. Such a task is late; it does not run twice.

--- a/region/deferred_end_test.go
+++ b/region/deferred_end_test.go
@@ -92,6 +92,22 @@
 	}
 }
 
+// Guards against an urgent task that waits until it is worthless, because its start was sent
+// to a worker that had become unreachable.
+func TestUrgentTaskIsNotStartedOnUnreachableWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(testLease * 2)
+	w.runTime = func(model.TaskID) time.Duration { return urgentRun }
+	fw.unreachable = true
+	w.submit(urgentJob("a"))
+	w.run(20 * time.Millisecond)
+	w.addWorker("w2", 8)
+	w.run(urgentUseless)
+	w.mustComplete("a")
+}
+
 // Guards against a worker that refuses the calls of the next leader: fencing tokens of one
 // leader must stay below those of its successor.
 func TestLeaderStepsDownWhenFencingTokensAreUsedUp(t *testing.T) {
--- a/region/run.go
+++ b/region/run.go
@@ -43,6 +43,8 @@
 	startAttempts    int
 	calls            startCalls
 	awaitsProbe      bool // a start got no answer; it is sent again if a probe does not list the run
+	logged           bool // its assignment is in the log
+	pathUnchecked    bool // its worker has yet to answer the call of checkPath
 	idle             bool // its end is deferred, and it does not use its room
 	percent          int
 	progressedAt     time.Duration // when percent last changed
@@ -126,6 +128,7 @@
 	t.run = nil
 	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(o *run) bool { return o == r })
 	delete(r.worker.pendingCalls, r.id())
+	delete(r.worker.pendingCalls, r.pathCheckID())
 	s.freeRoom(r)
 }
 
@@ -139,13 +142,24 @@
 	s.occupy(r)
 	s.pacer.tokens--
 	t.lastRun = number
+	if s.needsPathCheck(r) {
+		r.pathUnchecked = true
+		s.checkPath(r)
+	}
 	s.afterCommit(s.recordAssigned(r), func() {
-		if r.task.run == r && r.phase == phaseLogging {
-			s.sendRecorded(r, 0)
-		}
+		r.logged = true
+		s.sendFirst(r)
 	})
 }
 
+// sendFirst sends the first start of a run once its assignment is in the log and the path
+// to its worker is checked.
+func (s *Scheduler) sendFirst(r *run) {
+	if r.task.run == r && r.phase == phaseLogging && r.logged && !r.pathUnchecked {
+		s.sendRecorded(r, 0)
+	}
+}
+
 // recordAssigned appends the worker and its incarnation on which a run may be alive.
 func (s *Scheduler) recordAssigned(r *run) int64 {
 	return s.append(&record.Entry{Kind: &record.Entry_Assigned{Assigned: &record.Assigned{
@@ -178,6 +192,10 @@
 
 func (s *Scheduler) stopAnswered(ev StopAnswered) {
 	s.callAnswered(ev.Request.Worker, ev.Request.RunID, ev.Err)
+	if r := s.pathCheckedRun(ev.Request); r != nil {
+		s.pathChecked(r, ev)
+		return
+	}
 	r := s.currentRun(ev.Request.RunID, ev.Request.Worker)
 	if r == nil || r.phase != phaseStopping {
 		return
--- a/region/worker.go
+++ b/region/worker.go
@@ -261,7 +261,7 @@
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.phase != phaseLateStart:
-			s.markLost(r, why)
+			s.abandon(r, why)
 		case s.lateStartEnded(r):
 			s.markLost(r, why)
 		}
