region: a path check that is overdue moves its run at once

A worker that does not answer the stop within the time in which workers usually do (minOverdue, overdueFactor) loses the run, and gets no work until it answers a call.

--- a/region/deferred_end_test.go
+++ b/region/deferred_end_test.go
@@ -73,7 +73,7 @@
 	h, _ := newHeldWorld(t, 8)
 	h.losesAnswer = func(call string) bool { return call == "start" }
 	h.submitHeld(deferrable("a", &record.Step{}))
-	h.advance(100 * time.Millisecond)
+	h.advance(2 * testDelay)
 	h.changeLeader()
 	h.advance(1500 * time.Millisecond)
 	h.mustComplete("a")
--- a/region/overdue.go
+++ b/region/overdue.go
@@ -49,6 +49,7 @@
 	if !known || err == CallNoAnswer || err == CallNotSent {
 		return
 	}
+	w.silent = false
 	if at, pending := w.pendingCalls[id]; pending {
 		s.meanAnswerTime += (s.now - at - s.meanAnswerTime) / answerSamples
 		delete(w.pendingCalls, id)
--- a/region/pathcheck.go
+++ b/region/pathcheck.go
@@ -1,6 +1,10 @@
 package region
 
-import "github.com/fireflyfold/fireflyfold/model"
+import (
+	"slices"
+
+	"github.com/fireflyfold/fireflyfold/model"
+)
 
 // needsPathCheck reports whether the run's worker must answer a call before the run is
 // started there.
@@ -18,9 +22,34 @@
 func (s *Scheduler) checkPath(r *run) {
 	s.outdateAcks(r.worker)
 	r.worker.pendingCalls.sent(r.pathCheckID(), s.now)
+	s.pathChecks = append(s.pathChecks, r)
 	s.emit(Stop{Request: model.StopRequest{RunID: r.pathCheckID(), Worker: r.target(), Fence: s.fenceOf(r.worker)}})
 }
 
+// expirePathChecks moves runs away from workers that do not answer a call of checkPath in
+// the time in which workers usually do. The call has no effect, so there is no need to wait
+// until it times out.
+func (s *Scheduler) expirePathChecks() {
+	before := s.overdueBefore()
+	s.pathChecks = slices.DeleteFunc(s.pathChecks, func(r *run) bool {
+		if r.task.run != r || !r.pathUnchecked {
+			return true
+		}
+		if r.assigned >= before {
+			return false
+		}
+		s.pathCheckFailed(r)
+		return true
+	})
+}
+
+// pathCheckFailed ends a run that was not started. Its worker gets no work until it answers
+// another call.
+func (s *Scheduler) pathCheckFailed(r *run) {
+	r.worker.silent = true
+	s.abandon(r, "its worker did not answer")
+}
+
 // pathCheckedRun returns the run that waits for the answer to a call of checkPath, or nil.
 func (s *Scheduler) pathCheckedRun(call model.StopRequest) *run {
 	t := s.findTask(call.Task)
@@ -33,8 +62,7 @@
 func (s *Scheduler) pathChecked(r *run, ev StopAnswered) {
 	switch ev.Err {
 	case CallNoAnswer, CallNotSent:
-		r.worker.pausedUntil = s.now + unhealthyPause
-		s.abandon(r, "its worker did not answer")
+		s.pathCheckFailed(r)
 	case CallOtherIncarnation:
 		s.otherIncarnation(r.worker)
 	case CallFenced:
--- a/region/place.go
+++ b/region/place.go
@@ -155,7 +155,7 @@
 
 // usable reports whether the worker may get new work at all.
 func (s *Scheduler) usable(w *worker) bool {
-	return w.listed && !w.entry.Draining && w.fenced && !w.overdue &&
+	return w.listed && !w.entry.Draining && w.fenced && !w.overdue && !w.silent &&
 		s.now-w.probedAt < maxProbeAge && s.now >= w.pausedUntil && w.health.healthy(s.now)
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -145,6 +145,7 @@
 		s.dirty = true
 	}
 	w.probedAt = max(w.probedAt, ev.SentAt)
+	w.silent = false
 	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
 		s.readEnd(w, e)
--- a/region/region.go
+++ b/region/region.go
@@ -85,6 +85,7 @@
 	written        []*job // jobs in the order of writtenAt
 	finished       []*job // jobs in the order they ended
 	lateStartRuns  []*run // runs of awaitLateStart
+	pathChecks     []*run // runs of checkPath
 	estimates      estimates
 	shares         shares
 
@@ -276,6 +277,7 @@
 	s.addDueOccurrences()
 	s.expireRuns()
 	s.settleLateStarts()
+	s.expirePathChecks()
 	s.departed.expire(s.now)
 	s.retireJobs()
 	s.rewriteOld()
--- a/region/worker.go
+++ b/region/worker.go
@@ -40,6 +40,7 @@
 	idleRuns       int             // how many of runs are idle
 	pausedUntil    time.Duration   // no new work before this time
 	pendingCalls   pendingCalls    // start and stop calls without an answer
+	silent         bool            // a call of checkPath got no answer, and none was answered since
 	overdue        bool            // one of them is overdue, as of the newest pass
 	health         health
 	speed          speed
@@ -172,6 +173,7 @@
 	}
 	w.clockMs, w.leaseMs = 0, 0
 	w.ends = &endLog{}
+	w.silent = false
 	w.inheritedUntil = s.now + s.maxLease() + lapseMargin
 	w.fenced = false
 	s.raiseFence(w)
