--- a/region/deferred_end_test.go
+++ b/region/deferred_end_test.go
@@ -36,34 +36,96 @@
 	h.finish("a")
 }
 
-// Guards against a worker that is idle while the end of a run on it is deferred.
-func TestDeferredEndFreesRoom(t *testing.T) {
-	h, fw := newHeldWorld(t, 2, 9*time.Second)
-	h.submitHeld(deferrable("a", &record.Step{}))
-	h.untilTrue("the task has ended", func() bool { return len(fw.ends) > 0 })
-	h.submit(deferrable("b", &record.Step{Count: 2}))
-	h.advance(1500 * time.Millisecond)
-	h.mustComplete("b")
-	if h.states["a"] == StateCompleted {
-		t.Error("the job is completed while a start of its task may still be executed")
+// Guards against the same with a probe that is sent after the start.
+func TestLateAcknowledgementAfterLateStart(t *testing.T) {
+	const hold = 4 * time.Second
+	h, fw := newHeldWorld(t, 8)
+	h.listAfter = 1500 * time.Millisecond
+	h.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "a" {
+			return 500 * time.Millisecond
+		}
+		return 3 * time.Second
+	}
+	h.submit(deferrable("b", &record.Step{}))
+	h.untilTrue("b runs", func() bool { return len(fw.runs) > 0 })
+	h.advance(2500 * time.Millisecond)
+	h.calls, h.delays = 0, []time.Duration{hold, dropped, dropped, dropped}
+	probeHeld := false
+	h.probeHeld = func() time.Duration {
+		w := h.sched.workers["w1"]
+		if h.calls == 0 || probeHeld || w.ends.committed == 0 || w.ackFence == 0 {
+			return 0
+		}
+		probeHeld = true
+		return h.firstSent + hold + 700*time.Millisecond - h.now
 	}
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.until(1500 * time.Millisecond)
+	fw.unreachable = true
+	h.addWorker("w2", 8)
+	h.restartBefore(fw, hold)
 	h.finish("a")
 }
 
-// Guards against a worker above its capacity: its next incarnation executes the late starts
-// of runs whose ends are deferred, and one of a run that took their room.
-func TestNextLifeHasRoomForLateStarts(t *testing.T) {
-	const hold = 9 * time.Second
-	h, fw := newHeldWorld(t, 2, hold)
-	h.submitHeld(deferrable("a", &record.Step{}))
-	h.untilTrue("the task has ended", func() bool { return len(fw.ends) > 0 })
-	h.delays = append(h.delays, make([]time.Duration, h.calls-len(h.delays))...)
-	for range 2 {
-		h.delays = append(h.delays, h.firstSent+hold-h.now)
+// Guards against a start after the job was shown as completed: an earlier run, on a worker
+// that was out of reach, is done, while a start of the present one may still be executed.
+func TestEarlierRunDoneWhileStartIsOpen(t *testing.T) {
+	for name, hold := range map[string]time.Duration{"second start sent": 9 * time.Second, "in doubt": 11 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			h, fw := newHeldWorld(t, 8, 0, hold, dropped, dropped, dropped)
+			h.runTime = func(model.TaskID) time.Duration { return 3 * time.Second }
+			h.submitHeld(deferrable("a", &record.Step{}))
+			w2 := h.addWorker("w2", 8)
+			h.until(1500 * time.Millisecond)
+			fw.unreachable = true
+			h.untilTrue("run 2 is sent", func() bool { return h.calls >= 2 })
+			sent := h.now
+			h.advance(100 * time.Millisecond)
+			if name == "in doubt" {
+				h.restart(w2)
+			}
+			h.advance(time.Second)
+			fw.unreachable = false
+			h.advance(sent + hold - rebirthLead - h.now)
+			h.restart(w2)
+			h.finish("a")
+		})
 	}
-	h.submit(deferrable("b", &record.Step{Count: 2}))
-	h.restartBefore(fw, hold+time.Second/2)
-	h.finish("b")
+}
+
+// Guards against an acknowledgement of ends that are not in the log: a deferred one was
+// applied while the log is down, and a later one was in the log before.
+func TestDeferredEndWithLogDown(t *testing.T) {
+	h, _ := newHeldWorld(t, 8, dropped)
+	h.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "b" {
+			return 3 * time.Second
+		}
+		return time.Second
+	}
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.submit(deferrable("b", &record.Step{}))
+	window := callTimeout + lateCallWindow
+	h.until(window - 100*time.Millisecond)
+	h.logDown = true
+	h.until(window + 500*time.Millisecond)
+	h.changeLeader()
+	h.logDown = false
+	h.advance(40 * time.Second)
+	h.mustRunOnce("a")
+	h.mustRunOnce("b")
+}
+
+// Guards against a run whose end is deferred although its start calls are long over: the next
+// leader would not know.
+func TestOldStartCallsAreSettled(t *testing.T) {
+	h, _ := newHeldWorld(t, 8, dropped)
+	h.runTime = func(model.TaskID) time.Duration { return 61 * time.Second }
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.until(60 * time.Second)
+	h.changeLeader()
+	h.until(65 * time.Second)
 	h.mustComplete("a")
 }
 
@@ -83,9 +145,12 @@
 // deferred.
 func TestStartWithLostAnswerIsNotSentAgain(t *testing.T) {
 	h, _ := newHeldWorld(t, 8)
-	h.losesAnswer = func(call string) bool { return call == "start" }
+	h.onSent = func(int) {
+		until := h.now + callTimeout + 10*time.Millisecond // no probe is answered before the start times out
+		h.losesAnswer = func(string) bool { return h.now < until }
+	}
 	h.submitHeld(deferrable("a", &record.Step{}))
-	h.advance(1500 * time.Millisecond)
+	h.advance(2 * time.Second)
 	h.mustComplete("a")
 	if h.calls != 1 {
 		t.Errorf("%d starts were sent, want 1", h.calls)
--- a/region/end.go
+++ b/region/end.go
@@ -69,10 +69,30 @@
 		}
 		s.release(r)
 	}
+	if t.isFinal(e.Outcome) && s.stopLaterRuns(t, e.Run) {
+		return false
+	}
 	s.applyEnd(w, t, e)
 	return true
 }
 
+// stopLaterRuns stops later runs of a task, and of the other members of its gang, after an
+// earlier run is done. It reports whether a start of one may still be executed, so that the
+// task is not done yet.
+func (s *Scheduler) stopLaterRuns(t *task, number int32) (mayStart bool) {
+	tasks := []*task{t}
+	if t.step.rec.Gang {
+		tasks = t.step.tasks
+	}
+	for _, m := range tasks {
+		if !t.done && m.run != nil && m.run.number > number && s.mayStartLate(m.run) {
+			s.stopRun(m.run, "an earlier run is done")
+			mayStart = true
+		}
+	}
+	return mayStart
+}
+
 // applyEnd applies an end to its task. The run that ended is no longer the task's.
 func (s *Scheduler) applyEnd(w *worker, t *task, e model.End) {
 	if e.Run <= t.endedRun && (!t.isFinal(e.Outcome) || t.done) {
--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -233,7 +233,7 @@
 func (s *Scheduler) freedWithin(w *worker, within time.Duration) model.Resources {
 	var sum model.Resources
 	for _, r := range w.runs {
-		if r.endsAt < s.now+within {
+		if !r.idle && r.endsAt < s.now+within {
 			sum = sum.Add(r.demand)
 		}
 	}
--- a/region/late_start.go
+++ b/region/late_start.go
@@ -29,7 +29,16 @@
 // worker lists is neither applied nor acknowledged. Where the incarnation dies with that
 // end, the task has not been done, and the late start is its run.
 func (s *Scheduler) mayStartLate(r *run) bool {
-	return r.unsettled() && (!s.leading() || s.now < r.calls.openUntil(s.leadSince))
+	return r.unsettled() && (!s.leading() || r.calls.open(s.now, s.leadSince))
+}
+
+// settleListed settles the start calls of a run that a probe sent at sentAt lists, if none
+// could be executed any more by then.
+func (s *Scheduler) settleListed(r *run, sentAt time.Duration) {
+	if r.unsettled() && !r.calls.open(sentAt, s.leadSince) {
+		r.calls.settle()
+		s.recordSettled(r)
+	}
 }
 
 // lateStartPossible reports whether a start call to the worker may still be executed.
@@ -37,9 +46,9 @@
 	return slices.ContainsFunc(w.runs, s.mayStartLate)
 }
 
-// awaitLateStart defers the end of a run while a start call of it may still be executed. In
-// that time the task is not started again, and the run counts towards the workspace's cap.
-// Log messages call this state "in doubt".
+// awaitLateStart keeps a run that has ended as far as is known while a start call of it may
+// still be executed. In that time the task is not started again, and the run counts towards
+// the workspace's cap. Log messages call this state "in doubt".
 func (s *Scheduler) awaitLateStart(r *run, why string) {
 	if r.phase == phaseLateStart {
 		return
@@ -56,14 +65,14 @@
 }
 
 // deferEnd keeps a run whose worker lists its end, because another start call of it may
-// still be executed. The run does not use its room any more.
+// still be executed. The run does not use its worker's room any more.
 func (s *Scheduler) deferEnd(r *run) {
 	s.awaitLateStart(r, "its worker lists its end")
 	s.setIdle(r, true)
 }
 
-// setIdle sets whether a run uses its room on its worker and in its workspace. A run whose
-// end is deferred does not, unless a later incarnation of its worker executes a start of it.
+// setIdle sets whether a run uses no room on its worker. That is so while its end is
+// deferred, until a later incarnation of the worker begins, which may execute a start of it.
 func (s *Scheduler) setIdle(r *run, idle bool) {
 	if r.idle == idle {
 		return
@@ -86,7 +95,7 @@
 	}
 	left := w.entry.Capacity
 	for _, r := range w.runs {
-		if r.unsettled() {
+		if r.unsettled() || r.phase == phaseLogging && !r.task.step.bound() {
 			left = left.Sub(r.demand)
 		}
 	}
@@ -158,7 +167,7 @@
 	s.append(&record.Entry{Kind: &record.Entry_Settled{Settled: &record.Settled{Task: r.task.id().Record(), Run: r.number}}})
 }
 
-// replaySending applies a record of recordSending.
+// replaySending applies a record of sendRecorded.
 func (s *Scheduler) replaySending(e *record.Sending) {
 	if r := s.recordedRun(e.Task, e.Run); r != nil {
 		r.calls.inherited++
--- a/region/pathcheck.go
+++ b/region/pathcheck.go
@@ -20,7 +20,6 @@
 
 // checkPath sends a stop of the task's run before, which changes nothing.
 func (s *Scheduler) checkPath(r *run) {
-	s.outdateAcks(r.worker)
 	r.worker.pendingCalls.sent(r.pathCheckID(), s.now)
 	s.pathChecks = append(s.pathChecks, r)
 	s.emit(Stop{Request: model.StopRequest{RunID: r.pathCheckID(), Worker: r.target(), Fence: s.fenceOf(r.worker)}})
--- a/region/preempt.go
+++ b/region/preempt.go
@@ -31,7 +31,7 @@
 		found    bool
 	)
 	for _, w := range s.usableNow {
-		if !s.suits(st, w) || !st.ticketHolds(w, s.now) {
+		if !s.suits(st, w) || !st.ticketHolds(w, s.now) || s.lateStartRoom(st, w) == 0 {
 			continue
 		}
 		victims, loss, ok := s.victims(st, w)
--- a/region/probe.go
+++ b/region/probe.go
@@ -41,6 +41,9 @@
 	// maxEndsListed is the largest number of ends in one answer. A full list may be
 	// truncated, so a run that it does not name may still have an end.
 	maxEndsListed = 500
+	// maxEndsKept is the number of listed ends from which a worker gets no start that could
+	// be late: one defers acknowledgements, and the list would become full.
+	maxEndsKept = maxEndsListed / 2
 )
 
 // probe sends a probe, which renews the worker's leases and reads which runs are running
@@ -146,6 +149,7 @@
 	}
 	w.probedAt = max(w.probedAt, ev.SentAt)
 	w.silent = false
+	w.endsListed = len(ev.Response.Ended)
 	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
 		s.readEnd(w, e)
@@ -153,7 +157,7 @@
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
 	for _, row := range ev.Response.Running {
 		listed[row.Task] = true
-		s.readRunning(w, row)
+		s.readRunning(w, row, ev.SentAt)
 	}
 	if len(ev.Response.Ended) < maxEndsListed {
 		s.endUnlisted(w, listed, ev.SentAt)
@@ -198,7 +202,7 @@
 	}
 }
 
-func (s *Scheduler) readRunning(w *worker, row model.Running) {
+func (s *Scheduler) readRunning(w *worker, row model.Running, sentAt time.Duration) {
 	t := s.findTask(row.Task)
 	if t == nil || t.run == nil || t.run.number != row.Run || t.run.worker != w {
 		s.stopStray(w, row.RunID)
@@ -210,6 +214,7 @@
 	}
 	s.progress(r, row)
 	r.calls.runListed()
+	s.settleListed(r, sentAt)
 	if r.phase == phaseLateStart {
 		s.adopt(r)
 	}
--- a/region/run.go
+++ b/region/run.go
@@ -99,22 +99,20 @@
 	r.latencySensitive = s.latencySensitive(t.step)
 	r.endsAt = r.expectedEnd()
 	s.useRoom(r)
+	ws := t.step.job.rec.Workspace
+	s.used[ws] = s.used[ws].Add(t.step.request)
 }
 
-// useRoom adds a run's resources to those in use on its worker and in its workspace.
+// useRoom adds a run's resources to those in use on its worker.
 func (s *Scheduler) useRoom(r *run) {
 	r.worker.counts.add(r.latencySensitive, 1)
 	r.worker.used = r.worker.used.Add(r.demand)
-	ws := r.task.step.job.rec.Workspace
-	s.used[ws] = s.used[ws].Add(r.task.step.request)
 }
 
 // freeRoom reverses useRoom.
 func (s *Scheduler) freeRoom(r *run) {
 	r.worker.counts.add(r.latencySensitive, -1)
 	r.worker.used = r.worker.used.Sub(r.demand)
-	ws := r.task.step.job.rec.Workspace
-	s.used[ws] = s.used[ws].Sub(r.task.step.request)
 	s.dirty = true
 }
 
@@ -130,6 +128,8 @@
 	delete(r.worker.pendingCalls, r.id())
 	delete(r.worker.pendingCalls, r.pathCheckID())
 	s.freeRoom(r)
+	ws := t.step.job.rec.Workspace
+	s.used[ws] = s.used[ws].Sub(t.step.request)
 }
 
 // assign places a waiting task on a worker. The start is sent once the assignment is in the
--- a/region/start.go
+++ b/region/start.go
@@ -21,29 +21,26 @@
 	if r.task.run != r || (r.phase != phaseLogging && r.phase != phaseSending) {
 		return
 	}
-	if !s.leadershipConfirmed() {
-		s.abortStart(r, "the log was not reached lately")
-		return
-	}
 	// The append may have taken longer than the ticket is valid, and the worker would
 	// refuse the start.
 	if r.phase == phaseLogging && !r.task.step.ticketHolds(r.worker, s.now) {
 		s.abandon(r, "its ticket expired before its record was kept")
 		return
 	}
-	if r.leaseUntil == 0 {
-		r.leaseUntil = s.grantLease(r.worker)
-	}
-	if r.leaseUntil == 0 {
+	if !s.leadershipConfirmed() {
 		s.abortStart(r, "the log was not reached lately")
 		return
 	}
+	if r.leaseUntil == 0 {
+		r.leaseUntil = s.grantLease(r.worker)
+	}
 	if !r.task.step.bound() {
 		s.outdateAcks(r.worker)
 	}
 	r.phase = phaseSending
 	r.startAttempts++
 	r.calls.sent(s.now + after)
+	r.worker.grantedAt = s.now + after
 	r.worker.pendingCalls.sent(r.id(), s.now+after)
 	s.emit(Start{After: after, Request: model.StartRequest{
 		RunID:  r.id(),
@@ -72,7 +69,7 @@
 		s.emit(StepDown{Worker: r.ref.ID})
 		return
 	}
-	r.calls.answered(ev.Err)
+	r.calls.answered(ev.Err, s.now)
 	if r.phase != phaseSending {
 		if ev.Err == CallOK && r.phase == phaseRunning {
 			r.settledAt = s.now
--- a/region/startcalls.go
+++ b/region/startcalls.go
@@ -6,12 +6,18 @@
 	// maxCallDelay is the longest time for which the platform may hold a call that gets no
 	// answer before a worker executes it.
 	maxCallDelay = 12 * time.Second
-	// maxSendDelay is the longest time for which a call may wait in this host's link. Starts
-	// stop when the link is full.
-	maxSendDelay = time.Second
-	// lateCallWindow is the longest time after sending at which a call without an answer may
-	// still be executed.
-	lateCallWindow = maxCallDelay + maxSendDelay
+	// maxTransit is the longest time for which a call that has timed out here may still be
+	// on its way to the platform.
+	maxTransit = time.Second
+	// lateCallWindow is the longest time after its time-out at which a call without an
+	// answer may still be executed.
+	lateCallWindow = maxCallDelay + maxTransit
+	// maxSendDelay is the longest time until a call is sent: the handshakes of a new
+	// connection, and a leader's wait for its link.
+	maxSendDelay = 3 * time.Second
+	// inheritedWindow is the longest time after a claim at which a call of an earlier leader
+	// may be executed. That one sends none once its leadership is not proved any more.
+	inheritedWindow = leadershipProofTTL + maxSendDelay + lateCallWindow
 )
 
 // startCalls tracks the start calls of a run. A call is open while it may still be
@@ -19,7 +25,7 @@
 // at a time.
 type startCalls struct {
 	inFlight       bool
-	inFlightUntil  time.Duration // end of the window of the call in flight
+	inFlightTill   time.Duration // end of the window of that call
 	unanswered     int           // calls that timed out
 	unansweredTill time.Duration // end of the window of the newest of these
 	executed       bool          // one of the open calls was executed: the worker has listed the run
@@ -30,10 +36,10 @@
 }
 
 func (c *startCalls) sent(at time.Duration) {
-	c.inFlight, c.inFlightUntil = true, at+lateCallWindow
+	c.inFlight, c.inFlightTill = true, at+maxSendDelay+lateCallWindow
 }
 
-func (c *startCalls) answered(err CallError) {
+func (c *startCalls) answered(err CallError, now time.Duration) {
 	if !c.inFlight {
 		return
 	}
@@ -41,7 +47,7 @@
 	switch err {
 	case CallNoAnswer:
 		c.unanswered++
-		c.unansweredTill = c.inFlightUntil
+		c.unansweredTill = now + lateCallWindow
 	case CallOK:
 		c.executed, c.confirmed = false, true
 	}
@@ -74,16 +80,7 @@
 	return n > 0 || c.inherited > 0
 }
 
-// openUntil returns when the newest call can no longer be executed. Calls of an earlier
-// leader, which stops sending when its leadership is no longer proved, count from
-// leadSince.
-func (c *startCalls) openUntil(leadSince time.Duration) time.Duration {
-	until := c.unansweredTill
-	if c.inFlight {
-		until = max(until, c.inFlightUntil)
-	}
-	if c.inherited > 0 {
-		until = max(until, leadSince+leadershipProofTTL+lateCallWindow)
-	}
-	return until
+// open reports whether a call may still be executed. leadSince is when this leader claimed.
+func (c *startCalls) open(now, leadSince time.Duration) bool {
+	return c.unsettled() && (c.inFlight && now < c.inFlightTill || now < c.unansweredTill || c.inherited > 0 && now < leadSince+inheritedWindow)
 }
--- a/region/startcalls_test.go
+++ b/region/startcalls_test.go
@@ -8,8 +8,8 @@
 // TestStartCallsUnsettled checks after which outcomes a start call may still be executed.
 func TestStartCallsUnsettled(t *testing.T) {
 	type step func(c *startCalls)
-	send := func(c *startCalls) { c.sent(time.Second) }
-	answer := func(err CallError) step { return func(c *startCalls) { c.answered(err) } }
+	send := func(c *startCalls) { c.sent(0) }
+	answer := func(err CallError) step { return func(c *startCalls) { c.answered(err, 0) } }
 	list := func(c *startCalls) { c.runListed() }
 	inherit := func(n int) step { return func(c *startCalls) { c.inherited = n } }
 	for name, c := range map[string]struct {
@@ -45,22 +45,26 @@
 	}
 }
 
-// TestStartCallsOpenUntil checks that the window runs from the newest call that may still be
-// executed, not from one that was answered.
-func TestStartCallsOpenUntil(t *testing.T) {
+// TestStartCallsOpen checks that the window runs from the time-out of the newest call that
+// may still be executed, not from one that was answered.
+func TestStartCallsOpen(t *testing.T) {
+	const first, second = time.Second, 5 * time.Second // time-out of the first call, answer to the second
 	c := &startCalls{}
-	c.sent(time.Second)
-	c.answered(CallNoAnswer)
-	c.sent(3 * time.Second)
-	if got, want := c.openUntil(0), 3*time.Second+lateCallWindow; got != want {
-		t.Errorf("open until %v with the second call in flight, want %v", got, want)
-	}
-	c.answered(CallOK)
-	if got, want := c.openUntil(0), time.Second+lateCallWindow; got != want {
-		t.Errorf("open until %v after the second call was executed, want %v", got, want)
+	want := func(open bool, at time.Duration, when string) {
+		t.Helper()
+		if got := c.open(at, time.Minute); got != open {
+			t.Errorf("%s: open at %v is %v, want %v", when, at, got, open)
+		}
 	}
+	c.sent(0)
+	want(true, maxSendDelay+lateCallWindow-1, "call in flight")
+	c.answered(CallNoAnswer, first)
+	want(true, first+lateCallWindow-1, "no answer")
+	want(false, first+lateCallWindow, "no answer")
+	c.sent(second)
+	c.answered(CallOK, second)
+	want(false, first+lateCallWindow, "second call executed")
 	c.inherited = 1
-	if got, want := c.openUntil(time.Minute), time.Minute+leadershipProofTTL+lateCallWindow; got != want {
-		t.Errorf("open until %v with a call of an earlier leader, want %v", got, want)
-	}
+	want(true, time.Minute+inheritedWindow-1, "call of an earlier leader")
+	want(false, time.Minute+inheritedWindow, "call of an earlier leader")
 }
--- a/region/worker.go
+++ b/region/worker.go
@@ -37,6 +37,7 @@
 	fenceSteps     int64           // how often its fencing token was raised under this leader
 	ackFence       int64           // fencing token of the newest probe that acknowledged ends
 	ends           *endLog         // ends of its incarnation
+	endsListed     int             // ends in the answer to the newest probe
 	idleRuns       int             // how many of runs are idle
 	pausedUntil    time.Duration   // no new work before this time
 	pendingCalls   pendingCalls    // start and stop calls without an answer
@@ -172,7 +173,7 @@
 		s.abandon(r, "its worker has a new life")
 	}
 	w.clockMs, w.leaseMs = 0, 0
-	w.ends = &endLog{}
+	w.ends, w.endsListed = &endLog{}, 0
 	w.silent = false
 	w.inheritedUntil = s.now + s.maxLease() + lapseMargin
 	w.fenced = false
@@ -185,6 +186,9 @@
 // fenceSteps.
 const fenceStepBits = 16
 
+// maxFenceSteps is the largest count that fits there.
+const maxFenceSteps = 1<<fenceStepBits - 1
+
 // fenceOf returns the fencing token of calls to a worker. It rises with each leader, with
 // each new incarnation of the worker under the same id, and with outdateAcks. Calls to an earlier
 // incarnation end with its connections (package lifeconn). If the network delivers one to
@@ -195,7 +199,7 @@
 // raiseFence raises the worker's fencing token. A leader that has used up the tokens of a
 // worker steps down: those of its successor are higher.
 func (s *Scheduler) raiseFence(w *worker) {
-	if w.fenceSteps == 1<<fenceStepBits-1 {
+	if w.fenceSteps >= maxFenceSteps {
 		s.emit(StepDown{Worker: w.entry.ID})
 		return
 	}
@@ -214,7 +218,7 @@
 // forget removes a worker that has left and has no runs.
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
-	s.departed.add(w.entry.ID, w.fenceSteps+1, s.now)
+	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), s.now)
 	s.slots.release(w.slot)
 	for i, o := range s.workerList {
 		if o == w {
