--- a/region/region.go
+++ b/region/region.go
@@ -13,9 +13,12 @@
 //     with a fencing token below the highest it has seen.
 //   - A run that may be alive is not started elsewhere until its worker reports
 //     its end or has a new incarnation, or its lease has certainly expired.
-//   - When a worker has a new incarnation, or does not report a run of an earlier
-//     leader, an unanswered start call may still be executed. The task is not
-//     started again while that is possible.
+//   - A start call without an answer may still be executed, also by a later
+//     incarnation of its worker. While that is possible, its run has not ended: the
+//     task is not started elsewhere, and an end that the worker lists is neither
+//     recorded nor acknowledged.
+//   - Every start call that a later incarnation could execute is committed to the
+//     log before it is sent, so a new leader knows how many there may be.
 package region
 
 import (
