leader: a status that the platform does not name is no proof of refusal

The platform promises that nothing was done for 400, 409, 421, 429 and 503 alone; a 502 or 504 may come from an intermediary that has passed the call on, and the start is executed later.

Such a start counts as unanswered now; where the status answers a handshake, the call was not sent.

--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -159,12 +159,9 @@
 	switch {
 	case platform.IsOtherIncarnation(err):
 		return region.CallOtherIncarnation
-	case platform.IsRefused(err):
-		return region.CallRefused
 	case platform.IsNotSent(err):
 		return region.CallNotSent
-	case platform.StatusOf(err) != 0:
-		// Any other status means that the request was not executed.
+	case platform.IsRejected(err):
 		return region.CallRefused
 	}
 	return region.CallNoAnswer
