--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -87,7 +87,7 @@
 		if why != fits {
 			continue
 		}
-		n := timesIn(st.demand(), w.free())
+		n := min(timesIn(st.demand(), w.free()), s.lateStartRoom(st, w))
 		if limit := int(st.rec.AntiAffinity); limit > 0 {
 			n = min(n, limit)
 		}
@@ -233,7 +233,7 @@
 func (s *Scheduler) freedWithin(w *worker, within time.Duration) model.Resources {
 	var sum model.Resources
 	for _, r := range w.runs {
-		if r.endsAt < s.now+within {
+		if !r.idle && r.endsAt < s.now+within {
 			sum = sum.Add(r.demand)
 		}
 	}
--- a/region/place.go
+++ b/region/place.go
@@ -120,8 +120,10 @@
 		return rejectService
 	case !s.usable(w):
 		return rejectState
-	case !st.demand().Fits(w.free()):
+	case !st.demand().Fits(w.free()) || s.lateStartRoom(st, w) == 0:
 		return rejectRoom
+	case !st.bound() && w.endsListed >= maxEndsKept:
+		return rejectState
 	case st.rec.Requires != "" && !w.entry.HasLabel(st.rec.Requires):
 		return rejectLabel
 	case !st.ticketHolds(w, s.now):
@@ -155,7 +157,7 @@
 
 // usable reports whether the worker may get new work at all.
 func (s *Scheduler) usable(w *worker) bool {
-	return w.listed && !w.entry.Draining && w.fenced && !w.overdue &&
+	return w.listed && !w.entry.Draining && w.fenced && !w.overdue && !w.silent &&
 		s.now-w.probedAt < maxProbeAge && s.now >= w.pausedUntil && w.health.healthy(s.now)
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -41,6 +41,9 @@
 	// maxEndsListed is the largest number of ends in one answer. A full list may be
 	// truncated, so a run that it does not name may still have an end.
 	maxEndsListed = 500
+	// maxEndsKept is the number of listed ends from which a worker gets no start that could
+	// be late: one defers acknowledgements, and the list would become full.
+	maxEndsKept = maxEndsListed / 2
 )
 
 // probe sends a probe, which renews the worker's leases and reads which runs are running
@@ -56,7 +59,7 @@
 	// could never be declared lost. Such a probe renews and acknowledges nothing and only
 	// shows whether the worker answers.
 	if w.fenced && !w.probeMissed {
-		request.AckedUpTo = w.acked
+		request.AckedUpTo = s.acknowledgement(w)
 		request.Wait = probeWait
 		if len(w.runs) > 0 {
 			request.Wait = min(probeWait, s.leaseFor(w)/probesPerLease)
@@ -83,6 +86,10 @@
 	switch ev.Err {
 	case CallOK:
 	case CallFenced:
+		if ev.Request.Fence < s.fenceOf(w) {
+			s.probe(w, 0)
+			return
+		}
 		s.emit(StepDown{Worker: w.entry.ID})
 		return
 	case CallOtherIncarnation:
@@ -92,6 +99,7 @@
 	default:
 		w.probeMissed = true
 		w.lossyUntil = s.now + lossyWindow
+		s.retryUnlisted(w, false)
 		s.probeAgain(w, probeRetry)
 		return
 	}
@@ -140,35 +148,61 @@
 		s.dirty = true
 	}
 	w.probedAt = max(w.probedAt, ev.SentAt)
+	w.silent = false
+	w.endsListed = len(ev.Response.Ended)
+	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
 		s.readEnd(w, e)
 	}
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
 	for _, row := range ev.Response.Running {
 		listed[row.Task] = true
-		s.readRunning(w, row)
+		s.readRunning(w, row, ev.SentAt)
 	}
 	if len(ev.Response.Ended) < maxEndsListed {
 		s.endUnlisted(w, listed, ev.SentAt)
+		s.retryUnlisted(w, true)
 	}
 }
 
 func (s *Scheduler) readEnd(w *worker, e model.End) {
-	if e.Number <= w.lastEnd {
+	ends := w.ends
+	if !ends.isNew(e.Number) {
 		return
 	}
-	w.lastEnd = e.Number
-	s.runEnded(w, e)
-	number := e.Number
-	incarnation := w.entry.BornUnix
-	s.afterCommit(s.seq, func() {
-		if w.entry.BornUnix == incarnation {
-			w.acked = max(w.acked, number)
-		}
-	})
+	if !s.runEnded(w, e) {
+		ends.deferred(e.Number)
+		return
+	}
+	ends.applied(e.Number)
+	s.afterCommit(s.seq, func() { ends.inLog(e.Number) })
+}
+
+// acknowledgement returns up to which end a probe acknowledges, or 0 for none.
+//
+// The guard is against a probe that is executed by the worker's next incarnation after a
+// late start: it would acknowledge the end of that run, which was never read, and the task
+// would run again. Therefore no probe acknowledges while a start may be late, and starts
+// that are sent later have a higher fencing token (outdateAcks).
+func (s *Scheduler) acknowledgement(w *worker) int64 {
+	number := w.ends.unacked()
+	if number == 0 || s.lateStartPossible(w) {
+		return 0
+	}
+	w.ackFence = s.fenceOf(w)
+	return number
 }
 
-func (s *Scheduler) readRunning(w *worker, row model.Running) {
+// outdateAcks raises the worker's fencing token if a probe with the present one has
+// acknowledged ends. An incarnation that executes a start with the new one refuses the
+// probe.
+func (s *Scheduler) outdateAcks(w *worker) {
+	if w.ackFence == s.fenceOf(w) {
+		s.raiseFence(w)
+	}
+}
+
+func (s *Scheduler) readRunning(w *worker, row model.Running, sentAt time.Duration) {
 	t := s.findTask(row.Task)
 	if t == nil || t.run == nil || t.run.number != row.Run || t.run.worker != w {
 		s.stopStray(w, row.RunID)
@@ -180,6 +214,7 @@
 	}
 	s.progress(r, row)
 	r.calls.runListed()
+	s.settleListed(r, sentAt)
 	if r.phase == phaseLateStart {
 		s.adopt(r)
 	}
@@ -207,6 +242,11 @@
 		if listed[r.task.id()] || !r.settledBefore(sentAt) {
 			continue
 		}
-		s.abandon(r, "its worker does not list it")
+		const why = "its worker does not list it"
+		if r.phase == phaseLateStart {
+			s.markLost(r, why)
+			continue
+		}
+		s.abandon(r, why)
 	}
 }
--- a/region/run.go
+++ b/region/run.go
@@ -9,15 +9,8 @@
 	"github.com/fireflyfold/fireflyfold/record"
 )
 
-const (
-	// maxStartAttempts is how often a start is sent without an answer before the run is
-	// stopped instead.
-	maxStartAttempts = 4
-	// startRetry is the pause before a start is sent again.
-	startRetry = 30 * time.Millisecond
-	// stopRetry is the pause before a stop is sent again.
-	stopRetry = 300 * time.Millisecond
-)
+// stopRetry is the pause before a stop is sent again.
+const stopRetry = 300 * time.Millisecond
 
 // phase is the state of a run.
 type phase int
@@ -49,6 +42,10 @@
 	settledAt        time.Duration // a probe sent later that does not list the run proves that it has ended; 0 if not settled
 	startAttempts    int
 	calls            startCalls
+	awaitsProbe      bool // a start got no answer; it is sent again if a probe does not list the run
+	logged           bool // its assignment is in the log
+	pathUnchecked    bool // its worker has yet to answer the call of checkPath
+	idle             bool // its end is deferred, and it does not use its room
 	percent          int
 	progressedAt     time.Duration // when percent last changed
 }
@@ -100,27 +97,39 @@
 	t.run = r
 	r.worker.runs = append(r.worker.runs, r)
 	r.latencySensitive = s.latencySensitive(t.step)
-	r.worker.counts.add(r.latencySensitive, 1)
 	r.endsAt = r.expectedEnd()
-	r.worker.used = r.worker.used.Add(r.demand)
+	s.useRoom(r)
 	ws := t.step.job.rec.Workspace
 	s.used[ws] = s.used[ws].Add(t.step.request)
 }
 
+// useRoom adds a run's resources to those in use on its worker.
+func (s *Scheduler) useRoom(r *run) {
+	r.worker.counts.add(r.latencySensitive, 1)
+	r.worker.used = r.worker.used.Add(r.demand)
+}
+
+// freeRoom reverses useRoom.
+func (s *Scheduler) freeRoom(r *run) {
+	r.worker.counts.add(r.latencySensitive, -1)
+	r.worker.used = r.worker.used.Sub(r.demand)
+	s.dirty = true
+}
+
 // release reverses occupy for a run that has ended.
 func (s *Scheduler) release(r *run) {
 	t := r.task
 	if t.run != r {
 		return
 	}
+	s.setIdle(r, false)
 	t.run = nil
 	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(o *run) bool { return o == r })
-	r.worker.counts.add(r.latencySensitive, -1)
 	delete(r.worker.pendingCalls, r.id())
-	r.worker.used = r.worker.used.Sub(r.demand)
+	delete(r.worker.pendingCalls, r.pathCheckID())
+	s.freeRoom(r)
 	ws := t.step.job.rec.Workspace
 	s.used[ws] = s.used[ws].Sub(t.step.request)
-	s.dirty = true
 }
 
 // assign places a waiting task on a worker. The start is sent once the assignment is in the
@@ -133,7 +142,22 @@
 	s.occupy(r)
 	s.pacer.tokens--
 	t.lastRun = number
-	s.afterCommit(s.recordAssigned(r), func() { s.sendStart(r, 0) })
+	if s.needsPathCheck(r) {
+		r.pathUnchecked = true
+		s.checkPath(r)
+	}
+	s.afterCommit(s.recordAssigned(r), func() {
+		r.logged = true
+		s.sendFirst(r)
+	})
+}
+
+// sendFirst sends the first start of a run once its assignment is in the log and the path
+// to its worker is checked.
+func (s *Scheduler) sendFirst(r *run) {
+	if r.task.run == r && r.phase == phaseLogging && r.logged && !r.pathUnchecked {
+		s.sendRecorded(r, 0)
+	}
 }
 
 // recordAssigned appends the worker and its incarnation on which a run may be alive.
@@ -143,136 +167,6 @@
 	}}})
 }
 
-// sendStart sends the start of a run. A retry grants the lease of the first attempt: on a
-// worker that does not answer, each longer lease would defer the time at which the run is
-// known to have ended.
-func (s *Scheduler) sendStart(r *run, after time.Duration) {
-	if r.task.run != r || (r.phase != phaseLogging && r.phase != phaseSending) {
-		return
-	}
-	// The append may have taken longer than the ticket is valid, and the worker would
-	// refuse the start.
-	if r.phase == phaseLogging && !r.task.step.ticketHolds(r.worker, s.now) {
-		s.abandon(r, "its ticket expired before its record was kept")
-		return
-	}
-	if r.leaseUntil == 0 {
-		r.leaseUntil = s.grantLease(r.worker)
-	}
-	if r.leaseUntil == 0 {
-		s.abortStart(r, "the log was not reached lately")
-		return
-	}
-	r.phase = phaseSending
-	r.startAttempts++
-	r.calls.sent(s.now + after)
-	r.worker.pendingCalls.sent(r.id(), s.now+after)
-	s.emit(Start{After: after, Request: model.StartRequest{
-		RunID:  r.id(),
-		Worker: r.target(), Spec: r.task.step.job.rec.Spec, Checkpoint: r.task.checkpoint,
-		Ticket: r.ticket, UntilMs: r.leaseUntil, Fence: s.fenceOf(r.worker),
-	}})
-}
-
-// currentRun returns the run that an answer is about, or nil if it is no longer the task's
-// run on that worker.
-func (s *Scheduler) currentRun(id model.RunID, ref model.WorkerRef) *run {
-	t := s.findTask(id.Task)
-	if t == nil || t.run == nil || t.run.number != id.Run || t.run.ref.ID != ref.ID {
-		return nil
-	}
-	return t.run
-}
-
-func (s *Scheduler) startAnswered(ev StartAnswered) {
-	s.callAnswered(ev.Request.Worker, ev.Request.RunID, ev.Err)
-	r := s.currentRun(ev.Request.RunID, ev.Request.Worker)
-	if r == nil {
-		return
-	}
-	if ev.Err == CallFenced && ev.Request.Fence == s.fenceOf(r.worker) {
-		s.emit(StepDown{Worker: r.ref.ID})
-		return
-	}
-	if r.phase == phaseLateStart && ev.Err == CallOK {
-		return // a later incarnation has the run, and a probe will list it
-	}
-	r.calls.answered(ev.Err)
-	if r.phase != phaseSending {
-		if ev.Err == CallOK && r.phase == phaseRunning {
-			r.settledAt = s.now
-			s.recordSettled(r)
-		}
-		return
-	}
-	switch ev.Err {
-	case CallOK:
-		s.confirm(r)
-		r.settledAt = s.now
-	case CallOldRun:
-		r.settledAt = s.now
-	case CallNoAnswer:
-		r.startUnanswered = true
-		s.retryStart(r)
-	case CallNotSent:
-		s.retryStart(r)
-	case CallLeaseExpired:
-		r.leaseUntil = 0
-		s.retryStart(r)
-	case CallOtherIncarnation, CallFenced:
-		s.otherIncarnation(r.worker)
-	case CallRefused:
-		r.worker.pausedUntil = s.now + unhealthyPause
-		r.worker.health.refused(s.now)
-		s.abortStart(r, "its worker refused")
-	case CallNoRoom:
-		r.worker.pausedUntil = s.now + unhealthyPause
-		s.abortStart(r, "its worker had no room")
-	case CallNoTicket:
-		r.task.step.advice.expire(r.worker)
-		s.abortStart(r, "the ticket did not hold")
-	}
-}
-
-func (s *Scheduler) retryStart(r *run) {
-	if r.startAttempts < maxStartAttempts {
-		s.sendStart(r, startRetry)
-		return
-	}
-	r.worker.pausedUntil = s.now + unhealthyPause
-	s.abortStart(r, "its worker did not answer")
-}
-
-// confirm marks the run as running on its worker.
-func (s *Scheduler) confirm(r *run) {
-	r.phase = phaseRunning
-	r.startedAt = s.now
-	r.endsAt = r.expectedEnd()
-	r.progressedAt = s.now
-	if r.settledAt == 0 {
-		r.settledAt = s.now
-	}
-	s.recordSettled(r)
-	j := r.task.step.job
-	if !j.begun {
-		j.begun = true
-		s.publish(j)
-	}
-}
-
-// abortStart ends a run that did not start. If a start call may still be executed, the run
-// is stopped instead: after a stop, the worker refuses a late start of the run. The other
-// members of a gang are stopped at once. Otherwise they would wait, and keep their room,
-// until the stop is settled.
-func (s *Scheduler) abortStart(r *run, why string) {
-	if r.startUnanswered {
-		s.stopRun(r, why)
-		s.stopOtherMembers(r.task, r.number)
-		return
-	}
-	s.abandon(r, why)
-}
-
 // stopRun sends a stop for a run. Its room is released when the worker lists the end.
 func (s *Scheduler) stopRun(r *run, why string) {
 	if r.phase == phaseStopping || r.phase == phaseLateStart {
@@ -298,6 +192,10 @@
 
 func (s *Scheduler) stopAnswered(ev StopAnswered) {
 	s.callAnswered(ev.Request.Worker, ev.Request.RunID, ev.Err)
+	if r := s.pathCheckedRun(ev.Request); r != nil {
+		s.pathChecked(r, ev)
+		return
+	}
 	r := s.currentRun(ev.Request.RunID, ev.Request.Worker)
 	if r == nil || r.phase != phaseStopping {
 		return
@@ -306,6 +204,10 @@
 	case CallOK, CallOldRun:
 		r.settledAt = s.now
 	case CallFenced:
+		if ev.Request.Fence < s.fenceOf(r.worker) {
+			s.sendStop(r, 0)
+			return
+		}
 		s.emit(StepDown{Worker: r.ref.ID})
 	case CallOtherIncarnation:
 		s.otherIncarnation(r.worker)
--- /dev/null
+++ b/region/startcalls.go
@@ -0,0 +1,86 @@
+package region
+
+import "time"
+
+const (
+	// maxCallDelay is the longest time for which the platform may hold a call that gets no
+	// answer before a worker executes it.
+	maxCallDelay = 12 * time.Second
+	// maxTransit is the longest time for which a call that has timed out here may still be
+	// on its way to the platform.
+	maxTransit = time.Second
+	// lateCallWindow is the longest time after its time-out at which a call without an
+	// answer may still be executed.
+	lateCallWindow = maxCallDelay + maxTransit
+	// maxSendDelay is the longest time until a call is sent: the handshakes of a new
+	// connection, and a leader's wait for its link.
+	maxSendDelay = 3 * time.Second
+	// inheritedWindow is the longest time after a claim at which a call of an earlier leader
+	// may be executed. That one sends none once its leadership is not proved any more.
+	inheritedWindow = leadershipProofTTL + maxSendDelay + lateCallWindow
+)
+
+// startCalls tracks the start calls of a run. A call is open while it may still be
+// executed: until it is answered, or lateCallWindow is over. One call of a run is in flight
+// at a time.
+type startCalls struct {
+	inFlight       bool
+	inFlightTill   time.Duration // end of the window of that call
+	unanswered     int           // calls that timed out
+	unansweredTill time.Duration // end of the window of the newest of these
+	executed       bool          // one of the open calls was executed: the worker has listed the run
+	confirmed      bool          // a call was answered, so a listed run does not show that an open one was executed
+	inherited      int           // calls that an earlier leader has recorded and whose outcome is not known
+	logged         int           // calls that the log has a record of
+	recorded       bool          // the log has a record that none is open
+}
+
+func (c *startCalls) sent(at time.Duration) {
+	c.inFlight, c.inFlightTill = true, at+maxSendDelay+lateCallWindow
+}
+
+func (c *startCalls) answered(err CallError, now time.Duration) {
+	if !c.inFlight {
+		return
+	}
+	c.inFlight = false
+	switch err {
+	case CallNoAnswer:
+		c.unanswered++
+		c.unansweredTill = now + lateCallWindow
+	case CallOK:
+		c.executed, c.confirmed = false, true
+	}
+}
+
+// runListed records that the worker has listed the run or its end. It shows that one call
+// was executed, not which.
+func (c *startCalls) runListed() {
+	c.executed = !c.confirmed
+	if c.inherited == 1 {
+		c.inherited = 0
+	}
+}
+
+// settle records that no call is open any more.
+func (c *startCalls) settle() {
+	c.inFlight, c.unanswered, c.inherited = false, 0, 0
+}
+
+// unsettled reports whether a call is not known to have been executed or refused, however
+// long ago it was sent.
+func (c *startCalls) unsettled() bool {
+	n := c.unanswered
+	if c.inFlight {
+		n++
+	}
+	if c.executed {
+		n--
+	}
+	return n > 0 || c.inherited > 0
+}
+
+// open reports whether a call may still be executed. leadSince is when this leader claimed.
+func (c *startCalls) open(now, leadSince time.Duration) bool {
+	return c.unsettled() && (c.inFlight && now < c.inFlightTill || now < c.unansweredTill || c.inherited > 0 && now < leadSince+inheritedWindow)
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -33,11 +33,15 @@
 	probeMissed    bool            // the newest probe got no answer
 	lossyUntil     time.Duration   // lossyWait applies before this time
 	probedAt       time.Duration   // when the newest answered probe was sent
-	incarnations   int64           // number of incarnations that have ended
-	lastEnd        int64           // highest number of an end that was applied
-	acked          int64           // highest number of an end whose record is in the log
+	grantedAt      time.Duration   // when a lease was last granted
+	fenceSteps     int64           // how often its fencing token was raised under this leader
+	ackFence       int64           // fencing token of the newest probe that acknowledged ends
+	ends           *endLog         // ends of its incarnation
+	endsListed     int             // ends in the answer to the newest probe
+	idleRuns       int             // how many of runs are idle
 	pausedUntil    time.Duration   // no new work before this time
 	pendingCalls   pendingCalls    // start and stop calls without an answer
+	silent         bool            // a call of checkPath got no answer, and none was answered since
 	overdue        bool            // one of them is overdue, as of the newest pass
 	health         health
 	speed          speed
@@ -72,7 +76,7 @@
 func (s *Scheduler) workerNamed(id string) *worker {
 	w, known := s.workers[id]
 	if !known {
-		w = &worker{entry: model.WorkerEntry{ID: id}, slot: s.slots.alloc(), pendingCalls: make(pendingCalls), incarnations: s.departed.incarnations(id)}
+		w = &worker{entry: model.WorkerEntry{ID: id}, slot: s.slots.alloc(), pendingCalls: make(pendingCalls), fenceSteps: s.departed.fenceSteps(id), ends: &endLog{}}
 		s.workers[id] = w
 		s.workerList = append(s.workerList, w)
 		if s.leading() {
@@ -140,8 +144,11 @@
 		if w.entry.Address != e.Address || w.entry.ID == e.ID || w.entry.BornUnix >= e.BornUnix {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range w.sortedRuns() {
 			r.calls.settle() // the new process refuses calls that name the earlier id
+			if r.phase == phaseLateStart {
+				s.markLost(r, "its worker has left")
+			}
 		}
 		s.endIncarnation(w)
 		w.listed = false
@@ -165,24 +172,39 @@
 	for _, r := range w.sortedRuns() {
 		s.abandon(r, "its worker has a new life")
 	}
-	w.clockMs, w.leaseMs, w.lastEnd, w.acked = 0, 0, 0, 0
+	w.clockMs, w.leaseMs = 0, 0
+	w.ends, w.endsListed = &endLog{}, 0
+	w.silent = false
 	w.inheritedUntil = s.now + s.maxLease() + lapseMargin
 	w.fenced = false
-	w.incarnations++
+	s.raiseFence(w)
 	w.health = health{}
 	w.speed = speed{}
 }
 
-// incarnationBits is the number of low bits of a fencing token that hold the worker's
-// incarnation count.
-const incarnationBits = 16
+// fenceStepBits is the number of low bits of a fencing token that hold the worker's
+// fenceSteps.
+const fenceStepBits = 16
+
+// maxFenceSteps is the largest count that fits there.
+const maxFenceSteps = 1<<fenceStepBits - 1
 
-// fenceOf returns the fencing token of calls to a worker. It rises with each leader, and
-// with each new incarnation of the worker under the same id. Calls to an earlier
+// fenceOf returns the fencing token of calls to a worker. It rises with each leader, with
+// each new incarnation of the worker under the same id, and with outdateAcks. Calls to an earlier
 // incarnation end with its connections (package lifeconn). If the network delivers one to
 // the new incarnation nevertheless, that refuses it once it has answered its first probe;
 // mayStartLate covers starts that arrive before.
-func (s *Scheduler) fenceOf(w *worker) int64 { return s.fence<<incarnationBits | w.incarnations }
+func (s *Scheduler) fenceOf(w *worker) int64 { return s.fence<<fenceStepBits | w.fenceSteps }
+
+// raiseFence raises the worker's fencing token. A leader that has used up the tokens of a
+// worker steps down: those of its successor are higher.
+func (s *Scheduler) raiseFence(w *worker) {
+	if w.fenceSteps >= maxFenceSteps {
+		s.emit(StepDown{Worker: w.entry.ID})
+		return
+	}
+	w.fenceSteps++
+}
 
 func (s *Scheduler) workerUnlisted(id string) {
 	w, known := s.workers[id]
@@ -196,7 +218,7 @@
 // forget removes a worker that has left and has no runs.
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
-	s.departed.add(w.entry.ID, w.incarnations+1, s.now)
+	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), s.now)
 	s.slots.release(w.slot)
 	for i, o := range s.workerList {
 		if o == w {
@@ -232,14 +254,22 @@
 	for i := len(s.workerList) - 1; i >= 0; i-- {
 		w := s.workerList[i]
 		if len(w.runs) > 0 && s.now > w.lapsesAt() && !s.delayedByLink(w) {
-			for _, r := range w.sortedRuns() {
-				if r.phase != phaseLateStart {
-					s.markLost(r, "its lease is over")
-				}
-			}
+			s.expireRunsOn(w)
 		}
 		if !w.listed && len(w.runs) == 0 && !w.probing {
 			s.forget(w)
 		}
 	}
 }
+
+func (s *Scheduler) expireRunsOn(w *worker) {
+	const why = "its lease is over"
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.phase != phaseLateStart:
+			s.abandon(r, why)
+		case s.lateStartEnded(r):
+			s.markLost(r, why)
+		}
+	}
+}
