region: put back a control, list a late start that is still red

TestLateStartAfterAnotherWorkerAtAddress, found by the review, is red: a worker that is back at its address after another one had it executes an open start. The same fault in one order that is not mended, so it is listed.

--- a/region/deferred_end_test.go
+++ b/region/deferred_end_test.go
@@ -194,3 +194,25 @@
 		t.Errorf("command %T, want StepDown", w.sched.out[0])
 	}
 }
+
+// Guards against a task that runs again after its job was completed: another worker has the
+// address for a moment, the first one is back there under its id, and executes the start.
+func TestLateStartAfterAnotherWorkerAtAddress(t *testing.T) {
+	const hold = 9 * time.Second
+	h, fw := newHeldWorld(t, 8, hold)
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.addWorker("w2", 8)
+	h.until(5 * time.Second)
+	gone, other := fw.entry, fw.entry
+	other.ID, other.BornUnix = "w3", h.now.Milliseconds()
+	fw.clearState(h.world)
+	fw.listed = &gone
+	fw.unreachable = true
+	h.addWorker("w3", 8)
+	h.workers["w3"].entry = other
+	h.deliver(WorkerListed{Entry: other})
+	h.until(hold - rebirthLead)
+	h.workers["w3"].unreachable = true
+	h.restart(fw)
+	h.finish("a")
+}
--- a/region/late_call_test.go
+++ b/region/late_call_test.go
@@ -127,6 +127,41 @@
 	})
 }
 
+// Guards against a task that runs again after it was done in the next incarnation: its start
+// and a probe, which acknowledges ends of the earlier incarnation, both are held up. The probe
+// drops the end before it was read.
+func TestLateProbeDropsEndOfLateStart(t *testing.T) {
+	for name, acknowledges := range map[string]bool{"acknowledges nothing": false, "acknowledges an end": true} {
+		t.Run(name, func(t *testing.T) {
+			const hold = 3 * time.Second
+			h, fw := newHeldWorld(t, 8)
+			h.listAfter = 1200 * time.Millisecond
+			h.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
+			if acknowledges {
+				h.submit(deferrable("earlier", &record.Step{}))
+				h.advance(2 * time.Second)
+				h.mustComplete("earlier")
+			}
+			h.calls, h.delays = 0, []time.Duration{hold}
+			probeHeld := false
+			h.probeHeld = func() time.Duration {
+				if h.calls == 0 || probeHeld {
+					return 0
+				}
+				probeHeld = true
+				h.note("a probe is held up, ends up to %d are acknowledged", h.sched.workers["w1"].ends.committed)
+				return h.firstSent + hold + 700*time.Millisecond - h.now
+			}
+			h.submitHeld(deferrable("a", &record.Step{}))
+			h.until(200 * time.Millisecond) // the next probe has left
+			fw.unreachable = true
+			h.addWorker("w2", 8)
+			h.restartBefore(fw, hold)
+			h.finish("a")
+		})
+	}
+}
+
 // Guards against a late stop that does harm in the next incarnation: it arrives before or
 // after the late start of the same run.
 func TestLateStopInNextLife(t *testing.T) {
