Honour zone drains: no task starts in a zone that operators drain

Cause: the operators' request to drain a zone was in a topic that hosts read, but under a key that they passed over.

Change: platform decodes the key; every host follows the set with the time of the reading that confirmed it, replaces it whole when the log drops its history, and gets it from another host while the log refuses it. The scheduler is told of each confirmation. From then on it assigns nothing in the zone, asks no advice about its workers, and sends no start there, first or repeated; what runs goes on. With a bound set by the operators (bounds.evacuateMs) it starts nothing anywhere once the last confirmation is half of the bound old, so that a new leader knows the set before its first start; the other half is for a start call that is under way.

A read of the operators' topic that does not reach its end no longer counts as a confirmation of the configuration.

Guards broken by hand, each red: filter on placement (TestNoStartInDrainedZone, TestRandomHistoriesWithZoneDrains), start call to a drained zone (TestStartIsNotRepeatedIntoDrainedZone), assignment before confirmation (TestNewLeaderKnowsDrainedZones), start after an unconfirmed wait (TestHeldUpStartNeedsConfirmedDrains), advice (TestAllZonesDrained), the set is replaced (TestZoneTakenBackWhileHistoryIsDropped), peers (TestDrainIsKnownWhileLogRefusesHost).

--- a/host/configwatch.go
+++ b/host/configwatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/model"
@@ -33,6 +34,7 @@
 	client *platform.Client
 	log    *logrus.Entry
 
+	drains          zoneDrains
 	config          atomic.Pointer[model.Config]
 	rawConfig       atomic.Pointer[[]byte] // encoded form of config, as the platform wrote it
 	fetchFromPeers  func(ctx context.Context, have int64) (peerConfig, error)
@@ -44,6 +46,15 @@
 	logLost         bool         // the newest read of the log failed; used by run only
 }
 
+func newConfigWatch(client *platform.Client, log *logrus.Entry, metrics tally.Scope) *configWatch {
+	c := &configWatch{client: client, log: log, drains: zoneDrains{log: log, metrics: metrics}}
+	never := int64(boottime.Now() - time.Hour)
+	c.logReadAt.Store(never)
+	c.peerConfirmedAt.Store(never)
+	c.confirmedAt.Store(never)
+	return c
+}
+
 // Config returns the newest configuration known, or nil if there is none yet.
 func (c *configWatch) Config() *model.Config { return c.config.Load() }
 
@@ -55,15 +66,18 @@
 func (c *configWatch) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := boottime.Now()
-		err := c.readUpdates(ctx)
+		caughtUp, err := c.readUpdates(ctx)
 		c.logTransition(err)
 		if err != nil {
 			c.confirmThroughPeers(ctx)
 			boottime.Sleep(ctx, readRetryDelay)
 			continue
 		}
-		c.confirmedAt.Store(int64(sent))
 		c.logReadAt.Store(int64(sent))
+		if caughtUp {
+			c.drains.confirm(sent)
+			c.confirmedAt.Store(int64(sent))
+		}
 	}
 }
 
@@ -77,6 +91,7 @@
 	version int64
 	age     time.Duration // time since it was confirmed as the newest
 	raw     []byte        // empty if the version is not newer than the requested one
+	drains  *model.ZoneDrains
 }
 
 // confirmThroughPeers fetches and confirms the configuration through a host that reaches the
@@ -92,6 +107,9 @@
 	if err != nil {
 		return // the failed read of the log is logged already, and the age of the confirmation shows the rest
 	}
+	if got.drains != nil && c.drains.confirmedByPeer(*got.drains) {
+		c.snapshotRead = false
+	}
 	if len(got.raw) > 0 {
 		c.apply(platform.KeyConfig, got.raw)
 	}
@@ -124,9 +142,11 @@
 	}
 }
 
-func (c *configWatch) readUpdates(ctx context.Context) error {
+// readUpdates applies what operators have written since the newest read. caughtUp reports
+// whether the log holds nothing newer.
+func (c *configWatch) readUpdates(ctx context.Context) (caughtUp bool, err error) {
 	if !c.snapshotRead {
-		return c.readSnapshot(ctx)
+		return true, c.readSnapshot(ctx)
 	}
 	b, err := c.client.ReadLog(ctx, configTimeout, platform.Read{Topic: platform.TopicOperators, From: c.nextOffset, Wait: configWait})
 	var expired *platform.ExpiredError
@@ -134,10 +154,10 @@
 		// The log may drop its history at any time but retains the newest record of
 		// each key.
 		c.snapshotRead = false
-		return c.readSnapshot(ctx)
+		return true, c.readSnapshot(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	c.nextOffset += int64(len(b.Records))
 	for _, data := range b.Records {
@@ -148,14 +168,16 @@
 		}
 		c.apply(key, value)
 	}
-	return nil
+	return c.nextOffset >= b.End, nil
 }
 
+// readSnapshot reads the newest record of each key.
 func (c *configWatch) readSnapshot(ctx context.Context) error {
 	items, next, err := c.client.Newest(ctx, configTimeout, platform.TopicOperators)
 	if err != nil {
 		return err
 	}
+	c.drains.replaceAll()
 	for _, item := range items {
 		c.apply(item.Key, item.Value)
 	}
@@ -163,10 +185,12 @@
 	return nil
 }
 
-// apply puts a configuration in force unless it is no newer than the current one: a
-// read of all keys may return a version that an earlier read has already superseded.
+// apply applies a record of the operators' topic. A configuration is put in force unless it
+// is no newer than the current one: a read of all keys may return a version that an earlier
+// read has already superseded.
 func (c *configWatch) apply(key string, value []byte) {
 	if key != platform.KeyConfig {
+		c.drains.apply(key, value)
 		return
 	}
 	next, err := platform.DecodeConfig(value)
--- a/host/host.go
+++ b/host/host.go
@@ -85,11 +85,8 @@
 		helpers: newHelpers(s.LinkBps), peers: newPeers(platform.NewHTTPClient(connsPerAddress, meter)),
 	}
 	h.runCtx, h.cancelRun = context.WithCancel(context.Background())
-	h.config = &configWatch{client: client, log: h.log}
+	h.config = newConfigWatch(client, h.log, h.metrics)
 	h.config.fetchFromPeers = h.fetchConfigFromPeers
-	h.config.logReadAt.Store(int64(boottime.Now() - time.Hour))
-	h.config.peerConfirmedAt.Store(int64(boottime.Now() - time.Hour))
-	h.config.confirmedAt.Store(int64(boottime.Now() - time.Hour))
 	h.election = newElection(h)
 	h.intake = logwriter.New(client, logwriter.Target{
 		Topic: leader.TopicIntake, Parts: leader.IntakeParts, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, CallBytes: s.MaxAppendBytes,
@@ -238,11 +235,11 @@
 		Client: h.client, Fence: fence, CallBytes: h.settings.MaxAppendBytes, LinkBps: h.settings.LinkBps,
 		Options: region.Options{
 			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
-			LogRetention: h.settings.LogRetention, StatusRetention: h.settings.StatusRetention,
+			ZoneDrain: h.settings.ZoneDrain, LogRetention: h.settings.LogRetention, StatusRetention: h.settings.StatusRetention,
 			StartsPerS: startShare * float64(h.settings.LinkBps) / startBytes,
 		},
 		LinkLoad: func() float64 { return h.linkLoad.At(boottime.Now()) },
-		Config:   h.config.Config, Hosts: h.helpers.names, Advise: h.adviseThrough,
+		Config:   h.config.Config, ZoneDrains: h.config.drains.get, Hosts: h.helpers.names, Advise: h.adviseThrough,
 		Log: h.log, Metrics: h.metrics.SubScope("leader"),
 	}
 }
--- a/host/peers.go
+++ b/host/peers.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/hostrpc"
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/platform"
@@ -133,6 +134,9 @@
 	if config.Version > req.Msg.Version {
 		resp.Config = *raw
 	}
+	if d := h.config.drains.get(); d != nil {
+		resp.ZoneDrains = &hostrpc.ZoneDrains{Zones: d.Zones, AgeMs: ageOf(d).Milliseconds()}
+	}
 	return connect.NewResponse(resp), nil
 }
 
@@ -152,6 +156,7 @@
 		}
 	}()
 	for _, address := range h.election.otherHosts(maxPeerCalls) {
+		sent := boottime.Now()
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		resp, err := h.peers.helper(address).Config(callCtx, newRequest(&hostrpc.ConfigRequest{Version: have}))
 		cancel()
@@ -162,7 +167,11 @@
 		h.peerContact.succeeded()
 		lastErr = nil
 		m := resp.Msg
-		return peerConfig{version: m.Version, age: time.Duration(m.AgeMs) * time.Millisecond, raw: m.Config}, nil
+		got := peerConfig{version: m.Version, age: time.Duration(m.AgeMs) * time.Millisecond, raw: m.Config}
+		if d := m.ZoneDrains; d != nil {
+			got.drains = &model.ZoneDrains{Zones: d.Zones, ConfirmedAt: sent - time.Duration(d.AgeMs)*time.Millisecond}
+		}
+		return got, nil
 	}
 	return peerConfig{}, lastErr
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -95,11 +95,13 @@
 	CallBytes int                  // maximum size of an append
 	LinkBps   int64                // capacity of this host's link in bytes per second; 0 if unknown
 	Config    func() *model.Config // returns the newest configuration, or nil if there is none
-	Hosts     func() []string      // returns the hosts that can be asked for advice
-	Advise    Adviser
-	LinkLoad  func() float64 // returns the share of this host's link that is in use; nil if unknown
-	Log       *logrus.Entry
-	Metrics   tally.Scope
+	// ZoneDrains returns the newest confirmed set of drained zones, or nil if there is none.
+	ZoneDrains func() *model.ZoneDrains
+	Hosts      func() []string // returns the hosts that can be asked for advice
+	Advise     Adviser
+	LinkLoad   func() float64 // returns the share of this host's link that is in use; nil if unknown
+	Log        *logrus.Entry
+	Metrics    tally.Scope
 }
 
 // Leader runs the scheduler for one term of leadership of this host.
@@ -287,6 +289,7 @@
 	defer ticker.Stop()
 	var (
 		config *model.Config
+		drains *model.ZoneDrains
 		hosts  adviceHosts
 	)
 	for {
@@ -298,6 +301,10 @@
 			d.execute(sched.Handle(boottime.Now(), ev))
 			l.applyQueuedEvents(d, sched)
 		case due := <-ticker.C:
+			if z := l.cfg.ZoneDrains(); z != drains {
+				drains = z
+				d.execute(sched.Handle(boottime.Now(), region.ZoneDrainsRead{Drains: *z}))
+			}
 			if c := l.cfg.Config(); c != config {
 				config = c
 				d.execute(sched.Handle(boottime.Now(), region.ConfigRead{Config: c}))
--- a/region/advice.go
+++ b/region/advice.go
@@ -230,7 +230,7 @@
 	stale, unknown := 0, 0
 	neededUntil := s.now + st.adviceCost(len(s.workerList)) + adviceMargin
 	for _, w := range s.workerList {
-		if !w.listed || w.entry.Draining || !s.suits(st, w) {
+		if !w.listed || w.entry.Draining || s.drains.Contains(w.entry.Zone) || !s.suits(st, w) {
 			continue
 		}
 		m := st.advice.mark(w)
--- a/region/event.go
+++ b/region/event.go
@@ -30,6 +30,9 @@
 	// ConfigRead puts a configuration into force.
 	ConfigRead struct{ Config *model.Config }
 
+	// ZoneDrainsRead reports which zones operators drain.
+	ZoneDrainsRead struct{ Drains model.ZoneDrains }
+
 	// WorkerListed reports a new or changed entry of the host list.
 	WorkerListed struct{ Entry model.WorkerEntry }
 
@@ -96,6 +99,7 @@
 func (EntriesRead) isEvent()        {}
 func (Lead) isEvent()               {}
 func (ConfigRead) isEvent()         {}
+func (ZoneDrainsRead) isEvent()     {}
 func (WorkerListed) isEvent()       {}
 func (WorkerUnlisted) isEvent()     {}
 func (Committed) isEvent()          {}
--- a/region/pass.go
+++ b/region/pass.go
@@ -29,7 +29,7 @@
 	}
 	s.lastPass = s.now
 	s.dirty = false
-	if !s.leadershipConfirmed() || s.logStalled() || s.linkLoad > overfullLink {
+	if !s.leadershipConfirmed() || !s.drainsConfirmed() || s.logStalled() || s.linkLoad > overfullLink {
 		return
 	}
 	s.pacer.refill(s.opts.StartsPerS, s.now)
@@ -84,6 +84,14 @@
 	return !st.demand().Fits(of.unreserved)
 }
 
+// infeasibleReason names what an infeasible step waits for.
+func (s *Scheduler) infeasibleReason(st *step) string {
+	if _, usable := s.freeBounds.byService[st.job.rec.Policy.GetService()]; !usable && len(s.drains.Zones) > 0 {
+		return reasonNames[rejectZone]
+	}
+	return reasonNames[rejectRoom]
+}
+
 func (s *Scheduler) computeFreeBounds() {
 	s.freeBounds = freeBounds{valid: true, byService: make(map[string]*serviceFreeBounds)}
 	var (
@@ -193,7 +201,7 @@
 		}
 		reserving := st.rec.Gang && gangs < maxFirmReservations+maxSoftReservations && (gangs < maxFirmReservations || c <= classOverShare)
 		if !reserving && s.infeasible(st) {
-			st.heldBy = reasonNames[rejectRoom]
+			st.heldBy = s.infeasibleReason(st)
 			s.preemptFor(st)
 			if c <= classOverShare {
 				s.requestFirstAdvice(st)
--- a/region/place.go
+++ b/region/place.go
@@ -8,6 +8,7 @@
 const (
 	fits reason = iota
 	rejectService
+	rejectZone
 	rejectState
 	rejectLabel
 	rejectAdvice
@@ -19,7 +20,7 @@
 	numReasons
 )
 
-var reasonNames = [numReasons]string{"fits", "service", "state", "label", "advice", "room", "spread", "interference", "reserved", "apart"}
+var reasonNames = [numReasons]string{"fits", "service", "zone", "state", "label", "advice", "room", "spread", "interference", "reserved", "apart"}
 
 // rejectionCounts counts workers by the filter that rejected them.
 type rejectionCounts [numReasons]int
@@ -27,8 +28,8 @@
 // summary names the filter that rejected the most workers of the step's service, or the
 // service filter if there are none.
 func (r *rejectionCounts) summary() string {
-	best := rejectState
-	for i := rejectState; i < numReasons; i++ {
+	best := rejectZone
+	for i := rejectZone; i < numReasons; i++ {
 		if r[i] > r[best] {
 			best = i
 		}
@@ -118,6 +119,8 @@
 	switch {
 	case w.entry.Service != st.job.rec.Policy.GetService():
 		return rejectService
+	case s.drains.Contains(w.entry.Zone):
+		return rejectZone
 	case !s.usable(w):
 		return rejectState
 	case !st.demand().Fits(w.free()) || s.lateStartRoom(st, w) == 0:
@@ -157,7 +160,7 @@
 
 // usable reports whether the worker may get new work at all.
 func (s *Scheduler) usable(w *worker) bool {
-	return w.listed && !w.entry.Draining && w.fenced && !w.overdue && !w.silent &&
+	return w.listed && !w.entry.Draining && !s.drains.Contains(w.entry.Zone) && w.fenced && !w.overdue && !w.silent &&
 		s.now-w.probedAt < maxProbeAge && s.now >= w.pausedUntil && w.health.healthy(s.now)
 }
 
--- a/region/region.go
+++ b/region/region.go
@@ -34,6 +34,7 @@
 type Options struct {
 	MaxLease        time.Duration // workers shorten a longer lease to this
 	Lease           time.Duration // the longest lease that the scheduler grants
+	ZoneDrain       time.Duration // maximum time until no task starts in a drained zone; 0 for no bound
 	LogRetention    time.Duration // age at which records of the log expire
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	StartsPerS      float64       // starts per second that the driver's link carries beside its other traffic; 0 for no limit
@@ -70,6 +71,7 @@
 	fence  int64 // fencing token of this leadership; 0 before it
 
 	config *model.Config
+	drains zoneDrains
 	jobs   map[string]*job
 	// cancelledEarly holds when cancellations were read whose jobs have not been read
 	// yet.
@@ -156,6 +158,8 @@
 			s.adviceTiers = adviceTiersOf(ev.Config)
 		}
 		s.dirty = true
+	case ZoneDrainsRead:
+		s.drainsRead(ev.Drains)
 	case WorkerListed:
 		s.workerListed(ev.Entry)
 	case WorkerUnlisted:
@@ -277,6 +281,7 @@
 	if !s.leading() {
 		return
 	}
+	s.checkDrainAge()
 	s.addDueOccurrences()
 	s.expireRuns()
 	s.settleLateStarts()
--- a/region/start.go
+++ b/region/start.go
@@ -31,6 +31,10 @@
 		s.abortStart(r, "the log was not reached lately")
 		return
 	}
+	if why := s.drainForbids(r.worker); why != "" {
+		s.abortStart(r, why)
+		return
+	}
 	if r.leaseUntil == 0 {
 		r.leaseUntil = s.grantLease(r.worker)
 	}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -28,6 +28,7 @@
 	linkLoad    float64        // share of the leader's link in use
 	longRunning bool           // the tasks are long-running: one that is done may be started again
 	adviceCalls int            // number of Advise calls
+	drains      *drainWorld    // zones that operators drain; nil without drains and their checks
 	strict      *strict        // state of a strict history; nil without the strict faults and checks
 	advice      *adviceService // nil: each call is answered within its expected duration
 
@@ -113,6 +114,14 @@
 	}
 }
 
+func (w *world) options() Options {
+	o := testOptions()
+	if w.drains != nil {
+		o.ZoneDrain = testZoneDrain
+	}
+	return o
+}
+
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
@@ -160,7 +169,7 @@
 func (w *world) startLeader() {
 	w.generation++
 	w.fence++
-	w.sched = New(testOptions())
+	w.sched = New(w.options())
 	if w.strict != nil {
 		w.strict.noteCancellations(w.intake)
 	}
@@ -169,6 +178,7 @@
 	w.step(EntriesRead{Entries: w.entries})
 	w.step(Lead{Fence: w.fence})
 	w.step(ConfigRead{Config: w.config()})
+	w.readDrains(w.generation)
 	w.step(AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
 	for _, id := range w.names {
 		w.deliverListing(w.workers[id])
@@ -248,6 +258,7 @@
 		w.states[c.Job] = c.State
 	case Start:
 		w.checkNotCancelled(c.Request)
+		w.checkDrainKnown(c.Request)
 		w.call(generation, "start", c.After, c.Request.Worker, func(fw *fakeWorker) CallError { return w.start(fw, c.Request) },
 			func(e CallError) Event { return StartAnswered{Request: c.Request, Err: e} })
 	case Stop:
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -74,6 +74,7 @@
 	}
 	step := j.Steps[o.Task.Step]
 	w.checkStrictStart(fw, o, j)
+	w.checkDrainedStart(fw, o)
 	r := &fakeRun{number: o.Run, request: model.ResourcesOf(step.Request), startedAt: w.now, checkpoint: o.Checkpoint}
 	fw.runs[o.Task] = r
 	w.starts[o.Task]++
