region: learn run times from observed progress, not from ends

Cause: the run of an earlier leader counted as started when the new leader first saw it, so that each of its ends taught a run time that was far too short; and the first ends that any leader sees are those of the shortest runs. A new leader therefore took healthy runs for stragglers.

Change: each run teaches its run time once, projected from the progress that this leader has observed, after the same 0.3 s for all runs; a run that ends sooner or slower than that teaches it at its end, scaled to the part that was observed. Stragglers are compared with the median of the last 50 such run times: with the mean, a few slow workers, whose runs are now seen as early as all others, hide themselves (TestUrgentTasksAreMovedOffSlowWorker was red with it). Their own projection is the lowest that whole percents allow.

Learned state in the log was not built: what runs tells it within a second.

--- a/region/learn.go
+++ b/region/learn.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/model"
@@ -17,11 +18,21 @@
 type queueEstimate struct {
 	ratio   float64       // running mean of observed over declared run time
 	usual   time.Duration // running mean of observed run times; 0 before the first
-	samples float64       // ends in the means, at most estimateWindow
+	samples float64       // runs in the means, at most estimateWindow
+
+	recent  [estimateWindow]sample // the newest runs, in a ring
+	next    int
+	typical sample // medians of recent
+}
+
+// sample is the run time of a run, and its ratio to the declared one.
+type sample struct {
+	ratio   float64
+	runTime time.Duration
 }
 
 const (
-	// estimateWindow is how many ends a running mean spans.
+	// estimateWindow is how many runs a running mean spans.
 	estimateWindow = 50
 	// fallbackRunTime is assumed where no run time was declared.
 	fallbackRunTime = time.Second
@@ -39,13 +50,38 @@
 	return q
 }
 
+// add adds an observed run time of a task that declared another one.
+func (q *queueEstimate) add(observed, declared time.Duration) {
+	q.samples = min(q.samples+1, estimateWindow)
+	q.ratio += (float64(observed)/float64(declared) - q.ratio) / q.samples
+	q.usual += time.Duration(float64(observed-q.usual) / q.samples)
+	q.recent[q.next%estimateWindow] = sample{ratio: float64(observed) / float64(declared), runTime: observed}
+	q.next++
+	q.typical = medians(q.recent[:min(q.next, estimateWindow)])
+}
+
+// medians returns the median ratio and the median run time of samples.
+func medians(samples []sample) sample {
+	ratios, runTimes := make([]float64, len(samples)), make([]time.Duration, len(samples))
+	for i, x := range samples {
+		ratios[i], runTimes[i] = x.ratio, x.runTime
+	}
+	slices.Sort(ratios)
+	slices.Sort(runTimes)
+	return sample{ratio: ratios[len(ratios)/2], runTime: runTimes[len(runTimes)/2]}
+}
+
 // runTime returns the expected run time of a task of the step.
 func (j *job) runTime(st *record.Step) time.Duration {
-	declared := time.Duration(st.EstimateMs) * time.Millisecond
-	if declared <= 0 {
-		declared = fallbackRunTime
+	return time.Duration(float64(declaredRunTime(st)) * j.queue.ratio)
+}
+
+// declaredRunTime returns the run time that the caller declared for a task of the step.
+func declaredRunTime(st *record.Step) time.Duration {
+	if declared := time.Duration(st.EstimateMs) * time.Millisecond; declared > 0 {
+		return declared
 	}
-	return time.Duration(float64(declared) * j.queue.ratio)
+	return fallbackRunTime
 }
 
 // expectedEnd returns when a run is expected to end; the run of a long-running task
@@ -67,17 +103,7 @@
 	switch outcome {
 	case record.Outcome_OUTCOME_DONE:
 		r.worker.health.done()
-		if r.startedAt > 0 && r.task.step.rec.EstimateMs > 0 {
-			q := r.task.step.job.queue
-			took := s.now - r.startedAt
-			if r.task.checkpoint == "" {
-				r.task.runTime, r.task.ranOn = took, r.worker
-			}
-			observed := float64(took) / float64(time.Duration(r.task.step.rec.EstimateMs)*time.Millisecond)
-			q.samples = min(q.samples+1, estimateWindow)
-			q.ratio += (observed - q.ratio) / q.samples
-			q.usual += time.Duration(float64(took-q.usual) / q.samples)
-		}
+		s.learnFromEnd(r)
 	case record.Outcome_OUTCOME_FAILED:
 		r.worker.health.failed(s.now)
 		if !r.worker.health.healthy(s.now) {
@@ -100,6 +126,8 @@
 	if row.Percent != r.percent || r.progressedAt == 0 {
 		r.percent = row.Percent
 		r.progressedAt = s.now
+		r.observeProgress(s.now)
+		s.sampleRunTime(r)
 		if !st.Gang && !st.LongRunning && s.isStraggler(r) {
 			r.task.movedOffSlow = true
 			r.worker.health.stalled(s.now)
@@ -119,11 +147,8 @@
 	// take to count as a straggler. Real run times reach two and a half times their
 	// mean, and healthy workers are up to 1.6 times as fast as each other.
 	stragglerFactor = 4
-	// stragglerMinRunTime is how long a run must have run before its progress is
-	// projected.
-	stragglerMinRunTime = 300 * time.Millisecond
-	// stragglerMinSamples is how many ends of a queue are needed before its run times
-	// are used for this.
+	// stragglerMinSamples is how many observed runs of a queue are needed before its run
+	// times are used for this.
 	stragglerMinSamples = 10
 )
 
@@ -134,15 +159,15 @@
 // A task is moved at most once. One that really takes that long would otherwise be
 // stopped again and again and never end.
 func (s *Scheduler) isStraggler(r *run) bool {
-	ran := s.now - r.startedAt
 	st := r.task.step
 	queue := st.job.queue
-	if r.phase != phaseRunning || r.percent <= 0 || ran < stragglerMinRunTime || r.task.movedOffSlow || queue.samples < stragglerMinSamples {
+	projected, ok := r.minProjectedRunTime(s.now)
+	if !ok || r.phase != phaseRunning || r.task.movedOffSlow || queue.samples < stragglerMinSamples {
 		return false
 	}
-	expected := max(st.job.runTime(st.rec), queue.usual)
-	projected := ran * 100 / time.Duration(r.percent)
-	return projected > stragglerFactor*expected && projected-ran > expected+restartTime
+	expected := max(time.Duration(float64(declaredRunTime(st.rec))*queue.typical.ratio), queue.typical.runTime)
+	left := projected * time.Duration(100-r.percent) / 100
+	return projected > stragglerFactor*expected && left > expected+restartTime
 }
 
 const (
--- a/region/run.go
+++ b/region/run.go
@@ -46,6 +46,8 @@
 	logged           bool // its assignment is in the log
 	pathUnchecked    bool // its worker has yet to answer the call of checkPath
 	idle             bool // its end is deferred, and it does not use its room
+	resumed          bool // it starts from a checkpoint
+	observed         observation
 	percent          int
 	progressedAt     time.Duration // when percent last changed
 }
@@ -135,7 +137,7 @@
 // assign places a waiting task on a worker. The start is sent once the assignment is in the
 // log, so that the next leader knows every run that may be alive.
 func (s *Scheduler) assign(t *task, w *worker, number int32) {
-	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now}
+	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now, resumed: t.checkpoint != ""}
 	if mark := t.step.advice.mark(w); mark != nil {
 		r.ticket = mark.ticket
 	}
--- a/region/start.go
+++ b/region/start.go
@@ -151,6 +151,7 @@
 
 // confirm marks the run as running on its worker.
 func (s *Scheduler) confirm(r *run) {
+	r.observeFromStart(s.now)
 	r.phase = phaseRunning
 	r.startedAt = s.now
 	r.endsAt = r.expectedEnd()
