region: a probe acknowledges the ends of the answer before it

Cause: the next probe was built when the answer to the last one came, a pause before it was sent. The ends of that answer were not in the log then, so that it did not acknowledge them; the worker still listed them, could not wait for another end, and answered at once with nothing new. Each group of ends cost two probes, and during an outage of the log every worker with an end was probed ten times a second.

Change: a probe that follows new ends is built once their records are committed, and sent after the rest of its pause, at the latest after 0.4 s: leases are renewed also while the log commits nothing.

Tests, red before: TestProbesAcknowledgeTheEndsOfTheLastAnswer, TestProbesWhileLogCommitsNothing (the latter also with the late sending taken out: a lease lapses).

--- a/region/endlog.go
+++ b/region/endlog.go
@@ -37,6 +37,10 @@
 	delete(l.pending, number)
 }
 
+// uncommitted reports whether the log lacks the record of an end that was applied. Ends that are
+// deferred have none yet.
+func (l *endLog) uncommitted() bool { return len(l.pending) == 0 && l.highest > l.committed }
+
 // unacked returns the highest number that may be acknowledged and was not, or 0.
 func (l *endLog) unacked() int64 {
 	number := l.committed
--- a/region/probe.go
+++ b/region/probe.go
@@ -25,6 +25,10 @@
 	// starts and advice would wait behind them.
 	pausePerDelay = 8
 	maxProbePause = 300 * time.Millisecond
+	// unackedProbePause is the pause after an answer with ends that the log does not commit. A
+	// worker answers at once as long as it lists an end, so that a probe without the
+	// acknowledgement tells nothing new. It leaves room for a second probe within shortLease.
+	unackedProbePause = 400 * time.Millisecond
 	// busyLink is the share of the leader's link in use above which the pause grows as
 	// well. It reaches maxProbePause at fullLink, where starts and appends would wait
 	// behind probes.
@@ -50,6 +54,7 @@
 // and which have ended. One probe at a time is in flight for a worker, so that answers
 // arrive in order.
 func (s *Scheduler) probe(w *worker, after time.Duration) {
+	w.probeHeldAt = 0
 	if w.probing || !s.leading() || w.entry.Address == "" {
 		return
 	}
@@ -103,15 +108,43 @@
 		s.probeAgain(w, probeRetry)
 		return
 	}
-	s.readProbe(w, ev)
+	newEnds := s.readProbe(w, ev)
 	if w.probeMissed {
 		w.probeMissed = false
 		s.probeAgain(w, 0)
 		return
 	}
+	if newEnds > 0 || w.ends.uncommitted() {
+		s.probeAfterCommit(w)
+		return
+	}
 	s.probeAgain(w, s.probePause())
 }
 
+// probeAfterCommit sends the next probe of a worker once the ends that it lists are in the log,
+// so that the probe acknowledges them, or after unackedProbePause.
+func (s *Scheduler) probeAfterCommit(w *worker) {
+	w.probeHeldAt = s.now
+	s.afterCommit(s.seq, func() { s.sendHeldProbe(w) })
+}
+
+// sendHeldProbe sends a probe that probeAfterCommit holds, after the rest of its pause.
+func (s *Scheduler) sendHeldProbe(w *worker) {
+	if w.probeHeldAt > 0 {
+		s.probeAgain(w, max(0, s.probePause()-(s.now-w.probeHeldAt)))
+	}
+}
+
+// sendOverdueProbes sends the probes that have been held for too long. Leases must be renewed
+// although the log commits nothing.
+func (s *Scheduler) sendOverdueProbes() {
+	for i := len(s.workerList) - 1; i >= 0; i-- { // sendHeldProbe may remove the worker
+		if w := s.workerList[i]; w.probeHeldAt > 0 && s.now-w.probeHeldAt >= unackedProbePause {
+			s.sendHeldProbe(w)
+		}
+	}
+}
+
 // otherIncarnation ends the known incarnation of a worker after another one has answered
 // in its place. The worker gets no work until the host list has an entry of the new
 // incarnation, which may differ in kind or size.
@@ -139,7 +172,8 @@
 	s.probe(w, after)
 }
 
-func (s *Scheduler) readProbe(w *worker, ev ProbeAnswered) {
+// readProbe applies an answered probe and returns how many ends it lists that were not known.
+func (s *Scheduler) readProbe(w *worker, ev ProbeAnswered) (newEnds int) {
 	w.clockMs, w.clockAt = ev.Response.ClockMs, s.now
 	if !w.fenced {
 		w.fenced = true
@@ -152,7 +186,9 @@
 	w.endsListed = len(ev.Response.Ended)
 	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
-		s.readEnd(w, e)
+		if s.readEnd(w, e) {
+			newEnds++
+		}
 	}
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
 	for _, row := range ev.Response.Running {
@@ -163,19 +199,22 @@
 		s.endUnlisted(w, listed, ev.SentAt)
 		s.retryUnlisted(w, true)
 	}
+	return newEnds
 }
 
-func (s *Scheduler) readEnd(w *worker, e model.End) {
+// readEnd applies a listed end and reports whether it is applied now for the first time.
+func (s *Scheduler) readEnd(w *worker, e model.End) bool {
 	ends := w.ends
 	if !ends.isNew(e.Number) {
-		return
+		return false
 	}
 	if !s.runEnded(w, e) {
 		ends.deferred(e.Number)
-		return
+		return false
 	}
 	ends.applied(e.Number)
 	s.afterCommit(s.seq, func() { ends.inLog(e.Number) })
+	return true
 }
 
 // acknowledgement returns up to which end a probe acknowledges, or 0 for none.
--- a/region/region.go
+++ b/region/region.go
@@ -284,6 +284,7 @@
 	s.checkDrainAge()
 	s.addDueOccurrences()
 	s.expireRuns()
+	s.sendOverdueProbes()
 	s.settleLateStarts()
 	s.expirePathChecks()
 	s.departed.expire(s.now)
--- a/region/worker.go
+++ b/region/worker.go
@@ -30,6 +30,7 @@
 	inheritedUntil time.Duration   // latest end of leases granted by an earlier leader
 	fenced         bool            // it has answered a probe with the present fencing token
 	probing        bool            // a probe is in flight
+	probeHeldAt    time.Duration   // since when the next probe waits for a commit; 0 if none does
 	probeMissed    bool            // the newest probe got no answer
 	lossyUntil     time.Duration   // lossyWait applies before this time
 	probedAt       time.Duration   // when the newest answered probe was sent
@@ -218,6 +219,7 @@
 // forget removes a worker that has left and has no runs.
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
+	w.probeHeldAt = 0
 	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), s.now)
 	s.slots.release(w.slot)
 	for i, o := range s.workerList {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -16,21 +16,22 @@
 // that follow the call protocol, and the advice service. It checks the scheduler's
 // safety invariants at every step.
 type world struct {
-	t           *testing.T
-	rng         *rand.Rand
-	now         time.Duration
-	events      eventHeap
-	lastSeq     int64
-	sched       *Scheduler
-	generation  int // number of the current scheduler; answers to earlier ones are dropped
-	fence       int64
-	logDown     bool
-	linkLoad    float64        // share of the leader's link in use
-	longRunning bool           // the tasks are long-running: one that is done may be started again
-	adviceCalls int            // number of Advise calls
-	drains      *drainWorld    // zones that operators drain; nil without drains and their checks
-	strict      *strict        // state of a strict history; nil without the strict faults and checks
-	advice      *adviceService // nil: each call is answered within its expected duration
+	t                *testing.T
+	rng              *rand.Rand
+	now              time.Duration
+	events           eventHeap
+	lastSeq          int64
+	sched            *Scheduler
+	generation       int // number of the current scheduler; answers to earlier ones are dropped
+	fence            int64
+	logDown          bool
+	linkLoad         float64        // share of the leader's link in use
+	longRunning      bool           // the tasks are long-running: one that is done may be started again
+	repeatedListings int            // answers to probes that list no end which earlier ones did not
+	adviceCalls      int            // number of Advise calls
+	drains           *drainWorld    // zones that operators drain; nil without drains and their checks
+	strict           *strict        // state of a strict history; nil without the strict faults and checks
+	advice           *adviceService // nil: each call is answered within its expected duration
 
 	intake         []*record.Intake
 	entries        []*record.Entry
@@ -59,7 +60,8 @@
 	ends         []model.End
 	nextEnd      int64
 	until        int64
-	voidEnds     int // how many ends at the front of ends a lease expiry has made void
+	listedEnds   int64 // highest number of an end in an answer to a probe
+	voidEnds     int   // how many ends at the front of ends a lease expiry has made void
 	unreachable  bool
 	hangs        bool               // tasks start but make no progress
 	slowdown     time.Duration      // factor by which tasks take longer; 0 for 1
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -252,6 +252,13 @@
 				RunID: model.RunID{Task: id, Run: r.number}, Checkpoint: w.save(id, r), Percent: fw.percent(w.now, r),
 			})
 		}
+		if len(fw.ends) > 0 {
+			newest := fw.ends[len(fw.ends)-1].Number
+			if newest <= fw.listedEnds {
+				w.repeatedListings++
+			}
+			fw.listedEnds = newest
+		}
 		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
 		return CallOK
 	}, func(e CallError) Event { return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e} })
