region: a job that was shown as ended keeps that state under the next leader

Callers saw a job as completed and, after a change of leader, as cancelled; or as failed and then as running.

Cause: the replay reads the intake before the entries, so that a cancellation that came after the end of its job cancelled it; and `failed` was shown before the record of the failing end was in the log.

The new check of the model, on all random histories, was red on the code before for completed to cancelled, and with that mended for failed to running.

Change: replayed cancellations are applied after the entries, to jobs that have not ended; ends of a cancelled job's runs are recorded as stopped, so that the order can be told from the log; `failed` waits for its commit as `completed` does.

Guards broken by hand, each red: deferred cancellations, outcome recorded as stopped (TestTasksThatEndAfterCancelDoNotChangeState), state after commit (TestRandomHistories).

--- a/region/end.go
+++ b/region/end.go
@@ -33,6 +33,7 @@
 
 // recordEnd appends the end of a run to the log and applies it.
 func (s *Scheduler) recordEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
+	outcome = t.step.job.outcomeToRecord(outcome)
 	s.append(&record.Entry{Kind: &record.Entry_Ended{Ended: &record.Ended{
 		Task: t.id().Record(), Run: number, Outcome: outcome, Checkpoint: checkpoint,
 	}}})
--- a/region/job.go
+++ b/region/job.go
@@ -22,6 +22,7 @@
 	nextOcc       int32         // first occurrence that has not been created
 	remainingOccs int           // occurrences with tasks that are not done
 	state         State         // last published
+	closed        bool          // its end may be shown
 	endedAt       time.Duration
 }
 
@@ -228,12 +229,50 @@
 		s.cancelledEarly[id] = s.now
 		return
 	}
+	if !s.leading() {
+		s.replayedCancels = append(s.replayedCancels, j)
+		return
+	}
 	if j.ended() {
 		return
 	}
 	j.cancelled = true
 	s.explain(id, "cancelled", Field{"queue", j.rec.Queue})
-	s.closeJob(j)
+	s.stopJob(j)
+	s.jobEnded(j)
+}
+
+// applyReplayedCancels cancels the jobs whose cancellations were replayed, unless they have
+// ended. Their runs are stopped when their workers list them.
+//
+// The guard is against a job that is shown as completed or failed and, by the next leader, as
+// cancelled. The intake is replayed before the entries, but a cancellation may have come after
+// the end of its job. A job that was cancelled first does not end otherwise in the entries
+// (outcomeToRecord).
+func (s *Scheduler) applyReplayedCancels() {
+	for _, j := range s.replayedCancels {
+		if j.ended() {
+			continue
+		}
+		j.cancelled = true
+		for _, occ := range j.occs {
+			for _, st := range occ.steps {
+				s.dequeue(st)
+			}
+		}
+		s.jobEnded(j)
+	}
+	s.replayedCancels = nil
+}
+
+// outcomeToRecord returns the outcome under which an end is recorded. The ends of a cancelled
+// job count for nothing: recorded as done or failed, they could complete or fail it for the
+// next leader.
+func (j *job) outcomeToRecord(outcome record.Outcome) record.Outcome {
+	if j.cancelled && outcome != record.Outcome_OUTCOME_LOST {
+		return record.Outcome_OUTCOME_STOPPED
+	}
+	return outcome
 }
 
 // fail ends a job because task t has used up its attempts.
@@ -243,11 +282,12 @@
 	}
 	j.failed = true
 	s.explain(j.rec.Id, "failed", Field{"step", t.step.index}, Field{"task", t.index}, Field{"attempts", t.attempts})
-	s.closeJob(j)
+	s.stopJob(j)
+	s.jobEndedOnceCommitted(j)
 }
 
-// closeJob stops the remaining runs of a job that was cancelled or has failed.
-func (s *Scheduler) closeJob(j *job) {
+// stopJob stops the remaining runs of a job that was cancelled or has failed.
+func (s *Scheduler) stopJob(j *job) {
 	for _, occ := range j.occs {
 		for _, st := range occ.steps {
 			s.dequeue(st)
@@ -258,10 +298,24 @@
 			}
 		}
 	}
-	s.jobEnded(j)
+}
+
+// jobEndedOnceCommitted publishes the end of a job once the end of the run that decided it is in
+// the log: a state that callers have read must survive the loss of every host.
+func (s *Scheduler) jobEndedOnceCommitted(j *job) {
+	if !s.leading() {
+		s.jobEnded(j)
+		return
+	}
+	s.afterCommit(s.seq, func() { s.jobEnded(j) })
 }
 
 func (s *Scheduler) jobEnded(j *job) {
+	if s.leading() && j.complete() && !j.failed && !j.cancelled {
+		s.explain(j.rec.Id, "completed", Field{"after_ms", (s.now - j.acceptedAt).Milliseconds()},
+			Field{"objective_ms", j.objective.Milliseconds()})
+	}
+	j.closed = true
 	j.endedAt = s.now
 	s.finished = append(s.finished, j)
 	s.publish(j)
@@ -280,11 +334,11 @@
 
 func (j *job) currentState() State {
 	switch {
-	case j.cancelled:
+	case j.closed && j.cancelled:
 		return StateCancelled
-	case j.failed:
+	case j.closed && j.failed:
 		return StateFailed
-	case j.complete():
+	case j.closed:
 		return StateCompleted
 	case j.hasBegun():
 		return StateRunning
@@ -292,9 +346,7 @@
 	return StateQueued
 }
 
-// taskDone marks a task done. If that completes the job, the new state is published
-// only once the end is committed: a state that callers have read must survive the loss
-// of every host.
+// taskDone marks a task done.
 func (s *Scheduler) taskDone(t *task) {
 	if t.done {
 		return
@@ -318,15 +370,7 @@
 	if !j.complete() || j.failed || j.cancelled {
 		return
 	}
-	if !s.leading() {
-		s.jobEnded(j)
-		return
-	}
-	s.afterCommit(s.seq, func() {
-		s.explain(j.rec.Id, "completed", Field{"after_ms", (s.now - j.acceptedAt).Milliseconds()},
-			Field{"objective_ms", j.objective.Milliseconds()})
-		s.jobEnded(j)
-	})
+	s.jobEndedOnceCommitted(j)
 }
 
 // hasBegun reports whether a task of the job has started. A run assigned by an earlier
--- a/region/region.go
+++ b/region/region.go
@@ -76,23 +76,25 @@
 	// cancelledEarly holds when cancellations were read whose jobs have not been read
 	// yet.
 	cancelledEarly map[string]time.Duration
-	workers        map[string]*worker
-	departed       departed
-	workerList     []*worker // workers in a stable order
-	slots          slotAllocator
-	usableNow      []*worker // workers that can take new work, in this pass
-	fittingBuf     []*worker // result buffer of fitting
-	ready          readyList // steps with waiting tasks, most urgent first
-	used           map[string]model.Resources
-	advisers       advisers
-	adviceTiers    adviceTiers
-	periodic       []*job // jobs with further occurrences
-	written        []*job // jobs in the order of writtenAt
-	finished       []*job // jobs in the order they ended
-	lateStartRuns  []*run // runs of awaitLateStart
-	pathChecks     []*run // runs of checkPath
-	estimates      estimates
-	shares         shares
+	// replayedCancels are the jobs whose cancellations were read before leadership began.
+	replayedCancels []*job
+	workers         map[string]*worker
+	departed        departed
+	workerList      []*worker // workers in a stable order
+	slots           slotAllocator
+	usableNow       []*worker // workers that can take new work, in this pass
+	fittingBuf      []*worker // result buffer of fitting
+	ready           readyList // steps with waiting tasks, most urgent first
+	used            map[string]model.Resources
+	advisers        advisers
+	adviceTiers     adviceTiers
+	periodic        []*job // jobs with further occurrences
+	written         []*job // jobs in the order of writtenAt
+	finished        []*job // jobs in the order they ended
+	lateStartRuns   []*run // runs of awaitLateStart
+	pathChecks      []*run // runs of checkPath
+	estimates       estimates
+	shares          shares
 
 	entries          []*record.Entry  // entries produced by this call of Handle
 	seq              int64            // number of the last entry produced
@@ -257,6 +259,7 @@
 // lead begins leadership. Runs of earlier leaders are confirmed when their workers
 // answer.
 func (s *Scheduler) lead(fence int64) {
+	s.applyReplayedCancels()
 	s.fence = fence
 	s.leadSince = s.now
 	s.lastProofAt = s.now
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -257,6 +257,10 @@
 	case Append:
 		w.append(generation, c)
 	case Publish:
+		if !w.sched.leading() {
+			break // states are not shown while loading
+		}
+		w.checkFinalState(c)
 		w.states[c.Job] = c.State
 	case Start:
 		w.checkNotCancelled(c.Request)
@@ -275,6 +279,15 @@
 	}
 }
 
+// checkFinalState checks that the state of a job that has ended does not change.
+func (w *world) checkFinalState(p Publish) {
+	before := w.states[p.Job]
+	ended := before == StateCompleted || before == StateFailed || before == StateCancelled
+	if ended && p.State != before && p.State != StateUnknown {
+		w.fatal("job %s was shown as %v, and is now shown as %v", p.Job, before, p.State)
+	}
+}
+
 func (w *world) append(generation int, c Append) {
 	w.pendingAppends = append(w.pendingAppends, pendingAppend{generation, c, w.now})
 	w.after(testDelay, w.flushLog)
