region: a start that may be late is awaited at an address that another worker has taken

Callers would see a task run again after its job was completed: a start is held up, another worker has the address for a moment, the first one is back there under its id within 13 s and executes the start.

Cause: the entry of another worker at the address settled all open starts to it, as that worker refuses calls that name the earlier id. It does so only for as long as it is there.

Which test is right: TestLateStartAfterAnotherWorkerAtAddress asks for a wait, TestNoWaitForLateStartAtReassignedAddress asked for none. The second test is replaced by one as strict, TestLateStartAtReassignedAddressIsAwaited: no run elsewhere while the start may be executed, one run once it cannot be any more.

Cost: an unanswered start of a queue without advice to such a worker waits up to 23 s.

--- a/region/late_start_test.go
+++ b/region/late_start_test.go
@@ -131,15 +131,19 @@
 	}
 }
 
-// Guards against a wait for a start at an address that now belongs to another worker, which
-// refuses calls that name the earlier id.
-func TestNoWaitForLateStartAtReassignedAddress(t *testing.T) {
+// Guards against a task that runs twice: another worker has the address of a start that may
+// still be executed, and the worker that the start names may have the address again before that.
+func TestLateStartAtReassignedAddressIsAwaited(t *testing.T) {
 	w, fw := lateStartWorld(t, time.Hour, &record.Step{Count: 1})
 	next := fw.entry
 	next.ID, next.BornUnix = "w3", 2
 	fw.unreachable = true
 	w.deliver(WorkerListed{Entry: next})
-	w.run(200 * time.Millisecond)
+	w.run(lateCallWindow - time.Second)
+	if n := len(w.workers["w2"].runs); n != 0 {
+		t.Errorf("%d runs on w2 while the start may still be executed", n)
+	}
+	w.run(time.Second + maxSendDelay + w.sched.maxLease() + 2*lapseMargin)
 	if n := len(w.workers["w2"].runs); n != 1 {
 		t.Errorf("%d runs on w2, want 1", n)
 	}
--- a/region/worker.go
+++ b/region/worker.go
@@ -145,12 +145,6 @@
 		if w.entry.Address != e.Address || w.entry.ID == e.ID || w.entry.BornUnix >= e.BornUnix {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
-			r.calls.settle() // the new process refuses calls that name the earlier id
-			if r.phase == phaseLateStart {
-				s.markLost(r, "its worker has left")
-			}
-		}
 		s.endIncarnation(w)
 		w.listed = false
 	}
