region: round reported progress, and do not take a run for late that may not be

Cause: progress is reported in whole percent, rounded down, so that run times projected from it are too long: by a tenth at 5%.

Change: half a percent is added to progress since a start; the end of a run is estimated from when its progress was reported, and a run counts as late only if it seems so by more than a preemption costs it.

--- a/region/preemptgang.go
+++ b/region/preemptgang.go
@@ -121,9 +121,9 @@
 		return false
 	}
 	runTime := st.runTimeOn(r.worker)
-	end := s.now + runTime*time.Duration(100-min(r.percent, 100))/100
+	end := r.progressedAt + runTime*time.Duration(100-min(r.percent, 100))/100
 	for _, latest := range [...]time.Duration{st.latestStart + runTime, st.latestForCredit + runTime} {
-		if end <= latest {
+		if end <= latest+preemptCost { // the end is an estimate: one that seems late may not be
 			return end+preemptCost <= latest
 		}
 	}
--- a/region/progress.go
+++ b/region/progress.go
@@ -26,6 +26,15 @@
 	sampled     bool // its run time is in the estimates of its queue
 }
 
+// rounding returns by how many percent reported progress is too low on average since the
+// observation began: a start is at zero, while a first report is rounded down like later ones.
+func (o *observation) rounding() float64 {
+	if o.fromPercent == 0 {
+		return 0.5
+	}
+	return 0
+}
+
 // observeFromStart begins the observation of a run that starts now at zero.
 func (r *run) observeFromStart(now time.Duration) {
 	if r.phase != phaseInherited && !r.resumed && !r.task.step.rec.Gang {
@@ -70,7 +79,7 @@
 func (s *Scheduler) sampleRunTime(r *run) {
 	seen, gained, ok := r.observedProgress(s.now)
 	if ok && gained >= minSampleProgress && !r.task.step.rec.LongRunning {
-		r.addSample(seen * 100 / time.Duration(gained))
+		r.addSample(time.Duration(float64(seen) * 100 / (float64(gained) + r.observed.rounding())))
 	}
 }
 
