host: a new leader names no successors, and hosts keep those they know

Cause: a leader names as successors the best of the hosts that have pinged it, and a host that finds itself among them claims by itself.

Change: no successors while a leader loads and in its first second, as it hands over to nobody before that; hosts keep the list that they have.

--- a/host/election.go
+++ b/host/election.go
@@ -62,8 +62,8 @@
 	// smallHostClaimDelay is the delay of a claim by a host with hardly any CPU,
 	// relative to a host with a whole core. It lets the larger host win.
 	smallHostClaimDelay = 50 * time.Millisecond
-	// minLeadTime is the shortest time that a host leads before it hands over to a
-	// larger one: by then all hosts have pinged it.
+	// minLeadTime is the shortest time that a host leads before it names successors and hands
+	// over to a larger host: by then all hosts have pinged it.
 	minLeadTime = time.Second
 	// nominateTimeout bounds the wait for a nominated successor to claim. The
 	// successors are asked one after another, nominateStagger apart.
@@ -371,17 +371,25 @@
 	case !resp.Msg.Leading:
 		return pingInconclusive
 	}
-	e.mu.Lock()
-	e.hostAddresses = resp.Msg.Hosts
-	e.successors = resp.Msg.Successors
-	e.requestedPingInterval = min(time.Duration(resp.Msg.NextMs)*time.Millisecond, maxPingInterval)
-	e.mu.Unlock()
+	e.applyPingResponse(resp.Msg)
 	if time.Duration(resp.Msg.LogContactMs)*time.Millisecond >= leaderLogTimeout {
 		return pingInconclusive
 	}
 	return pingLeading
 }
 
+// applyPingResponse stores what a leader's response tells of other hosts. A new leader does
+// not name successors yet: those that are known remain.
+func (e *election) applyPingResponse(resp *hostrpc.PingResponse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hostAddresses = resp.Hosts
+	if len(resp.Successors) > 0 {
+		e.successors = resp.Successors
+	}
+	e.requestedPingInterval = min(time.Duration(resp.NextMs)*time.Millisecond, maxPingInterval)
+}
+
 // claimLeadership claims the leadership from the leader with the given fencing token,
 // and reports whether this host leads. The append fails if there is a later claim, so of
 // several hosts that detect the loss at the same time only one succeeds. A host that
