--- a/region/region.go
+++ b/region/region.go
@@ -13,6 +13,8 @@
 //     with a fencing token below the highest it has seen.
 //   - A run that may be alive is not started elsewhere until its worker reports
 //     its end or has a new incarnation, or its lease has certainly expired.
+//   - No start is sent to a worker of a drained zone, or, where operators set a bound for
+//     drains, while the drained zones are not known recently enough to keep it.
 //   - A start call without an answer may still be executed, also by a later
 //     incarnation of its worker. While that is possible, its run has not ended: the
 //     task is not started elsewhere, and an end that the worker lists is neither
