--- a/host/election.go
+++ b/host/election.go
@@ -62,8 +62,8 @@
 	// smallHostClaimDelay is the delay of a claim by a host with hardly any CPU,
 	// relative to a host with a whole core. It lets the larger host win.
 	smallHostClaimDelay = 50 * time.Millisecond
-	// minLeadTime is the shortest time that a host leads before it names successors and hands
-	// over to a larger host: by then all hosts have pinged it.
+	// minLeadTime is the shortest time that a host leads before it hands over to a
+	// larger one: by then all hosts have pinged it.
 	minLeadTime = time.Second
 	// nominateTimeout bounds the wait for a nominated successor to claim. The
 	// successors are asked one after another, nominateStagger apart.
@@ -378,8 +378,8 @@
 	return pingLeading
 }
 
-// applyPingResponse stores what a leader's response tells of other hosts. A new leader does
-// not name successors yet: those that are known remain.
+// applyPingResponse stores what a leader's response tells of other hosts. If it names no
+// successors, those that are known remain.
 func (e *election) applyPingResponse(resp *hostrpc.PingResponse) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/host/helpers.go
+++ b/host/helpers.go
@@ -32,6 +32,10 @@
 	// maxSuccessors is the largest number of preferred successors that a leader
 	// sends to the other hosts.
 	maxSuccessors = 4
+	// minSuccessorRatio is the capacity that a successor has at least, relative to the leader. A
+	// new leader knows only the hosts that pinged it first, which may be small ones; hosts to
+	// which it names none keep the successors that the leader before has named.
+	minSuccessorRatio = 1 / handOverRatio
 	// maxSampledAddresses is the largest number of host addresses in the response to a ping.
 	// With all addresses in each response, traffic would grow with the square of the
 	// number of hosts.
@@ -44,6 +48,7 @@
 	byName   map[string]*helper
 	lastSent int // index of the last address sent in a response
 	pingRate int // pings per second from all hosts together
+	own      capacity
 }
 
 type helper struct {
@@ -91,7 +96,9 @@
 func (h *helpers) fillPingResponse(resp *hostrpc.PingResponse) {
 	alive, successors := h.alive(), h.successors()
 	for _, p := range successors[:min(len(successors), maxSuccessors)] {
-		resp.Successors = append(resp.Successors, p.address)
+		if p.ratioTo(h.own) >= minSuccessorRatio {
+			resp.Successors = append(resp.Successors, p.address)
+		}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/host/host.go
+++ b/host/host.go
@@ -84,6 +84,7 @@
 		log: tel.Log, metrics: tel.Metrics, tel: tel,
 		helpers: newHelpers(s.LinkBps), peers: newPeers(platform.NewHTTPClient(connsPerAddress, meter)),
 	}
+	h.helpers.own = h.capacity()
 	h.runCtx, h.cancelRun = context.WithCancel(context.Background())
 	h.config = newConfigWatch(client, h.log, h.metrics)
 	h.config.fetchFromPeers = h.fetchConfigFromPeers
--- a/host/peers.go
+++ b/host/peers.go
@@ -68,11 +68,6 @@
 	h.helpers.recordPing(req.Msg)
 	resp := &hostrpc.PingResponse{Leading: true, Incarnation: h.incarnation, LogContactMs: l.LogContactAge().Milliseconds()}
 	h.helpers.fillPingResponse(resp)
-	if l.LedFor() < minLeadTime {
-		// The first hosts to ping are not the best ones. The others keep the successors that
-		// the leader before has named.
-		resp.Successors = nil
-	}
 	return connect.NewResponse(resp), nil
 }
 
--- a/host/successors_test.go
+++ b/host/successors_test.go
@@ -16,7 +16,7 @@
 // Guards against a small host that leads after a change of leader and the loss of the new one: it
 // was the first to ping the new one, which named it as its only successor. It took five seconds
 // to load over its narrow link, in which nothing was started.
-func TestNewLeaderNamesNoSuccessors(t *testing.T) {
+func TestNewLeaderNamesNoSmallSuccessors(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
 	text := "node=h1\nzone=z1\nlisten.front=127.0.0.1:1\nlisten.ready=127.0.0.1:2\nlisten.control=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -28,17 +28,25 @@
 	}
 	h := New(s, telemetry.Discard())
 	h.election.leadership = leader.New(h.leaderConfig(1))
-	resp, err := h.Ping(context.Background(), newRequest(&hostrpc.PingRequest{Host: "small", Address: "127.0.0.1:5", MilliCpu: 100}))
-	if err != nil {
-		t.Fatal(err)
+	ping := func(name string, c capacity) []string {
+		resp, err := h.Ping(context.Background(), newRequest(&hostrpc.PingRequest{
+			Host: name, Address: name, MilliCpu: c.milliCPU, LinkBps: c.linkBps, MemoryMib: c.memoryMiB,
+		}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.Msg.Successors
+	}
+	if got := ping("small", capacity{milliCPU: 100, linkBps: 1e6, memoryMiB: 100}); len(got) > 0 {
+		t.Errorf("successors %v after the ping of a small host, want none", got)
 	}
-	if !resp.Msg.Leading || len(resp.Msg.Successors) > 0 {
-		t.Errorf("leading %v, successors %v, want a leader that names none while it loads", resp.Msg.Leading, resp.Msg.Successors)
+	if got, want := ping("equal", h.capacity()), []string{"equal"}; !slices.Equal(got, want) {
+		t.Errorf("successors %v after the ping of an equal host, want %v", got, want)
 	}
 	e := newElection(h)
-	e.applyPingResponse(&hostrpc.PingResponse{Successors: []string{"10.0.0.1:1"}})
-	e.applyPingResponse(resp.Msg)
-	if want := []string{"10.0.0.1:1"}; !slices.Equal(e.successors, want) {
+	e.applyPingResponse(&hostrpc.PingResponse{Successors: []string{"equal"}})
+	e.applyPingResponse(&hostrpc.PingResponse{})
+	if want := []string{"equal"}; !slices.Equal(e.successors, want) {
 		t.Errorf("successors %v, want %v, as the leader before has named them", e.successors, want)
 	}
 }
