region: a wait for calls of an earlier leader counts the terms since it was replaced

Cause: a start of a queue without advice may be executed up to 20 s after its sender was replaced, and its lease lasts 6 s more.

Change: while a run waits for such calls, the leader records the length of its term; successors add up the terms since that of the newest sender. No lease is granted on a worker with such a run before the log shows that the leader has reached it. Nothing is recorded where all queues have advice.

--- a/region/crash_test.go
+++ b/region/crash_test.go
@@ -23,6 +23,7 @@
 	retention    time.Duration // entries of the log expire; 0 for never
 	noNeighbours bool          // no other jobs
 	leaderEvery  time.Duration // a new leader replaces the present one at this interval; 0 for never
+	endless      bool          // leaders are replaced until the history ends, and the tasks of "bad" end like others
 }
 
 var crashHistories = []crashHistory{
@@ -46,6 +47,7 @@
 	{name: "changing leaders, advice", leaderEvery: 1700 * time.Millisecond, advice: true},
 	{name: "changing leaders, gang", leaderEvery: 3100 * time.Millisecond, step: &record.Step{Count: 3, Gang: true}},
 	{name: "changing leaders, long-running", leaderEvery: 3700 * time.Millisecond, step: &record.Step{Count: 2, LongRunning: true}, dark: true},
+	{name: "changing leaders without end, long-running", leaderEvery: 3700 * time.Millisecond, step: &record.Step{Count: 2, LongRunning: true}, dark: true, endless: true},
 	{name: "lost answers", losesStarts: true},
 	{name: "lost answers, same ID", losesStarts: true, sameID: true},
 	{name: "lost answers, advice, changing leaders", losesStarts: true, advice: true, leaderEvery: 4300 * time.Millisecond},
@@ -68,7 +70,7 @@
 		c.down = h.down
 	}
 	w.runTime = func(id model.TaskID) time.Duration {
-		if id.Job == "bad" {
+		if id.Job == "bad" && !h.endless {
 			return 10 * time.Second
 		}
 		return 300*time.Millisecond + time.Duration(w.rng.Int64N(int64(3*time.Second)))
@@ -85,7 +87,7 @@
 				return // a state is kept for as long as its records
 			}
 			w.startLeader()
-			if w.now < time.Hour+leaderChanges {
+			if h.endless || w.now < time.Hour+leaderChanges {
 				w.after(h.leaderEvery, next)
 			}
 		}
--- a/region/late_start.go
+++ b/region/late_start.go
@@ -29,13 +29,13 @@
 // worker lists is neither applied nor acknowledged. Where the incarnation dies with that
 // end, the task has not been done, and the late start is its run.
 func (s *Scheduler) mayStartLate(r *run) bool {
-	return r.unsettled() && (!s.leading() || r.calls.open(s.now, s.leadSince))
+	return r.unsettled() && (!s.leading() || r.calls.open(s.now, s.inheritedSince(r)))
 }
 
 // settleListed settles the start calls of a run that a probe sent at sentAt lists, if none
 // could be executed any more by then.
 func (s *Scheduler) settleListed(r *run, sentAt time.Duration) {
-	if r.unsettled() && !r.calls.open(sentAt, s.leadSince) {
+	if r.unsettled() && !r.calls.open(sentAt, s.inheritedSince(r)) {
 		r.calls.settle()
 		s.recordSettled(r)
 	}
@@ -114,6 +114,9 @@
 			return false
 		}
 		r.settledAt = s.now
+		if r.unsettled() { // for want of an answer; the time may lie before this leader's term
+			r.settledAt = max(1, r.calls.closedAt(s.inheritedSince(r)))
+		}
 		return true
 	})
 }
@@ -168,10 +171,11 @@
 	s.append(&record.Entry{Kind: &record.Entry_Settled{Settled: &record.Settled{Task: r.task.id().Record(), Run: r.number}}})
 }
 
-// replaySending applies a record of sendRecorded.
-func (s *Scheduler) replaySending(e *record.Sending) {
+// replaySending applies a record of sendRecorded, written by the leader with the fencing token.
+func (s *Scheduler) replaySending(e *record.Sending, fence int64) {
 	if r := s.recordedRun(e.Task, e.Run); r != nil {
 		r.calls.inherited++
+		r.calls.inheritedFence = max(r.calls.inheritedFence, fence)
 	}
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -176,7 +176,7 @@
 // readProbe applies an answered probe and returns how many ends it lists that were not known.
 func (s *Scheduler) readProbe(w *worker, ev ProbeAnswered) (newEnds int) {
 	w.clockMs, w.clockAt = ev.Response.ClockMs, s.now
-	if !w.fenced {
+	if !w.fenced && s.mayGrant(w) {
 		w.fenced = true
 		// Leases granted by an earlier leader end within the longest lease from now.
 		w.leaseMs = max(w.leaseMs, ev.Response.ClockMs+s.opts.MaxLease.Milliseconds())
--- a/region/region.go
+++ b/region/region.go
@@ -97,7 +97,10 @@
 	openLosses      []*loss        // losses in the order of at
 	suspects        map[*task]bool // tasks that are isolated
 	lateStartRuns   []*run         // runs of awaitLateStart
-	pathChecks      []*run         // runs of checkPath
+	terms           terms
+	reachedBy       map[string]int64 // fencing token of the newest earlier leader that has recorded to have reached a worker
+	inheritedCalls  []*run           // runs of noteInheritedCalls
+	pathChecks      []*run           // runs of checkPath
 	estimates       estimates
 	shares          shares
 
@@ -139,6 +142,7 @@
 		workers:        make(map[string]*worker),
 		used:           make(map[string]model.Resources),
 		suspects:       make(map[*task]bool),
+		reachedBy:      make(map[string]int64),
 	}
 }
 
@@ -270,6 +274,7 @@
 	s.leadSince = s.now
 	s.lastProofAt = s.now
 	s.lastAppendAt = s.now
+	s.noteInheritedCalls()
 	for _, w := range s.workerList {
 		s.takeOver(w)
 	}
@@ -294,6 +299,7 @@
 	s.addDueOccurrences()
 	s.expireRuns()
 	s.sendOverdueProbes()
+	s.recordTerm()
 	s.settleLateStarts()
 	s.expirePathChecks()
 	s.departed.expire(s.now)
--- a/region/replay.go
+++ b/region/replay.go
@@ -1,6 +1,8 @@
 package region
 
 import (
+	"time"
+
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/record"
 )
@@ -8,6 +10,7 @@
 // replay applies the log entries of earlier leaders.
 func (s *Scheduler) replay(entries []*record.Entry) {
 	for _, e := range entries {
+		s.terms.add(e.Fence, time.Duration(e.GetTermMs())*time.Millisecond)
 		switch k := e.Kind.(type) {
 		case *record.Entry_Assigned:
 			s.replayAssigned(k.Assigned)
@@ -16,7 +19,9 @@
 		case *record.Entry_Settled:
 			s.replaySettled(k.Settled)
 		case *record.Entry_Sending:
-			s.replaySending(k.Sending)
+			s.replaySending(k.Sending, e.Fence)
+		case *record.Entry_Reached:
+			s.reachedBy[k.Reached.Worker] = e.Fence
 		case *record.Entry_Crashed:
 			s.replayCrashed(k.Crashed)
 		case *record.Entry_Kept:
--- a/region/startcalls.go
+++ b/region/startcalls.go
@@ -15,8 +15,8 @@
 	// maxSendDelay is the longest time until a call is sent: the handshakes of a new
 	// connection, and a leader's wait for its link.
 	maxSendDelay = 3 * time.Second
-	// inheritedWindow is the longest time after a claim at which a call of an earlier leader
-	// may be executed. That one sends none once its leadership is not proved any more.
+	// inheritedWindow is the longest time after a leader was replaced at which a call of it
+	// may be executed. It sends none once its leadership is not proved any more.
 	inheritedWindow = leadershipProofTTL + maxSendDelay + lateCallWindow
 )
 
@@ -30,7 +30,8 @@
 	unansweredTill time.Duration // end of the window of the newest of these
 	executed       bool          // one of the open calls was executed: the worker has listed the run
 	confirmed      bool          // a call was answered, so a listed run does not show that an open one was executed
-	inherited      int           // calls that an earlier leader has recorded and whose outcome is not known
+	inherited      int           // calls that earlier leaders have recorded and whose outcome is not known
+	inheritedFence int64         // fencing token of the newest of these leaders
 	logged         int           // calls that the log has a record of
 	recorded       bool          // the log has a record that none is open
 }
@@ -80,7 +81,20 @@
 	return n > 0 || c.inherited > 0
 }
 
-// open reports whether a call may still be executed. leadSince is when this leader claimed.
-func (c *startCalls) open(now, leadSince time.Duration) bool {
-	return c.unsettled() && (c.inFlight && now < c.inFlightTill || now < c.unansweredTill || c.inherited > 0 && now < leadSince+inheritedWindow)
+// open reports whether a call may still be executed. inheritedSince is when the newest leader
+// that has recorded one had certainly been replaced.
+func (c *startCalls) open(now, inheritedSince time.Duration) bool {
+	return c.unsettled() && now < c.closedAt(inheritedSince)
+}
+
+// closedAt returns from when on no call can be executed any more.
+func (c *startCalls) closedAt(inheritedSince time.Duration) time.Duration {
+	closed := c.unansweredTill
+	if c.inFlight {
+		closed = max(closed, c.inFlightTill)
+	}
+	if c.inherited > 0 {
+		closed = max(closed, inheritedSince+inheritedWindow)
+	}
+	return closed
 }
--- a/region/worker.go
+++ b/region/worker.go
@@ -18,40 +18,41 @@
 
 // worker is the leader's state of one worker.
 type worker struct {
-	entry          model.WorkerEntry
-	listed         bool
-	slot           int             // index of the worker in adviceState.marks
-	runs           []*run          // runs that may be alive there
-	used           model.Resources // resources of runs
-	counts         runCounts       // kinds of runs
-	clockMs        int64           // its clock as last read
-	clockAt        time.Duration   // time of that reading
-	leaseMs        int64           // end of the longest lease that may have been granted, on its clock
-	inheritedUntil time.Duration   // latest end of leases granted by an earlier leader
-	fenced         bool            // it has answered a probe with the present fencing token
-	probing        bool            // a probe is in flight
-	probeHeldAt    time.Duration   // since when the next probe waits for a commit; 0 if none does
-	probeMissed    bool            // the newest probe got no answer
-	lossyUntil     time.Duration   // lossyWait applies before this time
-	probedAt       time.Duration   // when the newest answered probe was sent
-	grantedAt      time.Duration   // when a lease was last granted
-	fenceSteps     int64           // how often its fencing token was raised under this leader
-	ackFence       int64           // fencing token of the newest probe that acknowledged ends
-	ends           *endLog         // ends of its incarnation
-	endsListed     int             // ends in the answer to the newest probe
-	idleRuns       int             // how many of runs are idle
-	pausedUntil    time.Duration   // no new work before this time
-	pendingCalls   pendingCalls    // start and stop calls without an answer
-	silent         bool            // a call of checkPath got no answer, and none was answered since
-	overdue        bool            // one of them is overdue, as of the newest pass
-	health         health
-	speed          speed
-	reserved       *step           // gang that reserves room here
-	softReserved   *step           // further gang that reserves room here against late work only
-	wasReserved    *step           // reserved or softReserved in the previous pass
-	keptFreeFor    *step           // step whose isolated tasks it is kept free for
-	wasKeptFreeFor *step           // the same in the previous pass
-	claimed        model.Resources // room for which steps request tickets in this pass
+	entry                     model.WorkerEntry
+	listed                    bool
+	slot                      int             // index of the worker in adviceState.marks
+	runs                      []*run          // runs that may be alive there
+	used                      model.Resources // resources of runs
+	counts                    runCounts       // kinds of runs
+	clockMs                   int64           // its clock as last read
+	clockAt                   time.Duration   // time of that reading
+	leaseMs                   int64           // end of the longest lease that may have been granted, on its clock
+	inheritedUntil            time.Duration   // latest end of leases granted by an earlier leader
+	fenced                    bool            // it has answered a probe with the present fencing token
+	reachLogging, reachLogged bool            // a record that this leader has reached it is produced, committed
+	probing                   bool            // a probe is in flight
+	probeHeldAt               time.Duration   // since when the next probe waits for a commit; 0 if none does
+	probeMissed               bool            // the newest probe got no answer
+	lossyUntil                time.Duration   // lossyWait applies before this time
+	probedAt                  time.Duration   // when the newest answered probe was sent
+	grantedAt                 time.Duration   // when a lease was last granted
+	fenceSteps                int64           // how often its fencing token was raised under this leader
+	ackFence                  int64           // fencing token of the newest probe that acknowledged ends
+	ends                      *endLog         // ends of its incarnation
+	endsListed                int             // ends in the answer to the newest probe
+	idleRuns                  int             // how many of runs are idle
+	pausedUntil               time.Duration   // no new work before this time
+	pendingCalls              pendingCalls    // start and stop calls without an answer
+	silent                    bool            // a call of checkPath got no answer, and none was answered since
+	overdue                   bool            // one of them is overdue, as of the newest pass
+	health                    health
+	speed                     speed
+	reserved                  *step           // gang that reserves room here
+	softReserved              *step           // further gang that reserves room here against late work only
+	wasReserved               *step           // reserved or softReserved in the previous pass
+	keptFreeFor               *step           // step whose isolated tasks it is kept free for
+	wasKeptFreeFor            *step           // the same in the previous pass
+	claimed                   model.Resources // room for which steps request tickets in this pass
 }
 
 func (w *worker) ref() model.WorkerRef {
@@ -269,8 +270,12 @@
 func (s *Scheduler) expireRuns() {
 	for i := len(s.workerList) - 1; i >= 0; i-- {
 		w := s.workerList[i]
-		if len(w.runs) > 0 && s.now > w.lapsesAt() && !s.delayedByLink(w) {
+		switch {
+		case len(w.runs) == 0 || s.delayedByLink(w):
+		case s.now > w.lapsesAt():
 			s.expireRunsOn(w)
+		case !w.fenced:
+			s.expireLateStarts(w)
 		}
 		if !w.listed && len(w.runs) == 0 && !w.probing {
 			s.forget(w)
@@ -278,15 +283,25 @@
 	}
 }
 
+const leaseOver = "its lease is over"
+
 func (s *Scheduler) expireRunsOn(w *worker) {
-	const why = "its lease is over"
 	s.noteSilent(w)
 	for _, r := range w.sortedRuns() {
-		switch {
-		case r.phase != phaseLateStart:
-			s.abandon(r, why)
-		case s.lateStartEnded(r):
-			s.markLost(r, why)
+		if r.phase != phaseLateStart {
+			s.abandon(r, leaseOver)
+		}
+	}
+	s.expireLateStarts(w)
+}
+
+// expireLateStarts ends the runs of awaitLateStart on a worker that cannot be alive any more.
+// That of an earlier leader may be so before this leader's own wait for the worker is over, if
+// none in between has granted the worker a lease.
+func (s *Scheduler) expireLateStarts(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.phase == phaseLateStart && s.lateStartEnded(r) {
+			s.markLost(r, leaseOver)
 		}
 	}
 }
