host: a large host claims the leadership from a small one that still loads

Cause: in a zone cut, a small host that a rolling restart had just started claimed the leadership, as it knew no successors, and loaded for 7.5 s.

Change: package succession compares hosts. A claim names the capacity of its host, and a ping tells whether the callee still loads. A host that exceeds it by half claims over it while that saves time. Hosts of one size behave as before; claims without a capacity are not overtaken.

--- a/host/election.go
+++ b/host/election.go
@@ -18,6 +18,7 @@
 	"github.com/fireflyfold/fireflyfold/leader"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/record"
+	"github.com/fireflyfold/fireflyfold/succession"
 	"github.com/fireflyfold/fireflyfold/telemetry"
 )
 
@@ -69,10 +70,6 @@
 	// successors are asked one after another, nominateStagger apart.
 	nominateTimeout = 600 * time.Millisecond
 	nominateStagger = 60 * time.Millisecond
-	// handOverRatio is the capacity ratio from which another host should lead instead.
-	// For less, a change of leader, which takes a few tenths of a second, is not
-	// worthwhile.
-	handOverRatio = 1.5
 	// recentClaimWindow is how long a claim counts as recent. Each recent claim but the first
 	// doubles the election timeout, up to maxTimeoutDoublings times.
 	recentClaimWindow   = 20 * time.Second
@@ -85,6 +82,8 @@
 	mu         sync.Mutex
 	claim      *record.Claim // newest claim read; nil if none
 	fence      int64         // fencing token of claim
+	claimedAt  time.Duration // when claim was read
+	claimIsNew bool          // claim was made after this process had read all earlier ones
 	nextOffset int64         // offset after the newest claim read
 	caughtUp   bool          // the claims have been read to their end
 
@@ -168,6 +167,7 @@
 			continue
 		}
 		e.claim, e.fence = c, offset+1
+		e.claimedAt, e.claimIsNew = boottime.Now(), e.caughtUp
 		if e.caughtUp {
 			e.recentClaims = append(e.recentClaims, boottime.Now())
 		}
@@ -218,12 +218,29 @@
 		}
 		return
 	}
-	if _, fence := e.newestClaim(); e.noLeader(ctx) {
+	_, fence := e.newestClaim()
+	switch e.leaderState(ctx) {
+	case noLeader:
 		if e.nominate(ctx, fence) {
 			return
 		}
 		boottime.Sleep(ctx, e.claimDelay())
 		e.claimLeadership(ctx, fence)
+	case smallLeaderLoads:
+		e.overtake(ctx, fence)
+	}
+}
+
+// overtake claims the leadership from a smaller host that still loads, unless this host cannot
+// read the log either.
+func (e *election) overtake(ctx context.Context, fence int64) {
+	boottime.Sleep(ctx, e.claimDelay())
+	if !e.watcher.LogReadable(ctx) {
+		return
+	}
+	if e.claimLeadership(ctx, fence) {
+		e.host.metrics.Counter("leaders_overtaken").Inc(1)
+		e.host.log.WithField("after_fence", fence).Info("claimed from a smaller host that was loading")
 	}
 }
 
@@ -285,28 +302,59 @@
 	return time.Duration(shortfall*float64(smallHostClaimDelay)) + time.Duration(rand.Int64N(int64(claimJitter)))
 }
 
-// noLeader reports whether there is no leader, by the claims, a ping and, if the ping
-// is inconclusive, the leader's entries in the log. It reports false until the claims
-// have been read.
-func (e *election) noLeader(ctx context.Context) bool {
+// leaderState is what a host concludes about the leader.
+type leaderState int
+
+const (
+	leaderAlive      leaderState = iota // or nothing shows that it is not
+	noLeader                            // there is none
+	smallLeaderLoads                    // one loads that this host is to overtake
+)
+
+// leaderState checks the leader by the claims, a ping and, if the ping is inconclusive, the
+// leader's entries in the log. It is leaderAlive until the claims have been read.
+func (e *election) leaderState(ctx context.Context) leaderState {
 	e.mu.Lock()
 	claim, ok := e.claim, e.caughtUp
 	e.mu.Unlock()
 	if !ok {
-		return false
+		return leaderAlive
 	}
 	if claim == nil || (claim.Host == e.host.settings.Host && e.localLeader() == nil) {
-		return true // no claim yet, or the newest is this host's own and it no longer leads
+		return noLeader // no claim yet, or the newest is this host's own and it no longer leads
 	}
+	timeout := e.currentElectionTimeout(boottime.Now())
 	switch e.ping(ctx, claim) {
 	case pingLeading:
-		return false
+		return leaderAlive
+	case pingLoading:
+		if e.overtakes(claim, false) {
+			return smallLeaderLoads
+		}
+		return leaderAlive
 	case pingReplaced:
-		return true
+		return noLeader
 	case pingPortClosed:
-		return e.watcher.NoNewEntries(ctx, closedPortElectionTimeout)
+		timeout = closedPortElectionTimeout
+	}
+	if e.overtakes(claim, true) {
+		return smallLeaderLoads
 	}
-	return e.watcher.NoNewEntries(ctx, e.currentElectionTimeout(boottime.Now()))
+	if e.watcher.NoNewEntries(ctx, timeout) {
+		return noLeader
+	}
+	return leaderAlive
+}
+
+// overtakes reports whether this host should claim the leadership from the host that made the
+// claim and still loads. If that one has not said so, the claim must be new: a host that has
+// loaded may be too busy to answer.
+func (e *election) overtakes(claim *record.Claim, onlyNew bool) bool {
+	e.mu.Lock()
+	at, isNew := e.claimedAt, e.claimIsNew
+	e.mu.Unlock()
+	claimant := succession.Capacity{MilliCPU: claim.MilliCpu, LinkBps: claim.LinkBps, MemoryMiB: claim.MemoryMib}
+	return (isNew || !onlyNew) && succession.Overtakes(e.host.capacity(), claimant, boottime.Now()-at)
 }
 
 // currentElectionTimeout returns how long the log must show no new entry before this
@@ -346,6 +394,7 @@
 const (
 	pingInconclusive pingResult = iota // no answer, not leading (yet), or no recent contact with the log
 	pingLeading
+	pingLoading    // it has claimed the leadership and does not schedule yet
 	pingPortClosed // its port refuses connections
 	pingReplaced   // its process has ended: another incarnation answers
 )
@@ -372,8 +421,11 @@
 		return pingInconclusive
 	}
 	e.applyPingResponse(resp.Msg)
-	if time.Duration(resp.Msg.LogContactMs)*time.Millisecond >= leaderLogTimeout {
+	switch {
+	case time.Duration(resp.Msg.LogContactMs)*time.Millisecond >= leaderLogTimeout:
 		return pingInconclusive
+	case resp.Msg.Loading:
+		return pingLoading
 	}
 	return pingLeading
 }
@@ -402,10 +454,14 @@
 	if newest != fence || e.localLeader() != nil {
 		return e.localLeader() != nil
 	}
-	claim := &record.Claim{Host: e.host.settings.Host, Address: e.host.settings.Control, Incarnation: e.host.incarnation}
+	own := e.host.capacity()
+	claim := &record.Claim{
+		Host: e.host.settings.Host, Address: e.host.settings.Control, Incarnation: e.host.incarnation,
+		MilliCpu: own.MilliCPU, LinkBps: own.LinkBps, MemoryMib: own.MemoryMiB,
+	}
 	data, err := proto.Marshal(claim)
 	if err != nil {
-		panic(err) // a message of three strings always encodes
+		panic(err) // claims are built by this program and always encode
 	}
 	got, err := e.host.client.Append(ctx, claimTimeout, platform.Append{Topic: topicClaims, Records: [][]byte{data}, ExpectedEnd: at})
 	if err != nil {
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -49,7 +49,9 @@
 	for i := range hosts {
 		f.add(fmt.Sprintf("h%d", i))
 	}
-	f.waitUntil("a host leads", func() bool { return f.leader() != nil })
+	if hosts > 0 {
+		f.waitUntil("a host leads", func() bool { return f.leader() != nil })
+	}
 	return f
 }
 
--- a/host/helpers.go
+++ b/host/helpers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -10,6 +9,7 @@
 
 	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/succession"
 )
 
 const (
@@ -35,7 +35,7 @@
 	// minSuccessorRatio is the capacity that a successor has at least, relative to the leader. A
 	// new leader knows only the hosts that pinged it first, which may be small ones; hosts to
 	// which it names none keep the successors that the leader before has named.
-	minSuccessorRatio = 1 / handOverRatio
+	minSuccessorRatio = 1 / succession.HandOverRatio
 	// maxSampledAddresses is the largest number of host addresses in the response to a ping.
 	// With all addresses in each response, traffic would grow with the square of the
 	// number of hosts.
@@ -48,7 +48,7 @@
 	byName   map[string]*helper
 	lastSent int // index of the last address sent in a response
 	pingRate int // pings per second from all hosts together
-	own      capacity
+	own      succession.Capacity
 }
 
 type helper struct {
@@ -57,8 +57,8 @@
 	firstPing   time.Duration // time of the first ping from this incarnation
 	expiresAt   time.Duration // when it is dropped unless it pings again
 	incarnation string
-	capacity
-	rank float64 // capacity as one number; larger is better
+	capacity    succession.Capacity
+	rank        float64 // capacity as one number; larger is better
 }
 
 // newHelpers returns an empty list for a leader whose link carries linkBps bytes
@@ -79,8 +79,8 @@
 	interval := h.pingInterval()
 	p, ok := h.byName[r.Host]
 	if !ok || p.incarnation != r.Incarnation {
-		p = &helper{name: r.Host, address: r.Address, firstPing: now, incarnation: r.Incarnation, capacity: capacity{r.MilliCpu, r.LinkBps, r.MemoryMib}}
-		p.rank = p.ratioTo(capacity{})
+		p = &helper{name: r.Host, address: r.Address, firstPing: now, incarnation: r.Incarnation, capacity: succession.Capacity{MilliCPU: r.MilliCpu, LinkBps: r.LinkBps, MemoryMiB: r.MemoryMib}}
+		p.rank = p.capacity.RatioTo(succession.Capacity{})
 		h.byName[r.Host] = p
 	}
 	p.expiresAt = now + maxMissedPings*interval + missedPingGrace
@@ -96,7 +96,7 @@
 func (h *helpers) fillPingResponse(resp *hostrpc.PingResponse) {
 	alive, successors := h.alive(), h.successors()
 	for _, p := range successors[:min(len(successors), maxSuccessors)] {
-		if p.ratioTo(h.own) >= minSuccessorRatio {
+		if p.capacity.RatioTo(h.own) >= minSuccessorRatio {
 			resp.Successors = append(resp.Successors, p.address)
 		}
 	}
@@ -152,17 +152,6 @@
 	return p.address, true
 }
 
-// capacity holds the resources of a host that matter for leading: thousandths of a
-// core, bytes per second of its link, and mebibytes of memory.
-type capacity struct{ milliCPU, linkBps, memoryMiB int64 }
-
-// ratioTo returns the ratio of s to o: the geometric mean of the ratios of the three
-// resources, which does not depend on their units.
-func (s capacity) ratioTo(o capacity) float64 {
-	ratio := func(a, b int64) float64 { return float64(max(a, 1)) / float64(max(b, 1)) }
-	return math.Cbrt(ratio(s.milliCPU, o.milliCPU) * ratio(s.linkBps, o.linkBps) * ratio(s.memoryMiB, o.memoryMiB))
-}
-
 // successors returns the helpers in the order in which they are asked to take over:
 // by descending rank, and among equals the one that started last. In a rolling
 // restart that one is the least likely to be stopped next.
@@ -175,10 +164,10 @@
 }
 
 // hasLarger reports whether some helper exceeds the given host by at least the
-// factor handOverRatio and should lead instead.
-func (h *helpers) hasLarger(than capacity) bool {
+// factor succession.HandOverRatio and should lead instead.
+func (h *helpers) hasLarger(than succession.Capacity) bool {
 	for _, p := range h.alive() {
-		if p.ratioTo(than) >= handOverRatio {
+		if p.capacity.RatioTo(than) >= succession.HandOverRatio {
 			return true
 		}
 	}
--- a/host/helpers_test.go
+++ b/host/helpers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflyfold/fireflyfold/hostrpc"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/succession"
 	"github.com/fireflyfold/fireflyfold/telemetry"
 )
 
@@ -27,8 +28,8 @@
 	}
 	for _, i := range large {
 		p := h.byName[fmt.Sprintf("h%03d", i)]
-		p.capacity = capacity{milliCPU: 800, linkBps: 2e7, memoryMiB: 500}
-		p.rank = p.ratioTo(capacity{})
+		p.capacity = succession.Capacity{MilliCPU: 800, LinkBps: 2e7, MemoryMiB: 500}
+		p.rank = p.capacity.RatioTo(succession.Capacity{})
 	}
 	return h
 }
@@ -108,11 +109,11 @@
 	if len(resp.Successors) != maxSuccessors || resp.Successors[0] != "10.0.0.70:8180" || resp.Successors[1] != "10.0.0.40:8180" {
 		t.Errorf("successors %v", resp.Successors)
 	}
-	small := capacity{milliCPU: 200, linkBps: 2e6, memoryMiB: 200}
-	if !h.hasLarger(small) || h.hasLarger(capacity{milliCPU: 800, linkBps: 2e7, memoryMiB: 500}) {
+	small := succession.Capacity{MilliCPU: 200, LinkBps: 2e6, MemoryMiB: 200}
+	if !h.hasLarger(small) || h.hasLarger(succession.Capacity{MilliCPU: 800, LinkBps: 2e7, MemoryMiB: 500}) {
 		t.Error("hand-over to a host that is no larger, or none to one that is")
 	}
-	if wide := (capacity{milliCPU: 200, linkBps: 2e7, memoryMiB: 200}); wide.ratioTo(small) < handOverRatio || small.ratioTo(wide) > 1 {
+	if wide := (succession.Capacity{MilliCPU: 200, LinkBps: 2e7, MemoryMiB: 200}); wide.RatioTo(small) < succession.HandOverRatio || small.RatioTo(wide) > 1 {
 		t.Error("the bandwidth of the link is ignored")
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/fireflyfold/fireflyfold/logwriter"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/region"
+	"github.com/fireflyfold/fireflyfold/succession"
 	"github.com/fireflyfold/fireflyfold/telemetry"
 )
 
@@ -103,8 +104,8 @@
 	return hex.EncodeToString(b[:])
 }
 
-func (h *Host) capacity() capacity {
-	return capacity{milliCPU: h.settings.MilliCPU, linkBps: h.settings.LinkBps, memoryMiB: h.settings.MemoryMB}
+func (h *Host) capacity() succession.Capacity {
+	return succession.Capacity{MilliCPU: h.settings.MilliCPU, LinkBps: h.settings.LinkBps, MemoryMiB: h.settings.MemoryMB}
 }
 
 // Run serves until ctx ends or another producer replaces the intake writer, and then
--- a/host/peers.go
+++ b/host/peers.go
@@ -66,7 +66,7 @@
 		return connect.NewResponse(&hostrpc.PingResponse{Incarnation: h.incarnation}), nil
 	}
 	h.helpers.recordPing(req.Msg)
-	resp := &hostrpc.PingResponse{Leading: true, Incarnation: h.incarnation, LogContactMs: l.LogContactAge().Milliseconds()}
+	resp := &hostrpc.PingResponse{Leading: true, Loading: !l.Loaded(), Incarnation: h.incarnation, LogContactMs: l.LogContactAge().Milliseconds()}
 	h.helpers.fillPingResponse(resp)
 	return connect.NewResponse(resp), nil
 }
--- a/host/successors_test.go
+++ b/host/successors_test.go
@@ -10,6 +10,7 @@
 	"github.com/fireflyfold/fireflyfold/hostrpc"
 	"github.com/fireflyfold/fireflyfold/leader"
 	"github.com/fireflyfold/fireflyfold/platform"
+	"github.com/fireflyfold/fireflyfold/succession"
 	"github.com/fireflyfold/fireflyfold/telemetry"
 )
 
@@ -28,16 +29,16 @@
 	}
 	h := New(s, telemetry.Discard())
 	h.election.leadership = leader.New(h.leaderConfig(1))
-	ping := func(name string, c capacity) []string {
+	ping := func(name string, c succession.Capacity) []string {
 		resp, err := h.Ping(context.Background(), newRequest(&hostrpc.PingRequest{
-			Host: name, Address: name, MilliCpu: c.milliCPU, LinkBps: c.linkBps, MemoryMib: c.memoryMiB,
+			Host: name, Address: name, MilliCpu: c.MilliCPU, LinkBps: c.LinkBps, MemoryMib: c.MemoryMiB,
 		}))
 		if err != nil {
 			t.Fatal(err)
 		}
 		return resp.Msg.Successors
 	}
-	if got := ping("small", capacity{milliCPU: 100, linkBps: 1e6, memoryMiB: 100}); len(got) > 0 {
+	if got := ping("small", succession.Capacity{MilliCPU: 100, LinkBps: 1e6, MemoryMiB: 100}); len(got) > 0 {
 		t.Errorf("successors %v after the ping of a small host, want none", got)
 	}
 	if got, want := ping("equal", h.capacity()), []string{"equal"}; !slices.Equal(got, want) {
