region: where advice is scarce, gangs ask for what they can use and get room at once

Load: many gangs with long calls for advice in a region full of deferrable work.

A ticket holds 1.8 s; runs gave way to a gang only from half of its slack on, when its tickets had expired and it had to ask again.

Change: while a queue's calls are held back most of the time, a gang's calls name the workers on which three places a member are expected, in several calls at once if one does not cover them; with its tickets, deferrable runs give way at once and the room is kept until the tickets expire; gangs that would be late even if asked about now rank with late work; calls of a host go one by one.

--- a/region/advice.go
+++ b/region/advice.go
@@ -24,11 +24,12 @@
 
 // adviceState holds the answers of the advice service about the workers for a step.
 type adviceState struct {
-	marks    []adviceMark // by the worker's slot
-	known    int          // number of workers with an answer
-	eligible []*worker    // those of them that may run the step
-	inFlight bool
+	marks    []adviceMark  // by the worker's slot
+	known    int           // number of workers with an answer
+	eligible []*worker     // those of them that may run the step
+	inFlight int           // calls that have not been answered
 	firstAt  time.Duration // time of the first answer
+	validTo  time.Duration // until when the tickets of the newest answer are valid
 	retryAt  time.Duration
 }
 
@@ -129,7 +130,7 @@
 // what blocks it. It checks the longest possible call, which is accepted wherever a
 // shorter one is. With all hosts busy, no list of workers is built.
 func (s *Scheduler) canRequestAdvice(st *step) bool {
-	if st.advice.inFlight || s.now < st.advice.retryAt {
+	if st.advice.inFlight > 0 || s.now < st.advice.retryAt {
 		return false
 	}
 	if s.linkLoad > fullLink && !st.latencySensitive {
@@ -137,12 +138,23 @@
 		s.dirty = true
 		return false
 	}
-	if s.advisers.pick(s.adviceTiers, st.job.rec.Queue, st.adviceCost(st.maxWorkersPerCall()), s.now) == nil {
+	return s.pickAdviser(st, st.adviceCost(st.maxWorkersPerCall())) != nil
+}
+
+// pickAdviser returns the host for a call about the step that takes the given time, or nil if all
+// have calls to wait for.
+func (s *Scheduler) pickAdviser(st *step, cost time.Duration) *adviser {
+	factor := backlogFactor
+	if s.plansAdvice(st) {
+		factor = scarceBacklogFactor
+	}
+	host := s.advisers.pickWithin(s.adviceTiers, st.job.rec.Queue, cost, factor, s.now)
+	if host == nil {
 		st.heldBy = "advice backlog"
+		st.job.queue.adviceHeldBack = true
 		s.dirty = true
-		return false
 	}
-	return true
+	return host
 }
 
 // maxWorkersPerCall returns the largest number of workers in one call about the step. It
@@ -164,23 +176,39 @@
 	if st.advice.known > 0 && !room {
 		return
 	}
-	names := s.workersToAsk(st)
-	if len(names) == 0 {
+	if s.plansAdvice(st) {
+		for _, names := range s.planAdvice(st) {
+			if !s.sendAdvise(st, names) {
+				return
+			}
+		}
 		return
 	}
+	if names := s.workersToAsk(st); len(names) > 0 {
+		s.sendAdvise(st, names)
+	}
+}
+
+// sendAdvise sends a call for advice about the step that names these workers, and reports whether
+// a host accepts it.
+func (s *Scheduler) sendAdvise(st *step, names []string) bool {
 	cost := st.adviceCost(len(names))
-	host := s.advisers.pick(s.adviceTiers, st.job.rec.Queue, cost, s.now)
+	host := s.pickAdviser(st, cost)
 	if host == nil {
-		st.heldBy = "advice backlog"
-		s.dirty = true
-		return
+		return false
+	}
+	st.advice.inFlight++
+	kind := "first"
+	if st.advice.known > 0 {
+		kind = "again"
 	}
-	st.advice.inFlight = true
+	s.emit(Count{Name: "advice_calls", Why: kind})
 	call := Advise{
 		Host: host.name, Job: st.job.rec.Id, Occurrence: st.occ.k, Step: st.index, Workers: names, Expected: cost,
 	}
 	call.Timeout = host.enqueue(call.stepKey(), cost, s.now)
 	s.emit(call)
+	return true
 }
 
 // claimRoom reports whether the step's waiting tasks could start with valid tickets, and
@@ -296,7 +324,7 @@
 		return
 	}
 	st := t.step
-	st.advice.inFlight = false
+	st.advice.inFlight--
 	if ev.Failed {
 		st.advice.retryAt = s.now + adviceRetryPause
 		return
@@ -312,17 +340,26 @@
 		tickets[k.Worker] = k.Ticket
 	}
 	until := ev.At + time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs())*time.Millisecond - adviceMargin
+	st.advice.validTo = max(st.advice.validTo, until)
+	asked, eligible := 0, 0
 	for _, id := range ev.Request.Workers {
 		w, known := s.workers[id]
 		if !known {
 			continue // it has left the host list since the call
 		}
 		ticket, good := tickets[id]
+		if st.advice.mark(w) == nil {
+			asked++
+			if good {
+				eligible++
+			}
+		}
 		m := adviceMark{worker: w, eligible: good, ticket: ticket}
 		if good {
 			m.until = until
 		}
 		st.advice.store(m)
 	}
+	st.job.queue.eligible.Observe(asked, eligible)
 	s.dirty = true
 }
--- /dev/null
+++ b/region/adviceplan.go
@@ -0,0 +1,101 @@
+package region
+
+import (
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/adviceplan"
+	"github.com/fireflyfold/fireflyfold/model"
+)
+
+// longCallShare is the part of a ticket's validity that a call naming maxAdviceWorkers takes at
+// least where calls are planned. With shorter ones, several calls in a row give tickets that are
+// valid together.
+const longCallShare = 0.5
+
+// plansAdvice reports whether calls for advice about the step are planned for all its tasks
+// together, and room is made for them as soon as its tickets are there: it is a gang, a call takes
+// long compared with the validity of its tickets, and advice is scarce.
+func (s *Scheduler) plansAdvice(st *step) bool {
+	if !st.rec.Gang || !st.needsAdvice() || !st.job.queue.scarcity.Scarce() {
+		return false
+	}
+	valid := time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs()) * time.Millisecond
+	return float64(st.adviceCost(maxAdviceWorkers)) >= longCallShare*float64(valid)
+}
+
+// observeAdvice records for each queue whether its calls were held back since the last pass.
+func (s *Scheduler) observeAdvice() {
+	for _, q := range s.estimates.list {
+		before := q.scarcity.Scarce()
+		q.scarcity.Observe(s.now, q.adviceHeldBack)
+		q.adviceHeldBack = false
+		switch {
+		case q.scarcity.Scarce() == before:
+		case before:
+			s.explain("", "advice is plentiful again", Field{"queue", q.name})
+		default:
+			s.explain("", "advice is scarce", Field{"queue", q.name}, Field{"hosts", len(s.advisers.hosts)},
+				Field{"eligible_share", q.eligible.Get()})
+		}
+	}
+}
+
+// lateWithoutAdvice reports whether a gang without valid tickets would start too late even if it
+// were advised at once.
+func (s *Scheduler) lateWithoutAdvice(st *step) bool {
+	return st.advice.inFlight == 0 && s.now > st.advice.validTo && s.plansAdvice(st) &&
+		s.now+st.adviceCost(minAdviceWorkers) > st.latestStart
+}
+
+// planAdvice returns the workers that the next calls about a gang name.
+func (s *Scheduler) planAdvice(st *step) [][]string {
+	var (
+		candidates []adviceplan.Candidate
+		names      []string
+	)
+	answer := st.adviceCost(maxAdviceWorkers)
+	for _, w := range s.workerList {
+		if s.usable(w) && s.suits(st, w) {
+			candidates = append(candidates, s.adviceCandidate(st, w, answer))
+			names = append(names, w.entry.ID)
+		}
+	}
+	var calls [][]string
+	for _, plan := range adviceplan.Plan(candidates, len(st.tasks), maxAdviceWorkers, st.job.queue.eligible.Get()) {
+		call := make([]string, 0, len(plan))
+		for _, i := range plan {
+			call = append(call, names[i])
+		}
+		calls = append(calls, call)
+	}
+	return calls
+}
+
+// adviceCandidate returns what a plan has to know of a worker, when the answer takes a time. Runs
+// that may give way to the gang do not use up places.
+func (s *Scheduler) adviceCandidate(st *step, w *worker, answer time.Duration) adviceplan.Candidate {
+	c := adviceplan.Candidate{Reserved: w.reserved == st || w.softReserved == st}
+	if m := st.advice.mark(w); m != nil {
+		c.Eligible = true // others are left out by suits
+		c.Fresh = m.until > s.now+answer+adviceMargin
+	}
+	if w.reserved == nil || c.Reserved {
+		c.Places = st.mostOn(s.roomFor(st, w, answer))
+	}
+	return c
+}
+
+// roomFor returns the room on a worker after some time if its deferrable runs of lower priority
+// are stopped.
+func (s *Scheduler) roomFor(st *step, w *worker, after time.Duration) model.Resources {
+	room := w.free()
+	priority := st.job.rec.Policy.GetPriority()
+	for _, r := range w.runs {
+		givesWay := r.phase == phaseRunning && !r.latencySensitive && !r.task.step.rec.Gang && !r.task.step.rec.LongRunning &&
+			r.task.step.job.rec.Policy.GetPriority() > priority
+		if !r.idle && (givesWay || r.endsAt < s.now+after) {
+			room = room.Add(r.demand)
+		}
+	}
+	return room
+}
--- a/region/advisers.go
+++ b/region/advisers.go
@@ -12,6 +12,9 @@
 	// queued at the service cannot.
 	minBacklogLimit = 60 * time.Millisecond
 	backlogFactor   = 1.2
+	// scarceBacklogFactor replaces backlogFactor where advice is scarce, so that the calls of a
+	// host are sent one by one and late work does not queue ahead of work that can be on time.
+	scarceBacklogFactor = 0.5
 	// adviceSlack is added to the expected time of a call for advice to get its timeout.
 	adviceSlack = 1500 * time.Millisecond
 	// adviserPause is the backoff of a host after a failed call for advice.
@@ -96,15 +99,25 @@
 
 // accepts reports whether a call with that service time may be added now.
 func (h *adviser) accepts(cost, now time.Duration) bool {
-	return now >= h.pausedUntil && h.backlog(now) <= max(minBacklogLimit, time.Duration(backlogFactor*float64(cost)))
+	return h.acceptsWithin(cost, backlogFactor, now)
+}
+
+// acceptsWithin is accepts for a backlog of at most factor times the call's service time.
+func (h *adviser) acceptsWithin(cost time.Duration, factor float64, now time.Duration) bool {
+	return now >= h.pausedUntil && h.backlog(now) <= max(minBacklogLimit, time.Duration(factor*float64(cost)))
 }
 
 // pick returns the host with the shortest backlog among those that accept a call of that
 // queue and service time, or nil if there is none.
 func (a *advisers) pick(l adviceTiers, queue string, cost, now time.Duration) *adviser {
+	return a.pickWithin(l, queue, cost, backlogFactor, now)
+}
+
+// pickWithin is pick for a backlog of at most factor times the call's service time.
+func (a *advisers) pickWithin(l adviceTiers, queue string, cost time.Duration, factor float64, now time.Duration) *adviser {
 	var best *adviser
 	for _, h := range a.hosts[l.firstHost(queue, len(a.hosts)):] {
-		if h.accepts(cost, now) && (best == nil || h.backlog(now) < best.backlog(now)) {
+		if h.acceptsWithin(cost, factor, now) && (best == nil || h.backlog(now) < best.backlog(now)) {
 			best = h
 		}
 	}
--- a/region/learn.go
+++ b/region/learn.go
@@ -1,6 +1,8 @@
 package region
 
 import (
+	"github.com/fireflyfold/fireflyfold/adviceplan"
+
 	"slices"
 	"time"
 
@@ -12,14 +14,20 @@
 // 90% off, in the same direction for all jobs of a queue.
 type estimates struct {
 	byQueue map[string]*queueEstimate
+	list    []*queueEstimate // in the order in which the queues were first used
 }
 
 // queueEstimate holds the observed run times of a queue.
 type queueEstimate struct {
+	name    string
 	ratio   float64       // running mean of observed over declared run time
 	usual   time.Duration // running mean of observed run times; 0 before the first
 	samples float64       // runs in the means, at most estimateWindow
 
+	eligible       adviceplan.Share // of workers, by the answers of the advice service
+	scarcity       adviceplan.Scarcity
+	adviceHeldBack bool // since the last pass, all hosts had calls to wait for
+
 	recent  [estimateWindow]sample // the newest runs, in a ring
 	next    int
 	typical sample // medians of recent
@@ -44,8 +52,9 @@
 	}
 	q, ok := e.byQueue[queue]
 	if !ok {
-		q = &queueEstimate{ratio: 1}
+		q = &queueEstimate{name: queue, ratio: 1}
 		e.byQueue[queue] = q
+		e.list = append(e.list, q)
 	}
 	return q
 }
--- a/region/pass.go
+++ b/region/pass.go
@@ -45,6 +45,8 @@
 		}
 	}
 	s.freeBounds.valid = false
+	s.observeAdvice()
+	s.reserveKeptRoom()
 	byClass := s.byClass()
 	s.keepWorkersFree(byClass[:])
 	for c, steps := range byClass {
@@ -161,7 +163,7 @@
 		return classOnTime // it has no objective and is to run at any time
 	case s.now > st.latestForCredit:
 		return classNoCredit
-	case s.now > st.latestStart:
+	case s.now > st.latestStart || s.lateWithoutAdvice(st):
 		return classPartialCredit
 	case st.job.overShare:
 		return classOverShare
--- a/region/preemptgang.go
+++ b/region/preemptgang.go
@@ -25,6 +25,9 @@
 	stopTime = 300 * time.Millisecond
 	// maxGangLoss is the largest loss for a gang, as a part of the gang's own core-time.
 	maxGangLoss = 0.1
+	// maxScarceGangLoss replaces maxGangLoss where advice is scarce: a gang that does not start
+	// with the tickets that it has asks again, and other gangs wait for that call.
+	maxScarceGangLoss = 0.25
 )
 
 // preemption is what stopping some runs on a worker gives a gang.
@@ -39,14 +42,22 @@
 // soon be too late. The workers with the least loss are chosen, among those that the gang may
 // use, and reserved for it; it reports whether there are some.
 func (s *Scheduler) preemptForGang(st *step) bool {
-	preemptAt := st.readyAt + time.Duration(gangPreemptShare*float64(st.latestStart-st.readyAt))
+	atOnce := s.plansAdvice(st)
+	preemptAt := st.readyAt
+	if !atOnce {
+		preemptAt += time.Duration(gangPreemptShare * float64(st.latestStart-st.readyAt))
+	}
 	if s.classOf(st) != classOnTime || s.now < preemptAt || s.now < st.nextPreemptSearch ||
 		!st.gangWaits() || !s.withinCap(st, int64(len(st.tasks))) {
 		return false
 	}
 	st.nextPreemptSearch = s.now + gangPreemptRetry
-	chosen, loss := s.choosePreemptions(st)
-	if chosen == nil || float64(loss) > maxGangLoss*float64(st.coreTime()) {
+	chosen, loss := s.choosePreemptions(st, atOnce)
+	maxLoss := maxGangLoss
+	if atOnce {
+		maxLoss = maxScarceGangLoss
+	}
+	if chosen == nil || float64(loss) > maxLoss*float64(st.coreTime()) {
 		return false
 	}
 	st.nextPreemptSearch = s.now + gangPreemptInterval
@@ -57,18 +68,25 @@
 			r.endsAt = s.now + stopTime
 		}
 	}
+	if atOnce {
+		s.keepRoom(st, chosen)
+	}
 	s.freeBounds.valid = false
 	return true
 }
 
 // choosePreemptions returns the preemptions that together give room to all members, and their
-// loss, or nil if there are not enough.
-func (s *Scheduler) choosePreemptions(st *step) (chosen []preemption, loss time.Duration) {
+// loss, or nil if there are not enough. If advised is set, the gang must have tickets that are
+// valid until the runs have stopped.
+func (s *Scheduler) choosePreemptions(st *step, advised bool) (chosen []preemption, loss time.Duration) {
 	var all []preemption
 	for _, w := range s.candidates(st) {
 		if !s.usable(w) || w.reserved != nil && w.reserved != st || !s.suits(st, w) {
 			continue
 		}
+		if advised && !st.ticketHolds(w, s.now+stopTime) {
+			continue
+		}
 		if p := s.preemptionOn(st, w); p.members > 0 {
 			all = append(all, p)
 		}
--- a/region/region.go
+++ b/region/region.go
@@ -121,6 +121,7 @@
 	dirty          bool          // a change may allow a task to start
 	lastPass       time.Duration
 	freeBounds     freeBounds
+	gangRooms      []gangRoom
 	pacer          startPacer
 	tailStart      [numClasses]int // where the next pass resumes trying the tail of each class
 
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -44,6 +44,8 @@
 	workers        map[string]*fakeWorker
 	names          []string
 	states         map[string]State
+	acceptedAt     map[string]time.Duration // when jobs were submitted
+	completedAt    map[string]time.Duration // when they were first shown as completed
 
 	runTime      func(id model.TaskID) time.Duration
 	fails        func(id model.TaskID, run int32) bool
@@ -140,7 +142,8 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
-		now: time.Hour,
+		now:        time.Hour,
+		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
 	w.fails = func(model.TaskID, int32) bool { return false }
@@ -252,6 +255,7 @@
 		j.Policy = &record.Policy{Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000}
 	}
 	j.Workspace, j.Queue, j.AcceptedUnixMs = "ws", queue, w.now.Milliseconds()
+	w.acceptedAt[j.Id] = w.now
 	r := &record.Intake{Kind: &record.Intake_Submitted{Submitted: j}}
 	w.intake = append(w.intake, r)
 	w.deliver(IntakeRead{Records: []*record.Intake{r}})
@@ -289,6 +293,9 @@
 			break // states are not shown while loading
 		}
 		w.checkFinalState(c)
+		if c.State == StateCompleted && w.states[c.Job] != c.State {
+			w.completedAt[c.Job] = w.now
+		}
 		w.states[c.Job] = c.State
 	case Start:
 		w.checkNotCancelled(c.Request)
