region: room is promised to a gang while it asks for advice about it

Load: many gangs that ask for advice at one time.

All gangs named the workers with most room, and those that were answered first took it.

Change: each worker named in a planned call is promised its expected part of the gang until the answer, and other plans count without it.

--- a/model/model.go
+++ b/model/model.go
@@ -40,6 +40,11 @@
 	return Resources{r.MilliCPU * n, r.MemoryMiB * n, r.Accelerators * n}
 }
 
+// DividedBy returns r / n, rounded down.
+func (r Resources) DividedBy(n int64) Resources {
+	return Resources{r.MilliCPU / n, r.MemoryMiB / n, r.Accelerators / n}
+}
+
 // Fits reports whether no component of r exceeds that of capacity.
 func (r Resources) Fits(capacity Resources) bool {
 	return r.MilliCPU <= capacity.MilliCPU && r.MemoryMiB <= capacity.MemoryMiB && r.Accelerators <= capacity.Accelerators
--- a/region/advice.go
+++ b/region/advice.go
@@ -30,6 +30,7 @@
 	inFlight int           // calls that have not been answered
 	firstAt  time.Duration // time of the first answer
 	validTo  time.Duration // until when the tickets of the newest answer are valid
+	promise  roomPromise   // for the calls in flight
 	retryAt  time.Duration
 }
 
@@ -177,11 +178,7 @@
 		return
 	}
 	if s.plansAdvice(st) {
-		for _, names := range s.planAdvice(st) {
-			if !s.sendAdvise(st, names) {
-				return
-			}
-		}
+		s.requestPlanned(st)
 		return
 	}
 	if names := s.workersToAsk(st); len(names) > 0 {
@@ -325,6 +322,9 @@
 	}
 	st := t.step
 	st.advice.inFlight--
+	if st.advice.inFlight == 0 {
+		st.advice.promise.withdraw()
+	}
 	if ev.Failed {
 		st.advice.retryAt = s.now + adviceRetryPause
 		return
--- a/region/adviceplan.go
+++ b/region/adviceplan.go
@@ -71,6 +71,48 @@
 	return calls
 }
 
+// requestPlanned sends the planned calls about a gang. Each worker that they name is promised its
+// expected part of the gang until the answer. Otherwise gangs that ask at one time would all ask
+// about the same workers, those with most room, and most would find it taken.
+func (s *Scheduler) requestPlanned(st *step) {
+	calls := s.planAdvice(st)
+	named := 0
+	for _, names := range calls {
+		named += len(names)
+	}
+	if named == 0 {
+		return
+	}
+	st.advice.promise.part = st.demand().Times(int64(len(st.tasks))).DividedBy(int64(named))
+	for _, names := range calls {
+		if !s.sendAdvise(st, names) {
+			return
+		}
+		for _, name := range names {
+			st.advice.promise.add(s.workers[name])
+		}
+	}
+}
+
+// roomPromise is room on workers that calls for advice in flight name: the part of a gang that is
+// expected to start on each.
+type roomPromise struct {
+	part    model.Resources
+	workers []*worker
+}
+
+func (p *roomPromise) add(w *worker) {
+	w.promised = w.promised.Add(p.part)
+	p.workers = append(p.workers, w)
+}
+
+func (p *roomPromise) withdraw() {
+	for _, w := range p.workers {
+		w.promised = w.promised.Sub(p.part)
+	}
+	*p = roomPromise{}
+}
+
 // adviceCandidate returns what a plan has to know of a worker, when the answer takes a time. Runs
 // that may give way to the gang do not use up places.
 func (s *Scheduler) adviceCandidate(st *step, w *worker, answer time.Duration) adviceplan.Candidate {
@@ -80,7 +122,7 @@
 		c.Fresh = m.until > s.now+answer+adviceMargin
 	}
 	if w.reserved == nil || c.Reserved {
-		c.Places = st.mostOn(s.roomFor(st, w, answer))
+		c.Places = st.mostOn(s.roomFor(st, w, answer).Sub(w.promised))
 	}
 	return c
 }
--- a/region/scarceadvice_test.go
+++ b/region/scarceadvice_test.go
@@ -70,3 +70,44 @@
 	w.run(15 * time.Second)
 	return gangs
 }
+
+// Guards against gangs that ask about the same workers at one time: the first to be answered takes
+// the room, and the calls of the others were for nothing.
+func TestGangsThatAskAtOneTimeNameOtherWorkers(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 60 {
+		w.addWorker(fmt.Sprintf("w%02d", i), 28)
+	}
+	w.startLeader()
+	w.newAdviceService("", "h1", "h2")
+	w.run(time.Second)
+	scarcity := &w.sched.estimates.forQueue("gangs").scarcity
+	for at := w.now; !scarcity.Scarce(); at += 100 * time.Millisecond {
+		scarcity.Observe(at, true)
+	}
+	named := map[string]int{}
+	for _, id := range []string{"a", "b"} {
+		g := oneStep(id, &record.Step{Count: 6, Gang: true, Request: &record.Resources{MilliCpu: 9000, MemoryMib: 1000}})
+		g.Policy = queueWithAdvice("gangs", 440).Policy
+		g.Policy.Advice.EachMs = 6.4
+		w.submitTo(g, "gangs")
+		w.run(30 * time.Millisecond)
+		for _, worker := range w.sched.jobs[id].occs[0].steps[0].advice.promise.workers {
+			named[worker.entry.ID]++
+		}
+	}
+	if len(named) == 0 {
+		t.Fatal("no gang has asked")
+	}
+	for name, times := range named {
+		if times > 1 {
+			t.Errorf("both gangs ask about %s", name)
+		}
+	}
+	w.run(3 * time.Second)
+	for _, worker := range w.sched.workerList {
+		if worker.promised != (model.Resources{}) {
+			t.Errorf("%s is still promised %v after the answers", worker.entry.ID, worker.promised)
+		}
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -48,6 +48,7 @@
 	health                    health
 	speed                     speed
 	reserved                  *step           // gang that reserves room here
+	promised                  model.Resources // what calls for advice in flight are expected to bring here
 	softReserved              *step           // further gang that reserves room here against late work only
 	wasReserved               *step           // reserved or softReserved in the previous pass
 	keptFreeFor               *step           // step whose isolated tasks it is kept free for
