--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -229,7 +229,11 @@
 		if w.reserved != nil || w.softReserved != nil || !s.suits(st, w) || s.keptApart(st, w) {
 			continue
 		}
-		if n := timesIn(st.demand(), w.free().Add(s.freedWithin(w, freeHorizon))); n > 0 {
+		room := w.free().Add(s.freedWithin(w, freeHorizon))
+		if st.advice.inFlight == 0 {
+			room = room.Sub(w.promised) // to other gangs
+		}
+		if n := timesIn(st.demand(), room); n > 0 {
 			places = append(places, gangPlace{worker: w, n: n})
 		}
 	}
