host, adviceplan, succession: names and comments

No decision changes: checkLeader instead of a method with the name of its type, the order that Plan really has, and the ground of the time in which a host may be overtaken.

--- a/adviceplan/adviceplan.go
+++ b/adviceplan/adviceplan.go
@@ -37,11 +37,12 @@
 // gang's members. A call names at most maxPerCall workers. eligibleShare is the expected share of
 // eligible ones among those without an answer.
 //
-// Candidates with known answers come first, then those with most places. If all together are not
-// expected to hold the gang, one call asks about workers without an answer, if there are some: it
-// shows for which ones the gang may wait.
+// Reserved workers come first, then those with an answer that allows them, then those with most
+// places; workers without room come last. If all together are not expected to hold the gang, one
+// call asks about workers without an answer, if there are some: it shows for which ones the gang
+// may wait.
 func Plan(candidates []Candidate, members, maxPerCall int, eligibleShare float64) [][]int {
-	var expected, named float64
+	var expected float64 // places on eligible workers
 	order := make([]int, 0, len(candidates))
 	for i, c := range candidates {
 		switch {
@@ -58,10 +59,9 @@
 	n := 0
 	for ; n < len(order) && expected < wanted && candidates[order[n]].Places > 0; n++ {
 		expected += expectedPlaces(candidates[order[n]], eligibleShare)
-		named++
 	}
 	switch {
-	case fresh >= wanted || named == 0 && fresh >= float64(members):
+	case fresh >= wanted || n == 0 && fresh >= float64(members):
 		return nil
 	case expected < float64(members):
 		return learn(candidates, order, maxPerCall)
--- a/host/election.go
+++ b/host/election.go
@@ -219,7 +219,7 @@
 		return
 	}
 	_, fence := e.newestClaim()
-	switch e.leaderState(ctx) {
+	switch e.checkLeader(ctx) {
 	case noLeader:
 		if e.nominate(ctx, fence) {
 			return
@@ -311,9 +311,9 @@
 	smallLeaderLoads                    // one loads that this host is to overtake
 )
 
-// leaderState checks the leader by the claims, a ping and, if the ping is inconclusive, the
+// checkLeader checks the leader by the claims, a ping and, if the ping is inconclusive, the
 // leader's entries in the log. It is leaderAlive until the claims have been read.
-func (e *election) leaderState(ctx context.Context) leaderState {
+func (e *election) checkLeader(ctx context.Context) leaderState {
 	e.mu.Lock()
 	claim, ok := e.claim, e.caughtUp
 	e.mu.Unlock()
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -36,8 +36,9 @@
 //
 // The first host that detects the loss of a leader may be a small one that has just started and
 // knows no successors. It loads for seconds, in which nothing starts anywhere. A claim is safe
-// while another host loads, as that one has called no worker yet. It is of use only if own is
-// loaded earlier, so that the time for it ends before the claimant is likely to be done.
+// while another host loads, as that one has called no worker yet. It is of use if own is loaded
+// earlier. The claimant takes about as many times loadTime as the ratio says; since that is rough,
+// a claim is made only in the first half of the time in which it would save some.
 func Overtakes(own, claimant Capacity, age time.Duration) bool {
 	if !own.Known() || !claimant.Known() {
 		return false
