region: tests of kept room and of gangs that advice would reach too late

Broken by hand before, neither guard turned a test red; each does now. Still green when broken: the backlog allowed while advice is scarce, and tickets that must hold until preempted runs have stopped.

--- a/region/scarceadvice_test.go
+++ b/region/scarceadvice_test.go
@@ -146,3 +146,62 @@
 		w.mustComplete(g.Id)
 	}
 }
+
+// scarceGang returns a world with one waiting gang whose queue's advice is scarce, and the gang.
+func scarceGang(t *testing.T) (*world, *step) {
+	w := newWorld(t, 1)
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), 8)
+	}
+	w.issuesTicket = func(string, string) bool { return false }
+	w.startLeader()
+	g := oneStep("g", &record.Step{Count: 4, Gang: true, EstimateMs: 4000, Request: &record.Resources{MilliCpu: 6000, MemoryMib: 100}})
+	g.Policy = queueWithAdvice("gangs", 1100).Policy
+	w.submitTo(g, "gangs")
+	scarcity := &w.sched.estimates.forQueue("gangs").scarcity
+	for at := w.now; !scarcity.Scarce(); at += 100 * time.Millisecond {
+		scarcity.Observe(at, true)
+	}
+	return w, w.sched.jobs["g"].occs[0].steps[0]
+}
+
+// Guards against room that other work takes while the last runs that make room for a gang stop, and
+// against room that is kept after the gang's tickets have expired.
+func TestRoomIsKeptWhileTicketsHold(t *testing.T) {
+	w, st := scarceGang(t)
+	kept := w.sched.workers["w1"]
+	st.advice.validTo = w.now + time.Second
+	w.sched.keepRoom(st, []preemption{{worker: kept}})
+	w.sched.reserveKeptRoom()
+	other := oneStep("other", &record.Step{Count: 1})
+	w.submit(other)
+	if kept.reserved != st || w.sched.admits(kept, w.sched.jobs["other"].occs[0].steps[0]) {
+		t.Error("the room is not kept for the gang")
+	}
+	kept.reserved = nil
+	w.sched.now = st.advice.validTo
+	w.sched.reserveKeptRoom()
+	if kept.reserved != nil || len(w.sched.gangRooms) > 0 {
+		t.Error("the room is kept although the tickets have expired")
+	}
+}
+
+// Guards against calls for advice about gangs that would start too late even if they were answered
+// at once, ahead of those about gangs that can be on time.
+func TestGangThatAdviceWouldReachTooLateRanksWithLateWork(t *testing.T) {
+	w, st := scarceGang(t)
+	classAt := func(left time.Duration) class {
+		w.sched.now = st.latestStart - left
+		return w.sched.classOf(st)
+	}
+	if got := classAt(1500 * time.Millisecond); got != classOnTime {
+		t.Errorf("class %d with time for a call, want on time", got)
+	}
+	if got := classAt(500 * time.Millisecond); got != classPartialCredit {
+		t.Errorf("class %d without time for a call, want late", got)
+	}
+	st.advice.validTo = st.latestStart
+	if got := classAt(500 * time.Millisecond); got != classOnTime {
+		t.Errorf("class %d with valid tickets, want on time", got)
+	}
+}
