--- a/region/adviceplan.go
+++ b/region/adviceplan.go
@@ -12,6 +12,44 @@
 // valid together.
 const longCallShare = 0.5
 
+const (
+	// overloadShare is the part of the cores of all usable workers that waiting tasks ask for from
+	// which on the region is overloaded. Below it a gang finds room on some of the many workers
+	// that a call names, and runs need not be stopped for it at once.
+	overloadShare = 0.5
+	// overloadCheckInterval is the shortest time between two counts of the waiting tasks.
+	overloadCheckInterval = 100 * time.Millisecond
+)
+
+// overload is what the newest count of the waiting tasks showed.
+type overload struct {
+	overloaded bool
+	checkedAt  time.Duration
+}
+
+// checkOverload counts the waiting tasks again if the last count is old.
+func (s *Scheduler) checkOverload() {
+	if s.now-s.overload.checkedAt < overloadCheckInterval {
+		return
+	}
+	s.overload.checkedAt = s.now
+	var capacity, waiting int64
+	for _, w := range s.usableNow {
+		capacity += w.entry.Capacity.MilliCPU
+	}
+	for _, st := range s.ready.steps {
+		if st.job.ended() {
+			continue
+		}
+		for _, t := range st.tasks {
+			if t.waiting() {
+				waiting += st.demand().MilliCPU
+			}
+		}
+	}
+	s.overload.overloaded = float64(waiting) > overloadShare*float64(capacity)
+}
+
 // plansAdvice reports whether calls for advice about the step are planned for all its tasks
 // together, and room is made for them as soon as its tickets are there: it is a gang, a call takes
 // long compared with the validity of its tickets, and advice is scarce.
@@ -23,11 +61,13 @@
 	return float64(st.adviceCost(maxAdviceWorkers)) >= longCallShare*float64(valid)
 }
 
-// observeAdvice records for each queue whether its calls were held back since the last pass.
+// observeAdvice records for each queue whether its calls were held back since the last pass, in an
+// overloaded region.
 func (s *Scheduler) observeAdvice() {
+	s.checkOverload()
 	for _, q := range s.estimates.list {
 		before := q.scarcity.Scarce()
-		q.scarcity.Observe(s.now, q.adviceHeldBack)
+		q.scarcity.Observe(s.now, q.adviceHeldBack && s.overload.overloaded)
 		q.adviceHeldBack = false
 		switch {
 		case q.scarcity.Scarce() == before:
--- a/region/region.go
+++ b/region/region.go
@@ -122,6 +122,7 @@
 	lastPass       time.Duration
 	freeBounds     freeBounds
 	gangRooms      []gangRoom
+	overload       overload
 	pacer          startPacer
 	tailStart      [numClasses]int // where the next pass resumes trying the tail of each class
 
--- a/region/scarceadvice_test.go
+++ b/region/scarceadvice_test.go
@@ -205,3 +205,26 @@
 		t.Errorf("class %d with valid tickets, want on time", got)
 	}
 }
+
+// Guards against runs that are stopped for gangs, and against gangs that ask about few workers, in a
+// region that has room: many workers are free, only the advice service is busy.
+func TestAdviceIsNotPlannedWhereThereIsRoom(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 80 {
+		w.addWorker(fmt.Sprintf("w%02d", i), 64)
+	}
+	w.issuesTicket = func(string, string) bool { return false }
+	w.startLeader()
+	w.newAdviceService("")
+	for i := range 40 {
+		g := oneStep(fmt.Sprintf("g%02d", i), &record.Step{Count: 4, Gang: true, Request: &record.Resources{MilliCpu: 9000, MemoryMib: 100}})
+		g.Policy = queueWithAdvice("gangs", 1100).Policy
+		w.submitTo(g, "gangs")
+	}
+	for range 10 {
+		w.run(time.Second)
+		if w.sched.estimates.forQueue("gangs").scarcity.Scarce() {
+			t.Fatal("calls are planned although waiting tasks ask for a third of the cores")
+		}
+	}
+}
