region: no planned calls for advice beyond 1,000 workers

A plan looks at all workers, 2.8 ms each at 3,000 (BenchmarkPlanAdvice), and calls for advice grow with the hosts.

Change: above 1,000 workers calls are made as before.

--- a/region/adviceplan.go
+++ b/region/adviceplan.go
@@ -50,11 +50,16 @@
 	s.overload.overloaded = float64(waiting) > overloadShare*float64(capacity)
 }
 
+// maxPlannedWorkers is the largest number of workers in a region where calls are planned. A plan looks
+// at all of them, and the calls grow with the hosts: with 3,000 workers, plans of 3 ms each would take
+// half of a core.
+const maxPlannedWorkers = 1000
+
 // plansAdvice reports whether calls for advice about the step are planned for all its tasks
 // together, and room is made for them as soon as its tickets are there: it is a gang, a call takes
 // long compared with the validity of its tickets, and advice is scarce.
 func (s *Scheduler) plansAdvice(st *step) bool {
-	if !st.rec.Gang || !st.needsAdvice() || !st.job.queue.scarcity.Scarce() {
+	if len(s.workerList) > maxPlannedWorkers || !st.rec.Gang || !st.needsAdvice() || !st.job.queue.scarcity.Scarce() {
 		return false
 	}
 	valid := time.Duration(st.job.rec.Policy.GetAdvice().GetValidMs()) * time.Millisecond
--- a/region/scarceadvice_test.go
+++ b/region/scarceadvice_test.go
@@ -228,3 +228,17 @@
 		}
 	}
 }
+
+// Guards against plans that take the leader's processor in a region of thousands of workers.
+func TestAdviceIsNotPlannedForThousandsOfWorkers(t *testing.T) {
+	w, st := scarceGang(t)
+	if !w.sched.plansAdvice(st) {
+		t.Fatal("calls are not planned in a small region")
+	}
+	for i := range maxPlannedWorkers {
+		w.addWorker(fmt.Sprintf("more%04d", i), 8)
+	}
+	if w.sched.plansAdvice(st) {
+		t.Error("calls are planned in a large region")
+	}
+}
