region: a new leader reports what became of inherited runs

The record of a cancelled run that went on does not tell whether the new leader ever called the run's worker, in which incarnation, and which lease was out.

Lines: runs inherited, inherited runs reached, inherited runs not reached, cancelled before this leader; the incarnation in run stopped, run lost and stop failed; run lost says -1 where the leader never reached the worker, which was the host's uptime before.

--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -109,7 +109,8 @@
 	receipt, err := d.leader.cfg.Client.Stop(d.ctx, d.startStopTimeout(), c.Request)
 	d.observeCall(sent, 0, err)
 	if stopErr := errors.CombineErrors(err, receipt.Err); stopErr != nil {
-		d.leader.cfg.Log.WithError(stopErr).WithFields(logrus.Fields{"job": c.Request.Task.Job, "worker": c.Request.Worker.ID, "run": c.Request.Run}).Info("stop failed")
+		d.leader.cfg.Log.WithError(stopErr).WithFields(logrus.Fields{"job": c.Request.Task.Job, "worker": c.Request.Worker.ID,
+			"born": c.Request.Worker.BornUnix, "run": c.Request.Run}).Info("stop failed")
 	}
 	d.leader.push(d.ctx, region.StopAnswered{Request: c.Request, SentAt: sent, Err: callError(receipt, err)})
 }
--- a/region/end.go
+++ b/region/end.go
@@ -22,9 +22,9 @@
 // markLost ends a run whose worker reported no end. It does not count as an attempt.
 func (s *Scheduler) markLost(r *run, why string) {
 	t := r.task
-	s.explain(t.step.job.rec.Id, "run lost", Field{"why", why}, Field{"worker", r.ref.ID},
+	s.explain(t.step.job.rec.Id, "run lost", Field{"why", why}, Field{"worker", r.ref.ID}, Field{"born", r.ref.BornUnix},
 		Field{"step", t.step.index}, Field{"task", t.index}, Field{"run", r.number},
-		Field{"phase", int(r.phase)}, Field{"looked_ms_ago", (s.now - r.worker.probedAt).Milliseconds()})
+		Field{"phase", int(r.phase)}, Field{"looked_ms_ago", r.worker.probeAge(s.now).Milliseconds()})
 	s.release(r)
 	s.recordLost(r)
 	s.stopOtherMembers(t, r.number)
--- a/region/job.go
+++ b/region/job.go
@@ -261,6 +261,9 @@
 			continue
 		}
 		j.cancelled = true
+		if runs := j.countRuns(); runs > 0 {
+			s.explain(j.rec.Id, "cancelled before this leader", Field{"queue", j.rec.Queue}, Field{"runs", runs})
+		}
 		for _, occ := range j.occs {
 			for _, st := range occ.steps {
 				s.dequeue(st)
@@ -426,6 +429,13 @@
 	}
 }
 
+// countRuns returns how many runs of the job may be alive.
+func (j *job) countRuns() int {
+	n := 0
+	j.anyRun(func(*run) bool { n++; return false })
+	return n
+}
+
 // anyRun reports whether is holds for a run of the job that may be alive.
 func (j *job) anyRun(is func(*run) bool) bool {
 	for _, occ := range j.occs {
--- a/region/probe.go
+++ b/region/probe.go
@@ -184,6 +184,7 @@
 	}
 	w.probedAt = max(w.probedAt, ev.SentAt)
 	w.silent = false
+	s.inheritedReached(w)
 	s.workerAnswered(w.ref())
 	w.endsListed = len(ev.Response.Ended)
 	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
--- a/region/region.go
+++ b/region/region.go
@@ -100,7 +100,8 @@
 	terms           terms
 	reachedBy       map[string]int64 // fencing token of the newest earlier leader that has recorded to have reached a worker
 	inheritedCalls  []*run           // runs of noteInheritedCalls
-	pathChecks      []*run           // runs of checkPath
+	inherited       inheritedReport
+	pathChecks      []*run // runs of checkPath
 	estimates       estimates
 	shares          shares
 
@@ -280,6 +281,7 @@
 	for _, w := range s.workerList {
 		s.takeOver(w)
 	}
+	s.reportInherited()
 	slices.SortStableFunc(s.written, func(a, b *job) int { return cmp.Compare(a.writtenAt, b.writtenAt) })
 	for _, j := range s.jobs {
 		s.publish(j)
@@ -300,6 +302,7 @@
 	s.checkDrainAge()
 	s.addDueOccurrences()
 	s.expireRuns()
+	s.reportUnreached()
 	s.sendOverdueProbes()
 	s.recordTerm()
 	s.settleLateStarts()
--- a/region/run.go
+++ b/region/run.go
@@ -177,7 +177,7 @@
 	if r.phase == phaseStopping || r.phase == phaseLateStart {
 		return
 	}
-	s.explain(r.task.step.job.rec.Id, "run stopped", Field{"why", why}, Field{"worker", r.ref.ID},
+	s.explain(r.task.step.job.rec.Id, "run stopped", Field{"why", why}, Field{"worker", r.ref.ID}, Field{"born", r.ref.BornUnix},
 		Field{"step", r.task.step.index}, Field{"task", r.task.index}, Field{"run", r.number})
 	if r.phase == phaseLogging {
 		s.abandon(r, why)
--- a/region/worker.go
+++ b/region/worker.go
@@ -67,6 +67,15 @@
 	return w.clockMs + (now - w.clockAt).Milliseconds()
 }
 
+// probeAge returns how long ago the newest answered probe of the worker was sent, or -1 ms if this
+// leader has had no answer.
+func (w *worker) probeAge(now time.Duration) time.Duration {
+	if w.probedAt == 0 {
+		return -time.Millisecond
+	}
+	return now - w.probedAt
+}
+
 // lapsesAt returns the time after which no run can be alive under a lease granted there.
 func (w *worker) lapsesAt() time.Duration {
 	if !w.fenced {
