--- a/region/world_test.go
+++ b/region/world_test.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -39,6 +40,7 @@
 	intake         []*record.Intake
 	entries        []*record.Entry
 	entryTimes     []time.Duration // when each of entries was appended
+	maxLease       time.Duration   // the longest lease of workers; 0 for testLease
 	logRetention   time.Duration   // after which entries expire; 0 for the usual option, without expiry
 	pendingAppends []pendingAppend
 	workers        map[string]*fakeWorker
@@ -129,6 +131,7 @@
 
 func (w *world) options() Options {
 	o := testOptions()
+	o.MaxLease, o.Lease = w.longestLease(), w.longestLease()
 	if w.logRetention > 0 {
 		o.LogRetention = w.logRetention
 	}
@@ -138,6 +141,9 @@
 	return o
 }
 
+// longestLease returns to what workers shorten longer leases.
+func (w *world) longestLease() time.Duration { return cmp.Or(w.maxLease, testLease) }
+
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -38,7 +38,7 @@
 	if o.UntilMs < fw.clock(w.now) {
 		return CallLeaseExpired
 	}
-	fw.until = max(fw.until, min(o.UntilMs, fw.clock(w.now)+testLease.Milliseconds()))
+	fw.until = max(fw.until, min(o.UntilMs, fw.clock(w.now)+w.longestLease().Milliseconds()))
 	if r, ok := fw.runs[o.Task]; ok && r.number == o.Run {
 		return CallOK
 	}
@@ -241,7 +241,7 @@
 		fw.fence = c.Request.Fence
 		w.expireLease(fw)
 		if c.Request.UntilMs > 0 {
-			fw.until = max(fw.until, min(c.Request.UntilMs, fw.clock(w.now)+testLease.Milliseconds()))
+			fw.until = max(fw.until, min(c.Request.UntilMs, fw.clock(w.now)+w.longestLease().Milliseconds()))
 		}
 		for len(fw.ends) > 0 && fw.ends[0].Number <= c.Request.AckedUpTo {
 			fw.ends = fw.ends[1:]
