region: ends on a worker that has left the host list are acknowledged

The last run on a worker without an entry ends: the leader recorded the end and forgot the worker before it acknowledged, under one leader as well as after a takeover. The worker lists the end until it is gone, and callers' records count it as not taken note of. It is the same class as the cancelled run that went on: the host list taken for what a worker still does.

A worker that has left is kept until its ends are acknowledged or it does not answer a probe.

--- a/region/probe.go
+++ b/region/probe.go
@@ -169,9 +169,9 @@
 	return probeGap + max(min(pausePerDelay*s.loopLag, most), time.Duration(crowded*float64(most)))
 }
 
-// probeAgain sends the next probe, or removes a worker that has left and has no runs.
+// probeAgain sends the next probe, or removes a worker that has left.
 func (s *Scheduler) probeAgain(w *worker, after time.Duration) {
-	if !w.listed && len(w.runs) == 0 {
+	if w.hasLeft() {
 		s.forget(w)
 		return
 	}
--- a/region/worker.go
+++ b/region/worker.go
@@ -269,7 +269,13 @@
 	s.explain("", "worker unlisted", Field{"worker", id}, Field{"runs", len(w.runs)})
 }
 
-// forget removes a worker that has left and has no runs.
+// hasLeft reports whether nothing is to be done about a worker without an entry in the host list:
+// it has no runs, and every end that it lists is acknowledged, unless it does not answer.
+func (w *worker) hasLeft() bool {
+	return !w.listed && len(w.runs) == 0 && !(w.fenced && !w.probeMissed && w.ends.highest > w.ends.acked)
+}
+
+// forget removes a worker that has left.
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
 	w.probeHeldAt = 0
@@ -304,7 +310,7 @@
 }
 
 // expireRuns ends the runs on workers whose leases have expired even with the largest clock
-// drift, and removes workers that have left and have no runs.
+// drift, and removes workers that have left.
 func (s *Scheduler) expireRuns() {
 	for i := len(s.workerList) - 1; i >= 0; i-- {
 		w := s.workerList[i]
@@ -315,7 +321,7 @@
 		case !w.fenced:
 			s.expireLateStarts(w)
 		}
-		if !w.listed && len(w.runs) == 0 && !w.probing {
+		if w.hasLeft() && !w.probing {
 			s.forget(w)
 		}
 	}
