region: a crash under a run in doubt is counted once

The crash was counted when the new life was listed, and once more in the same event, against that new life, which works; with a drained worker, whose end is no crash, once instead of never. Two crashes isolate a task, and three or five of them fail its job.

Cause: endEarlierRuns took the run for one that the new life has lost, as its reference still names the earlier life.

TestCrashUnderRunInDoubtIsCountedOnce: 2 crashes for 1 and 1 for 0 before, green now.

--- a/region/crash_test.go
+++ b/region/crash_test.go
@@ -210,3 +210,26 @@
 		}
 	}
 }
+
+// Guards against a task that is blamed for crashes that did not happen: one of its starts is in
+// doubt when its worker restarts, and the host list shows the next incarnation again and again.
+func TestCrashUnderRunInDoubtIsCountedOnce(t *testing.T) {
+	for name, want := range map[string]int{"crashed": 1, "drained": 0} {
+		t.Run(name, func(t *testing.T) {
+			w, fw := heldStart(t, time.Hour)
+			if name == "drained" {
+				fw.entry.Draining = true
+				w.deliver(WorkerListed{Entry: fw.entry})
+				fw.entry.Draining = false
+			}
+			fw.restart(w)
+			for range 3 {
+				w.deliver(WorkerListed{Entry: fw.entry})
+				w.run(100 * time.Millisecond)
+			}
+			if got := len(w.sched.findTask(model.TaskID{Job: "a"}).suspicion.crashes); got != want {
+				t.Errorf("%d crashes are counted, want %d", got, want)
+			}
+		})
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -213,9 +213,10 @@
 }
 
 // endEarlierRuns ends the runs of other incarnations of the worker, including those that
-// an earlier leader assigned.
+// an earlier leader assigned. Those of awaitLateStart have ended with theirs: what a late call
+// starts belongs to the present one, which has not crashed.
 func (s *Scheduler) endEarlierRuns(w *worker) {
-	s.endRuns(w, func(r *run) bool { return r.ref.BornUnix != w.incarnation.BornUnix })
+	s.endRuns(w, func(r *run) bool { return r.ref.BornUnix != w.incarnation.BornUnix && r.phase != phaseLateStart })
 }
 
 // anyRun holds for every run.
