region: the test of known room does not take an earlier life's entry for the present one's

Trace: w1 (born 3619110, 7,000 milli-CPU, listed and reached) is sent a start with 6,757 in use. A late entry of its life born 3618872, with 6,000, is in the host list; the scheduler passes it over, as it must (TestStaleHostListEntryIsIgnored), and the check took its capacity for that of the present life. So the case is allowed. The check compares with the newest entry of the incarnation that is called; the worker's own capacity is checked at each start as before.

--- a/region/roomworld_test.go
+++ b/region/roomworld_test.go
@@ -36,9 +36,12 @@
 	})
 }
 
-// listCapacity delivers a worker's entry, with the capacity that starts have to keep to from now on.
+// listCapacity delivers a worker's entry, with the capacity that starts in its incarnation have to
+// keep to from now on. The entry of an earlier incarnation says nothing of the present one.
 func (w *world) listCapacity(fw *fakeWorker, entry model.WorkerEntry) {
-	fw.known = &entry.Capacity
+	if entry.BornUnix == fw.entry.BornUnix {
+		fw.known = &entry.Capacity
+	}
 	if fw.listed != nil {
 		fw.listed = &entry
 	}
