region: parts of the reach of inherited runs that change nothing are gone

Guards broken by hand showed that only the call to the newest inherited run was proved. The end of earlier runs at the first answer is done by endUnlisted already; a run's own address is not needed, since the newest incarnation answers for all; runs of several incarnations that may be alive exist only where the earlier ones are in doubt, so that births order them.

TestStopToEarlierIncarnationBeforeFirstProbe and TestWorkerThatLeftWithoutAnswerIsForgotten are new: red with the branch of earlier incarnations, and with the wait for an answer, broken by hand. Red as well, by the tests there were: the call to inherited runs, ends acknowledged before a worker is forgotten, runs in doubt left out of endEarlierRuns. go test ./region: green.

--- a/region/probe.go
+++ b/region/probe.go
@@ -150,16 +150,15 @@
 // list has an entry of the new incarnation, which may differ in kind or size.
 func (s *Scheduler) otherIncarnation(w *worker, called model.WorkerRef) {
 	s.incarnationEnded(s.losses.byWorker[w.entry.ID], func(l *loss) bool { return l.ref.BornUnix <= called.BornUnix })
-	if called.BornUnix != w.incarnation.BornUnix {
-		s.endRuns(w, func(r *run) bool { return r.ref.BornUnix == called.BornUnix && r.phase != phaseLateStart })
+	if called.BornUnix < w.incarnation.BornUnix {
+		s.endRuns(w, func(r *run) bool { return r.ref.BornUnix <= called.BornUnix })
 		return
 	}
 	if !w.fenced && !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != phaseLateStart }) {
 		return // known already
 	}
 	s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
-	s.endIncarnation(w, func(r *run) bool { return r.ref.BornUnix == called.BornUnix || r.phase == phaseLateStart })
-	w.callNewestRun()
+	s.endIncarnation(w)
 }
 
 // probePause returns the pause before the next probe of a worker.
@@ -180,9 +179,6 @@
 
 // readProbe applies an answered probe and returns how many ends it lists that were not known.
 func (s *Scheduler) readProbe(w *worker, ev ProbeAnswered) (newEnds int) {
-	if w.probedAt == 0 {
-		s.endEarlierRuns(w)
-	}
 	w.clockMs, w.clockAt = ev.Response.ClockMs, s.now
 	if !w.fenced && s.mayGrant(w) {
 		w.fenced = true
--- a/region/run.go
+++ b/region/run.go
@@ -55,13 +55,10 @@
 	progressedAt     time.Duration // when percent last changed
 }
 
-// target returns the incarnation to which calls about the run are sent. Runs in the log may have
-// no address; it is then known once the worker's entry is read.
+// target returns the incarnation to which calls about the run are sent, at the address of the
+// newest one: it answers there if the run's has ended.
 func (r *run) target() model.WorkerRef {
-	if r.ref.Address == "" {
-		return model.WorkerRef{ID: r.ref.ID, Address: r.worker.incarnation.Address, BornUnix: r.ref.BornUnix}
-	}
-	return r.ref
+	return model.WorkerRef{ID: r.ref.ID, Address: r.worker.incarnation.Address, BornUnix: r.ref.BornUnix}
 }
 
 // settledBefore reports whether a probe sent at sentAt that does not list the run proves
--- a/region/unlisted_test.go
+++ b/region/unlisted_test.go
@@ -137,6 +137,52 @@
 	}
 }
 
+// Guards against a task that runs twice at once: the same, but the present incarnation has not
+// answered a probe when it answers the stop.
+func TestStopToEarlierIncarnationBeforeFirstProbe(t *testing.T) {
+	w, fw := heldStart(t, time.Hour)
+	fw.restart(w)
+	w.addWorker("w2", 2)
+	w.deliver(WorkerListed{Entry: fw.entry})
+	w.run(200 * time.Millisecond)
+	w.workers["w2"].unreachable = true
+	w.submit(deferrable("b", &record.Step{Count: 1}))
+	w.run(500 * time.Millisecond)
+	if len(fw.runs) != 1 {
+		w.fatal("%d runs in the second incarnation, want that of b", len(fw.runs))
+	}
+	w.workers["w2"].unreachable = false
+	w.expireEntry(fw)
+	w.stopLeader()
+	w.losesAnswer = func(call string) bool { return call == "hold" }
+	w.startLeader()
+	w.cancel("a")
+	w.run(time.Second)
+	w.losesAnswer = func(string) bool { return false }
+	w.run(9 * time.Second)
+	if n := w.starts[model.TaskID{Job: "b"}]; n != 1 || len(fw.runs) != 1 {
+		t.Errorf("the task of b was started %d times, and its worker has %d runs, want one of each", n, len(fw.runs))
+	}
+}
+
+// Guards against a leader that keeps a worker for ever which has left before its last end was
+// acknowledged.
+func TestWorkerThatLeftWithoutAnswerIsForgotten(t *testing.T) {
+	w, fw := longRun(t)
+	w.run(time.Minute - time.Second)
+	w.logDown = true // no end is acknowledged
+	w.run(1500 * time.Millisecond)
+	if len(fw.runs) != 0 {
+		w.fatal("%d runs on w1, want none", len(fw.runs))
+	}
+	fw.unreachable = true
+	w.logDown = false
+	w.run(3 * time.Second)
+	if _, known := w.sched.workers["w1"]; known {
+		t.Error("a worker that has left and does not answer is still known")
+	}
+}
+
 // Guards against the loss of a run whose start was executed late by its worker's next incarnation
 // while nobody led, if a new leader calls the earlier one before the host list has the next.
 func TestLateRunInUnlistedIncarnationIsKept(t *testing.T) {
--- a/region/worker.go
+++ b/region/worker.go
@@ -19,7 +19,7 @@
 // worker is the leader's state of one worker.
 type worker struct {
 	entry                     model.WorkerEntry // as newest listed; before the first entry only its ID is set
-	incarnation               model.WorkerRef   // that calls are sent to: see callNewestRun
+	incarnation               model.WorkerRef   // that calls are sent to; see callInherited
 	listed                    bool
 	slot                      int             // index of the worker in adviceState.marks
 	runs                      []*run          // runs that may be alive there
@@ -103,28 +103,27 @@
 // worker, and sends the first probe.
 func (s *Scheduler) takeOver(w *worker) {
 	w.inheritedUntil = s.leadSince + leadershipProofTTL + s.maxLease() + lapseMargin
-	w.callNewestRun()
+	w.callInherited()
 	s.probe(w, 0)
 }
 
-// callNewestRun lets calls go to the newest incarnation in which a run may be alive, as far as its
-// address is known.
+// callInherited lets calls go to the newest incarnation of the worker that the log names for its
+// runs, until an entry of the host list is read.
 //
-// The guard is against a worker that is never called although it works: a host list entry may
-// expire, or be read late, while the log has the address of each run. Without probes, nothing is
-// stopped on such a worker, and its leases are not renewed.
-func (w *worker) callNewestRun() {
+// The guard is against a worker that is never called although it works: its entry may have
+// expired, or be read late. Without probes, nothing is stopped there, and no lease is renewed.
+func (w *worker) callInherited() {
 	if newest := w.newestRunRef(); newest.Address != "" {
 		w.incarnation = newest
 	}
 }
 
-// newestRunRef returns the newest incarnation of the worker in which a run may be alive. Only the
-// ID is set if there is none.
+// newestRunRef returns the newest incarnation of the worker to which one of its runs was assigned.
+// Only the ID is set if there is none.
 func (w *worker) newestRunRef() model.WorkerRef {
 	newest := model.WorkerRef{ID: w.entry.ID}
 	for _, r := range w.runs {
-		if r.phase != phaseLateStart && r.ref.BornUnix > newest.BornUnix {
+		if r.ref.BornUnix > newest.BornUnix {
 			newest = r.ref
 		}
 	}
@@ -145,7 +144,7 @@
 	}
 	if w.incarnation.BornUnix != e.BornUnix && w.incarnation.BornUnix != 0 {
 		s.explain("", "worker has a new life", Field{"worker", e.ID}, Field{"runs_lost", len(w.runs)})
-		s.endIncarnation(w, anyRun)
+		s.endIncarnation(w)
 	}
 	if w.listed && e.Draining && !w.entry.Draining {
 		s.explain("", "worker drains", Field{"worker", e.ID}, Field{"runs", len(w.runs)})
@@ -191,7 +190,7 @@
 		if w.incarnation.Address != e.Address || w.incarnation.BornUnix >= e.BornUnix {
 			continue
 		}
-		s.endIncarnation(w, anyRun)
+		s.endIncarnation(w)
 		w.listed = false
 	}
 }
@@ -219,14 +218,11 @@
 	s.endRuns(w, func(r *run) bool { return r.ref.BornUnix != w.incarnation.BornUnix && r.phase != phaseLateStart })
 }
 
-// anyRun holds for every run.
-func anyRun(*run) bool { return true }
-
-// endIncarnation ends the runs of the worker for which ended holds and resets its state, after
+// endIncarnation ends the runs of the worker's incarnation and resets its state, after
 // another incarnation has begun, under the same id or at the same address. The log messages
 // call an incarnation a life.
-func (s *Scheduler) endIncarnation(w *worker, ended func(*run) bool) {
-	s.endRuns(w, ended)
+func (s *Scheduler) endIncarnation(w *worker) {
+	s.endRuns(w, func(*run) bool { return true })
 	w.clockMs, w.leaseMs = 0, 0
 	w.ends, w.endsListed = &endLog{}, 0
 	w.silent = false
