logwriter: tests of scripted answers have a fake clock

TestCallWithLostAnswerIsRepeatedUnderSameSequenceNumber was red once, beside load: "repeated under sequence number 1, want 2". Cause: a writer hedges a call that has no response after 40 ms. On a busy machine the process paused for as long in the first call, and the hedge of that call reached the store after the second one; the test took the third call for the repeat of the second.

The writer does what it should: the hedge has the sequence number of its call, and the store executes it once.

The two tests with a script run under a fake clock, their checks as they were.

--- a/logwriter/logwriter_test.go
+++ b/logwriter/logwriter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,7 +16,8 @@
 	"github.com/fireflyfold/fireflyfold/platform"
 )
 
-// scriptedStore answers appends by a script and stores what it executes.
+// scriptedStore answers appends by a script and stores what it executes. Calls may be hedged when
+// their responses are late by the clock, so a test of what the script says has a fake clock.
 type scriptedStore struct {
 	script   []error // results of the calls in turn; nil for success, and after the end
 	executed []bool  // whether a call that fails is executed all the same
@@ -58,21 +60,11 @@
 	}
 }
 
-func startWriter(t *testing.T, f *scriptedStore, parts int) *Writer {
-	t.Helper()
-	w := New(f, Target{Topic: "t", Parts: parts, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 1 << 20})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() { defer close(ended); _ = w.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended })
-	return w
-}
-
 // A call is executed but its response is lost. It is repeated under the same sequence number,
 // so that the record is in the log once.
 func TestCallWithLostAnswerIsRepeatedUnderSameSequenceNumber(t *testing.T) {
 	f := &scriptedStore{script: []error{nil, errNoAnswer}, executed: []bool{true, true}}
-	writeAll(t, startWriter(t, f, 1), "a", "b", "c")
+	runWithFakeClock(t, f, 1, func(t *testing.T, w *Writer) { writeAll(t, w, "a", "b", "c") })
 	if diff := cmp.Diff([][]string{{"a", "b", "c"}}, f.appended); diff != "" {
 		t.Error(diff)
 	}
@@ -81,12 +73,55 @@
 	}
 }
 
+// pausedStore is a scriptedStore of a process that pauses: the first call's response is late, and
+// so is the hedge that is sent for it.
+type pausedStore struct {
+	mu sync.Mutex
+	scriptedStore
+	sent int
+}
+
+func (f *pausedStore) Append(ctx context.Context, timeout time.Duration, a platform.Append) (platform.Appended, error) {
+	f.mu.Lock()
+	f.sent++
+	n := f.sent
+	f.mu.Unlock()
+	const pause = 10 * time.Millisecond
+	if n == 2 {
+		time.Sleep(2 * pause)
+	}
+	f.mu.Lock()
+	got, err := f.scriptedStore.Append(ctx, timeout, a)
+	f.mu.Unlock()
+	if n == 1 {
+		time.Sleep(minHedgeDelay + pause)
+	}
+	return got, err
+}
+
+// The process pauses, and a hedge of the first call reaches the store after the second call. Each
+// record is in the log once, and each call has one sequence number.
+func TestLateHedgeReachesStoreAfterNextCall(t *testing.T) {
+	f := &pausedStore{scriptedStore: scriptedStore{script: []error{nil, errNoAnswer}, executed: []bool{true, true}}}
+	runWithFakeClock(t, f, 1, func(t *testing.T, w *Writer) { writeAll(t, w, "a", "b", "c") })
+	if diff := cmp.Diff([][]string{{"a", "b", "c"}}, f.appended); diff != "" {
+		t.Error(diff)
+	}
+	var sent []string
+	for _, c := range f.calls {
+		sent = append(sent, fmt.Sprint(c.Seq, string(c.Records[0])))
+	}
+	if diff := cmp.Diff([]string{"1a", "2b", "1a", "2b", "3c"}, sent); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // One partition stops answering. Its unresolved call is repeated before any other call to it:
 // otherwise the partition would refuse the next call for its sequence number, and the writer
 // would take that for the takeover by another one.
 func TestUnresolvedCallIsRepeatedBeforeNextCall(t *testing.T) {
 	f := &scriptedStore{script: []error{nil, errNoAnswer, nil, errNoAnswer, nil, nil}, executed: []bool{true, false, true, false, true, true}}
-	writeAll(t, startWriter(t, f, 2), "a", "b", "c", "d")
+	runWithFakeClock(t, f, 2, func(t *testing.T, w *Writer) { writeAll(t, w, "a", "b", "c", "d") })
 	last := f.calls[len(f.calls)-1]
 	var numbers [][2]int64
 	for _, c := range f.calls {
@@ -151,9 +186,9 @@
 }
 
 // runWithFakeClock runs a writer on a store in a synctest bubble.
-func runWithFakeClock(t *testing.T, f *lossyStore, do func(*testing.T, *Writer)) {
+func runWithFakeClock(t *testing.T, f Store, parts int, do func(*testing.T, *Writer)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := New(f, Target{Topic: "t", Parts: 1, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 1 << 20})
+		w := New(f, Target{Topic: "t", Parts: parts, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 1 << 20})
 		began := time.Now()
 		w.now = func() time.Duration { return time.Since(began) }
 		ctx, cancel := context.WithCancel(context.Background())
@@ -170,7 +205,7 @@
 // response counted as latency of the store, repeats would come later with each loss.
 func TestLostAnswersAreHedged(t *testing.T) {
 	f := &lossyStore{lostAnswers: 2, latency: 10 * time.Millisecond, sent: make(map[int64]int)}
-	runWithFakeClock(t, f, func(t *testing.T, w *Writer) {
+	runWithFakeClock(t, f, 1, func(t *testing.T, w *Writer) {
 		for _, r := range []string{"a", "b", "c", "d", "e", "f"} {
 			began := time.Now()
 			writeAll(t, w, r)
@@ -190,7 +225,7 @@
 // repeats: its response counts, and the next calls wait longer before they are repeated.
 func TestSlowStoreIsNotSentRepeats(t *testing.T) {
 	f := &lossyStore{latency: minTimeout / 2, sent: make(map[int64]int)}
-	runWithFakeClock(t, f, func(t *testing.T, w *Writer) {
+	runWithFakeClock(t, f, 1, func(t *testing.T, w *Writer) {
 		began := time.Now()
 		writeAll(t, w, "a")
 		if took := time.Since(began); took != f.latency {
@@ -209,7 +244,7 @@
 // otherwise it goes on taking submissions that it cannot append, and its callers stay with it.
 func TestUnresponsiveStoreIsUnhealthyBeforeTimeout(t *testing.T) {
 	f := &lossyStore{lostAnswers: 100, sent: make(map[int64]int)}
-	runWithFakeClock(t, f, func(t *testing.T, w *Writer) {
+	runWithFakeClock(t, f, 1, func(t *testing.T, w *Writer) {
 		w.Write([]byte("a"), func(Ack) { t.Error("acked") })
 		time.Sleep(unresponsiveAfter - time.Millisecond)
 		synctest.Wait()
