--- a/region/region.go
+++ b/region/region.go
@@ -7,6 +7,8 @@
 //
 //   - Every assignment is committed to the log before its start is sent, so a
 //     new leader knows every run that may be alive, and on which worker.
+//   - The host list decides only which workers get new tasks. A worker with runs is probed, told
+//     to stop them and granted leases also without an entry.
 //   - Every end of a run is committed to the log before it is acknowledged to the
 //     worker, which then drops it.
 //   - The log rejects appends of a replaced leader, and a worker rejects calls
