region: the strict world sends no call without the worker's address

A call to an earlier life was answered there whatever its address, where a real one had none: that hid the incident's mechanism from the strict histories. go test ./region: green.

--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -137,6 +137,9 @@
 	w.after(after, func() {
 		fw := w.workers[ref.ID]
 		switch {
+		case ref.Address != fw.entry.Address:
+			reply(testDelay, CallNotSent)
+			return
 		case fw.unreachable:
 			reply(callTimeout, CallNoAnswer)
 			return
