--- a/region/bench_test.go
+++ b/region/bench_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// BenchmarkWorkerReport measures an entry of the host list that a worker has written again without
+// a change, which each one does every second or two: at the size of today's regions and at ten times
+// that.
+func BenchmarkWorkerReport(b *testing.B) {
+	for _, workers := range []int{350, 3000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s := fullScheduler(workers)
+			b.ResetTimer()
+			for i := range b.N {
+				s.Handle(s.now, WorkerListed{Entry: s.workerList[i%workers].entry})
+			}
+		})
+	}
+}
+
 // fullScheduler returns a leader of workers that are full of tasks without checkpoints, and eight
 // gangs that wait.
 func fullScheduler(workers int) *Scheduler {
