entry: a caller that waits for a job is answered when its look meets the stop

TestPlannedStopAnswersEverybody was red once at a load average of 39: the call that waits for a job was answered 503 "this host does not schedule the zone". Two causes, told apart by trials:

The test did not wait until the call had arrived. The test now goes on once the call waits; its checks are as they were.

The host asks its engine once a second how the job stands. A look that meets the stop is refused, and that refusal was the answer, although the look before had told how the job stands.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -32,7 +32,10 @@
 		r, err := c.try(method, path, strings.NewReader(""))
 		ends <- end{what, r, err}
 	}
+	host := f.Hosts()[0].Host
+	questions := host.Questions()
 	go call("wait", http.MethodGet, "/v1/jobs/"+job+"?wait=25s")
+	until(t, "a caller waits", func() bool { return host.AwaitsJobEnd(questions) })
 	before := f.Platform.Audit.Counts().Calls
 	for range requests {
 		go call("request", http.MethodPost, "/v1/services/grants/x")
--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -255,18 +255,43 @@
 	look := c
 	look.verb = verbGet
 	look.hops = 0
-	for {
+	wait := jobWait{done: done, leaves: h.leaves.Done(), deadline: c.deadline, now: h.now}
+	return wait.run(ctx, func() ([]byte, *problem.Problem) {
 		look.deadline = h.now() + jobTimeout
-		body, p := h.runJobCall(ctx, look)
-		if ctx.Err() != nil || h.now() >= c.deadline || (p == nil && jobEnded(body)) || (p != nil && p.Type == problem.TypeNotFound) {
+		return h.runJobCall(ctx, look)
+	})
+}
+
+// jobWait waits for the end of a job.
+type jobWait struct {
+	done     <-chan struct{} // closed when the job ends
+	leaves   <-chan struct{} // closed when this host stops
+	deadline time.Duration   // on the host's clock
+	now      func() time.Duration
+}
+
+// run asks how the job stands until it has ended, the caller's time is over or
+// the host stops. A look that meets the stop is refused; the answer is then that
+// of the look before.
+func (w *jobWait) run(ctx context.Context, look func() ([]byte, *problem.Problem)) ([]byte, *problem.Problem) {
+	var newest []byte
+	for {
+		body, p := look()
+		if ctx.Err() != nil || w.now() >= w.deadline || (p == nil && jobEnded(body)) || (p != nil && p.Type == problem.TypeNotFound) {
 			return body, p
 		}
-		timer := time.NewTimer(min(waitPoll, max(c.deadline-h.now(), 0)))
+		if p == nil {
+			newest = body
+		}
+		timer := time.NewTimer(min(waitPoll, max(w.deadline-w.now(), 0)))
 		select {
-		case <-done:
+		case <-w.done:
 		case <-timer.C:
-		case <-h.leaves.Done():
+		case <-w.leaves:
 			timer.Stop()
+			if newest != nil {
+				return newest, nil
+			}
 			return body, p
 		case <-ctx.Done():
 		}
