--- a/host/unlisted_test.go
+++ b/host/unlisted_test.go
@@ -33,7 +33,7 @@
 		return status == http.StatusOK
 	})
 	f.waitUntil("its tasks run", func() bool { return running.Load() == 2 })
-	f.store.Put("keyed.servers", worker.ID, nil)
+	worker.Unlist()
 	leader.stop()
 	<-leader.done
 	f.waitUntil("the other host leads", func() bool { return f.leader() == other })
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -90,6 +90,13 @@
 	return nil
 }}
 
+// entryExpires removes a worker's entry from the host list for a while. The worker works on.
+var entryExpires = fault{"entry expires", func(f *fleet, _, w int) func() {
+	worker := f.worker(w)
+	worker.Unlist()
+	return worker.Relist
+}}
+
 // lateExecution makes a worker leave calls unanswered and execute them 2 to 5 s later,
 // after newer ones.
 var lateExecution = fault{"worker executes late", func(f *fleet, h, w int) func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// Runs TestSoak with entries of the host list that expire while their workers work on as a fifth
+// of all faults. Guards against runs that a new leader neither reaches nor waits for.
+func TestSoakWithExpiredEntries(t *testing.T) {
+	program := buildProgram(t)
+	list := withFifth(faults, entryExpires)
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, program, list, *firstSeed+i) })
+	}
+}
+
 // Runs TestSoakWithWorkerRestarts with workers that leave calls unanswered and execute them
 // seconds later as another fifth of all faults.
 func TestSoakWithLateExecution(t *testing.T) {
