region: tests share the start of a run of a minute

The same steps stood in TestInheritedRunOfEarlierIncarnation and in the tests of unlisted workers. Checks and steps as they were; go test ./region -run 'Unlisted|Incarnation|...': green.

--- a/region/incarnation_test.go
+++ b/region/incarnation_test.go
@@ -86,13 +86,7 @@
 // next incarnation. The run has ended, and the task runs again at once: its start was answered,
 // so that no start call of it can be executed any more.
 func TestInheritedRunOfEarlierIncarnation(t *testing.T) {
-	w := newWorld(t, 1)
-	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
-	fw := w.addWorker("w1", 1)
-	w.startLeader()
-	w.run(100 * time.Millisecond)
-	w.submit(oneStep("a", &record.Step{Count: 1}))
-	w.run(200 * time.Millisecond)
+	w, fw := minuteRun(t)
 	w.stopLeader()
 	crash(w, fw)
 	w.startLeader()
--- a/region/unlisted_test.go
+++ b/region/unlisted_test.go
@@ -22,9 +22,8 @@
 	w.deliver(WorkerUnlisted{ID: fw.entry.ID})
 }
 
-// longRun starts a task of a minute on w1, whose entry then expires. The second worker has room
-// for it.
-func longRun(t *testing.T) (*world, *fakeWorker) {
+// minuteRun starts a task of a minute on w1, which has room for one.
+func minuteRun(t *testing.T) (*world, *fakeWorker) {
 	w := newWorld(t, 1)
 	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
 	fw := w.addWorker("w1", 1)
@@ -32,6 +31,13 @@
 	w.run(100 * time.Millisecond)
 	w.submit(oneStep("a", &record.Step{Count: 1}))
 	w.run(200 * time.Millisecond)
+	return w, fw
+}
+
+// longRun starts a task of a minute on w1, whose entry then expires. The second worker has room
+// for it.
+func longRun(t *testing.T) (*world, *fakeWorker) {
+	w, fw := minuteRun(t)
 	w.addWorker("w2", 1)
 	w.expireEntry(fw)
 	w.run(100 * time.Millisecond)
