region: an entry of the host list is applied by its address

Cause: endEarlierWorkerAt looked at all workers for each entry, and each worker writes its entry again every second or two: a cost with the square of the region. (Scan inherited runs without an address as well.)

Change: an index of workers by the address of their incarnation. Workers without a known address are under the empty one; of those only the ones with runs are looked at.

TestEntryIsAppliedByItsAddress; the histories check the index at their end.

--- a/region/history_test.go
+++ b/region/history_test.go
@@ -75,6 +75,7 @@
 	}
 	faultFree = true
 	w.mustEnd(jobs)
+	checkAddresses(w.t, w.sched)
 }
 
 // randomizeTasks gives tasks random run times, fails some tasks and loses some answers until
--- a/region/incarnation_test.go
+++ b/region/incarnation_test.go
@@ -95,3 +95,33 @@
 		t.Errorf("%d runs in the next incarnation, want 1", n)
 	}
 }
+
+// Guards against an entry of the host list that costs a look at every worker of the region: a
+// worker at the address of an earlier one is found by its address.
+func TestEntryIsAppliedByItsAddress(t *testing.T) {
+	w, fw := minuteRun(t)
+	w.sched.workerList = nil
+	next := w.newWorker("w2", 1)
+	next.entry.Address, next.entry.BornUnix = fw.entry.Address, fw.entry.BornUnix+1
+	w.step(WorkerListed{Entry: next.entry})
+	if n := len(w.sched.workers["w1"].runs); n != 0 {
+		t.Errorf("%d runs of a worker whose address a later one has, want none", n)
+	}
+	checkAddresses(t, w.sched)
+}
+
+// checkAddresses fails the test unless each worker is indexed by its address alone.
+func checkAddresses(t *testing.T, s *Scheduler) {
+	indexed := 0
+	for at, workers := range s.byAddress {
+		indexed += len(workers)
+		for _, o := range workers {
+			if o.incarnation.Address != at || s.workers[o.entry.ID] != o {
+				t.Errorf("worker %s at %q is indexed at %q", o.entry.ID, o.incarnation.Address, at)
+			}
+		}
+	}
+	if indexed != len(s.workers) {
+		t.Errorf("%d of %d workers are indexed by their addresses", indexed, len(s.workers))
+	}
+}
--- a/region/region.go
+++ b/region/region.go
@@ -84,7 +84,8 @@
 	replayedCancels []*job
 	workers         map[string]*worker
 	departed        departed
-	workerList      []*worker // workers in a stable order
+	workerList      []*worker            // workers in a stable order
+	byAddress       map[string][]*worker // workers by the address of their incarnation
 	slots           slotAllocator
 	usableNow       []*worker // workers that can take new work, in this pass
 	fittingBuf      []*worker // result buffer of fitting
@@ -145,6 +146,7 @@
 		jobs:           make(map[string]*job),
 		cancelledEarly: make(map[string]time.Duration),
 		workers:        make(map[string]*worker),
+		byAddress:      make(map[string][]*worker),
 		used:           make(map[string]model.Resources),
 		suspects:       make(map[*task]bool),
 		reachedBy:      make(map[string]int64),
--- /dev/null
+++ b/region/size_bench_test.go
@@ -0,0 +1,115 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
+	"github.com/fireflyfold/fireflyfold/record"
+)
+
+// sizedScheduler is a leader of idle workers, all of which answer probes at once.
+type sizedScheduler struct {
+	*Scheduler
+	now     time.Duration
+	entries []model.WorkerEntry
+	jobs    int
+	probes  int
+}
+
+func newSizedScheduler(workers int) *sizedScheduler {
+	s := &sizedScheduler{Scheduler: New(testOptions()), now: time.Hour}
+	s.handle(Tick{UnixMs: s.now.Milliseconds()})
+	s.handle(Lead{Fence: 1})
+	s.handle(ConfigRead{Config: testConfig()})
+	s.handle(AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
+	for i := range workers {
+		e := model.WorkerEntry{
+			ID: fmt.Sprintf("w%05d", i), Service: "svc", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: fmt.Sprintf("z%d", i%6),
+			Labels: []string{fmt.Sprintf("r%d-1", i/8)}, Capacity: model.Resources{MilliCPU: 32000, MemoryMiB: 64 << 10}, BornUnix: 1,
+		}
+		s.entries = append(s.entries, e)
+		s.handle(WorkerListed{Entry: e})
+	}
+	return s
+}
+
+// handle applies an event, commits what it appends and answers its probes and calls for advice.
+func (s *sizedScheduler) handle(ev Event) {
+	var answers []Event
+	for _, c := range s.Handle(s.now, ev) {
+		switch c := c.(type) {
+		case Append:
+			answers = append(answers, Committed{Seq: c.Seq, SentAt: s.now})
+		case Probe:
+			s.probes++
+			if c.After == 0 {
+				answers = append(answers, ProbeAnswered{Request: c.Request, SentAt: s.now, Response: model.ProbeResponse{ClockMs: s.now.Milliseconds(), BornUnix: 1}})
+			}
+		case Advise:
+			a := AdviceAnswered{Request: c, At: s.now}
+			for i, id := range c.Workers {
+				if i%3 > 0 {
+					a.Tickets = append(a.Tickets, model.Ticket{Worker: id, Ticket: "t"})
+				}
+			}
+			answers = append(answers, a)
+		}
+	}
+	for _, a := range answers {
+		s.handle(a)
+	}
+}
+
+// step hands in a step of four tasks, which is asked about, placed and withdrawn again.
+func (s *sizedScheduler) step() {
+	s.jobs++
+	j := oneStep(fmt.Sprintf("%016x", s.jobs), &record.Step{Count: 4, Request: &record.Resources{MilliCpu: 7000, MemoryMib: 10000}})
+	j.Queue, j.Workspace, j.AcceptedUnixMs = "q", "ws", s.now.Milliseconds()
+	j.Policy = &record.Policy{Service: "svc", MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000, Advice: &record.Advice{DecideMs: 14, EachMs: 0.2, ValidMs: 2000}}
+	s.handle(IntakeRead{Records: []*record.Intake{{Kind: &record.Intake_Submitted{Submitted: j}}}})
+	for range 2 {
+		s.now += 5 * time.Millisecond
+		s.lastProofAt = s.now
+		for _, w := range s.workerList {
+			w.probedAt = s.now
+		}
+		s.dirty = true
+		s.handle(Schedule{})
+	}
+	s.handle(IntakeRead{Records: []*record.Intake{{Kind: &record.Intake_Cancelled{Cancelled: j.Id}}}})
+	for _, t := range s.Scheduler.jobs[j.Id].occs[0].steps[0].tasks {
+		if t.run == nil {
+			panic("a task was not placed")
+		}
+		s.release(t.run)
+	}
+}
+
+// BenchmarkRegionSize measures what a leader of idle workers does however little work there is, and
+// for one small step, at several sizes of the region.
+func BenchmarkRegionSize(b *testing.B) {
+	for _, workers := range []int{350, 3000, 6000, 12000} {
+		s := newSizedScheduler(workers)
+		b.Run(fmt.Sprintf("entry/workers=%d", workers), func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				i++
+				s.handle(WorkerListed{Entry: s.entries[i%workers]})
+			}
+		})
+		b.Run(fmt.Sprintf("tick/workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				s.now += 20 * time.Millisecond
+				s.lastProofAt = s.now
+				s.handle(Tick{UnixMs: s.now.Milliseconds()})
+			}
+		})
+		b.Run(fmt.Sprintf("step/workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				s.step()
+			}
+		})
+	}
+}
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -294,6 +294,7 @@
 	}
 	faultFree = true
 	w.mustEnd(jobs)
+	checkAddresses(w.t, w.sched)
 	for name, fw := range w.workers {
 		for id := range fw.runs {
 			w.fatal("%v still runs on %s after all jobs have ended", id, name)
--- a/region/worker.go
+++ b/region/worker.go
@@ -89,7 +89,8 @@
 func (s *Scheduler) workerNamed(id string) *worker {
 	w, known := s.workers[id]
 	if !known {
-		w = &worker{entry: model.WorkerEntry{ID: id}, incarnation: model.WorkerRef{ID: id}, slot: s.slots.alloc(), pendingCalls: make(pendingCalls), fenceSteps: s.departed.fenceSteps(id), ends: &endLog{}}
+		w = &worker{entry: model.WorkerEntry{ID: id}, slot: s.slots.alloc(), pendingCalls: make(pendingCalls), fenceSteps: s.departed.fenceSteps(id), ends: &endLog{}}
+		s.setIncarnation(w, model.WorkerRef{ID: id})
 		s.workers[id] = w
 		s.workerList = append(s.workerList, w)
 		if s.leading() {
@@ -103,7 +104,7 @@
 // worker, and sends the first probe.
 func (s *Scheduler) takeOver(w *worker) {
 	w.inheritedUntil = s.leadSince + leadershipProofTTL + s.maxLease() + lapseMargin
-	w.callInherited()
+	s.callInherited(w)
 	s.probe(w, 0)
 }
 
@@ -112,12 +113,32 @@
 //
 // The guard is against a worker that is never called although it works: its entry may have
 // expired, or be read late. Without probes, nothing is stopped there, and no lease is renewed.
-func (w *worker) callInherited() {
+func (s *Scheduler) callInherited(w *worker) {
 	if newest := w.newestRunRef(); newest.Address != "" {
-		w.incarnation = newest
+		s.setIncarnation(w, newest)
 	}
 }
 
+// setIncarnation sets the incarnation of the worker that calls are sent to.
+func (s *Scheduler) setIncarnation(w *worker, ref model.WorkerRef) {
+	if !slices.Contains(s.byAddress[ref.Address], w) {
+		s.removeAddress(w)
+		s.byAddress[ref.Address] = append(s.byAddress[ref.Address], w)
+	}
+	w.incarnation = ref
+}
+
+// removeAddress removes the worker from the index of addresses.
+func (s *Scheduler) removeAddress(w *worker) {
+	at := w.incarnation.Address
+	left := slices.DeleteFunc(s.byAddress[at], func(o *worker) bool { return o == w })
+	if len(left) == 0 {
+		delete(s.byAddress, at)
+		return
+	}
+	s.byAddress[at] = left
+}
+
 // newestRunRef returns the newest incarnation of the worker to which one of its runs was assigned.
 // Only the ID is set if there is none.
 func (w *worker) newestRunRef() model.WorkerRef {
@@ -153,7 +174,7 @@
 		s.explain("", "worker listed", Field{"worker", e.ID}, Field{"zone", e.Zone}, Field{"milli_cpu", e.Capacity.MilliCPU})
 	}
 	w.entry = e
-	w.incarnation = model.WorkerRef{ID: e.ID, Address: e.Address, BornUnix: e.BornUnix}
+	s.setIncarnation(w, model.WorkerRef{ID: e.ID, Address: e.Address, BornUnix: e.BornUnix})
 	w.listed = true
 	s.endEarlierRuns(w)
 	s.showCrashesBefore(e)
@@ -179,19 +200,16 @@
 // endEarlierWorkerAt ends the runs of a worker that had the entry's address before: the new
 // process has no runs of the old one, whatever its id.
 func (s *Scheduler) endEarlierWorkerAt(e model.WorkerEntry) {
-	for _, w := range s.workerList {
-		if w.entry.ID == e.ID {
-			continue
-		}
-		if w.incarnation.Address == "" {
+	for _, w := range s.byAddress[""] {
+		if len(w.runs) > 0 && w.entry.ID != e.ID {
 			s.endRunsAt(w, e)
-			continue
 		}
-		if w.incarnation.Address != e.Address || w.incarnation.BornUnix >= e.BornUnix {
-			continue
+	}
+	for _, w := range slices.Clone(s.byAddress[e.Address]) {
+		if w.entry.ID != e.ID && w.incarnation.BornUnix < e.BornUnix {
+			s.endIncarnation(w)
+			w.listed = false
 		}
-		s.endIncarnation(w)
-		w.listed = false
 	}
 }
 
@@ -275,6 +293,7 @@
 // forget removes a worker that has left.
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
+	s.removeAddress(w)
 	w.probeHeldAt = 0
 	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), s.now)
 	s.slots.release(w.slot)
