--- a/host/helpers.go
+++ b/host/helpers.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -49,6 +50,13 @@
 	lastSent int // index of the last address sent in a response
 	pingRate int // pings per second from all hosts together
 	own      succession.Capacity
+
+	// Lists of the helpers, which are made again after a change; nil before. The scheduler asks
+	// for the names at each tick.
+	byNameOrder []*helper
+	ranked      []*helper
+	nameList    []string
+	noneExpires time.Duration // until this time, no helper expires
 }
 
 type helper struct {
@@ -72,7 +80,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r.Leaving {
-		delete(h.byName, r.Host)
+		h.drop(r.Host)
 		return
 	}
 	now := boottime.Now()
@@ -82,8 +90,10 @@
 		p = &helper{name: r.Host, address: r.Address, firstPing: now, incarnation: r.Incarnation, capacity: succession.Capacity{MilliCPU: r.MilliCpu, LinkBps: r.LinkBps, MemoryMiB: r.MemoryMib}}
 		p.rank = p.capacity.RatioTo(succession.Capacity{})
 		h.byName[r.Host] = p
+		h.forgetLists()
 	}
 	p.expiresAt = now + maxMissedPings*interval + missedPingGrace
+	h.noneExpires = min(h.noneExpires, p.expiresAt)
 }
 
 // pingInterval returns the interval at which each host is to ping the leader.
@@ -113,33 +123,67 @@
 func (h *helpers) remove(name string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.byName, name)
+	h.drop(name)
 }
 
-func (h *helpers) alive() []*helper {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []*helper
-	now := boottime.Now()
+func (h *helpers) drop(name string) {
+	if _, known := h.byName[name]; known {
+		delete(h.byName, name)
+		h.forgetLists()
+	}
+}
+
+func (h *helpers) forgetLists() {
+	h.byNameOrder, h.ranked, h.nameList, h.noneExpires = nil, nil, nil, 0
+}
+
+// expire drops the helpers that have not pinged in time.
+func (h *helpers) expire(now time.Duration) {
+	if now <= h.noneExpires {
+		return
+	}
+	earliest := time.Duration(math.MaxInt64)
 	for name, p := range h.byName {
 		if now > p.expiresAt {
-			delete(h.byName, name)
+			h.drop(name)
 			continue
 		}
-		out = append(out, p)
+		earliest = min(earliest, p.expiresAt)
+	}
+	h.noneExpires = earliest
+}
+
+// alive returns the helpers in the order of their names. Callers do not change the list.
+func (h *helpers) alive() []*helper {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.makeLists()
+	return h.byNameOrder
+}
+
+// makeLists makes the lists of helpers if they have changed.
+func (h *helpers) makeLists() {
+	h.expire(boottime.Now())
+	if h.nameList != nil {
+		return
+	}
+	h.byNameOrder = slices.SortedFunc(maps.Values(h.byName), func(a, b *helper) int { return cmp.Compare(a.name, b.name) })
+	h.ranked = slices.SortedStableFunc(slices.Values(h.byNameOrder), func(a, b *helper) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.firstPing, a.firstPing))
+	})
+	h.nameList = append(h.nameList, "")
+	for _, p := range h.byNameOrder {
+		h.nameList = append(h.nameList, p.name)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
-	return out
 }
 
 // names returns "", which stands for this host, followed by the helpers' names in
-// ascending order.
+// ascending order. Callers do not change the list.
 func (h *helpers) names() []string {
-	out := []string{""}
-	for _, p := range h.alive() {
-		out = append(out, p.name)
-	}
-	return out
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.makeLists()
+	return h.nameList
 }
 
 func (h *helpers) address(name string) (string, bool) {
@@ -154,13 +198,12 @@
 
 // successors returns the helpers in the order in which they are asked to take over:
 // by descending rank, and among equals the one that started last. In a rolling
-// restart that one is the least likely to be stopped next.
+// restart that one is the least likely to be stopped next. Callers do not change the list.
 func (h *helpers) successors() []*helper {
-	out := h.alive()
-	slices.SortStableFunc(out, func(a, b *helper) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.firstPing, a.firstPing))
-	})
-	return out
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.makeLists()
+	return h.ranked
 }
 
 // hasLarger reports whether some helper exceeds the given host by at least the
--- a/host/helpers_test.go
+++ b/host/helpers_test.go
@@ -187,3 +187,19 @@
 		}
 	}
 }
+
+// Guards against a leader that sorts all hosts for each tick of its scheduler.
+func TestUnchangedHelpersAreNotListedAgain(t *testing.T) {
+	h := newHelpers(1e9)
+	for i := range 600 {
+		h.recordPing(&hostrpc.PingRequest{Host: fmt.Sprintf("h%03d", i), Address: "10.0.0.1:1", Incarnation: "a"})
+	}
+	if n := testing.AllocsPerRun(100, func() { h.names(); h.alive(); h.successors() }); n != 0 {
+		t.Errorf("%v allocations for lists of 600 unchanged helpers, want none", n)
+	}
+	before := len(h.names())
+	h.remove("h007")
+	if n := len(h.names()); n != before-1 {
+		t.Errorf("%d hosts are listed after one of %d was removed", n, before)
+	}
+}
--- a/region/advisers.go
+++ b/region/advisers.go
@@ -113,13 +113,17 @@
 	return a.pickWithin(l, queue, cost, backlogFactor, now)
 }
 
-// pickWithin is pick for a backlog of at most factor times the call's service time.
+// pickWithin is pick for a backlog of at most factor times the call's service time. Of many idle
+// hosts it looks at the first only.
 func (a *advisers) pickWithin(l adviceTiers, queue string, cost time.Duration, factor float64, now time.Duration) *adviser {
 	var best *adviser
 	for _, h := range a.hosts[l.firstHost(queue, len(a.hosts)):] {
 		if h.acceptsWithin(cost, factor, now) && (best == nil || h.backlog(now) < best.backlog(now)) {
 			best = h
 		}
+		if best != nil && best.backlog(now) <= 0 {
+			return best
+		}
 	}
 	return best
 }
