region: idle workers are on standby, without probes

Cause: the leader probed each of the region's workers at least once a second, idle or not, and looked at each in every pass, tick and call for advice. At 6,000 workers, nine of ten idle, that is 1.1 of its 1.6 cores, and urgent work waited for it.

The histories play bursts and quiet periods under the strict faults and check after each event that no worker on standby has work.

--- a/region/advice.go
+++ b/region/advice.go
@@ -80,7 +80,7 @@
 	if st.needsAdvice() {
 		return st.advice.eligible
 	}
-	return s.workerList
+	return s.active
 }
 
 // needsAdvice reports whether the step's tasks need a ticket of the advice service.
@@ -135,7 +135,7 @@
 		return false
 	}
 	if s.linkLoad > fullLink && !st.latencySensitive {
-		st.heldBy = "link" // calls for advice name many workers and are the largest calls
+		st.heldBy = heldByLink // calls for advice name many workers and are the largest calls
 		s.dirty = true
 		return false
 	}
@@ -151,7 +151,7 @@
 	}
 	host := s.advisers.pickWithin(s.adviceTiers, st.job.rec.Queue, cost, factor, s.now)
 	if host == nil {
-		st.heldBy = "advice backlog"
+		st.heldBy = heldByAdvisers
 		st.job.queue.adviceHeldBack = true
 		s.dirty = true
 	}
@@ -252,7 +252,7 @@
 	stale, known, unknown := 0, 0, 0
 	room := 0 // tasks that the eligible workers could run if they were empty
 	neededUntil := s.now + st.adviceCost(len(s.workerList)) + adviceMargin
-	for _, w := range s.workerList {
+	for _, w := range s.active {
 		if !w.listed || w.entry.Draining || s.drains.Contains(w.entry.Zone) || !s.suits(st, w) {
 			continue
 		}
--- a/region/adviceplan.go
+++ b/region/adviceplan.go
@@ -99,7 +99,7 @@
 		names      []string
 	)
 	answer := st.adviceCost(maxAdviceWorkers)
-	for _, w := range s.workerList {
+	for _, w := range s.active {
 		if s.usable(w) && s.suits(st, w) {
 			candidates = append(candidates, s.adviceCandidate(st, w, answer))
 			names = append(names, w.entry.ID)
--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -34,7 +34,7 @@
 	}
 	n := len(st.tasks)
 	if !s.withinCap(st, int64(n)) {
-		st.heldBy = "cap"
+		st.heldBy = heldByCap
 		return true // more room does not help, so nothing is reserved
 	}
 	chosen, why := s.gangWorkers(st, "")
@@ -61,7 +61,7 @@
 // across racks, where its tasks take a multiple of the time.
 func (s *Scheduler) sameRackWorkers(st *step) ([]*worker, string) {
 	tried := make(map[string]bool)
-	for _, w := range s.workerList {
+	for _, w := range s.active {
 		rack := w.entry.Rack()
 		if rack == "" || tried[rack] {
 			continue
--- a/region/pass.go
+++ b/region/pass.go
@@ -35,7 +35,7 @@
 	s.pacer.refill(s.opts.StartsPerS, s.now)
 	s.usableNow = s.usableNow[:0]
 	before := s.overdueBefore()
-	for _, w := range s.workerList {
+	for _, w := range s.active {
 		w.overdue = w.pendingCalls.overdue(before)
 		w.claimed = model.Resources{}
 		w.wasReserved, w.reserved, w.softReserved = cmp.Or(w.reserved, w.softReserved), nil, nil
@@ -200,7 +200,7 @@
 			continue
 		}
 		if !s.canStart() {
-			st.heldBy = "link"
+			st.heldBy = heldByLink
 			s.dirty = true
 			return
 		}
@@ -211,6 +211,7 @@
 			if c <= classOverShare {
 				s.requestFirstAdvice(st)
 			}
+			s.widen(st)
 			continue
 		}
 		if tries >= headTries && (i < start || tries >= headTries+tailTries) {
@@ -234,6 +235,7 @@
 			}
 		}
 		s.refreshAdvice(st)
+		s.widen(st)
 	}
 	if tries < headTries+tailTries {
 		s.tailStart[c] = 0
--- a/region/place.go
+++ b/region/place.go
@@ -23,6 +23,13 @@
 
 var reasonNames = [numReasons]string{"fits", "service", "zone", "state", "label", "advice", "room", "spread", "interference", "reserved", "apart", "isolation"}
 
+// What holds a step in place of a reason for which workers reject it.
+const (
+	heldByCap      = "cap"            // its workspace is at its cap
+	heldByLink     = "link"           // the leader's link is full
+	heldByAdvisers = "advice backlog" // all hosts have calls for advice to wait for
+)
+
 // rejectionCounts counts workers by the filter that rejected them.
 type rejectionCounts [numReasons]int
 
@@ -62,7 +69,7 @@
 			continue
 		}
 		if !s.withinCap(st, 1) {
-			st.heldBy = "cap"
+			st.heldBy = heldByCap
 			return
 		}
 		if len(fitting) == 0 {
@@ -175,7 +182,7 @@
 
 // usable reports whether the worker may get new work at all.
 func (s *Scheduler) usable(w *worker) bool {
-	return w.listed && !w.entry.Draining && !s.drains.Contains(w.entry.Zone) && w.fenced && !w.overdue && !w.silent &&
+	return w.listed && w.isActive() && !w.entry.Draining && !s.drains.Contains(w.entry.Zone) && w.fenced && !w.overdue && !w.silent &&
 		s.now-w.probedAt < maxProbeAge && s.now >= w.pausedUntil && w.health.healthy(s.now)
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -55,7 +55,7 @@
 // arrive in order.
 func (s *Scheduler) probe(w *worker, after time.Duration) {
 	w.probeHeldAt = 0
-	if w.probing || !s.leading() || w.incarnation.Address == "" {
+	if w.probing || !s.leading() || w.incarnation.Address == "" || !w.isActive() && w.settled() {
 		return
 	}
 	request := model.ProbeRequest{Worker: w.ref(), Fence: s.fenceOf(w)}
@@ -63,7 +63,7 @@
 	// renewal may be executed late, so that the runs of a worker that does not come back
 	// could never be declared lost. Such a probe renews and acknowledges nothing and only
 	// shows whether the worker answers.
-	if w.fenced && !w.probeMissed {
+	if w.fenced && !w.probeMissed && s.now-w.clockAt <= maxClockAge {
 		request.AckedUpTo = s.acknowledgement(w)
 		request.Wait = probeWait
 		if len(w.runs) > 0 {
@@ -138,8 +138,8 @@
 // sendOverdueProbes sends the probes that have been held for too long. Leases must be renewed
 // although the log commits nothing.
 func (s *Scheduler) sendOverdueProbes() {
-	for i := len(s.workerList) - 1; i >= 0; i-- { // sendHeldProbe may remove the worker
-		if w := s.workerList[i]; w.probeHeldAt > 0 && s.now-w.probeHeldAt >= unackedProbePause {
+	for i := len(s.active) - 1; i >= 0; i-- { // sendHeldProbe may remove the worker
+		if w := s.active[i]; w.probeHeldAt > 0 && s.now-w.probeHeldAt >= unackedProbePause {
 			s.sendHeldProbe(w)
 		}
 	}
@@ -197,6 +197,7 @@
 			newEnds++
 		}
 	}
+	w.strays = 0
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
 	for _, row := range ev.Response.Running {
 		listed[row.Task] = true
@@ -251,6 +252,7 @@
 func (s *Scheduler) readRunning(w *worker, row model.Running, sentAt time.Duration) {
 	t := s.findTask(row.Task)
 	if t == nil || t.run == nil || t.run.number != row.Run || t.run.worker != w {
+		w.strays++
 		s.stopStray(w, row.RunID)
 		return
 	}
--- a/region/ready.go
+++ b/region/ready.go
@@ -33,6 +33,7 @@
 	}
 	st.queued = true
 	st.waitingSince = s.now
+	s.activateNearData(st)
 	at, _ := slices.BinarySearchFunc(s.ready.steps, st, compareSteps)
 	s.ready.steps = slices.Insert(s.ready.steps, at, st)
 }
--- a/region/region.go
+++ b/region/region.go
@@ -9,6 +9,8 @@
 //     new leader knows every run that may be alive, and on which worker.
 //   - The host list decides only which workers get new tasks. A worker with runs is probed, told
 //     to stop them and granted leases also without an entry.
+//   - A worker on standby has no runs, no calls without an answer and no ends to acknowledge, and
+//     gets no starts. It is activated, and answers a probe, before it does.
 //   - Every end of a run is committed to the log before it is acknowledged to the
 //     worker, which then drops it.
 //   - The log rejects appends of a replaced leader, and a worker rejects calls
@@ -32,6 +34,7 @@
 
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/record"
+	"github.com/fireflyfold/fireflyfold/workset"
 )
 
 // Options are the bounds set by the platform and the settings of this scheduler.
@@ -42,6 +45,7 @@
 	LogRetention    time.Duration // age at which records of the log expire
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	StartsPerS      float64       // starts per second that the driver's link carries beside its other traffic; 0 for no limit
+	MinActive       int           // least number of active workers of a service that has as many; 0 for workset.DefaultMin
 }
 
 const (
@@ -85,7 +89,11 @@
 	workers         map[string]*worker
 	departed        departed
 	workerList      []*worker            // workers in a stable order
+	active          []*worker            // those that are not on standby, in a stable order
 	byAddress       map[string][]*worker // workers by the address of their incarnation
+	pools           map[string]*pool     // workers by service
+	poolList        []*pool              // pools in a stable order
+	resizedAt       time.Duration        // when the pools were last compared with the demand
 	slots           slotAllocator
 	usableNow       []*worker // workers that can take new work, in this pass
 	fittingBuf      []*worker // result buffer of fitting
@@ -141,12 +149,14 @@
 
 // New returns a scheduler that has read nothing and does not lead.
 func New(opts Options) *Scheduler {
+	opts.MinActive = cmp.Or(opts.MinActive, workset.DefaultMin)
 	return &Scheduler{
 		opts:           opts,
 		jobs:           make(map[string]*job),
 		cancelledEarly: make(map[string]time.Duration),
 		workers:        make(map[string]*worker),
 		byAddress:      make(map[string][]*worker),
+		pools:          make(map[string]*pool),
 		used:           make(map[string]model.Resources),
 		suspects:       make(map[*task]bool),
 		reachedBy:      make(map[string]int64),
@@ -308,6 +318,7 @@
 	s.expireRuns()
 	s.reportUnreached()
 	s.sendOverdueProbes()
+	s.resizePools()
 	s.recordTerm()
 	s.settleLateStarts()
 	s.expirePathChecks()
--- a/region/size_bench_test.go
+++ b/region/size_bench_test.go
@@ -72,7 +72,7 @@
 	for range 2 {
 		s.now += 5 * time.Millisecond
 		s.lastProofAt = s.now
-		for _, w := range s.workerList {
+		for _, w := range s.active {
 			w.probedAt = s.now
 		}
 		s.dirty = true
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -263,8 +263,10 @@
 	60090, 60292, 60525, // with a late acknowledgement, on code that sends no second start or defers ends
 }
 
-func strictHistory(t *testing.T, seed uint64, s *strict) {
-	w := newWorld(t, seed)
+func strictHistory(t *testing.T, seed uint64, s *strict) { playStrictHistory(newWorld(t, seed), s) }
+
+// playStrictHistory plays a strict history in a world without workers.
+func playStrictHistory(w *world, s *strict) {
 	w.strict = s
 	for i := range 8 {
 		fw := w.addWorker(fmt.Sprintf("w%d", i), 8)
--- a/region/worker.go
+++ b/region/worker.go
@@ -21,6 +21,9 @@
 	entry                     model.WorkerEntry // as newest listed; before the first entry only its ID is set
 	incarnation               model.WorkerRef   // that calls are sent to; see callInherited
 	listed                    bool
+	rack                      *rack           // nil before its first entry
+	inActive                  bool            // it is in Scheduler.active
+	strays                    int             // runs in the answer to the newest probe that are not wanted there
 	slot                      int             // index of the worker in adviceState.marks
 	runs                      []*run          // runs that may be alive there
 	used                      model.Resources // resources of runs
@@ -93,6 +96,7 @@
 		s.setIncarnation(w, model.WorkerRef{ID: id})
 		s.workers[id] = w
 		s.workerList = append(s.workerList, w)
+		s.active, w.inActive = append(s.active, w), true
 		if s.leading() {
 			s.takeOver(w)
 		}
@@ -158,7 +162,9 @@
 
 func (s *Scheduler) workerListed(e model.WorkerEntry) {
 	s.endEarlierWorkerAt(e)
-	w := s.workerNamed(e.ID)
+	w, known := s.workers[e.ID]
+	inUse := known && (w.rack == nil || !w.settled())
+	w = s.workerNamed(e.ID)
 	if w.outdated(e) {
 		s.explain("", "entry of an earlier life passed over", Field{"worker", e.ID}, Field{"born", e.BornUnix}, Field{"known", w.incarnation.BornUnix})
 		return
@@ -178,6 +184,7 @@
 	w.listed = true
 	s.endEarlierRuns(w)
 	s.showCrashesBefore(e)
+	s.joinRack(w, inUse)
 	s.dirty = true
 	s.probe(w, 0)
 }
@@ -208,7 +215,7 @@
 	for _, w := range slices.Clone(s.byAddress[e.Address]) {
 		if w.entry.ID != e.ID && w.incarnation.BornUnix < e.BornUnix {
 			s.endIncarnation(w)
-			w.listed = false
+			s.unlist(w)
 		}
 	}
 }
@@ -280,8 +287,17 @@
 	if !known || !w.listed {
 		return
 	}
-	w.listed = false
 	s.explain("", "worker unlisted", Field{"worker", id}, Field{"runs", len(w.runs)})
+	s.unlist(w)
+}
+
+// unlist notes that a worker has no entry in the host list any more. One on standby, which no probe
+// or tick looks at, is removed at once.
+func (s *Scheduler) unlist(w *worker) {
+	w.listed = false
+	if !w.isActive() && !w.probing && w.hasLeft() {
+		s.forget(w)
+	}
 }
 
 // hasLeft reports whether nothing is to be done about a worker without an entry in the host list:
@@ -294,6 +310,8 @@
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.entry.ID)
 	s.removeAddress(w)
+	s.leaveRack(w)
+	s.deactivateWorker(w)
 	w.probeHeldAt = 0
 	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), s.now)
 	s.slots.release(w.slot)
@@ -328,8 +346,8 @@
 // expireRuns ends the runs on workers whose leases have expired even with the largest clock
 // drift, and removes workers that have left.
 func (s *Scheduler) expireRuns() {
-	for i := len(s.workerList) - 1; i >= 0; i-- {
-		w := s.workerList[i]
+	for i := len(s.active) - 1; i >= 0; i-- { // forget removes the worker
+		w := s.active[i]
 		switch {
 		case len(w.runs) == 0 || s.delayedByLink(w):
 		case s.now > w.lapsesAt():
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -42,6 +42,8 @@
 	entryTimes     []time.Duration // when each of entries was appended
 	maxLease       time.Duration   // the longest lease of workers; 0 for testLease
 	logRetention   time.Duration   // after which entries expire; 0 for the usual option, without expiry
+	minActive      int             // least number of active workers; 0 for the usual one
+	probes         map[string]int  // answered probes by worker
 	pendingAppends []pendingAppend
 	workers        map[string]*fakeWorker
 	names          []string
@@ -132,6 +134,7 @@
 func (w *world) options() Options {
 	o := testOptions()
 	o.MaxLease, o.Lease = w.longestLease(), w.longestLease()
+	o.MinActive = w.minActive
 	if w.logRetention > 0 {
 		o.LogRetention = w.logRetention
 	}
@@ -149,7 +152,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
 		now:        time.Hour,
-		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration),
+		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
 	w.fails = func(model.TaskID, int32) bool { return false }
@@ -278,6 +281,9 @@
 	for _, c := range append([]Command(nil), w.sched.Handle(w.now, ev)...) {
 		w.execute(generation, c)
 	}
+	if w.minActive > 0 && w.sched != nil {
+		w.checkStandby()
+	}
 }
 
 // answer delivers an event to the scheduler that made the call, unless it was replaced.
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -239,6 +239,7 @@
 			return CallFenced
 		}
 		fw.fence = c.Request.Fence
+		w.probes[fw.entry.ID]++
 		w.expireLease(fw)
 		if c.Request.UntilMs > 0 {
 			fw.until = max(fw.until, min(c.Request.UntilMs, fw.clock(w.now)+w.longestLease().Milliseconds()))
