region: the time of a call for advice follows from the workers that it names

Cause: whether a ticket is about to expire was computed from a call that names all workers of the region, though a call names 100 at most. At 6,000 workers that is 12 s and more, beyond what any ticket holds, so that every ticket counted as stale: steps asked again about workers that they had tickets for.

Change: the longest call that the step may send, at most about the active workers.

TestLongestCallFollowsFromWorkersNamed.

--- a/region/advice.go
+++ b/region/advice.go
@@ -218,7 +218,7 @@
 			want++
 		}
 	}
-	answerTime := st.adviceCost(len(s.workerList)) + adviceMargin
+	answerTime := s.longestCall(st) + adviceMargin
 	found := 0
 	for _, w := range s.usableNow {
 		if found >= want {
@@ -245,13 +245,18 @@
 	return time.Duration((a.GetDecideMs() + a.GetEachMs()*float64(workers)) * float64(time.Millisecond))
 }
 
+// longestCall returns the expected service time of the longest call about the step.
+func (s *Scheduler) longestCall(st *step) time.Duration {
+	return st.adviceCost(min(len(s.active), st.maxWorkersPerCall()))
+}
+
 // workersToAsk returns the workers to name in a call now: eligible ones whose tickets
 // expire and those without an answer. Workers with room come first.
 func (s *Scheduler) workersToAsk(st *step) []string {
 	var withRoom, full []string
 	stale, known, unknown := 0, 0, 0
 	room := 0 // tasks that the eligible workers could run if they were empty
-	neededUntil := s.now + st.adviceCost(len(s.workerList)) + adviceMargin
+	neededUntil := s.now + s.longestCall(st) + adviceMargin
 	for _, w := range s.active {
 		if !w.listed || w.entry.Draining || s.drains.Contains(w.entry.Zone) || !s.suits(st, w) {
 			continue
--- a/region/scarceadvice_test.go
+++ b/region/scarceadvice_test.go
@@ -251,3 +251,15 @@
 		t.Error("calls are planned in a large region")
 	}
 }
+
+// Guards against tickets that count as about to expire in every large region: the time of a call
+// follows from the workers that it names, not from all workers.
+func TestLongestCallFollowsFromWorkersNamed(t *testing.T) {
+	for _, workers := range []int{200, 2000} {
+		s, _ := newBacklogScheduler(workers, 1, 0)
+		st := s.ready.steps[0]
+		if got, want := s.longestCall(st), st.adviceCost(maxAdviceWorkers); got != want {
+			t.Errorf("%d workers: the longest call takes %v, want %v", workers, got, want)
+		}
+	}
+}
