region: passes are farther apart with more active workers

Cause: a pass looks at each active worker several times and may come every 4 ms: 1.2 ms of each 4 at 2,000 active workers, 4.3 at 6,000, which left no processor time for calls.

Change: passes are 4 us a worker apart, at least the 4 ms of before, which holds up to 1,000 active workers. At twice the size the share of a core stays.

TestPassesAreFartherApartWithMoreWorkers.

--- a/region/pass.go
+++ b/region/pass.go
@@ -12,6 +12,9 @@
 	// events arrive in a second, and a pass for several of them costs as much as for
 	// one.
 	basePassInterval = 4 * time.Millisecond
+	// passIntervalPerWorker replaces that time where there are many active workers: a pass looks at
+	// each of them several times, which takes some microsecond, and is to leave most of a core for calls.
+	passIntervalPerWorker = 4 * time.Microsecond
 	// passIntervalPerStep lengthens that time for each waiting step: by 10 ms at 500
 	// steps.
 	passIntervalPerStep = 20 * time.Microsecond
@@ -137,10 +140,10 @@
 }
 
 // passInterval is the shortest time between two passes. It grows with the number of steps
-// to check, so that a backlog does not use the processor time that answers of workers
-// need.
+// and workers to check, so that neither a backlog nor a large region uses the processor time
+// that answers of workers need.
 func (s *Scheduler) passInterval() time.Duration {
-	return basePassInterval + time.Duration(len(s.ready.steps))*passIntervalPerStep
+	return max(basePassInterval, time.Duration(len(s.active))*passIntervalPerWorker) + time.Duration(len(s.ready.steps))*passIntervalPerStep
 }
 
 // class ranks steps by how much credit they can still earn.
--- a/region/standby_test.go
+++ b/region/standby_test.go
@@ -351,3 +351,14 @@
 		}
 	}
 }
+
+// Guards against passes that take most of a core: each looks at all active workers.
+func TestPassesAreFartherApartWithMoreWorkers(t *testing.T) {
+	for workers, want := range map[int]time.Duration{0: 4 * time.Millisecond, 1000: 4 * time.Millisecond, 3000: 12 * time.Millisecond} {
+		s := New(testOptions())
+		s.active = make([]*worker, workers)
+		if got := s.passInterval(); got != want {
+			t.Errorf("%d active workers: passes %v apart, want %v", workers, got, want)
+		}
+	}
+}
