leader: the worker list is read while the leader loads

Change: the list is read ahead beside the records and applied first; what changed since follows from its offset. If it cannot be read, it is read as before.

TestWorkerListIsReadWhileLoading.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -244,6 +244,7 @@
 		}
 	})
 	group.Go(func() { l.heartbeat(ctx) })
+	list := l.readWorkerListAhead(ctx, &group)
 	sched := region.New(l.cfg.Options)
 	next, err := l.load(ctx, sched, ends)
 	if err != nil {
@@ -257,7 +258,7 @@
 	for part, from := range next {
 		group.Go(func() { l.readIntake(ctx, part, from) })
 	}
-	group.Go(func() { l.watchWorkers(ctx) })
+	group.Go(func() { l.watchWorkers(ctx, list) })
 	l.loop(ctx, sched)
 	return context.Cause(ctx)
 }
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -237,3 +237,34 @@
 		t.Errorf("state %v, current %v after the record is applied", state, current)
 	}
 }
+
+// Guards against a region whose first starts under a new leader wait for the worker list, which
+// takes as long to read as the records: it is read while the leader loads.
+func TestWorkerListIsReadWhileLoading(t *testing.T) {
+	store := fakeplatform.NewStore()
+	endpoint := store.Endpoint()
+	defer endpoint.Close()
+	endpoint.Stall("log-read " + TopicIntake)
+	defer endpoint.Stall("")
+	l := New(Config{
+		Client: platform.NewClient(platform.Addresses{Log: endpoint.Address()}, 16, nil), Fence: 1, CallBytes: 1 << 20,
+		Log: logrus.NewEntry(logrus.New()), Metrics: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var run conc.WaitGroup
+	defer run.Wait()
+	defer cancel()
+	run.Go(func() { _ = l.Run(ctx) }) // ends with ctx
+	for range 500 {
+		if endpoint.Calls("log-newest") > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if endpoint.Calls("log-newest") == 0 {
+		t.Error("the worker list is not read while the leader loads")
+	}
+	if l.Loaded() {
+		t.Error("the leader has loaded although no read of the intake was answered")
+	}
+}
--- a/leader/read.go
+++ b/leader/read.go
@@ -64,9 +64,35 @@
 	return ev
 }
 
-// watchWorkers follows the worker list, which log messages and metrics call the host list.
-func (l *Leader) watchWorkers(ctx context.Context) {
+// workerList is the whole worker list as read at one time.
+type workerList struct {
+	items []platform.KeyedRecord
+	next  int64 // offset from which on later changes are read
+}
+
+// readWorkerListAhead reads the worker list while the leader loads: that of a large region takes
+// as long as the records. The channel is closed without a list if it cannot be read.
+func (l *Leader) readWorkerListAhead(ctx context.Context, group *conc.WaitGroup) <-chan workerList {
+	read := make(chan workerList, 1)
+	group.Go(func() {
+		defer close(read)
+		items, next, err := l.cfg.Client.Newest(ctx, readTimeout, platform.TopicWorkers)
+		if err != nil {
+			l.cfg.Log.WithError(err).Debug("worker list not read ahead; it is read after loading")
+			return
+		}
+		read <- workerList{items: items, next: next}
+	})
+	return read
+}
+
+// watchWorkers follows the worker list, which log messages and metrics call the host list, from the
+// list that was read ahead on, if there is one.
+func (l *Leader) watchWorkers(ctx context.Context, ahead <-chan workerList) {
 	w := &workerListReader{leader: l, listed: make(map[string]bool)}
+	if list, ok := <-ahead; ok {
+		w.applyList(ctx, list)
+	}
 	reporter := l.retryReporter("host_list_reads", "reading the host list")
 	for ctx.Err() == nil {
 		err := w.readNext(ctx)
@@ -119,8 +145,14 @@
 	if err != nil {
 		return err
 	}
-	seen := make(map[string]bool, len(items))
-	for _, item := range items {
+	w.applyList(ctx, workerList{items: items, next: next})
+	return nil
+}
+
+// applyList passes the scheduler the whole list, and the workers that are not listed any more.
+func (w *workerListReader) applyList(ctx context.Context, list workerList) {
+	seen := make(map[string]bool, len(list.items))
+	for _, item := range list.items {
 		seen[item.Key] = true
 		w.apply(ctx, item.Key, item.Value)
 	}
@@ -129,8 +161,7 @@
 			w.apply(ctx, id, nil)
 		}
 	}
-	w.nextOffset, w.snapshotRead = next, true
-	return nil
+	w.nextOffset, w.snapshotRead = list.next, true
 }
 
 func (w *workerListReader) apply(ctx context.Context, id string, value []byte) {
