region: a new leader logs its workers in one line

Cause: a new leader wrote a line for each worker that it found in the host list, 6,000 of them, at the moment at which its processor is needed most.

TestNewLeaderLogsItsWorkersOnce.

--- a/region/inherited.go
+++ b/region/inherited.go
@@ -59,6 +59,7 @@
 		return
 	}
 	s.inherited.done = true
+	s.explain("", "workers known", Field{"listed", s.countListed()}, Field{"active", len(s.active)})
 	for _, w := range s.inherited.waiting {
 		if len(w.runs) == 0 {
 			continue
@@ -71,6 +72,17 @@
 	}
 }
 
+// countListed returns how many workers have an entry in the host list.
+func (s *Scheduler) countListed() int {
+	n := 0
+	for _, w := range s.workerList {
+		if w.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // listing is the tag of a worker that has not answered: whether the host list has it.
 func (w *worker) listing() string {
 	if w.listed {
--- a/region/standby_test.go
+++ b/region/standby_test.go
@@ -362,3 +362,19 @@
 		}
 	}
 }
+
+// Guards against a new leader that writes a log line for each worker of the region: it writes one
+// for all that it finds, and one for each that is listed later.
+func TestNewLeaderLogsItsWorkersOnce(t *testing.T) {
+	w := newStandbyWorld(t, 30, 8)
+	if w.explained("worker listed") {
+		t.Error("a line about a single worker that the leader has found")
+	}
+	if !w.explained("workers known", "listed 120", "active 8") {
+		t.Error("no line about all workers that the leader has found")
+	}
+	w.addWorker("w999", 8)
+	if !w.explained("worker listed", "worker w999") {
+		t.Error("no line about a worker that was listed later")
+	}
+}
--- a/region/worker.go
+++ b/region/worker.go
@@ -176,7 +176,7 @@
 	if w.listed && e.Draining && !w.entry.Draining {
 		s.explain("", "worker drains", Field{"worker", e.ID}, Field{"runs", len(w.runs)})
 	}
-	if !w.listed {
+	if !w.listed && s.inherited.done {
 		s.explain("", "worker listed", Field{"worker", e.ID}, Field{"zone", e.Zone}, Field{"milli_cpu", e.Capacity.MilliCPU})
 	}
 	w.entry = e
