host: first pings of a new leader are spread, refused reads are repeated less often

Two causes that grow with the hosts.

Change: the first ping comes within a tenth of the ping interval, 30 ms where there are few hosts and 1 s where there are 600; the pause after a failed read doubles up to 0.4 s.

--- a/host/configwatch.go
+++ b/host/configwatch.go
@@ -25,8 +25,11 @@
 	// can be reached. Between two confirmations lie a failed read of the log and a
 	// pause.
 	peerConfirmationMaxAge = 2 * time.Second
-	// readRetryDelay is the pause after a failed read of the configuration or the claims.
-	readRetryDelay = 100 * time.Millisecond
+	// readRetryDelay is the pause after a failed read of the configuration or the claims. It doubles
+	// with each further failure up to maxReadRetryDelay: where the log turns away many hosts, they
+	// also ask the same few others.
+	readRetryDelay    = 100 * time.Millisecond
+	maxReadRetryDelay = 400 * time.Millisecond
 )
 
 // configWatch follows the operators' configuration in the log.
@@ -64,15 +67,17 @@
 }
 
 func (c *configWatch) run(ctx context.Context) {
+	var retry backoff
 	for ctx.Err() == nil {
 		sent := boottime.Now()
 		caughtUp, err := c.readUpdates(ctx)
 		c.logTransition(err)
 		if err != nil {
 			c.confirmThroughPeers(ctx)
-			boottime.Sleep(ctx, readRetryDelay)
+			retry.sleep(ctx)
 			continue
 		}
+		retry = backoff{}
 		c.logReadAt.Store(int64(sent))
 		if caughtUp {
 			c.drains.confirm(sent)
@@ -81,6 +86,14 @@
 	}
 }
 
+// backoff is the pause between reads that fail one after the other. The zero value begins anew.
+type backoff struct{ next time.Duration }
+
+func (b *backoff) sleep(ctx context.Context) {
+	b.next = min(max(2*b.next, readRetryDelay), maxReadRetryDelay)
+	boottime.Sleep(ctx, b.next)
+}
+
 // LogReadAge returns how long ago this host's newest successful read of the log was sent.
 func (c *configWatch) LogReadAge() time.Duration {
 	return boottime.Now() - time.Duration(c.logReadAt.Load())
--- a/host/election.go
+++ b/host/election.go
@@ -36,6 +36,9 @@
 	// pingJitterDivisor bounds the jitter of pings: an interval is shortened by up to
 	// 1/pingJitterDivisor of it.
 	pingJitterDivisor = 4
+	// firstPingDivisor bounds the delay of the first ping of a new leader: up to
+	// 1/firstPingDivisor of the interval, which grows with the number of hosts.
+	firstPingDivisor = 10
 	// pingTimeout bounds a ping. A busy host answers within some 100 ms. A leader that
 	// takes longer is not replaced while its entries in the log grow.
 	pingTimeout = 200 * time.Millisecond
@@ -122,6 +125,7 @@
 // watchClaims reads new claims from the log until ctx ends.
 func (e *election) watchClaims(ctx context.Context) {
 	tries := telemetry.RetryReporter{Metric: "claim_reads", Operation: "reading claims", Log: e.host.log, Metrics: e.host.metrics}
+	var retry backoff
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		from := e.nextOffset
@@ -142,9 +146,10 @@
 			return
 		}
 		if !tries.Observe(err) {
-			boottime.Sleep(ctx, readRetryDelay)
+			retry.sleep(ctx)
 			continue
 		}
+		retry = backoff{}
 		e.applyClaims(from, b.Records, b.End)
 	}
 }
@@ -184,7 +189,7 @@
 }
 
 // run pings the leader and claims the leadership when the leader has failed. A new
-// leader is pinged as soon as its claim is read: until it knows other hosts it makes
+// leader is pinged soon after its claim is read: until it knows other hosts it makes
 // all advice calls itself, which delays the backlog from the time without a leader.
 func (e *election) run(ctx context.Context) {
 	for due := boottime.Now(); ctx.Err() == nil; {
@@ -197,7 +202,7 @@
 		case <-ctx.Done():
 		case <-wait.C:
 		case <-e.claimRead:
-			due = 0
+			due = boottime.Now() + e.firstPingDelay()
 		}
 		wait.Stop()
 	}
@@ -294,6 +299,15 @@
 	return interval - time.Duration(rand.Int64N(int64(interval)/pingJitterDivisor))
 }
 
+// firstPingDelay returns the time from a claim to the first ping of the new leader. It spreads the
+// pings of many hosts, each with a new connection, which would delay the leader's first starts.
+func (e *election) firstPingDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := max(e.requestedPingInterval, minPingInterval) / firstPingDivisor
+	return time.Duration(rand.Int64N(int64(most)))
+}
+
 // claimDelay returns how long to wait before a claim: longer for a host with less
 // than a core, plus jitter.
 func (e *election) claimDelay() time.Duration {
