region: a new leader activates only the racks of workers with runs

Cause: a new leader activated the racks of all workers that the log names.

Change: only workers with work activate their racks. The others that the log names are probed, on standby, until they have answered and their ends are acknowledged.

--- a/region/probe.go
+++ b/region/probe.go
@@ -197,7 +197,7 @@
 			newEnds++
 		}
 	}
-	w.strays = 0
+	w.strays, w.unread = 0, false
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
 	for _, row := range ev.Response.Running {
 		listed[row.Task] = true
--- a/region/region.go
+++ b/region/region.go
@@ -9,8 +9,8 @@
 //     new leader knows every run that may be alive, and on which worker.
 //   - The host list decides only which workers get new tasks. A worker with runs is probed, told
 //     to stop them and granted leases also without an entry.
-//   - A worker on standby has no runs, no calls without an answer and no ends to acknowledge, and
-//     gets no starts. It is activated, and answers a probe, before it does.
+//   - A worker on standby has no runs and gets no starts. It is probed only until what an earlier
+//     leader has left there is acknowledged. It is activated, and answers a probe, before it gets work.
 //   - Every end of a run is committed to the log before it is acknowledged to the
 //     worker, which then drops it.
 //   - The log rejects appends of a replaced leader, and a worker rejects calls
@@ -294,6 +294,7 @@
 	s.lastAppendAt = s.now
 	s.noteInheritedCalls()
 	for _, w := range s.workerList {
+		w.unread = true
 		s.takeOver(w)
 	}
 	s.reportInherited()
--- a/region/standby.go
+++ b/region/standby.go
@@ -50,12 +50,15 @@
 // an entry is active until it is forgotten.
 func (w *worker) isActive() bool { return w.rack == nil || w.rack.active }
 
-// settled reports whether a worker can be left alone: it has no runs, and no call or end of one
-// that is to be followed up.
-func (w *worker) settled() bool {
-	return len(w.runs) == 0 && len(w.pendingCalls) == 0 && w.strays == 0 && w.ends.highest <= w.ends.acked
+// hasWork reports whether a worker has runs, or a call or end of one that is to be followed up.
+func (w *worker) hasWork() bool {
+	return len(w.runs) > 0 || len(w.pendingCalls) > 0 || w.strays > 0 || w.ends.highest > w.ends.acked
 }
 
+// settled reports whether a worker can be left without probes: it has no work, and if an earlier
+// leader has used it, it has shown that to this one.
+func (w *worker) settled() bool { return !w.hasWork() && !w.unread }
+
 // wanted reports whether a step counts on the worker.
 func (w *worker) wanted() bool {
 	return w.reserved != nil || w.softReserved != nil || w.keptFreeFor != nil || w.promised != model.Resources{}
@@ -78,7 +81,7 @@
 }
 
 // joinRack moves a worker to the rack that its entry names. The rack becomes active with a worker
-// that is inUse: one that an earlier leader has used, or that has runs.
+// that is inUse, which is not to go to standby.
 func (s *Scheduler) joinRack(w *worker, inUse bool) {
 	key := rackKey(w.entry)
 	if w.rack != nil && w.rack.key == key && w.rack.pool.service == w.entry.Service {
--- a/region/worker.go
+++ b/region/worker.go
@@ -23,6 +23,7 @@
 	listed                    bool
 	rack                      *rack           // nil before its first entry
 	inActive                  bool            // it is in Scheduler.active
+	unread                    bool            // an earlier leader has used it, and this one has read no answer
 	strays                    int             // runs in the answer to the newest probe that are not wanted there
 	slot                      int             // index of the worker in adviceState.marks
 	runs                      []*run          // runs that may be alive there
@@ -163,7 +164,7 @@
 func (s *Scheduler) workerListed(e model.WorkerEntry) {
 	s.endEarlierWorkerAt(e)
 	w, known := s.workers[e.ID]
-	inUse := known && (w.rack == nil || !w.settled())
+	inUse := known && w.hasWork()
 	w = s.workerNamed(e.ID)
 	if w.outdated(e) {
 		s.explain("", "entry of an earlier life passed over", Field{"worker", e.ID}, Field{"born", e.BornUnix}, Field{"known", w.incarnation.BornUnix})
