region: gangs and long calls ask several idle hosts for advice at once

Cause: a call for advice takes longer with each worker that it names, and a gang asked in one call about the first hundred workers with room for one member, as all others did: 1.05 s, and then most had no room. Nearly all of 588 hosts had no call meanwhile.

Change: while three quarters of the hosts, and at least 32, have no call, a long call is split over several of them, and a gang asks about the workers with most room that is not promised to others.

--- a/region/adviceplan.go
+++ b/region/adviceplan.go
@@ -129,13 +129,15 @@
 		return
 	}
 	st.advice.promise.part = st.demand().Times(int64(len(st.tasks))).DividedBy(int64(named))
+	promise := func(part []string) {
+		for _, name := range part {
+			st.advice.promise.add(s.workers[name])
+		}
+	}
 	for _, names := range calls {
-		if !s.sendAdvise(st, names) {
+		if !s.sendParts(st, names, promise) {
 			return
 		}
-		for _, name := range names {
-			st.advice.promise.add(s.workers[name])
-		}
 	}
 }
 
@@ -167,7 +169,11 @@
 		c.Fresh = m.until > s.now+answer+adviceMargin
 	}
 	if w.reserved == nil || c.Reserved {
-		c.Places = st.mostOn(s.roomFor(st, w, answer).Sub(w.promised))
+		room := s.roomFor(st, w, answer)
+		if !s.plansAdvice(st) {
+			room = w.free().Add(s.freedWithin(w, answer)) // nothing gives way to it for a while
+		}
+		c.Places = st.mostOn(room.Sub(w.promised))
 	}
 	return c
 }
--- a/region/advisers.go
+++ b/region/advisers.go
@@ -128,6 +128,17 @@
 	return best
 }
 
+// idle returns how many hosts have no call to wait for.
+func (a *advisers) idle(now time.Duration) int {
+	n := 0
+	for _, h := range a.hosts {
+		if now >= h.pausedUntil && h.backlog(now) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // enqueue adds a call to the backlog and returns its timeout.
 func (h *adviser) enqueue(step adviceStep, cost, now time.Duration) time.Duration {
 	if h.idleAt <= now {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -55,6 +55,7 @@
 	fails        func(id model.TaskID, run int32) bool
 	issuesTicket func(step, worker string) bool  // the advice service issues a ticket
 	losesAnswer  func(call string) bool          // the call is executed, but its answer is lost
+	seesAdvice   func(c Advise)                  // is shown each call for advice
 	callDelay    func(call string) time.Duration // extra delay until the call is executed
 	starts       map[model.TaskID]int
 	doneRuns     map[model.TaskID]int32
@@ -159,6 +160,7 @@
 	w.issuesTicket = func(string, string) bool { return true }
 	w.losesAnswer = func(string) bool { return false }
 	w.callDelay = func(string) time.Duration { return 0 }
+	w.seesAdvice = func(Advise) {}
 	return w
 }
 
@@ -321,6 +323,7 @@
 	case Probe:
 		w.probe(generation, c)
 	case Advise:
+		w.seesAdvice(c)
 		w.advise(generation, c)
 	case Explain:
 		w.explanations = append(w.explanations, fmt.Sprint((w.now-time.Hour).Milliseconds(), " ", c.Job, " ", c.Message, " ", c.Fields))
