--- a/region/probe.go
+++ b/region/probe.go
@@ -42,6 +42,9 @@
 	delaySamples = 16
 	// probeRetry is the pause after a failed probe.
 	probeRetry = 150 * time.Millisecond
+	// maxClockAge is the largest age of a worker's clock reading from which a lease is computed.
+	// After it, a clock that drifts may be off by a sixth of the shortest lease.
+	maxClockAge = 10 * time.Second
 	// maxEndsListed is the largest number of ends in one answer. A full list may be
 	// truncated, so a run that it does not name may still have an end.
 	maxEndsListed = 500
