region: isolated tasks reach workers on standby

Cause: workers were activated only for steps with a task that may run beside other jobs. A step whose only waiting tasks are isolated would have waited until an active worker had no other job.

--- a/region/standby_test.go
+++ b/region/standby_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// Guards against an isolated task that waits forever: other jobs run on all active workers, and
+// none is kept free for it among those on standby.
+func TestIsolatedTaskReachesWorkersOnStandby(t *testing.T) {
+	w := newStandbyWorld(t, 30, 4)
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "a" {
+			return 500 * time.Millisecond
+		}
+		return time.Minute
+	}
+	w.submit(oneStep("filler", &record.Step{Count: 4, AntiAffinity: 1, EstimateMs: 60000}))
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	st := w.sched.jobs["a"].occs[0].steps[0]
+	now := w.sched.now
+	st.tasks[0].suspicion.crashes = []*loss{{at: now}, {at: now}, {at: now}}
+	w.sched.noteSuspect(st.tasks[0])
+	w.run(5 * time.Second)
+	w.mustComplete("a")
+}
+
 // A step that advice allows on few workers reaches them on standby.
 func TestStepReachesEligibleWorkersOnStandby(t *testing.T) {
 	w := newStandbyWorld(t, 30, 8)
