--- a/host/helpers.go
+++ b/host/helpers.go
@@ -51,7 +51,7 @@
 	pingRate int // pings per second from all hosts together
 	own      succession.Capacity
 
-	// Lists of the helpers, which are made again after a change; nil before. The scheduler asks
+	// Lists of the helpers, built again after a change; nil until then. The scheduler asks
 	// for the names at each tick.
 	byNameOrder []*helper
 	ranked      []*helper
@@ -90,7 +90,7 @@
 		p = &helper{name: r.Host, address: r.Address, firstPing: now, incarnation: r.Incarnation, capacity: succession.Capacity{MilliCPU: r.MilliCpu, LinkBps: r.LinkBps, MemoryMiB: r.MemoryMib}}
 		p.rank = p.capacity.RatioTo(succession.Capacity{})
 		h.byName[r.Host] = p
-		h.forgetLists()
+		h.invalidateLists()
 	}
 	p.expiresAt = now + maxMissedPings*interval + missedPingGrace
 	h.noneExpires = min(h.noneExpires, p.expiresAt)
@@ -129,11 +129,11 @@
 func (h *helpers) drop(name string) {
 	if _, known := h.byName[name]; known {
 		delete(h.byName, name)
-		h.forgetLists()
+		h.invalidateLists()
 	}
 }
 
-func (h *helpers) forgetLists() {
+func (h *helpers) invalidateLists() {
 	h.byNameOrder, h.ranked, h.nameList, h.noneExpires = nil, nil, nil, 0
 }
 
@@ -157,12 +157,12 @@
 func (h *helpers) alive() []*helper {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.makeLists()
+	h.refreshLists()
 	return h.byNameOrder
 }
 
-// makeLists makes the lists of helpers if they have changed.
-func (h *helpers) makeLists() {
+// refreshLists drops expired helpers and builds the lists again after a change.
+func (h *helpers) refreshLists() {
 	h.expire(boottime.Now())
 	if h.nameList != nil {
 		return
@@ -182,7 +182,7 @@
 func (h *helpers) names() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.makeLists()
+	h.refreshLists()
 	return h.nameList
 }
 
@@ -202,7 +202,7 @@
 func (h *helpers) successors() []*helper {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.makeLists()
+	h.refreshLists()
 	return h.ranked
 }
 
