--- a/region/world_test.go
+++ b/region/world_test.go
@@ -249,6 +249,9 @@
 	}
 	w.step(Tick{UnixMs: w.now.Milliseconds(), LinkLoad: w.linkLoad})
 	w.step(Schedule{})
+	if w.minActive > 0 && w.sched != nil {
+		w.checkStandby()
+	}
 	w.after(20*time.Millisecond, func() { w.tick(generation) })
 }
 
@@ -283,9 +286,6 @@
 	for _, c := range append([]Command(nil), w.sched.Handle(w.now, ev)...) {
 		w.execute(generation, c)
 	}
-	if w.minActive > 0 && w.sched != nil {
-		w.checkStandby()
-	}
 }
 
 // answer delivers an event to the scheduler that made the call, unless it was replaced.
