--- a/region/crash_test.go
+++ b/region/crash_test.go
@@ -133,6 +133,7 @@
 func TestCrashingTaskIsGivenUp(t *testing.T) {
 	for _, h := range crashHistories {
 		t.Run(h.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := uint64(1); seed <= 10; seed++ {
 				w := h.run(t, seed)
 				if s := w.states["bad"]; s != StateFailed {
@@ -156,6 +157,7 @@
 }
 
 func strictCrashes(t *testing.T, seed uint64) {
+	t.Parallel()
 	w := newWorld(t, seed)
 	w.strict = newStrict()
 	w.strict.lateCallsReachNext = seed%2 == 0
--- a/region/history_test.go
+++ b/region/history_test.go
@@ -49,7 +49,10 @@
 // with a start that reached the next incarnation while there was no leader (the last five).
 var regressionSeeds = []uint64{98, 152, 216, 245, 272, 384, 489, 490, 568, 514, 795, 872, 958, 1089}
 
-func randomHistory(t *testing.T, seed uint64) { playHistory(newWorld(t, seed)) }
+func randomHistory(t *testing.T, seed uint64) {
+	t.Parallel()
+	playHistory(newWorld(t, seed))
+}
 
 // playHistory plays a random history in a world without workers.
 func playHistory(w *world) {
--- a/region/published_test.go
+++ b/region/published_test.go
@@ -30,6 +30,7 @@
 }
 
 func recordedEndHistory(t *testing.T, seed uint64) {
+	t.Parallel()
 	w := newWorld(t, seed)
 	w.strict = newStrictLateCalls()
 	for i := range 8 {
--- a/region/standby_test.go
+++ b/region/standby_test.go
@@ -314,6 +314,7 @@
 }
 
 func standbyHistory(t *testing.T, seed uint64) {
+	t.Parallel()
 	w := newWorld(t, seed)
 	w.strict, w.minActive = newStrict(), 4
 	for i := range 24 {
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -263,7 +263,10 @@
 	60090, 60292, 60525, // with a late acknowledgement, on code that sends no second start or defers ends
 }
 
-func strictHistory(t *testing.T, seed uint64, s *strict) { playStrictHistory(newWorld(t, seed), s) }
+func strictHistory(t *testing.T, seed uint64, s *strict) {
+	t.Parallel()
+	playStrictHistory(newWorld(t, seed), s)
+}
 
 // playStrictHistory plays a strict history in a world without workers.
 func playStrictHistory(w *world, s *strict) {
--- a/region/unlisted_test.go
+++ b/region/unlisted_test.go
@@ -236,6 +236,7 @@
 )
 
 func calmHistory(t *testing.T, seed uint64) {
+	t.Parallel()
 	w := newWorld(t, seed)
 	w.strict = newStrict()
 	w.maxLease = longLease
--- a/region/zonedrain_test.go
+++ b/region/zonedrain_test.go
@@ -267,6 +267,7 @@
 }
 
 func drainHistory(t *testing.T, seed uint64) {
+	t.Parallel()
 	zones := []string{"a", "b", "c", "d"}
 	w := newDrainWorld(t, seed, zones...)
 	faultFree := false
