telemetry: the test of a blocked reader waits until the writer is blocked

Cause: the writer takes up to 64 KiB of lines at a time, and the test's 4,096 lines are 8 KiB; where its goroutine ran beside the test's, it emptied the queue as fast as it was filled. The test now lets the writer block in its first write before it fills the queue, so that lines must be dropped: as strict, and the same each time.

--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -7,11 +7,16 @@
 
 // blockedWriter blocks writes until it is released.
 type blockedWriter struct {
+	begun   chan struct{} // gets a value when a write begins
 	release chan struct{}
 	got     bytes.Buffer
 }
 
 func (w *blockedWriter) Write(p []byte) (int, error) {
+	select {
+	case w.begun <- struct{}{}:
+	default:
+	}
 	<-w.release
 	return w.got.Write(p)
 }
@@ -19,10 +24,13 @@
 // The reader of the log stops reading. Requests must not wait for it: lines are dropped and
 // counted, and the queued ones are written when it reads again.
 func TestBoundedWriterNeverBlocks(t *testing.T) {
-	out := &blockedWriter{release: make(chan struct{})}
+	out := &blockedWriter{begun: make(chan struct{}, 1), release: make(chan struct{})}
 	w := NewBoundedWriter(out)
 	const lines = 2 * maxQueuedLines
-	for range lines {
+	for i := range lines {
+		if i == 1 {
+			<-out.begun // from here on nothing is taken out of the queue
+		}
 		if _, err := w.Write([]byte("x\n")); err != nil {
 			t.Fatal(err)
 		}
