--- a/review/standin/case_leaders.go
+++ b/review/standin/case_leaders.go
@@ -49,13 +49,13 @@
 	for i, at := range leaderKills {
 		time.Sleep(time.Until(accepted.Add(at)))
 		check()
+		if !trouble {
+			continue
+		}
 		h := f.leader()
 		if h == nil {
 			return notRun, errors.New("no host leads")
 		}
-		if !trouble {
-			continue
-		}
 		rec.event("disruption: process of %s, which leads, is killed for %s (%d of %d)", h.name, killedFor, i+1, len(leaderKills))
 		h.kill()
 		time.AfterFunc(killedFor, func() { _ = h.start() })
