region: a step that waits for long is logged with what holds it

The hosts' logs could not tell why: a step that never starts writes no line, and an infeasible step was said to wait for "room" also where workers with room were reserved. A gang with too few places was said to wait for its "service".

--- a/region/pass.go
+++ b/region/pass.go
@@ -55,6 +55,9 @@
 	for c, steps := range byClass {
 		s.pass(steps, class(c))
 	}
+	for _, st := range s.ready.steps {
+		s.reportHeld(st)
+	}
 }
 
 // freeBounds holds upper bounds of the free resources of any one worker. A step that
@@ -94,8 +97,12 @@
 
 // infeasibleReason names what an infeasible step waits for.
 func (s *Scheduler) infeasibleReason(st *step) string {
-	if _, usable := s.freeBounds.byService[st.job.rec.Policy.GetService()]; !usable && len(s.drains.Zones) > 0 {
+	of, usable := s.freeBounds.byService[st.job.rec.Policy.GetService()]
+	switch {
+	case !usable && len(s.drains.Zones) > 0:
 		return reasonNames[rejectZone]
+	case usable && st.demand().Fits(of.any):
+		return reasonNames[rejectReserved]
 	}
 	return reasonNames[rejectRoom]
 }
--- a/region/place.go
+++ b/region/place.go
@@ -33,8 +33,8 @@
 // rejectionCounts counts workers by the filter that rejected them.
 type rejectionCounts [numReasons]int
 
-// summary names the filter that rejected the most workers of the step's service, or the
-// service filter if there are none.
+// summary names the filter that rejected the most workers of the step's service. If there is none,
+// it is the room for a gang that has places, but too few, and else the service filter.
 func (r *rejectionCounts) summary() string {
 	best := rejectZone
 	for i := rejectZone; i < numReasons; i++ {
@@ -42,10 +42,13 @@
 			best = i
 		}
 	}
-	if r[best] == 0 {
-		return reasonNames[rejectService]
+	switch {
+	case r[best] > 0:
+		return reasonNames[best]
+	case r[fits] > 0:
+		return reasonNames[rejectRoom]
 	}
-	return reasonNames[best]
+	return reasonNames[rejectService]
 }
 
 // explainPlaced logs the tasks of a step that this pass assigned, with the inputs of
