region: a gang that the workers can never hold reserves none of them

Cause: reserve() takes all suitable workers until a gang's members have places, and keeps them if there are never enough. Steps without credit left respect the reservation. Change: a gang reserves workers, claims room for tickets and is placed only if the active workers could hold all its members once every run that ends by itself has ended (couldHold); else it is held by "capacity" and looked at again every 250 ms. Same cause on related paths, each with a test: a gang as wide as the region beside a service; two such gangs that have all firm reservations, so that a gang which fits never collects its room; and one that claims the room of all workers, so that other steps never renew their tickets. The test of "step waits" now uses a gang that fits but finds 7 of 12 workers busy, as the first one reserves nothing any more; its check is unchanged.

--- a/region/job.go
+++ b/region/job.go
@@ -61,6 +61,7 @@
 	nextPreemptSearch time.Duration // earliest next search of preemptForGang
 	nextHeldReport    time.Duration // length of the wait at which reportHeld logs its reason again
 	widenedAt         time.Duration // when workers were last activated for it
+	tooWideUntil      time.Duration // until when couldHold is false without another look
 }
 
 // task is one task of a step.
--- a/region/pass.go
+++ b/region/pass.go
@@ -214,6 +214,11 @@
 			s.dirty = true
 			return
 		}
+		if st.rec.Gang && !s.couldHold(st) {
+			st.heldBy = heldByCapacity
+			s.widen(st)
+			continue
+		}
 		reserving := st.rec.Gang && gangs < maxFirmReservations+maxSoftReservations && (gangs < maxFirmReservations || c <= classOverShare)
 		if !reserving && s.infeasible(st) {
 			st.heldBy = s.infeasibleReason(st)
--- a/region/place.go
+++ b/region/place.go
@@ -26,6 +26,7 @@
 // What holds a step in place of a reason for which workers reject it.
 const (
 	heldByCap      = "cap"            // its workspace is at its cap
+	heldByCapacity = "capacity"       // all workers together could not hold it, if they were empty
 	heldByLink     = "link"           // the leader's link is full
 	heldByAdvisers = "advice backlog" // all hosts have calls for advice to wait for
 )
@@ -208,14 +209,18 @@
 		return false
 	}
 	for _, r := range w.runs {
-		other := r.task.step.rec
-		if st.rec.Fills && other.TargetMs > 0 || st.rec.TargetMs > 0 && other.Fills {
+		if r.task.step.interferes(st) {
 			return true
 		}
 	}
 	return false
 }
 
+// interferes reports whether tasks of the two steps slow each other down on one worker.
+func (st *step) interferes(other *step) bool {
+	return st.rec.Fills && other.rec.TargetMs > 0 || st.rec.TargetMs > 0 && other.rec.Fills
+}
+
 // withinCap reports whether n more tasks keep the workspace within its cap.
 func (s *Scheduler) withinCap(st *step, n int64) bool {
 	ws, known := s.config.Workspaces[st.job.rec.Workspace]
--- a/region/widegang_test.go
+++ b/region/widegang_test.go
@@ -47,7 +47,15 @@
 // all workers are empty and reserved.
 func TestLongWaitIsLoggedWithReservation(t *testing.T) {
 	w := wideGangWorld(t)
-	w.submit(wideGang(14))
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "busy" {
+			return time.Minute
+		}
+		return 1600 * time.Millisecond
+	}
+	w.submitTo(oneStep("busy", &record.Step{Count: 7, EstimateMs: 60000, Request: &record.Resources{MilliCpu: 32000, MemoryMib: 100}}), "other")
+	w.run(time.Second)
+	w.submit(wideGang(12))
 	w.run(5 * time.Second)
 	w.submit(misjudgedChain("a"))
 	w.run(15 * time.Second)
@@ -58,3 +66,99 @@
 	}
 	t.Error("no line says that the step waits behind the reservation of the gang")
 }
+
+// Guards against accepted jobs that wait for ever with all workers empty, because a gang of more
+// tasks than all workers hold reserves each of them against work that has no credit left.
+func TestGangWiderThanRegionHoldsUpNoOtherJob(t *testing.T) {
+	w := wideGangWorld(t)
+	w.submit(wideGang(14))
+	w.run(5 * time.Second)
+	var jobs []string
+	for i := range 6 {
+		jobs = append(jobs, fmt.Sprintf("chain%d", i))
+		w.submit(misjudgedChain(jobs[i]))
+		w.run(250 * time.Millisecond)
+	}
+	w.run(14 * time.Second)
+	w.mustComplete(jobs...)
+}
+
+// Guards against the same where the gang is as wide as the region, but a service that runs until it
+// is cancelled has some of the room.
+func TestGangThatServicesLeaveNoRoomForHoldsUpNoOtherJob(t *testing.T) {
+	w := wideGangWorld(t)
+	w.longRunning = true
+	ends := w.runTime
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "service" {
+			return time.Hour
+		}
+		return ends(id)
+	}
+	w.submit(oneStep("service", &record.Step{Count: 4, LongRunning: true, AntiAffinity: 1, Request: &record.Resources{MilliCpu: 31000, MemoryMib: 100}}))
+	w.run(time.Second)
+	w.submit(wideGang(12))
+	w.run(5 * time.Second)
+	w.submit(misjudgedChain("chain"))
+	w.run(14 * time.Second)
+	w.mustComplete("chain")
+	w.cancel("service")
+	w.run(5 * time.Second)
+	w.mustComplete("gang")
+}
+
+// Guards against a gang that waits for ever although it has enough workers, because gangs that can
+// never start before it have all reservations that keep other work off.
+func TestGangCollectsRoomBesideGangsWiderThanRegion(t *testing.T) {
+	w := wideGangWorld(t)
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "full" {
+			return 6 * time.Second
+		}
+		return 1600 * time.Millisecond
+	}
+	w.submitTo(fullRegion(), "other")
+	w.run(time.Second)
+	for i := range 2 {
+		j := wideGang(14)
+		j.Id = fmt.Sprintf("a%d", i) // before "gang" in the order of equal steps
+		w.submit(j)
+	}
+	w.submit(wideGang(6))
+	for i := range 120 {
+		w.submit(misjudgedBatch(fmt.Sprintf("batch%d", i)))
+	}
+	w.run(14 * time.Second)
+	w.mustComplete("gang")
+}
+
+// fullRegion is a job that takes all of the 12 workers for ten times the declared time.
+func fullRegion() *record.Job {
+	return oneStep("full", &record.Step{Count: 12, EstimateMs: 160, Request: &record.Resources{MilliCpu: 32000, MemoryMib: 100}})
+}
+
+// misjudgedBatch is a job of 20 tasks that each take ten times the declared time.
+func misjudgedBatch(id string) *record.Job {
+	j := oneStep(id, &record.Step{Count: 20, EstimateMs: 160, Request: &record.Resources{MilliCpu: 2000, MemoryMib: 1024}})
+	j.Policy = &record.Policy{Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 1.5, TargetLatencyMs: 250}
+	return j
+}
+
+// Guards against jobs that wait for ever for new tickets of the advice service, because a gang that
+// can never start claims the room of all workers in each pass before them.
+func TestGangWiderThanRegionLeavesAdviceToOtherJobs(t *testing.T) {
+	w := wideGangWorld(t)
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == "full" {
+			return 15 * time.Second
+		}
+		return 500 * time.Millisecond
+	}
+	w.submitTo(fullRegion(), "other")
+	w.run(time.Second)
+	w.submit(withAdvice(wideGang(14), true))
+	w.run(time.Second)
+	w.submit(withAdvice(oneStep("job", &record.Step{Count: 2, EstimateMs: 900, Request: &record.Resources{MilliCpu: 2000, MemoryMib: 100}}), true))
+	w.run(25 * time.Second)
+	w.mustComplete("full", "job")
+}
