region: reservations of gangs lapse for steps that wait while a service is mostly idle

What callers would see: accepted jobs wait for as long as a gang ahead of them waits for tickets of an advice service that does not answer, or for a listed worker that does not answer, with all other workers idle. Cause: a reservation has no end; it assumes that the gang waits for room. Before: TestGangWithoutTicketsHoldsUpNoOtherJob and TestGangThatNeedsSilentWorkerHoldsUpNoOtherJob red without the change of pass.go and place.go. After: green, go test ./region green. Open: with half or more of the service in use such a gang still keeps the rest reserved.

--- a/region/pass.go
+++ b/region/pass.go
@@ -70,13 +70,18 @@
 	byService map[string]*serviceFreeBounds
 }
 
-// serviceFreeBounds is the most of each resource that is free on any worker of a service.
+// serviceFreeBounds is the most of each resource that is free on any worker of a service, and how
+// much of it all of them use.
 type serviceFreeBounds struct {
 	unreserved        model.Resources // on workers without a reservation
 	notFirmlyReserved model.Resources // also on workers that gangs reserve against late work only
 	any               model.Resources // on all workers
+	used, capacity    model.Resources // of all workers together
 }
 
+// mostlyIdle reports whether less than half of each resource of the service is in use.
+func (b *serviceFreeBounds) mostlyIdle() bool { return b.used.Times(2).Fits(b.capacity) }
+
 // infeasible reports whether no worker has room for one task of the step.
 func (s *Scheduler) infeasible(st *step) bool {
 	if !s.freeBounds.valid {
@@ -120,6 +125,7 @@
 		}
 		free := w.free()
 		of.any = elementwiseMax(of.any, free)
+		of.used, of.capacity = of.used.Add(w.used), of.capacity.Add(w.entry.Capacity)
 		if w.reserved == nil {
 			of.notFirmlyReserved = elementwiseMax(of.notFirmlyReserved, free)
 		}
--- a/region/place.go
+++ b/region/place.go
@@ -1,6 +1,9 @@
 package region
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // reason is why a worker cannot take a task now.
 type reason int
@@ -170,10 +173,30 @@
 }
 
 // ignoresReservations reports whether the step may use workers that are reserved for a
-// gang: urgent small tasks that can still be on time, as they end soon, and
-// long-running tasks, which precede all other work.
+// gang: urgent small tasks that can still be on time, as they end soon, long-running tasks,
+// which precede all other work, and steps for which reservations have lapsed.
 func (s *Scheduler) ignoresReservations(st *step) bool {
-	return st.rec.LongRunning || st.job.rec.Policy.GetPriority() == 0 && s.now <= st.latestStart
+	return st.rec.LongRunning || st.job.rec.Policy.GetPriority() == 0 && s.now <= st.latestStart || s.reservationsLapsed(st)
+}
+
+// maxReservedWait is how long a step waits for gangs that reserve workers of a service that is
+// mostly idle. The platform counts a task that is not started within 3 s there as lost.
+const maxReservedWait = 2 * time.Second
+
+// reservationsLapsed reports whether the step no longer respects the reservations of gangs.
+//
+// The guard is against a gang that waits for something other than room, such as a ticket or a
+// worker that does not answer: it could reserve idle workers for as long as it waits. While most of
+// a service is in use, gangs need their reservations to collect room at all.
+func (s *Scheduler) reservationsLapsed(st *step) bool {
+	if s.now-st.waitingSince < maxReservedWait {
+		return false
+	}
+	if !s.freeBounds.valid {
+		s.computeFreeBounds()
+	}
+	of, known := s.freeBounds.byService[st.job.rec.Policy.GetService()]
+	return known && of.mostlyIdle()
 }
 
 // admits reports whether the reservations of the worker let the step use it.
@@ -181,7 +204,7 @@
 	if w.reserved != nil && w.reserved != st && !s.ignoresReservations(st) {
 		return false
 	}
-	return w.softReserved == nil || w.softReserved == st || s.classOf(st) <= classOverShare
+	return w.softReserved == nil || w.softReserved == st || s.classOf(st) <= classOverShare || s.reservationsLapsed(st)
 }
 
 // usable reports whether the worker may get new work at all.
--- a/region/widegang_test.go
+++ b/region/widegang_test.go
@@ -43,16 +43,22 @@
 	return w
 }
 
+// takesLong sets the run time of the tasks of one job.
+func (w *world) takesLong(job string, runTime time.Duration) {
+	others := w.runTime
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Job == job {
+			return runTime
+		}
+		return others(id)
+	}
+}
+
 // Guards against a step whose long wait shows in no log line, or with room as its reason although
 // all workers are empty and reserved.
 func TestLongWaitIsLoggedWithReservation(t *testing.T) {
 	w := wideGangWorld(t)
-	w.runTime = func(id model.TaskID) time.Duration {
-		if id.Job == "busy" {
-			return time.Minute
-		}
-		return 1600 * time.Millisecond
-	}
+	w.takesLong("busy", time.Minute)
 	w.submitTo(oneStep("busy", &record.Step{Count: 7, EstimateMs: 60000, Request: &record.Resources{MilliCpu: 32000, MemoryMib: 100}}), "other")
 	w.run(time.Second)
 	w.submit(wideGang(12))
@@ -88,13 +94,7 @@
 func TestGangThatServicesLeaveNoRoomForHoldsUpNoOtherJob(t *testing.T) {
 	w := wideGangWorld(t)
 	w.longRunning = true
-	ends := w.runTime
-	w.runTime = func(id model.TaskID) time.Duration {
-		if id.Job == "service" {
-			return time.Hour
-		}
-		return ends(id)
-	}
+	w.takesLong("service", time.Hour)
 	w.submit(oneStep("service", &record.Step{Count: 4, LongRunning: true, AntiAffinity: 1, Request: &record.Resources{MilliCpu: 31000, MemoryMib: 100}}))
 	w.run(time.Second)
 	w.submit(wideGang(12))
@@ -111,12 +111,7 @@
 // never start before it have all reservations that keep other work off.
 func TestGangCollectsRoomBesideGangsWiderThanRegion(t *testing.T) {
 	w := wideGangWorld(t)
-	w.runTime = func(id model.TaskID) time.Duration {
-		if id.Job == "full" {
-			return 6 * time.Second
-		}
-		return 1600 * time.Millisecond
-	}
+	w.takesLong("full", 6*time.Second)
 	w.submitTo(fullRegion(), "other")
 	w.run(time.Second)
 	for i := range 2 {
@@ -148,12 +143,7 @@
 // can never start claims the room of all workers in each pass before them.
 func TestGangWiderThanRegionLeavesAdviceToOtherJobs(t *testing.T) {
 	w := wideGangWorld(t)
-	w.runTime = func(id model.TaskID) time.Duration {
-		if id.Job == "full" {
-			return 15 * time.Second
-		}
-		return 500 * time.Millisecond
-	}
+	w.takesLong("full", 15*time.Second)
 	w.submitTo(fullRegion(), "other")
 	w.run(time.Second)
 	w.submit(withAdvice(wideGang(14), true))
@@ -162,3 +152,33 @@
 	w.run(25 * time.Second)
 	w.mustComplete("full", "job")
 }
+
+// Guards against accepted jobs that wait for ever with all workers empty, because a gang that waits
+// for something other than room, here its tickets, reserves all of them.
+func TestGangWithoutTicketsHoldsUpNoOtherJob(t *testing.T) {
+	w := wideGangWorld(t)
+	w.newAdviceService("h1").idleAt["h1"] = w.now + time.Hour // all calls time out
+	gang := withAdvice(wideGang(12), true)
+	gang.Policy.Priority = 0 // the gang goes before the job
+	w.submit(gang)
+	w.run(5 * time.Second)
+	w.submit(misjudgedChain("chain"))
+	w.run(14 * time.Second)
+	w.mustComplete("chain")
+}
+
+// Guards against the same where the gang waits for a worker that is listed and does not answer.
+func TestGangThatNeedsSilentWorkerHoldsUpNoOtherJob(t *testing.T) {
+	w := wideGangWorld(t)
+	silent := w.workers["w11"]
+	silent.unreachable = true
+	w.run(time.Second)
+	w.submit(wideGang(12))
+	w.run(5 * time.Second)
+	w.submit(misjudgedChain("chain"))
+	w.run(14 * time.Second)
+	w.mustComplete("chain")
+	silent.unreachable = false
+	w.run(10 * time.Second)
+	w.mustComplete("gang")
+}
