region: a pass reports at most one step that waits

Change: the report comes from the loop over ready steps that each pass has anyway, for one step a pass, the most urgent.

--- a/region/held.go
+++ b/region/held.go
@@ -6,13 +6,15 @@
 // when the wait has doubled, so that a backlog writes few lines.
 const firstHeldReport = 4 * time.Second
 
-// reportHeld logs and counts what holds a step that has waited for long.
+// reportHeld logs and counts what held a step in the last pass that tried it. Each pass reports one
+// step at most, the most urgent one that is due, as a report looks at all workers.
 func (s *Scheduler) reportHeld(st *step) {
-	waited := s.now - st.waitingSince
-	if waited < max(firstHeldReport, st.nextHeldReport) || st.heldBy == "" {
+	if s.heldReportedIn == s.now || st.heldBy == "" {
 		return
 	}
-	st.nextHeldReport = 2 * waited
+	s.heldReportedIn = s.now
+	waited := s.now - st.waitingSince
+	st.heldReportAt = s.now + waited
 	s.emit(Count{Name: "steps_held", Why: st.heldBy})
 	fields := []Field{{"occurrence", st.occ.k}, {"step", st.index}, {"held_by", st.heldBy}, {"waited_ms", waited.Milliseconds()}, {"class", int(s.classOf(st))}}
 	if gang, workers := s.mostReservedFor(st); gang != nil {
@@ -21,16 +23,13 @@
 	s.explain(st.job.rec.Id, "step waits", fields...)
 }
 
-// mostReservedFor returns the gang that reserves most of the workers that suit the step, and how
-// many; nil if none are reserved for others.
+// mostReservedFor returns the gang for which most of the workers that suit the step were reserved in
+// the last pass, and how many; nil if none were reserved for others.
 func (s *Scheduler) mostReservedFor(st *step) (*step, int) {
 	counts := make(map[*step]int)
 	var most *step
 	for _, w := range s.usableNow {
-		gang := w.reserved
-		if gang == nil {
-			gang = w.softReserved
-		}
+		gang := w.wasReserved
 		if gang == nil || gang == st || !s.suits(st, w) {
 			continue
 		}
--- a/region/job.go
+++ b/region/job.go
@@ -59,7 +59,7 @@
 	preemptedAt  time.Duration // when runs were last preempted for it
 
 	nextPreemptSearch time.Duration // earliest next search of preemptForGang
-	nextHeldReport    time.Duration // length of the wait at which reportHeld logs its reason again
+	heldReportAt      time.Duration // when reportHeld logs next what holds it
 	widenedAt         time.Duration // when workers were last activated for it
 	tooWideUntil      time.Duration // until when couldHold is false without another look
 }
--- a/region/pass.go
+++ b/region/pass.go
@@ -55,9 +55,6 @@
 	for c, steps := range byClass {
 		s.pass(steps, class(c))
 	}
-	for _, st := range s.ready.steps {
-		s.reportHeld(st)
-	}
 }
 
 // freeBounds holds upper bounds of the free resources of any one worker. A step that
@@ -197,6 +194,9 @@
 			st.queued = false
 			continue
 		}
+		if s.now >= st.heldReportAt {
+			s.reportHeld(st)
+		}
 		st.latencySensitive = s.latencySensitive(st)
 		keep = append(keep, st)
 		c := s.classOf(st)
--- a/region/ready.go
+++ b/region/ready.go
@@ -32,7 +32,7 @@
 		return
 	}
 	st.queued = true
-	st.waitingSince, st.nextHeldReport = s.now, 0
+	st.waitingSince, st.heldReportAt = s.now, s.now+firstHeldReport
 	s.activateNearData(st)
 	at, _ := slices.BinarySearchFunc(s.ready.steps, st, compareSteps)
 	s.ready.steps = slices.Insert(s.ready.steps, at, st)
--- a/region/region.go
+++ b/region/region.go
@@ -132,6 +132,7 @@
 	fullAt         time.Duration // when linkLoad was last above fullLink
 	dirty          bool          // a change may allow a task to start
 	lastPass       time.Duration
+	heldReportedIn time.Duration // when the newest pass ran in which reportHeld wrote a line
 	freeBounds     freeBounds
 	gangRooms      []gangRoom
 	reservable     reservablePlaces // of the gang that reserves now
