testport: tests reserve the ports of their hosts until they end

Cause: fakeplatform.FreeAddress took a port that the kernel gave it and released it before the host opened it. Any other listener without a port of its own, or an outgoing connection, could get it in between. Change: package testport binds a socket to the port that does not listen, and keeps it until the end of the test. The kernel then gives the port to nobody who asks for any port, and a second reservation fails; a listener that names it, with SO_REUSEADDR as package net sets it, can open it, also again after a restart. Used by the tests of host, soak and processes (which drew ports below the kernel's range and released them as well).

--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/platform/fakeplatform"
 	"github.com/fireflyfold/fireflyfold/telemetry"
+	"github.com/fireflyfold/fireflyfold/testport"
 )
 
 // testRegion is a region of a few hosts in one process, on a fake platform.
@@ -72,7 +73,7 @@
 	m := &testHost{endpoint: f.store.Endpoint(), done: make(chan struct{})}
 	settings := filepath.Join(f.t.TempDir(), "settings")
 	text := fmt.Sprintf("node=%s\nip=127.0.0.1\nzone=z1\nlisten.front=%s\nlisten.ready=%s\nlisten.control=%s\nplatform.address=%s\n"+
-		"bounds.holdMaxMs=3000\nbounds.strictRevocation=true\nbounds.graceS=3\n%s", name, f.port(), f.port(), f.port(), m.endpoint.Address(), extraSettings)
+		"bounds.holdMaxMs=3000\nbounds.strictRevocation=true\nbounds.graceS=3\n%s", name, testport.Reserve(f.t), testport.Reserve(f.t), testport.Reserve(f.t), m.endpoint.Address(), extraSettings)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -99,15 +100,6 @@
 	return m
 }
 
-func (f *testRegion) port() string {
-	f.t.Helper()
-	a, err := fakeplatform.FreeAddress()
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return a
-}
-
 func (f *testRegion) leader() *testHost {
 	for _, m := range f.hosts {
 		if l := m.election.localLeader(); l != nil && l.Loaded() && !m.stopping.Load() {
--- a/processes/cluster_test.go
+++ b/processes/cluster_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/fireflyfold/fireflyfold/testport"
 )
 
 const (
@@ -98,7 +99,7 @@
 func (c *cluster) layOut(t *testing.T) {
 	t.Helper()
 	names := []string{"1-h1", "1-h2", "2-h1", "3-h1", "4-h1"}
-	ports := freePorts(t, 1+zones+2*len(names))
+	ports := testport.ReserveSequence(t, 1+zones+2*len(names))
 	c.admin = "http://" + ports[0]
 	args := []string{filepath.Join(c.bin, "fireflyfold-platform"), "--layout", layout, "--listen", ports[0], "--host-lag", "500ms"}
 	var seeds []string
@@ -182,42 +183,6 @@
 	}
 }
 
-// Ports are drawn below the range from which the kernel takes ports for
-// outgoing connections and for listeners without one of their own; otherwise
-// such a connection could take a port between its choice and its use.
-const (
-	firstPort = 12_000
-	lastPort  = 30_000
-	portDraws = 100
-)
-
-// freePorts returns n addresses with ports in sequence that were free a moment
-// ago, as the kernel said when asked to listen on them.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	for range portDraws {
-		if addrs := tryPorts(firstPort+rand.IntN(lastPort-firstPort-n), n); addrs != nil {
-			return addrs
-		}
-	}
-	t.Fatalf("no %d free ports in sequence", n)
-	return nil
-}
-
-func tryPorts(first, n int) []string {
-	var addrs []string
-	for port := first; port < first+n; port++ {
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", addr)
-		if err != nil {
-			return nil
-		}
-		defer listener.Close()
-		addrs = append(addrs, addr)
-	}
-	return addrs
-}
-
 // Bounds of waiting. Nothing is asserted about shorter times.
 const (
 	waitLimit = 45 * time.Second
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/platform/fakeplatform"
+	"github.com/fireflyfold/fireflyfold/testport"
 )
 
 const (
@@ -126,20 +127,13 @@
 	t := f.t
 	h := &host{name: name, program: program, endpoint: f.store.Endpoint()}
 	h.logProxy = newProxy(t, h.endpoint.Address())
-	address := func() string {
-		a, err := fakeplatform.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		return a
-	}
-	front := address()
+	front := testport.Reserve(t)
 	h.frontProxy = newProxy(t, front)
 	h.settings = filepath.Join(t.TempDir(), "settings")
 	h.logFile = filepath.Join(filepath.Dir(h.settings), "log")
 	text := fmt.Sprintf("node=%s\nip=127.0.0.1\nzone=z1\nlisten.front=%s\nlisten.ready=%s\nlisten.control=%s\nplatform.address=%s\n"+
 		"bounds.holdMaxMs=%d\nbounds.strictRevocation=true\nbounds.graceS=%d\nlimits.memoryMb=256\n",
-		name, front, address(), address(), h.logProxy.address(), maxLease.Milliseconds(), int(gracePeriod.Seconds()))
+		name, front, testport.Reserve(t), testport.Reserve(t), h.logProxy.address(), maxLease.Milliseconds(), int(gracePeriod.Seconds()))
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
