region: a job is cancelled only for the workspace that it belongs to

What callers would see: the key of one workspace cancels a job of another one while the leader does not answer, or does not know the job yet: the host then writes the cancellation without knowing whose job it is (cancelJob). Change: a cancellation in the log names the workspace of the key; the scheduler passes over one of another workspace, also if it is read before the submission, with a line and a counter. Records of earlier versions name none and hold as before. Before: TestUnreadJobIsNotCancelledByAnotherWorkspace (host): the job never completed, 1 of 1. After: green; tests of cancellations in region green.

--- a/host/front.go
+++ b/host/front.go
@@ -299,7 +299,7 @@
 		c.answer(http.StatusGone, nil)
 		return
 	}
-	o := c.appendRecord(&record.Intake{Kind: &record.Intake_Cancelled{Cancelled: c.job}})
+	o := c.appendRecord(&record.Intake{Kind: &record.Intake_Cancelled{Cancelled: c.job}, CancelledBy: &c.owner})
 	if o == appended {
 		c.host.log.WithField("job", c.job).Info("cancellation accepted")
 	}
--- a/region/job.go
+++ b/region/job.go
@@ -101,7 +101,7 @@
 		case *record.Intake_Submitted:
 			s.submit(k.Submitted)
 		case *record.Intake_Cancelled:
-			s.cancel(k.Cancelled)
+			s.cancel(cancellationOf(k.Cancelled, r.CancelledBy))
 		}
 	}
 }
@@ -121,10 +121,7 @@
 		s.addOccurrence(j)
 	}
 	s.publish(j)
-	if _, early := s.cancelledEarly[rec.Id]; early {
-		delete(s.cancelledEarly, rec.Id)
-		s.cancel(rec.Id)
-	}
+	s.cancelIfAsked(j)
 	return j
 }
 
@@ -229,13 +226,45 @@
 
 func (j *job) dueUnixMs(k int32) int64 { return j.rec.FirstRunUnixMs + int64(k)*j.rec.IntervalMs }
 
+// cancellation is a request to cancel a job.
+type cancellation struct {
+	job          string
+	workspace    string // that the job must belong to
+	anyWorkspace bool   // the record names no workspace
+}
+
+func cancellationOf(job string, workspace *string) cancellation {
+	if workspace == nil {
+		return cancellation{job: job, anyWorkspace: true}
+	}
+	return cancellation{job: job, workspace: *workspace}
+}
+
+// cancelIfAsked cancels a job whose cancellation was read before its submission, which is in
+// another partition of the log.
+func (s *Scheduler) cancelIfAsked(j *job) {
+	for _, c := range []cancellation{{job: j.rec.Id, workspace: j.rec.Workspace}, {job: j.rec.Id, anyWorkspace: true}} {
+		if _, early := s.cancelledEarly[c]; early {
+			delete(s.cancelledEarly, c)
+			s.cancel(c)
+		}
+	}
+}
+
 // cancel ends a job at the request of its caller.
-func (s *Scheduler) cancel(id string) {
+//
+// The guard is against a job that the key of another workspace cancels: a host that cannot ask the
+// leader whose job it is writes the cancellation all the same.
+func (s *Scheduler) cancel(c cancellation) {
+	id := c.job
 	j, known := s.jobs[id]
 	if !known {
-		// The submission is in another partition of the log and has not been
-		// read yet.
-		s.cancelledEarly[id] = s.now
+		s.cancelledEarly[c] = s.now
+		return
+	}
+	if !c.anyWorkspace && c.workspace != j.rec.Workspace {
+		s.explain(id, "cancellation passed over", Field{"workspace", c.workspace}, Field{"owner", j.rec.Workspace})
+		s.emit(Count{Name: "cancellations_passed_over"})
 		return
 	}
 	if !s.leading() {
@@ -425,9 +454,9 @@
 		n++
 	}
 	s.finished = s.finished[n:]
-	for id, at := range s.cancelledEarly {
+	for c, at := range s.cancelledEarly {
 		if s.now-at > s.opts.StatusRetention {
-			delete(s.cancelledEarly, id)
+			delete(s.cancelledEarly, c)
 		}
 	}
 }
--- a/region/region.go
+++ b/region/region.go
@@ -83,7 +83,7 @@
 	jobs   map[string]*job
 	// cancelledEarly holds when cancellations were read whose jobs have not been read
 	// yet.
-	cancelledEarly map[string]time.Duration
+	cancelledEarly map[cancellation]time.Duration
 	// replayedCancels are the jobs whose cancellations were read before leadership began.
 	replayedCancels []*job
 	workers         map[string]*worker
@@ -155,7 +155,7 @@
 	return &Scheduler{
 		opts:           opts,
 		jobs:           make(map[string]*job),
-		cancelledEarly: make(map[string]time.Duration),
+		cancelledEarly: make(map[cancellation]time.Duration),
 		workers:        make(map[string]*worker),
 		byAddress:      make(map[string][]*worker),
 		pools:          make(map[string]*pool),
--- a/region/replay.go
+++ b/region/replay.go
@@ -106,7 +106,7 @@
 		}
 	}
 	if k.Cancelled {
-		s.cancel(k.Job.Id)
+		s.cancel(cancellation{job: k.Job.Id, anyWorkspace: true})
 	}
 }
 
