host: a cancellation is answered with 410 only for a job that cannot exist

Cause: cancelJob took the leader's "unknown" as proof, as GET may for visible_ms; the leader knows a job only once it has applied the notice of its host or read the record. Change: the leader tells the age of its oldest applied read of the intake; a cancellation counts a job as gone only if that read was sent after the DELETE came. Else the host asks again, and in the end writes the cancellation and answers 200.

--- a/host/ask.go
+++ b/host/ask.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflyfold/fireflyfold/boottime"
 	"github.com/fireflyfold/fireflyfold/hostrpc"
+	"github.com/fireflyfold/fireflyfold/leader"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/region"
 )
@@ -35,18 +36,41 @@
 func (c *call) jobState() (region.State, bool) {
 	until := boottime.Now() + leaderWaitTimeout
 	for {
-		state, workspace, ok := c.leaderJobState()
+		s, ok := c.leaderJobState()
 		switch {
-		case ok && workspace != c.owner:
-			return region.StateUnknown, true
 		case ok:
-			return state, true
+			return s.VisibleTo(c.owner), true
 		case boottime.Now() > until || c.host.isolated() || !boottime.Sleep(c.ctx, leaderRetryInterval):
 			return region.StateUnknown, false
 		}
 	}
 }
 
+// jobIsGone reports whether no job with the id can have been acknowledged before the request came.
+//
+// The guard is against a cancellation that is answered with 410 and lost: a leader knows a job only
+// once it has been notified of it or has read it. The call is repeated until the leader knows the
+// job or has read the intake since the request came, for as long as the deadline leaves time to
+// write the cancellation.
+func (c *call) jobIsGone() bool {
+	noAnswer := c.began + leaderWaitTimeout
+	unsettled := c.began + min(settleTimeout, c.deadline-cancelWriteTime)
+	for {
+		asked := boottime.Now()
+		s, ok := c.leaderJobState()
+		until := noAnswer
+		if ok {
+			if s.State != region.StateUnknown || s.ReadAge <= asked-c.began {
+				return s.VisibleTo(c.owner) == region.StateUnknown
+			}
+			until = unsettled
+		}
+		if boottime.Now() > until || c.host.isolated() || !boottime.Sleep(c.ctx, leaderRetryInterval) {
+			return false
+		}
+	}
+}
+
 // leaderTimeout returns the timeout of one call to the leader.
 func (h *Host) leaderTimeout() time.Duration {
 	if h.Ready() {
@@ -55,22 +79,24 @@
 	return leaderCallTimeoutUnready
 }
 
-func (c *call) leaderJobState() (state region.State, workspace string, ok bool) {
+func (c *call) leaderJobState() (leader.JobState, bool) {
 	if l := c.host.election.localLeader(); l != nil {
 		return l.State(c.job)
 	}
 	claim, _ := c.host.election.newestClaim()
 	if claim == nil || c.host.isolated() {
-		return region.StateUnknown, "", false
+		return leader.JobState{}, false
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, c.host.leaderTimeout())
 	defer cancel()
 	resp, err := c.host.peers.leader(claim.Address).State(ctx, newRequest(&hostrpc.StateRequest{Job: c.job}))
 	if err != nil {
-		return region.StateUnknown, "", false
+		return leader.JobState{}, false
 	}
 	c.host.peerContact.succeeded()
-	return region.State(resp.Msg.State), resp.Msg.Workspace, true
+	return leader.JobState{
+		State: region.State(resp.Msg.State), Workspace: resp.Msg.Workspace, ReadAge: time.Duration(resp.Msg.ReadAgeMs) * time.Millisecond,
+	}, true
 }
 
 // servePending answers with the number of the queue's pending jobs.
--- a/host/cancel_test.go
+++ b/host/cancel_test.go
@@ -53,3 +53,33 @@
 	leader.endpoint.Stall("")
 	f.waitUntil("the job is completed", func() bool { return f.completed(other, 1) })
 }
+
+// Guards against a cancellation that is answered as if the job did not exist, and lost, because the
+// leader has not read the submission yet.
+func TestUnreadJobIsCancelled(t *testing.T) {
+	f, leader, other := unreadJobRegion(t)
+	if status, _ := f.call(other, http.MethodDelete, jobPath(1), "k1", ""); status != http.StatusOK {
+		t.Errorf("the cancellation was answered with %d", status)
+	}
+	leader.endpoint.Stall("")
+	f.waitUntil("the job is cancelled", func() bool {
+		status, body := f.call(other, http.MethodGet, jobPath(1), "k1", "")
+		return status == http.StatusOK && strings.Contains(body, platform.StateCancelled)
+	})
+	if n := len(f.starts()); n > 0 {
+		t.Errorf("%d tasks of the cancelled job were started", n)
+	}
+}
+
+// Guards against a cancellation of a job that does not exist being written to the log while the
+// leader reads the intake.
+func TestCancellationOfUnknownJobIsAnsweredGone(t *testing.T) {
+	f := newTestRegion(t, 2, 1, 50*time.Millisecond)
+	for _, m := range f.hosts {
+		f.waitUntil("the configuration is read", func() bool { return m.config.Config() != nil })
+		f.waitUntil("an unknown job is gone", func() bool {
+			status, _ := f.call(m, http.MethodDelete, jobPath(99), "k1", "")
+			return status == http.StatusGone
+		})
+	}
+}
--- a/host/front.go
+++ b/host/front.go
@@ -39,6 +39,12 @@
 	// leaderWaitTimeout is how long a request waits for a leader: a successor leads
 	// within a second, and a refused caller retries after a second at the earliest.
 	leaderWaitTimeout = time.Second
+	// settleTimeout is how long a cancellation waits until the leader has read all jobs that were
+	// acknowledged before it: a read that finds nothing takes a second, and the next one has to
+	// be sent and answered.
+	settleTimeout = 2200 * time.Millisecond
+	// cancelWriteTime is the part of a caller's deadline that is reserved for writing a cancellation.
+	cancelWriteTime = 700 * time.Millisecond
 	// leaderRetryInterval is the pause between two attempts to ask the leader.
 	leaderRetryInterval = 50 * time.Millisecond
 	// revocationMargin is subtracted from the time within which a withdrawn key must
@@ -69,6 +75,7 @@
 	queue    *model.Queue
 	job      string // job id; "" if the path names the queue itself
 	owner    string // workspace of the key; "" in a public queue
+	began    time.Duration
 	deadline time.Duration
 	cancel   context.CancelFunc
 	ctx      context.Context
@@ -76,7 +83,7 @@
 
 // serveCaller handles a request of a caller.
 func (h *Host) serveCaller(w http.ResponseWriter, r *http.Request) {
-	c := &call{host: h, w: w, r: r}
+	c := &call{host: h, w: w, r: r, began: boottime.Now()}
 	c.deadline = platform.DeadlineOf(r.Header)
 	if c.deadline == 0 {
 		c.deadline = defaultDeadline
@@ -291,11 +298,11 @@
 	}
 }
 
-// cancelJob appends the cancellation to the log, then answers. A job that the leader
-// does not know is answered with 410 Gone. If the leader does not answer, the
+// cancelJob appends the cancellation to the log, then answers. A job that certainly does not
+// exist is answered with 410 Gone. If the leader does not answer or has not read all jobs, the
 // cancellation is appended all the same.
 func (c *call) cancelJob() {
-	if state, ok := c.jobState(); ok && state == region.StateUnknown {
+	if c.jobIsGone() {
 		c.answer(http.StatusGone, nil)
 		return
 	}
--- a/host/peers.go
+++ b/host/peers.go
@@ -79,11 +79,13 @@
 	if l == nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
 	}
-	state, workspace, upToDate := l.State(req.Msg.Job)
+	s, upToDate := l.State(req.Msg.Job)
 	if !upToDate {
 		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
 	}
-	return connect.NewResponse(&hostrpc.StateResponse{State: int32(state), Workspace: workspace}), nil
+	// Rounded up: a read must not seem to have been sent later than it was.
+	age := (s.ReadAge + time.Millisecond).Milliseconds()
+	return connect.NewResponse(&hostrpc.StateResponse{State: int32(s.State), Workspace: s.Workspace, ReadAgeMs: age}), nil
 }
 
 // Pending implements hostrpc.LeaderHandler. It returns the number of pending jobs of
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -133,15 +133,33 @@
 	return l
 }
 
-// State returns the state of a job and the workspace that submitted it. current is false if
-// the result may be out of date: while the leader loads, and for an unknown job if the intake
-// has not been read recently.
-func (l *Leader) State(job string) (state region.State, workspace string, current bool) {
+// JobState is what a leader knows of a job.
+type JobState struct {
+	State     region.State
+	Workspace string // that submitted the job
+	// ReadAge is the age of the oldest read of a partition of the intake that is applied: any job
+	// acknowledged before that read was sent is known.
+	ReadAge time.Duration
+}
+
+// VisibleTo returns the state for callers with a key of the workspace. A job of another workspace is
+// unknown to them.
+func (s JobState) VisibleTo(workspace string) region.State {
+	if s.Workspace != workspace {
+		return region.StateUnknown
+	}
+	return s.State
+}
+
+// State returns the state of a job. current is false if it may be out of date: while the leader loads,
+// and for an unknown job if the intake has not been read recently.
+func (l *Leader) State(job string) (s JobState, current bool) {
 	if !l.loaded.Load() {
-		return region.StateUnknown, "", false
+		return JobState{}, false
 	}
-	state, workspace = l.status.State(job)
-	return state, workspace, state != region.StateUnknown || l.intakeFresh()
+	s.ReadAge = l.intakeReadAge() // before the state, which can only become newer
+	s.State, s.Workspace = l.status.State(job)
+	return s, s.State != region.StateUnknown || s.ReadAge < maxIntakeAge
 }
 
 // Explain returns what is known of a job. current is false as for State.
@@ -150,18 +168,17 @@
 		return Explanation{}, false
 	}
 	e = l.status.Explain(job)
-	return e, e.State != region.StateUnknown || l.intakeFresh()
+	return e, e.State != region.StateUnknown || l.intakeReadAge() < maxIntakeAge
 }
 
-// intakeFresh reports whether every partition of the intake has been read within
-// maxIntakeAge. Only then is an unknown job certain not to exist.
-func (l *Leader) intakeFresh() bool {
+// intakeReadAge returns how long ago the reads of the intake that are applied were sent, for the
+// partition where that is longest.
+func (l *Leader) intakeReadAge() time.Duration {
+	oldest := l.intakeReadAt[0].Load()
 	for i := range l.intakeReadAt {
-		if boottime.Now()-time.Duration(l.intakeReadAt[i].Load()) >= maxIntakeAge {
-			return false
-		}
+		oldest = min(oldest, l.intakeReadAt[i].Load())
 	}
-	return true
+	return boottime.Now() - time.Duration(oldest)
 }
 
 // Loaded reports whether the records of earlier leaders have been replayed.
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -229,12 +229,12 @@
 	defer cancel()
 	run.Go(func() { l.readIntake(ctx, 0, 0) })
 	ev := <-l.events.Items()
-	if _, _, current := l.State("a"); current {
+	if _, current := l.State("a"); current {
 		t.Error("a job whose record was read is unknown for certain before it is applied")
 	}
 	l.apply(&dispatcher{leader: l, ctx: ctx}, region.New(region.Options{}), ev)
-	if state, _, current := l.State("a"); !current || state != region.StateQueued {
-		t.Errorf("state %v, current %v after the record is applied", state, current)
+	if s, current := l.State("a"); !current || s.State != region.StateQueued {
+		t.Errorf("state %v, current %v after the record is applied", s.State, current)
 	}
 }
 
