--- a/region/job.go
+++ b/region/job.go
@@ -112,6 +112,9 @@
 	}
 	j := &job{rec: rec, queue: s.estimates.forQueue(rec.Queue), acceptedAt: s.acceptedAt(rec.AcceptedUnixMs)}
 	j.writtenAt = j.acceptedAt
+	if !s.leading() {
+		j.writtenAt = s.writtenAt(rec.AcceptedUnixMs)
+	}
 	s.jobs[rec.Id] = j
 	s.written = append(s.written, j)
 	j.overShare = !s.shares.allow(s.share(rec.Workspace), rec.Workspace, j.acceptedAt)
--- a/region/replay.go
+++ b/region/replay.go
@@ -87,7 +87,7 @@
 
 func (s *Scheduler) replaySnapshot(k *record.Kept) {
 	j := s.submit(k.Job)
-	j.writtenAt = s.now
+	j.writtenAt = s.writtenAt(k.WrittenUnixMs)
 	for _, ts := range k.Tasks {
 		t := s.findTask(model.TaskIDOf(ts.Task))
 		if t == nil || t.lastRun > ts.Run {
@@ -110,6 +110,23 @@
 	}
 }
 
+// rewriteDueAt returns when a snapshot of the job is to be written: well before its newest complete
+// record expires, however many leaders have read that record.
+func (s *Scheduler) rewriteDueAt(j *job) time.Duration { return j.writtenAt + s.opts.LogRetention/2 }
+
+// writtenAt converts the time of day at which a record was written to the scheduler's clock.
+//
+// The guard is against a job that is forgotten: if each new leader counted from its own replay, every
+// change of leader would put off the next snapshot until the last one has expired. Clocks may
+// step: a time that cannot be right counts as one that makes the snapshot due.
+func (s *Scheduler) writtenAt(unixMs int64) time.Duration {
+	age := time.Duration(s.unixMs-unixMs) * time.Millisecond
+	if unixMs == 0 || age < 0 || age > s.opts.LogRetention {
+		age = s.opts.LogRetention / 2
+	}
+	return s.now - age
+}
+
 // rewriteOld appends snapshots of live jobs to the log before their records expire.
 // Without them, the next leader would not know of a job that runs for longer than the
 // retention of the log.
@@ -117,7 +134,7 @@
 	const perTick = 4 // spreads the snapshots of many old jobs
 	for written := 0; written < perTick && len(s.written) > 0; {
 		j := s.written[0]
-		if s.now-j.writtenAt < s.opts.LogRetention/2 {
+		if s.now < s.rewriteDueAt(j) {
 			return
 		}
 		s.written[0] = nil
@@ -127,7 +144,9 @@
 		}
 		j.writtenAt = s.now
 		s.written = append(s.written, j)
-		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: snapshotJob(j)}})
+		k := snapshotJob(j)
+		k.WrittenUnixMs = s.unixMs
+		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
 		written++
 	}
 }
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -38,6 +38,9 @@
 	advice           *adviceService // nil: each call is answered within its expected duration
 
 	intake         []*record.Intake
+	intakeTimes    []time.Duration // when each of intake was appended
+	intakeExpires  bool            // records of the intake expire after logRetention, as entries do
+	clockSkew      time.Duration   // by which the leader's time of day is ahead
 	entries        []*record.Entry
 	entryTimes     []time.Duration // when each of entries was appended
 	maxLease       time.Duration   // the longest lease of workers; 0 for testLease
@@ -207,9 +210,9 @@
 	if w.strict != nil {
 		w.strict.noteCancellations(w.intake)
 	}
-	w.step(Tick{UnixMs: w.now.Milliseconds(), LinkLoad: w.linkLoad})
-	w.step(IntakeRead{Records: w.intake})
+	w.step(Tick{UnixMs: (w.now + w.clockSkew).Milliseconds(), LinkLoad: w.linkLoad})
 	w.expireEntries()
+	w.step(IntakeRead{Records: w.intake})
 	w.step(EntriesRead{Entries: w.entries})
 	w.step(Lead{Fence: w.fence})
 	w.step(ConfigRead{Config: w.config()})
@@ -221,13 +224,17 @@
 	w.tick(w.generation)
 }
 
-// expireEntries drops the entries that are older than logRetention.
+// expireEntries drops the entries that are older than logRetention, and records of the intake if
+// these expire.
 func (w *world) expireEntries() {
 	n := 0
 	for w.logRetention > 0 && n < len(w.entryTimes) && w.now-w.entryTimes[n] > w.logRetention {
 		n++
 	}
 	w.entries, w.entryTimes = w.entries[n:], w.entryTimes[n:]
+	for w.intakeExpires && len(w.intake) > 0 && w.now-w.intakeTimes[0] > w.logRetention {
+		w.intake, w.intakeTimes = w.intake[1:], w.intakeTimes[1:]
+	}
 }
 
 // deliverListing delivers a worker's host list entry to a new scheduler.
@@ -247,7 +254,7 @@
 	if generation != w.generation || w.sched == nil {
 		return
 	}
-	w.step(Tick{UnixMs: w.now.Milliseconds(), LinkLoad: w.linkLoad})
+	w.step(Tick{UnixMs: (w.now + w.clockSkew).Milliseconds(), LinkLoad: w.linkLoad})
 	w.step(Schedule{})
 	if w.minActive > 0 && w.sched != nil {
 		w.checkStandby()
@@ -264,20 +271,23 @@
 // submit appends a job to the intake and delivers it to the scheduler.
 func (w *world) submit(j *record.Job) { w.submitTo(j, "q") }
 
-func (w *world) submitTo(j *record.Job, queue string) {
+func (w *world) submitTo(j *record.Job, queue string) { w.submitAt(j, queue, w.now) }
+
+// submitAt submits a job at a host whose clock shows the time of day.
+func (w *world) submitAt(j *record.Job, queue string, timeOfDay time.Duration) {
 	if j.Policy == nil {
 		j.Policy = &record.Policy{Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000}
 	}
-	j.Workspace, j.Queue, j.AcceptedUnixMs = "ws", queue, w.now.Milliseconds()
+	j.Workspace, j.Queue, j.AcceptedUnixMs = "ws", queue, timeOfDay.Milliseconds()
 	w.acceptedAt[j.Id] = w.now
 	r := &record.Intake{Kind: &record.Intake_Submitted{Submitted: j}}
-	w.intake = append(w.intake, r)
+	w.intake, w.intakeTimes = append(w.intake, r), append(w.intakeTimes, w.now)
 	w.deliver(IntakeRead{Records: []*record.Intake{r}})
 }
 
 func (w *world) cancel(id string) {
 	r := &record.Intake{Kind: &record.Intake_Cancelled{Cancelled: id}}
-	w.intake = append(w.intake, r)
+	w.intake, w.intakeTimes = append(w.intake, r), append(w.intakeTimes, w.now)
 	w.deliver(IntakeRead{Records: []*record.Intake{r}})
 }
 
