logwriter: a record that the log rejects fails alone, and the writer goes on

What callers would see: after one submission whose record is larger than the store takes, the host accepts no other one. Cause: a batch that was answered with anything but 503, 429 or 409 was sent again for ever and held back all that followed. Change: 400 and 413 are conclusive. Before: TestTooLargeSubmissionHoldsUpNoOther red in both cases (504, then 503 for the next submission); with the guard of sendBatch taken out, TestRejectedRecordFailsAlone runs into its time limit. After: green; logwriter, leader, platform green. Not tested: the leader's step-down.

--- a/host/front.go
+++ b/host/front.go
@@ -220,9 +220,10 @@
 type appendOutcome int
 
 const (
-	appended      appendOutcome = iota
-	notAppended                 // certainly not in the log, and never will be
-	appendUnknown               // may be in the log now or later
+	appended       appendOutcome = iota
+	notAppended                  // certainly not in the log, and never will be
+	appendUnknown                // may be in the log now or later
+	appendRejected               // the log rejects the record for what it contains
 )
 
 // appendRecord appends a record to the intake and notifies the leader of it. If the
@@ -234,6 +235,10 @@
 		c.host.log.WithError(err).WithField("job", c.job).Error("cannot encode a record of the intake")
 		return notAppended
 	}
+	if len(data) > c.host.settings.MaxRecordBytes-recordMargin {
+		c.host.log.WithFields(logrus.Fields{"job": c.job, "bytes": len(data), "bound": c.host.settings.MaxRecordBytes}).Info("record too large")
+		return appendRejected
+	}
 	o := c.appendData(data)
 	if o == appended {
 		c.host.notifyLeader(r, data)
@@ -241,21 +246,24 @@
 	return o
 }
 
+// recordMargin is what a snapshot of a job may take beyond its submission, in bytes.
+const recordMargin = 256
+
 func (c *call) appendData(data []byte) appendOutcome {
 	if !c.host.intake.Healthy() && !c.host.config.PeerConfirmed() {
 		// Neither the log nor a host that reaches it can be reached: nothing was sent.
 		return notAppended
 	}
-	done := make(chan struct{})
-	p := c.host.intake.Write(data, func(logwriter.Ack) { close(done) })
+	done := make(chan appendOutcome, 1)
+	p := c.host.intake.Write(data, func(a logwriter.Ack) { done <- c.host.outcomeOf(a) })
 	wait := appendHedgeDelay
 	if !c.host.intake.Healthy() {
 		wait = 0
 	}
 	peerOutcome := notAppended
 	select {
-	case <-done:
-		return appended
+	case o := <-done:
+		return o
 	case <-c.ctx.Done():
 	case <-time.After(wait):
 		peerOutcome = c.host.appendThroughPeers(c.ctx, data)
@@ -273,8 +281,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-done:
-			return appended
+		case o := <-done:
+			return o
 		case <-c.ctx.Done():
 			return appendUnknown
 		case <-ticker.C:
@@ -285,12 +293,25 @@
 	}
 }
 
+// outcomeOf returns the result of an append that the log has answered, and logs a rejection.
+func (h *Host) outcomeOf(a logwriter.Ack) appendOutcome {
+	if a.Err == nil {
+		return appended
+	}
+	h.metrics.Counter("intake_records_rejected").Inc(1)
+	h.log.WithError(a.Err).Error("record of the intake rejected")
+	return appendRejected
+}
+
 func (c *call) answerAppend(o appendOutcome) {
 	switch o {
 	case appended:
 		c.answer(http.StatusOK, nil)
 	case notAppended:
 		c.refuse("the log did not answer in time")
+	case appendRejected:
+		c.host.metrics.Counter("submissions_too_large").Inc(1)
+		c.answer(http.StatusRequestEntityTooLarge, nil)
 	case appendUnknown:
 		c.host.metrics.Counter("submissions_unknown").Inc(1)
 		c.host.log.WithField("job", c.job).Warn("outcome unknown: the log did not answer in time")
--- a/host/keep.go
+++ b/host/keep.go
@@ -20,10 +20,13 @@
 	if !h.intake.Healthy() {
 		return keepResponse(hostrpc.KeepOutcome_KEEP_OUTCOME_NOT_KEPT), nil
 	}
-	done := make(chan struct{})
-	p := h.intake.Write(req.Msg.Record, func(logwriter.Ack) { close(done) })
+	done := make(chan appendOutcome, 1)
+	p := h.intake.Write(req.Msg.Record, func(a logwriter.Ack) { done <- h.outcomeOf(a) })
 	select {
-	case <-done:
+	case o := <-done:
+		if o != appended {
+			return keepResponse(hostrpc.KeepOutcome_KEEP_OUTCOME_NOT_KEPT), nil
+		}
 		return keepResponse(hostrpc.KeepOutcome_KEEP_OUTCOME_KEPT), nil
 	case <-ctx.Done():
 	case <-time.After(time.Duration(req.Msg.TimeoutMs) * time.Millisecond):
--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -18,9 +18,10 @@
 // dispatcher executes the scheduler's commands. Calls run in separate goroutines; their
 // results come back to the scheduler as events.
 type dispatcher struct {
-	leader *Leader
-	ctx    context.Context
-	calls  conc.WaitGroup
+	leader   *Leader
+	ctx      context.Context
+	calls    conc.WaitGroup
+	rejected bool // the log has rejected an entry; used by the writer only
 }
 
 func (d *dispatcher) wait() { d.calls.Wait() }
@@ -73,6 +74,16 @@
 		seq := c.Seq - int64(len(c.Entries)-1-i)
 		last := i == len(c.Entries)-1
 		d.leader.writer.Write(data, func(ack logwriter.Ack) {
+			if d.rejected {
+				return // a later ack would cover the rejected entry, although it is not in the log
+			}
+			if ack.Err != nil {
+				d.rejected = true
+				d.leader.cfg.Metrics.Counter("entries_rejected").Inc(1)
+				d.leader.cfg.Log.WithError(ack.Err).WithField("bytes", len(data)).Error("entry rejected; stepping down")
+				d.leader.cancel(ack.Err)
+				return
+			}
 			if last {
 				d.leader.lastAppendAt.Store(int64(boottime.Now()))
 				d.leader.push(d.ctx, region.Committed{Seq: seq, SentAt: ack.SentAt})
--- a/logwriter/hedge.go
+++ b/logwriter/hedge.go
@@ -85,7 +85,7 @@
 // conclusive reports whether a response determines the outcome of the call, whichever of its
 // sendings it belongs to.
 func conclusive(err error) bool {
-	return err == nil || platform.Fenced(err) || platform.OutOfSequence(err)
+	return err == nil || platform.IsInvalid(err) || platform.Fenced(err) || platform.OutOfSequence(err)
 }
 
 // hedgeDelay returns the time without a response after which a call is sent again.
--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -67,9 +67,19 @@
 // Unwrap returns the refusal by the log.
 func (e *ReplacedError) Unwrap() error { return e.Cause }
 
-// Ack reports that a record is in the log.
+// RejectedError reports that the log rejects a record for what it contains. It is not in the log.
+type RejectedError struct{ Cause error }
+
+// Error implements error.
+func (e *RejectedError) Error() string { return "the log rejects the record: " + e.Cause.Error() }
+
+// Unwrap returns the response of the log.
+func (e *RejectedError) Unwrap() error { return e.Cause }
+
+// Ack reports that a record is in the log or, with an error, that the log rejects it.
 type Ack struct {
 	SentAt time.Duration // when the acked try began (package boottime)
+	Err    error         // nil or a *RejectedError
 }
 
 // Pending is a record that was passed to Write.
@@ -172,14 +182,33 @@
 			}
 			continue
 		}
-		ack, err := w.sendBatch(ctx, batch)
-		if err != nil {
+		if err := w.appendBatch(ctx, batch); err != nil {
 			return err
 		}
-		for _, p := range batch {
-			p.onAck(ack)
+	}
+}
+
+// appendBatch appends the records of a batch and acks them. If the log rejects the batch, they are
+// appended one by one, so that a record which the log rejects fails alone and holds up no other.
+func (w *Writer) appendBatch(ctx context.Context, batch []*Pending) error {
+	ack, err := w.sendBatch(ctx, batch)
+	switch {
+	case platform.IsInvalid(err) && len(batch) > 1:
+		for i := range batch {
+			if err := w.appendBatch(ctx, batch[i:i+1]); err != nil {
+				return err
+			}
 		}
+		return nil
+	case platform.IsInvalid(err):
+		ack.Err = &RejectedError{Cause: err}
+	case err != nil:
+		return err
 	}
+	for _, p := range batch {
+		p.onAck(ack)
+	}
+	return nil
 }
 
 // nextBatch removes the records of the next call from the queue.
@@ -218,6 +247,8 @@
 		switch {
 		case err == nil:
 			return Ack{SentAt: sentAt}, nil
+		case platform.IsInvalid(err):
+			return Ack{SentAt: sentAt}, err
 		case platform.Fenced(err), platform.OutOfSequence(err):
 			return Ack{}, &ReplacedError{Cause: err}
 		case !platform.IsRefused(err):
@@ -241,7 +272,8 @@
 	p := &w.partitions[w.active]
 	if p.unresolved != nil {
 		same := p.batch == w.batch
-		if err := w.call(ctx, timeout, p, *p.unresolved); err != nil || same {
+		err := w.call(ctx, timeout, p, *p.unresolved)
+		if same || err != nil && !platform.IsInvalid(err) {
 			return err
 		}
 	}
@@ -257,6 +289,8 @@
 	case err == nil:
 		p.seq = a.Seq + 1
 		p.unresolved = nil
+	case platform.IsInvalid(err):
+		p.unresolved = nil
 	case !platform.IsRefused(err):
 		if p.unresolved == nil {
 			p.batch = w.batch
@@ -269,7 +303,7 @@
 func (w *Writer) recordResult(err error, sentAt time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.healthy = err == nil
+	w.healthy = err == nil || platform.IsInvalid(err)
 	switch {
 	case !platform.IsRefused(err):
 		w.refusedSince = 0
