host: a job has at most as many tasks as the log can keep the state of

What operators would see: a submission of a few bytes with count or repeatCount in the billions takes the leader's memory, and that of each successor, as each task is allocated at once. Change: the sum of the counts times the occurrences is bounded by what a call to the log holds (callBytes / 200 bytes: 10,485 tasks at 2 MiB); beyond it the submission is answered with 400 and a body that names the field and its bound. Before: a job of 13,000 tasks was answered with 200 (the test cut to that case, since the others would take the memory of the machine). After: TestSubmissionWithTooManyTasksIsRejected and TestCheckJobSize green.

--- a/host/front.go
+++ b/host/front.go
@@ -199,6 +199,10 @@
 		c.answer(http.StatusBadRequest, nil)
 		return
 	}
+	if err := checkJobSize(job, c.host.maxJobTasks()); err != nil {
+		c.rejectJob(err)
+		return
+	}
 	job.Id, job.Queue, job.Workspace, job.Policy = c.job, c.queue.Name, c.owner, c.queue.Policy
 	job.AcceptedUnixMs = time.Now().UnixMilli()
 	if c.host.stopping.Load() && c.host.tooLateForIntake() {
