--- a/region/region.go
+++ b/region/region.go
@@ -45,6 +45,7 @@
 	LogRetention    time.Duration // age at which records of the log expire
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	StartsPerS      float64       // starts per second that the driver's link carries beside its other traffic; 0 for no limit
+	RecordBytes     int           // size of the largest record that the log accepts; 0 for defaultRecordBytes
 	MinActive       int           // least number of active workers of a service that has as many; 0 for workset.DefaultMin
 }
 
@@ -65,6 +66,8 @@
 	// logStallFactor times the latency of the newest append if that is longer.
 	logStall       = 250 * time.Millisecond
 	logStallFactor = 1.5
+	// defaultRecordBytes is the limit of the platform's log where the settings name none.
+	defaultRecordBytes = 256 << 10
 	// leaderHeartbeatInterval is the longest pause between appends of a leader. Other hosts
 	// count a leader as failed after two to three such pauses. A leader with work appends
 	// more often.
@@ -152,6 +155,7 @@
 // New returns a scheduler that has read nothing and does not lead.
 func New(opts Options) *Scheduler {
 	opts.MinActive = cmp.Or(opts.MinActive, workset.DefaultMin)
+	opts.RecordBytes = cmp.Or(opts.RecordBytes, defaultRecordBytes)
 	return &Scheduler{
 		opts:           opts,
 		jobs:           make(map[string]*job),
--- a/region/replay.go
+++ b/region/replay.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/record"
 )
@@ -86,8 +88,13 @@
 }
 
 func (s *Scheduler) replaySnapshot(k *record.Kept) {
+	if _, known := s.jobs[k.Job.Id]; k.Continued && !known {
+		return // the first part has expired
+	}
 	j := s.submit(k.Job)
-	j.writtenAt = s.writtenAt(k.WrittenUnixMs)
+	if !k.More {
+		j.writtenAt = s.writtenAt(k.WrittenUnixMs)
+	}
 	for _, ts := range k.Tasks {
 		t := s.findTask(model.TaskIDOf(ts.Task))
 		if t == nil || t.lastRun > ts.Run {
@@ -144,28 +151,48 @@
 		}
 		j.writtenAt = s.now
 		s.written = append(s.written, j)
-		k := snapshotJob(j)
-		k.WrittenUnixMs = s.unixMs
-		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
-		written++
+		for _, k := range snapshotJob(j, s.opts.RecordBytes-snapshotMargin) {
+			k.WrittenUnixMs = s.unixMs
+			s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
+			written++
+		}
 	}
 }
 
-// snapshotJob returns a snapshot of the job, which the log stores as a Kept record.
-func snapshotJob(j *job) *record.Kept {
+// snapshotMargin is what an entry may take beyond the job and the tasks of a snapshot, in bytes.
+const snapshotMargin = 128
+
+// snapshotJob returns a snapshot of the job, which the log stores as Kept records of at most maxBytes.
+//
+// The guard is against a record that grows with the tasks that have run until the log rejects it:
+// from then on, neither this leader nor a successor could keep the job.
+func snapshotJob(j *job, maxBytes int) []*record.Kept {
 	k := &record.Kept{Job: j.rec, Cancelled: j.cancelled}
+	parts, size := []*record.Kept{k}, proto.Size(k)
 	for _, occ := range j.occs {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
-				if t.lastRun > 0 {
-					k.Tasks = append(k.Tasks, snapshotTask(t))
+				if t.lastRun == 0 {
+					continue
 				}
+				ts := snapshotTask(t)
+				n := proto.Size(ts) + taskOverhead
+				if size+n > maxBytes {
+					k.More = true
+					k = &record.Kept{Job: &record.Job{Id: j.rec.Id}, Continued: true}
+					parts, size = append(parts, k), proto.Size(k)
+				}
+				k.Tasks = append(k.Tasks, ts)
+				size += n
 			}
 		}
 	}
-	return k
+	return parts
 }
 
+// taskOverhead is the tag and length of a task in a Kept record, in bytes.
+const taskOverhead = 5
+
 func snapshotTask(t *task) *record.TaskState {
 	ts := &record.TaskState{
 		Task: t.id().Record(), Run: t.lastRun, Attempts: t.attempts, Done: t.done, Checkpoint: t.checkpoint,
--- a/region/retention_test.go
+++ b/region/retention_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/record"
 )
@@ -64,3 +66,72 @@
 		})
 	}
 }
+
+// checkRecordSizes fails the test if the log would reject an entry for its size.
+func (w *world) checkRecordSizes(entries []*record.Entry) {
+	for _, e := range entries {
+		if n := proto.Size(e); w.recordBytes > 0 && n > w.recordBytes {
+			w.fatal("an entry of %d bytes, the log accepts %d", n, w.recordBytes)
+		}
+	}
+}
+
+// Guards against a job whose snapshot grows with the tasks that have run until the log rejects it:
+// the leader, and each successor, could log nothing more. No task of it runs twice.
+func TestSnapshotOfManyTasksFitsIntoRecords(t *testing.T) {
+	const tasks = 300
+	w := newWorld(t, 1)
+	w.logRetention, w.intakeExpires, w.recordBytes = 20*time.Second, true, 4000
+	w.runTime = func(id model.TaskID) time.Duration {
+		if id.Step == 1 {
+			return time.Minute
+		}
+		return 500 * time.Millisecond
+	}
+	w.addWorker("w1", 64)
+	w.startLeader()
+	j := oneStep("a", &record.Step{Count: 200, EstimateMs: 500, Request: &record.Resources{MilliCpu: 100, MemoryMib: 1}})
+	j.Steps = append(j.Steps, oneStep("", &record.Step{Count: tasks - 200, EstimateMs: 60000, Request: &record.Resources{MilliCpu: 100, MemoryMib: 1}}).Steps...)
+	w.submit(j)
+	for range 7 {
+		w.run(8 * time.Second)
+		w.stopLeader()
+		w.run(500 * time.Millisecond)
+		w.startLeader()
+	}
+	w.run(20 * time.Second)
+	w.mustComplete("a")
+	if len(w.starts) != tasks {
+		t.Errorf("%d tasks were started, want %d", len(w.starts), tasks)
+	}
+	for id, n := range w.starts {
+		if n != 1 {
+			t.Errorf("task %v was started %d times", id, n)
+		}
+	}
+}
+
+// Guards against a snapshot that counts as complete although a leader died before it had written its
+// last part: what the missing parts hold would expire.
+func TestIncompleteSnapshotIsWrittenAgain(t *testing.T) {
+	w := retentionWorld(t, 0)
+	w.run(11 * time.Second)
+	n := len(w.entries) - 1
+	for ; n >= 0 && w.entries[n].GetKept() == nil; n-- {
+	}
+	if n < 0 {
+		t.Fatal("no snapshot was written")
+	}
+	w.entries[n].GetKept().More = true // its last part was lost with the leader
+	w.stopLeader()
+	w.run(time.Second)
+	before := len(w.entries)
+	w.startLeader()
+	w.run(time.Second)
+	for _, e := range w.entries[before:] {
+		if e.GetKept() != nil {
+			return
+		}
+	}
+	t.Error("the next leader wrote no snapshot")
+}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -40,6 +40,7 @@
 	intake         []*record.Intake
 	intakeTimes    []time.Duration // when each of intake was appended
 	intakeExpires  bool            // records of the intake expire after logRetention, as entries do
+	recordBytes    int             // size of the largest entry that the log accepts; 0 for no limit
 	clockSkew      time.Duration   // by which the leader's time of day is ahead
 	entries        []*record.Entry
 	entryTimes     []time.Duration // when each of entries was appended
@@ -142,6 +143,7 @@
 	if w.logRetention > 0 {
 		o.LogRetention = w.logRetention
 	}
+	o.RecordBytes = w.recordBytes
 	if w.drains != nil {
 		o.ZoneDrain = testZoneDrain
 	}
@@ -370,6 +372,7 @@
 		if u.generation != w.generation {
 			continue // the log rejects appends of a replaced scheduler
 		}
+		w.checkRecordSizes(u.append.Entries)
 		w.entries = append(w.entries, u.append.Entries...)
 		for range u.append.Entries {
 			w.entryTimes = append(w.entryTimes, w.now)
