logwriter: a call without a response is given up once its records may be forgotten

What callers would see: a job that has completed runs a second time, after two outages of a partition of the log with more than four minutes between them. Cause: the unresolved call is repeated when its partition is used next, however late, though its records are in another one. Change: after 10 s a writer with a producer name of its own raises the epoch on that partition instead, so that the log rejects the old call for good. Leaders' writers, whose epoch is the fencing token, are left as they are.

--- a/host/host.go
+++ b/host/host.go
@@ -91,7 +91,7 @@
 	h.config.fetchFromPeers = h.fetchConfigFromPeers
 	h.election = newElection(h)
 	h.intake = logwriter.New(client, logwriter.Target{
-		Topic: leader.TopicIntake, Parts: leader.IntakeParts, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, CallBytes: s.MaxAppendBytes,
+		Topic: leader.TopicIntake, Parts: leader.IntakeParts, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, OwnEpochs: true, CallBytes: s.MaxAppendBytes,
 	})
 	return h
 }
--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -38,6 +38,9 @@
 	// minBackoff and maxBackoff bound the pause between tries, which doubles each time.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 250 * time.Millisecond
+	// maxRepeatAge is how long a call without a response is repeated before others to its partition.
+	// Readers know records for longer than that.
+	maxRepeatAge = 10 * time.Second
 	// recordOverhead is the framing overhead of a record in bytes.
 	recordOverhead = 4
 )
@@ -55,6 +58,8 @@
 	Epoch     int64
 	FirstSeq  int64
 	CallBytes int // maximum size of a call
+	// OwnEpochs lets the writer raise the epoch: nobody else writes as this producer.
+	OwnEpochs bool
 }
 
 // ReplacedError reports that a writer with a higher epoch has taken over. Its cause is the
@@ -125,12 +130,14 @@
 
 // partition is the writer's state of one partition.
 type partition struct {
-	seq int64 // sequence number of the next call
+	epoch int64
+	seq   int64 // sequence number of the next call
 	// unresolved is a call without a conclusive response, or nil. It is repeated before the
 	// next call to the partition, as the log may or may not have executed it and so used up
 	// its sequence number.
 	unresolved *platform.Append
-	batch      int64 // number of the batch that the unresolved call holds
+	batch      int64         // number of the batch that the unresolved call holds
+	sentAt     time.Duration // when the unresolved call first got no response
 }
 
 // New returns a writer; Run appends the records.
@@ -138,7 +145,7 @@
 	w := &Writer{store: store, target: target, wake: make(chan struct{}, 1), healthy: true, now: boottime.Now}
 	w.partitions = make([]partition, max(target.Parts, 1))
 	for i := range w.partitions {
-		w.partitions[i].seq = target.FirstSeq
+		w.partitions[i].epoch, w.partitions[i].seq = target.Epoch, target.FirstSeq
 	}
 	return w
 }
@@ -270,6 +277,9 @@
 // there is one. If that call holds the same batch, repeating it is enough.
 func (w *Writer) tryActive(ctx context.Context, timeout time.Duration, records [][]byte) error {
 	p := &w.partitions[w.active]
+	if p.unresolved != nil && p.batch != w.batch && w.target.OwnEpochs && w.now()-p.sentAt > maxRepeatAge {
+		p.abandonUnresolved()
+	}
 	if p.unresolved != nil {
 		same := p.batch == w.batch
 		err := w.call(ctx, timeout, p, *p.unresolved)
@@ -279,10 +289,21 @@
 	}
 	return w.call(ctx, timeout, p, platform.Append{
 		Topic: w.target.Topic, Part: w.active, Producer: w.target.Producer,
-		Epoch: w.target.Epoch, Seq: p.seq, ExpectedEnd: -1, Records: records,
+		Epoch: p.epoch, Seq: p.seq, ExpectedEnd: -1, Records: records,
 	})
 }
 
+// abandonUnresolved gives up the unresolved call, whose records are in another partition. The log
+// rejects it from the next call on, as that has a higher epoch.
+//
+// The guard is against records that are executed long after readers have forgotten them, and so a second
+// time: a job that has run would be taken for a new one.
+func (p *partition) abandonUnresolved() {
+	p.unresolved = nil
+	p.epoch++
+	p.seq = 1
+}
+
 func (w *Writer) call(ctx context.Context, timeout time.Duration, p *partition, a platform.Append) error {
 	err := w.appendHedged(ctx, timeout, a)
 	switch {
@@ -293,7 +314,7 @@
 		p.unresolved = nil
 	case !platform.IsRefused(err):
 		if p.unresolved == nil {
-			p.batch = w.batch
+			p.batch, p.sentAt = w.batch, w.now()
 		}
 		p.unresolved = &a
 	}
--- a/logwriter/logwriter_test.go
+++ b/logwriter/logwriter_test.go
@@ -187,8 +187,13 @@
 
 // runWithFakeClock runs a writer on a store in a synctest bubble.
 func runWithFakeClock(t *testing.T, f Store, parts int, do func(*testing.T, *Writer)) {
+	synctestWriter(t, f, Target{Topic: "t", Parts: parts, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 1 << 20}, do)
+}
+
+// synctestWriter runs a writer with a target in a synctest bubble.
+func synctestWriter(t *testing.T, f Store, target Target, do func(*testing.T, *Writer)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := New(f, Target{Topic: "t", Parts: parts, Producer: "p", Epoch: 1, FirstSeq: 1, CallBytes: 1 << 20})
+		w := New(f, target)
 		began := time.Now()
 		w.now = func() time.Duration { return time.Since(began) }
 		ctx, cancel := context.WithCancel(context.Background())
