region: a failed run of a gang is one attempt

What callers would see: a gang is given up before it has failed maxAttempts times, if two members of a run end as failed. Cause: countFailure added an attempt for each member. Change: one attempt for each run. In the simulated workers, members of a gang can now fail together.

--- a/region/end.go
+++ b/region/end.go
@@ -143,7 +143,7 @@
 	case t.isFinal(outcome):
 		s.taskDone(t)
 	case outcome == record.Outcome_OUTCOME_FAILED && first:
-		s.countFailure(t)
+		s.countFailure(t, number)
 	}
 	if t.waiting() && !t.step.job.ended() && t.step.ready {
 		s.enqueue(t.step)
@@ -151,12 +151,17 @@
 	s.dirty = true
 }
 
-// countFailure uses up an attempt. The members of a gang share their attempts.
-func (s *Scheduler) countFailure(t *task) {
+// countFailure uses up an attempt for a run that has failed. The members of a gang share their
+// attempts, and a run of it is one attempt, however many of them end as failed.
+func (s *Scheduler) countFailure(t *task, number int32) {
 	if t.step.rec.LongRunning {
 		return
 	}
 	if t.step.rec.Gang {
+		if number <= t.step.failedRun {
+			return
+		}
+		t.step.failedRun = number
 		t = t.step.tasks[0]
 	}
 	t.attempts++
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -37,23 +37,26 @@
 	lastWorker       int            // number of the newest worker that replaced a crashed one
 	advice           *adviceService // nil: each call is answered within its expected duration
 
-	intake         []*record.Intake
-	intakeTimes    []time.Duration // when each of intake was appended
-	intakeExpires  bool            // records of the intake expire after logRetention, as entries do
-	recordBytes    int             // size of the largest entry that the log accepts; 0 for no limit
-	clockSkew      time.Duration   // by which the leader's time of day is ahead
-	entries        []*record.Entry
-	entryTimes     []time.Duration // when each of entries was appended
-	maxLease       time.Duration   // the longest lease of workers; 0 for testLease
-	logRetention   time.Duration   // after which entries expire; 0 for the usual option, without expiry
-	minActive      int             // least number of active workers; 0 for the usual one
-	probes         map[string]int  // answered probes by worker
-	pendingAppends []pendingAppend
-	workers        map[string]*fakeWorker
-	names          []string
-	states         map[string]State
-	acceptedAt     map[string]time.Duration // when jobs were submitted
-	completedAt    map[string]time.Duration // when they were first shown as completed
+	intake        []*record.Intake
+	intakeTimes   []time.Duration // when each of intake was appended
+	intakeExpires bool            // records of the intake expire after logRetention, as entries do
+	// membersFailTogether lets every member of a gang that fails end as failed, not the last one to
+	// start alone.
+	membersFailTogether bool
+	recordBytes         int           // size of the largest entry that the log accepts; 0 for no limit
+	clockSkew           time.Duration // by which the leader's time of day is ahead
+	entries             []*record.Entry
+	entryTimes          []time.Duration // when each of entries was appended
+	maxLease            time.Duration   // the longest lease of workers; 0 for testLease
+	logRetention        time.Duration   // after which entries expire; 0 for the usual option, without expiry
+	minActive           int             // least number of active workers; 0 for the usual one
+	probes              map[string]int  // answered probes by worker
+	pendingAppends      []pendingAppend
+	workers             map[string]*fakeWorker
+	names               []string
+	states              map[string]State
+	acceptedAt          map[string]time.Duration // when jobs were submitted
+	completedAt         map[string]time.Duration // when they were first shown as completed
 
 	runTime      func(id model.TaskID) time.Duration
 	fails        func(id model.TaskID, run int32) bool
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -152,6 +152,10 @@
 			w.endRemainingMembers(id, r.number)
 			return
 		}
+		if w.membersFailTogether && w.failMembers(members, r.number) {
+			w.endRemainingMembers(id, r.number)
+			return
+		}
 		if w.fails(id, r.number) {
 			w.failures[id]++
 			w.end(members[id], id, record.Outcome_OUTCOME_FAILED)
@@ -170,6 +174,18 @@
 	})
 }
 
+// failMembers ends each member as failed that fails in this run, and reports whether there are some.
+func (w *world) failMembers(members map[model.TaskID]*fakeWorker, number int32) (some bool) {
+	for m, on := range members {
+		if w.fails(m, number) {
+			some = true
+			w.failures[m]++
+			w.end(on, m, record.Outcome_OUTCOME_FAILED)
+		}
+	}
+	return some
+}
+
 // members returns the live members of a gang's run with their workers.
 func (w *world) members(id model.TaskID, number int32) map[model.TaskID]*fakeWorker {
 	out := make(map[model.TaskID]*fakeWorker)
