--- a/host/ask.go
+++ b/host/ask.go
@@ -46,31 +46,6 @@
 	}
 }
 
-// jobIsGone reports whether no job with the id can have been acknowledged before the request came.
-//
-// The guard is against a cancellation that is answered with 410 and lost: a leader knows a job only
-// once it has been notified of it or has read it. The call is repeated until the leader knows the
-// job or has read the intake since the request came, for as long as the deadline leaves time to
-// write the cancellation.
-func (c *call) jobIsGone() bool {
-	noAnswer := c.began + leaderWaitTimeout
-	unsettled := c.began + min(settleTimeout, c.deadline-cancelWriteTime)
-	for {
-		asked := boottime.Now()
-		s, ok := c.leaderJobState()
-		until := noAnswer
-		if ok {
-			if s.State != region.StateUnknown || s.ReadAge <= asked-c.began {
-				return s.VisibleTo(c.owner) == region.StateUnknown
-			}
-			until = unsettled
-		}
-		if boottime.Now() > until || c.host.isolated() || !boottime.Sleep(c.ctx, leaderRetryInterval) {
-			return false
-		}
-	}
-}
-
 // leaderTimeout returns the timeout of one call to the leader.
 func (h *Host) leaderTimeout() time.Duration {
 	if h.Ready() {
--- a/host/front.go
+++ b/host/front.go
@@ -11,10 +11,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflyfold/fireflyfold/boottime"
-	"github.com/fireflyfold/fireflyfold/logwriter"
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/record"
@@ -27,10 +25,6 @@
 	// answerMargin is the part of a caller's deadline that is reserved for delivering
 	// the answer.
 	answerMargin = 100 * time.Millisecond
-	// appendHedgeDelay is how long an append may take before other hosts are asked to
-	// make it as well, as a hedged request. The log answers within some 10 ms, and
-	// within half a second when it is slow for everyone.
-	appendHedgeDelay = 250 * time.Millisecond
 	// leaderCallTimeout bounds one call to the leader; the call is repeated.
 	leaderCallTimeout = 700 * time.Millisecond
 	// leaderCallTimeoutUnready is the same at a host that is not ready: the leader may be
@@ -39,12 +33,6 @@
 	// leaderWaitTimeout is how long a request waits for a leader: a successor leads
 	// within a second, and a refused caller retries after a second at the earliest.
 	leaderWaitTimeout = time.Second
-	// settleTimeout is how long a cancellation waits until the leader has read all jobs that were
-	// acknowledged before it: a read that finds nothing takes a second, and the next one has to
-	// be sent and answered.
-	settleTimeout = 2200 * time.Millisecond
-	// cancelWriteTime is the part of a caller's deadline that is reserved for writing a cancellation.
-	cancelWriteTime = 700 * time.Millisecond
 	// leaderRetryInterval is the pause between two attempts to ask the leader.
 	leaderRetryInterval = 50 * time.Millisecond
 	// revocationMargin is subtracted from the time within which a withdrawn key must
@@ -73,9 +61,9 @@
 	r        *http.Request
 	config   *model.Config
 	queue    *model.Queue
-	job      string // job id; "" if the path names the queue itself
-	owner    string // workspace of the key; "" in a public queue
-	began    time.Duration
+	job      string        // job id; "" if the path names the queue itself
+	owner    string        // workspace of the key; "" in a public queue
+	began    time.Duration // when the request came (package boottime)
 	deadline time.Duration
 	cancel   context.CancelFunc
 	ctx      context.Context
@@ -218,122 +206,3 @@
 	}
 	c.answerAppend(outcome)
 }
-
-// appendOutcome is the result of an append to the intake. Its values correspond to
-// hostrpc.KeepOutcome.
-type appendOutcome int
-
-const (
-	appended       appendOutcome = iota
-	notAppended                  // certainly not in the log, and never will be
-	appendUnknown                // may be in the log now or later
-	appendRejected               // the log rejects the record for what it contains
-)
-
-// appendRecord appends a record to the intake and notifies the leader of it. If the
-// log does not answer soon, other hosts are asked to append it as well; a record that
-// is appended twice counts once.
-func (c *call) appendRecord(r *record.Intake) appendOutcome {
-	data, err := proto.Marshal(r)
-	if err != nil {
-		c.host.log.WithError(err).WithField("job", c.job).Error("cannot encode a record of the intake")
-		return notAppended
-	}
-	if len(data) > c.host.settings.MaxRecordBytes-recordMargin {
-		c.host.log.WithFields(logrus.Fields{"job": c.job, "bytes": len(data), "bound": c.host.settings.MaxRecordBytes}).Info("record too large")
-		return appendRejected
-	}
-	o := c.appendData(data)
-	if o == appended {
-		c.host.notifyLeader(r, data)
-	}
-	return o
-}
-
-// recordMargin is what a snapshot of a job may take beyond its submission, in bytes.
-const recordMargin = 256
-
-func (c *call) appendData(data []byte) appendOutcome {
-	if !c.host.intake.Healthy() && !c.host.config.PeerConfirmed() {
-		// Neither the log nor a host that reaches it can be reached: nothing was sent.
-		return notAppended
-	}
-	done := make(chan appendOutcome, 1)
-	p := c.host.intake.Write(data, func(a logwriter.Ack) { done <- c.host.outcomeOf(a) })
-	wait := appendHedgeDelay
-	if !c.host.intake.Healthy() {
-		wait = 0
-	}
-	peerOutcome := notAppended
-	select {
-	case o := <-done:
-		return o
-	case <-c.ctx.Done():
-	case <-time.After(wait):
-		peerOutcome = c.host.appendThroughPeers(c.ctx, data)
-	}
-	switch {
-	case peerOutcome == appended:
-		p.Withdraw() // if this fails, the duplicate does no harm
-		return appended
-	case p.Withdraw():
-		return peerOutcome
-	}
-	// The writer repeats the call that has the record until the log answers. If this
-	// host becomes isolated meanwhile, answer now, and the caller can retry elsewhere.
-	ticker := time.NewTicker(readinessCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case o := <-done:
-			return o
-		case <-c.ctx.Done():
-			return appendUnknown
-		case <-ticker.C:
-			if c.host.isolated() {
-				return appendUnknown
-			}
-		}
-	}
-}
-
-// outcomeOf returns the result of an append that the log has answered, and logs a rejection.
-func (h *Host) outcomeOf(a logwriter.Ack) appendOutcome {
-	if a.Err == nil {
-		return appended
-	}
-	h.metrics.Counter("intake_records_rejected").Inc(1)
-	h.log.WithError(a.Err).Error("record of the intake rejected")
-	return appendRejected
-}
-
-func (c *call) answerAppend(o appendOutcome) {
-	switch o {
-	case appended:
-		c.answer(http.StatusOK, nil)
-	case notAppended:
-		c.refuse("the log did not answer in time")
-	case appendRejected:
-		c.host.metrics.Counter("submissions_too_large").Inc(1)
-		c.answer(http.StatusRequestEntityTooLarge, nil)
-	case appendUnknown:
-		c.host.metrics.Counter("submissions_unknown").Inc(1)
-		c.host.log.WithField("job", c.job).Warn("outcome unknown: the log did not answer in time")
-		c.answer(http.StatusGatewayTimeout, nil)
-	}
-}
-
-// cancelJob appends the cancellation to the log, then answers. A job that certainly does not
-// exist is answered with 410 Gone. If the leader does not answer or has not read all jobs, the
-// cancellation is appended all the same.
-func (c *call) cancelJob() {
-	if c.jobIsGone() {
-		c.answer(http.StatusGone, nil)
-		return
-	}
-	o := c.appendRecord(&record.Intake{Kind: &record.Intake_Cancelled{Cancelled: c.job}, CancelledBy: &c.owner})
-	if o == appended {
-		c.host.log.WithField("job", c.job).Info("cancellation accepted")
-	}
-	c.answerAppend(o)
-}
