--- a/region/widegang_test.go
+++ b/region/widegang_test.go
@@ -24,6 +24,15 @@
 	return j
 }
 
+// mustCompleteChain submits a misjudged chain, and fails the test unless it completes in its run
+// time and 3 s for each of its tasks.
+func (w *world) mustCompleteChain() {
+	w.t.Helper()
+	w.submit(misjudgedChain("chain"))
+	w.run(14 * time.Second)
+	w.mustComplete("chain")
+}
+
 // wideGang is a gang whose tasks each take more than half of a worker of 32 cores.
 func wideGang(tasks int32) *record.Job {
 	j := oneStep("gang", &record.Step{Count: tasks, Gang: true, EstimateMs: 640, Request: &record.Resources{MilliCpu: 16100, MemoryMib: 1024}})
@@ -99,9 +108,7 @@
 	w.run(time.Second)
 	w.submit(wideGang(12))
 	w.run(5 * time.Second)
-	w.submit(misjudgedChain("chain"))
-	w.run(14 * time.Second)
-	w.mustComplete("chain")
+	w.mustCompleteChain()
 	w.cancel("service")
 	w.run(5 * time.Second)
 	w.mustComplete("gang")
@@ -162,9 +169,7 @@
 	gang.Policy.Priority = 0 // the gang goes before the job
 	w.submit(gang)
 	w.run(5 * time.Second)
-	w.submit(misjudgedChain("chain"))
-	w.run(14 * time.Second)
-	w.mustComplete("chain")
+	w.mustCompleteChain()
 }
 
 // Guards against the same where the gang waits for a worker that is listed and does not answer.
@@ -175,9 +180,7 @@
 	w.run(time.Second)
 	w.submit(wideGang(12))
 	w.run(5 * time.Second)
-	w.submit(misjudgedChain("chain"))
-	w.run(14 * time.Second)
-	w.mustComplete("chain")
+	w.mustCompleteChain()
 	silent.unreachable = false
 	w.run(10 * time.Second)
 	w.mustComplete("gang")
