--- a/host/toolarge_test.go
+++ b/host/toolarge_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/fireflyfold/fireflyfold/platform/fakeplatform"
 )
 
 // Guards against a submission that the log rejects for its size and that the host sends again for
@@ -30,3 +32,26 @@
 		})
 	}
 }
+
+// Guards against a leader that goes on after the log has rejected one of its entries: a later ack would
+// cover that entry, and its run would be started although no successor can know of it.
+func TestLeaderWithRejectedEntryStepsDown(t *testing.T) {
+	f := newTestRegion(t, 1, 0, 50*time.Millisecond)
+	m := f.hosts[0]
+	f.waitUntil("the configuration is read", func() bool { return m.config.Config() != nil })
+	if status, _ := f.call(m, http.MethodPost, jobPath(1), "k1", twoTasks); status != http.StatusOK {
+		t.Fatalf("submission answered %d", status)
+	}
+	first := m.election.localLeader()
+	const heartbeatBytes = 40 // less than an assignment
+	f.store.LimitRecords(heartbeatBytes)
+	w := fakeplatform.NewWorker(f.store, "i-0", 50*time.Millisecond)
+	t.Cleanup(w.Close)
+	f.workers = append(f.workers, w)
+	f.waitUntil("the leader has stepped down", func() bool { return m.election.localLeader() != first })
+	if n := len(f.starts()); n > 0 {
+		t.Errorf("%d tasks were started without a record", n)
+	}
+	f.store.LimitRecords(0)
+	f.waitUntil("the job is completed", func() bool { return f.completed(m, 1) })
+}
--- a/region/cancel_test.go
+++ b/region/cancel_test.go
@@ -54,3 +54,20 @@
 		})
 	}
 }
+
+// Guards against a job that another workspace cancels, or whose cancellation is lost, where the
+// cancellation is read before the submission.
+func TestEarlyCancellationHoldsForItsWorkspace(t *testing.T) {
+	for workspace, want := range map[string]State{"other": StateCompleted, "ws": StateCancelled} {
+		w := newWorld(t, 1)
+		w.addWorker("w1", 4)
+		w.startLeader()
+		w.cancelFor("a", workspace)
+		w.run(100 * time.Millisecond)
+		w.submit(oneStep("a", &record.Step{Count: 1}))
+		w.run(5 * time.Second)
+		if w.states["a"] != want {
+			t.Errorf("cancelled for %s: job is %v, want %v", workspace, w.states["a"], want)
+		}
+	}
+}
