Tests (red): a run is counted as lost while its leader stands still

A task is done on w0 while the leader handles nothing for 1.6 s, longer than a short lease. The answer that lists the end comes too late for the call that waits for it. When the leader goes on it counts the run as lost at its first tick, and starts the task on the other worker before it has read a further answer of w0: two starts, with and without advice.

The world of package region can stall a leader, and lose the answers of one worker.

--- a/region/world_test.go
+++ b/region/world_test.go
@@ -28,6 +28,8 @@
 	logDown          bool
 	lateCall         bool           // the call that is being executed has timed out at its caller
 	linkLoad         float64        // share of the leader's link in use
+	stalledUntil     time.Duration  // the leader handles nothing before this time
+	readDelay        time.Duration  // how long after a stall the answers are read that came meanwhile
 	longRunning      bool           // the tasks are long-running: one that is done may be started again
 	repeatedListings int            // answers to probes that list no end which earlier ones did not
 	adviceCalls      int            // number of Advise calls
@@ -82,6 +84,7 @@
 	listedEnds   int64 // highest number of an end in an answer to a probe
 	voidEnds     int   // how many ends at the front of ends a lease expiry has made void
 	unreachable  bool
+	answersLost  bool               // calls are executed, and their answers are lost
 	hangs        bool               // tasks start but make no progress
 	slowdown     time.Duration      // factor by which tasks take longer; 0 for 1
 	bornAt       time.Duration      // when its clock started
@@ -243,7 +246,7 @@
 func (w *world) stopLeader() { w.generation++; w.sched = nil }
 
 func (w *world) tick(generation int) {
-	if generation != w.generation || w.sched == nil {
+	if generation != w.generation || w.sched == nil || w.afterStall(0, func() { w.tick(generation) }) {
 		return
 	}
 	w.step(Tick{UnixMs: (w.now + w.clockSkew).Milliseconds(), LinkLoad: w.linkLoad})
@@ -269,12 +272,29 @@
 
 // answer delivers an event to the scheduler that made the call, unless it was replaced.
 func (w *world) answer(generation int, after time.Duration, ev func() Event) {
-	w.after(after, func() {
-		if generation == w.generation && w.sched != nil {
+	var deliver func()
+	deliver = func() {
+		if generation == w.generation && w.sched != nil && !w.afterStall(w.readDelay, deliver) {
 			w.step(ev())
 			w.step(Schedule{})
 		}
-	})
+	}
+	w.after(after, deliver)
+}
+
+// stall lets the leader handle nothing for a while. It then handles a tick first, and after
+// readDelay the answers that came meanwhile.
+func (w *world) stall(length, readDelay time.Duration) {
+	w.stalledUntil, w.readDelay = w.now+length, readDelay
+}
+
+// afterStall reports whether the leader stands still, and if so calls do once that is over.
+func (w *world) afterStall(delay time.Duration, do func()) bool {
+	if w.now >= w.stalledUntil {
+		return false
+	}
+	w.after(w.stalledUntil-w.now+delay, do)
+	return true
 }
 
 func (w *world) execute(generation int, c Command) {
@@ -377,7 +397,7 @@
 			return
 		}
 		err := run(fw)
-		if late == 0 && !w.losesAnswer(name) {
+		if late == 0 && !fw.answersLost && !w.losesAnswer(name) {
 			w.answer(generation, testDelay, func() Event { return event(err) })
 			return
 		}
