region: a run is counted as lost only once its worker has been listened to

Callers saw a task run again after it was done, perhaps after its end had been shown to a leader that did not read it. By the operators' rules an end that a worker has listed binds 100 ms later, whether the answer is read or not, and a lease that lapses after that changes nothing.

Cause: at the end of a lease the leader took its own silence for the worker's. After it had stood still (no processor, a suspended host), or while an answer was on its way for longer than the lease, the first tick counted the runs as lost, and their tasks were assigned as soon as any other worker answered. Class: a missing answer taken for a missing worker.

Evidence: TestRunIsNotLostWhileLeaderStandsStill and TestRunIsNotLostWhileAnswerIsAwaited, both red before (two starts).

Why it works: the lease of a worker ends its runs only if a probe has failed that was sent after the newest answer and after the leader last stood still. Such a probe finds a worker that lives, and its answer has the end. For a worker that is really gone probes have failed long before its lease ends, so that nothing waits longer, but after a stall by one probe. Each part was broken by hand: without the newest answer, without the stall, and without the guard, one or both tests are red; without a bound TestRunOnUnreachableWorkerIsLostAfterStall is. A worker that another one has replaced answers as another life, which counts as a failed probe.

--- a/region/listening.go
+++ b/region/listening.go
@@ -23,3 +23,14 @@
 	}
 	s.listening.tickAt = s.now
 }
+
+// silenceIsOurs reports whether no answer of a worker may mean that this leader did not listen: no
+// probe has failed that was sent after the newest answer, and after this leader last stood still.
+//
+// The guard is against a task that runs again after it was done. The worker has listed the end, but
+// the leader had no time to read the answer, and finds the worker's lease over when it goes on. By
+// then calls may have timed out although they were answered. A call that is sent now shows
+// whether the worker is silent.
+func (s *Scheduler) silenceIsOurs(w *worker) bool {
+	return w.incarnation.Address != "" && w.unansweredAt <= max(w.probedAt, s.listening.stalledAt)
+}
--- a/region/probe.go
+++ b/region/probe.go
@@ -101,11 +101,13 @@
 		s.emit(StepDown{Worker: w.entry.ID})
 		return
 	case CallOtherIncarnation:
+		w.unansweredAt = ev.SentAt
 		s.otherIncarnation(w, ev.Request.Worker)
 		s.probeAgain(w, probeRetry)
 		return
 	default:
 		w.probeMissed = true
+		w.unansweredAt = ev.SentAt
 		w.lossyUntil = s.now + lossyWindow
 		s.retryUnlisted(w, false)
 		s.probeAgain(w, probeRetry)
--- a/region/stall_test.go
+++ b/region/stall_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+// Guards against a task that runs again after it was done: its worker has listed the end, and the
+// answer is on its way for longer than the lease. An earlier probe of the worker has failed.
+func TestRunIsNotLostWhileAnswerIsAwaited(t *testing.T) {
+	w := mixedWorld(t, 2)
+	w.runTime = func(model.TaskID) time.Duration { return 200 * time.Millisecond }
+	for _, fw := range w.workers {
+		fw.answersLost = true
+		w.after(time.Second, func() { fw.answersLost = false })
+	}
+	w.run(2 * time.Second)
+	w.submitTo(urgentJob("u1"), "urgent")
+	for w.starts[model.TaskID{Job: "u1"}] == 0 {
+		w.run(time.Millisecond)
+	}
+	w.run(20 * time.Millisecond) // until the start is answered
+	for _, fw := range w.workers {
+		if len(fw.runs) > 0 {
+			fw.answerDelay = 2 * time.Second
+		}
+	}
+	w.run(20 * time.Second)
+	w.mustRunOnce("u1")
+}
+
 // Guards against a run that is never counted as lost because the leader has stood still: its worker
 // has become unreachable meanwhile.
 func TestRunOnUnreachableWorkerIsLostAfterStall(t *testing.T) {
--- a/region/worker.go
+++ b/region/worker.go
@@ -40,6 +40,7 @@
 	probeMissed               bool            // the newest probe got no answer
 	lossyUntil                time.Duration   // lossyWait applies before this time
 	probedAt                  time.Duration   // when the newest answered probe was sent
+	unansweredAt              time.Duration   // when the newest probe was sent that it did not answer
 	grantedAt                 time.Duration   // when a lease was last granted
 	fenceSteps                int64           // how often its fencing token was raised under this leader
 	ackFence                  int64           // fencing token of the newest probe that acknowledged ends
@@ -344,13 +345,13 @@
 	return s.fullAt > 0 && s.now-s.fullAt < congestedFor && s.now < w.lapsesAt()+maxExpiryDelay
 }
 
-// expireRuns ends the runs on workers whose leases have expired even with the largest clock
+// expireRuns ends the runs on silent workers whose leases have expired even with the largest clock
 // drift, and removes workers that have left.
 func (s *Scheduler) expireRuns() {
 	for i := len(s.active) - 1; i >= 0; i-- { // forget removes the worker
 		w := s.active[i]
 		switch {
-		case len(w.runs) == 0 || s.delayedByLink(w):
+		case len(w.runs) == 0 || s.delayedByLink(w) || s.silenceIsOurs(w):
 		case s.now > w.lapsesAt():
 			s.expireRunsOn(w)
 		case !w.fenced:
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -85,6 +85,7 @@
 	voidEnds     int   // how many ends at the front of ends a lease expiry has made void
 	unreachable  bool
 	answersLost  bool               // calls are executed, and their answers are lost
+	answerDelay  time.Duration      // how long the leader waits for an answer beyond the usual time
 	hangs        bool               // tasks start but make no progress
 	slowdown     time.Duration      // factor by which tasks take longer; 0 for 1
 	bornAt       time.Duration      // when its clock started
@@ -398,7 +399,7 @@
 		}
 		err := run(fw)
 		if late == 0 && !fw.answersLost && !w.losesAnswer(name) {
-			w.answer(generation, testDelay, func() Event { return event(err) })
+			w.answer(generation, testDelay+fw.answerDelay, func() Event { return event(err) })
 			return
 		}
 		w.answer(generation, timeout, func() Event { return event(CallNoAnswer) })
