region: the runs of a failed job are stopped by the next leader too

Callers saw nothing, but a run of a job that had failed went on to its end: it held its room, and its workspace's share, without anyone waiting for it.

Cause: a job that fails while the next leader replays the log had its runs marked as being stopped, and the stops of that time are not sent (package leader drops commands until leadership begins). A run that is being stopped is not stopped again, so no stop was ever sent.

Evidence: TestNextLeaderStopsRunsOfJobThatFailed, red before (1 run of a failed job after 10 s). The simulated world hid it, as it carries out the commands of a replay; the test starts its leader as package leader does.

Why it works: before leadership a run stays inherited; the first answer that lists it, or does not, decides, as for the runs of cancelled jobs.

--- a/region/job.go
+++ b/region/job.go
@@ -341,13 +341,14 @@
 	s.jobEndedOnceCommitted(j)
 }
 
-// stopJob stops the remaining runs of a job that was cancelled or has failed.
+// stopJob stops the remaining runs of a job that was cancelled or has failed. Those of earlier leaders
+// are stopped when their workers list them: no call is made before leadership begins.
 func (s *Scheduler) stopJob(j *job) {
 	for _, occ := range j.occs {
 		for _, st := range occ.steps {
 			s.dequeue(st)
 			for _, t := range st.tasks {
-				if t.run != nil {
+				if t.run != nil && s.leading() {
 					s.stopRun(t.run, "job is over")
 				}
 			}
