region: a gang is done for the next leader if the log has the end of one member

Callers would see a job that hangs for ever (LOST).

Cause: the end of one member as done stands for all. If only the first is in the log when the leader is lost, the next one finds one member done and the others lost, and a gang starts only when all of its members wait.

Why it works: replay applies the end of a member as done to the whole gang, as the leader that recorded it did.

--- a/region/replay.go
+++ b/region/replay.go
@@ -85,6 +85,26 @@
 		s.addOpen(s.lossOf(t, e.Loss))
 	}
 	s.countEnd(t, e.Run, e.Outcome, e.Checkpoint)
+	if t.isFinal(e.Outcome) {
+		s.replayGangDone(t, e.Run)
+	}
+}
+
+// replayGangDone marks all members of a gang done, of which the log may have the ends only in part.
+func (s *Scheduler) replayGangDone(t *task, number int32) {
+	if !t.step.rec.Gang {
+		return
+	}
+	for _, m := range t.step.tasks {
+		if m.done {
+			continue
+		}
+		if m.run != nil && m.run.number == number {
+			s.release(m.run)
+		}
+		m.lastRun = max(m.lastRun, number)
+		s.countEnd(m, number, record.Outcome_OUTCOME_DONE, "")
+	}
 }
 
 func (s *Scheduler) replaySnapshot(k *record.Kept) {
