region: ends are taken in whatever their order in a worker's list

Callers would see TWICE: a task runs again after its end was acknowledged.

Cause: of a worker's ends only the highest number read was kept, and a lower one counted as known. An answer [2, 1] acknowledged both ends and applied one.

Why it works: the numbers that were read are kept until they are acknowledged.

--- a/region/endlog.go
+++ b/region/endlog.go
@@ -5,19 +5,38 @@
 // deferred keeps those after it.
 type endLog struct {
 	highest   int64          // highest number read
+	read      map[int64]bool // numbers read that are not acknowledged
 	committed int64          // highest number whose record is in the log
 	pending   map[int64]bool // lower numbers that were deferred; true once applied, until their record is in the log
 	acked     int64          // highest number in an acknowledgement that was answered
 }
 
-// isNew reports whether an end has yet to be applied.
+// isNew reports whether an end has yet to be applied. Ends may be listed in any order.
 func (l *endLog) isNew(number int64) bool {
 	applied, pending := l.pending[number]
-	return number > l.highest || pending && !applied
+	return !l.read[number] || pending && !applied
 }
 
-func (l *endLog) deferred(number int64) {
+func (l *endLog) markRead(number int64) {
+	if l.read == nil {
+		l.read = make(map[int64]bool)
+	}
+	l.read[number] = true
 	l.highest = max(l.highest, number)
+}
+
+// acknowledged records that an acknowledgement up to the number was answered.
+func (l *endLog) acknowledged(number int64) {
+	l.acked = max(l.acked, number)
+	for n := range l.read {
+		if n <= l.acked {
+			delete(l.read, n)
+		}
+	}
+}
+
+func (l *endLog) deferred(number int64) {
+	l.markRead(number)
 	if l.pending == nil {
 		l.pending = make(map[int64]bool)
 	}
@@ -25,7 +44,7 @@
 }
 
 func (l *endLog) applied(number int64) {
-	l.highest = max(l.highest, number)
+	l.markRead(number)
 	if _, pending := l.pending[number]; pending {
 		l.pending[number] = true
 	}
--- a/region/probe.go
+++ b/region/probe.go
@@ -196,7 +196,7 @@
 	s.inheritedReached(w)
 	s.workerAnswered(w.ref())
 	w.endsListed = len(ev.Response.Ended)
-	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
+	w.ends.acknowledged(ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
 		if s.readEnd(w, e) {
 			newEnds++
