--- a/region/world_test.go
+++ b/region/world_test.go
@@ -38,8 +38,9 @@
 	advice           *adviceService // nil: each call is answered within its expected duration
 
 	intake        []*record.Intake
-	intakeTimes   []time.Duration // when each of intake was appended
-	intakeExpires bool            // records of the intake expire after logRetention, as entries do
+	intakeTimes   []time.Duration        // when each of intake was appended
+	submitted     map[string]*record.Job // first submission of each job, also if it has expired
+	intakeExpires bool                   // records of the intake expire after logRetention, as entries do
 	// membersFailTogether lets every member of a gang that fails end as failed, not the last one to
 	// start alone.
 	membersFailTogether bool
@@ -160,7 +161,7 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
-		now:        time.Hour,
+		now: time.Hour, submitted: make(map[string]*record.Job),
 		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
@@ -401,14 +402,8 @@
 	return CallOK, false
 }
 
-func (w *world) job(id string) *record.Job {
-	for _, r := range w.intake {
-		if j := r.GetSubmitted(); j != nil && j.Id == id {
-			return j
-		}
-	}
-	return nil
-}
+// job returns the job that was submitted with the id, or nil if there is none.
+func (w *world) job(id string) *record.Job { return w.submitted[id] }
 
 func (w *world) fatal(format string, args ...any) {
 	w.t.Helper()
--- a/region/worldintake_test.go
+++ b/region/worldintake_test.go
@@ -32,6 +32,9 @@
 
 // appendIntake appends a record to the intake and delivers it to the scheduler.
 func (w *world) appendIntake(r *record.Intake) {
+	if j := r.GetSubmitted(); j != nil && w.submitted[j.Id] == nil {
+		w.submitted[j.Id] = j
+	}
 	w.intake, w.intakeTimes = append(w.intake, r), append(w.intakeTimes, w.now)
 	w.deliver(IntakeRead{Records: []*record.Intake{r}})
 }
