region: the end of a job outlives every record from which the job could be taken as new

Cause: a submission that is repeated is a record of its own, later than the first, and later than the ends of a short job. These expire first, and what is left looks like a new job. A cancellation that was read before its submission expires before it, too. Nothing was written of a job after its end.

A new leader that finds a submission beside the record of an end cannot tell which is newer, and writes it once more; that ends when the submission has expired, as ended jobs' submissions are never written again. Where status_s and 30 s are more than half of the retention, all ends are written until the state cannot be queried any more. The age of an end is carried in the record, measured on leaders' steady clocks; a time of day that cannot be right counts for 0.9 s.

Weighed: all ends of all jobs once, at half of the retention (3,200 jobs a second: 0.15 MB/s for nothing); not taking a job as new whose acceptance is older than the retention (a repeat has a new time of acceptance, and clocks step: a late record of a job that never ran would be lost).

With keep_s 300 and status_s 120 only repeated and cancelled jobs are written, 150 s after they were accepted.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -190,7 +190,7 @@
 // where the log does not wake waiting reads.
 func (l *Leader) HandleIntake(ctx context.Context, r *record.Intake) {
 	if l.loaded.Load() {
-		l.push(ctx, region.IntakeRead{Records: []*record.Intake{r}})
+		l.push(ctx, region.IntakeRead{Records: []*record.Intake{r}, Notified: true})
 	}
 }
 
--- a/region/event.go
+++ b/region/event.go
@@ -17,11 +17,13 @@
 type (
 	// IntakeRead holds records of the intake, the topic that every host appends to, in
 	// log order. SentAt is when the read of the partition Part was sent that has reached its
-	// end, and otherwise 0; the scheduler uses neither.
+	// end, and otherwise 0; the scheduler uses neither. Notified is set if the hosts that have
+	// appended the records pass them on: a read of the log brings them again.
 	IntakeRead struct {
-		Records []*record.Intake
-		Part    int
-		SentAt  time.Duration
+		Records  []*record.Intake
+		Part     int
+		SentAt   time.Duration
+		Notified bool
 	}
 
 	// EntriesRead holds entries of earlier leaders, in log order. It comes only before
--- a/region/job.go
+++ b/region/job.go
@@ -13,10 +13,16 @@
 	rec           *record.Job
 	acceptedAt    time.Duration // on the scheduler's clock
 	writtenAt     time.Duration // when its newest complete record was written
+	rewritten     bool          // it is on Scheduler.written
+	notified      bool          // it was passed on by its host; its record is still to be read from the log
+	inIntake      bool          // a record of its submission was read from the log
+	outlived      bool          // records of it may expire later than the newest one of its end
 	cancelled     bool
 	failed        bool
+	completed     bool           // an EndedJobs record says that every task is done
 	failure       failure        // why it failed
-	failedTask    *task          // the task that failed it
+	failedTask    *task          // the task that failed it; nil if an EndedJobs record says so
+	failedWhy     string         // why it failed, from an EndedJobs record
 	begun         bool           // a task of it has started
 	queue         *queueEstimate // observed run times of its queue
 	overShare     bool           // its workspace was above its share when the job arrived
@@ -92,15 +98,17 @@
 func (j *job) periodic() bool { return j.rec.RepeatCount > 0 }
 
 // complete reports whether every task of every occurrence is done.
-func (j *job) complete() bool { return j.remainingOccs == 0 && j.nextOcc >= max(j.rec.RepeatCount, 1) }
+func (j *job) complete() bool {
+	return j.completed || j.remainingOccs == 0 && j.nextOcc >= max(j.rec.RepeatCount, 1)
+}
 
 // intake applies records of accepted submissions and cancellations. The first record of
 // an id counts; a repeated submission is ignored.
-func (s *Scheduler) intake(records []*record.Intake) {
-	for _, r := range records {
+func (s *Scheduler) intake(ev IntakeRead) {
+	for _, r := range ev.Records {
 		switch k := r.Kind.(type) {
 		case *record.Intake_Submitted:
-			s.submit(k.Submitted)
+			s.submitted(k.Submitted, ev.Notified)
 		case *record.Intake_Cancelled:
 			s.cancel(cancellationOf(k.Cancelled, r.CancelledBy))
 		}
@@ -117,7 +125,7 @@
 		j.writtenAt = s.writtenAt(rec.AcceptedUnixMs)
 	}
 	s.jobs[rec.Id] = j
-	s.written = append(s.written, j)
+	s.rewriteLater(j)
 	j.overShare = !s.shares.allow(s.share(rec.Workspace), rec.Workspace, j.acceptedAt)
 	if j.periodic() {
 		s.periodic = append(s.periodic, j)
@@ -278,7 +286,7 @@
 	if j.ended() {
 		return
 	}
-	j.cancelled = true
+	j.cancelled, j.outlived = true, true
 	s.explain(id, "cancelled", Field{"queue", j.rec.Queue})
 	s.stopJob(j)
 	s.jobEnded(j)
@@ -296,7 +304,7 @@
 		if j.ended() {
 			continue
 		}
-		j.cancelled = true
+		j.cancelled, j.outlived = true, true
 		if runs := j.countRuns(); runs > 0 {
 			s.explain(j.rec.Id, "cancelled before this leader", Field{"queue", j.rec.Queue}, Field{"runs", runs})
 		}
@@ -366,6 +374,9 @@
 }
 
 func (s *Scheduler) jobEnded(j *job) {
+	if j.closed { // by an EndedJobs record
+		return
+	}
 	if s.leading() && j.complete() && !j.failed && !j.cancelled {
 		s.explain(j.rec.Id, "completed", Field{"after_ms", (s.now - j.acceptedAt).Milliseconds()},
 			Field{"objective_ms", j.objective.Milliseconds()})
@@ -390,8 +401,8 @@
 
 // whyFailed returns why the job failed, or "" if it has not.
 func (j *job) whyFailed() string {
-	if !j.failed {
-		return ""
+	if !j.failed || j.failedTask == nil {
+		return j.failedWhy
 	}
 	return fmt.Sprintf("task %d of step %d: %s", j.failedTask.index, j.failedTask.step.index, j.failure)
 }
@@ -444,11 +455,11 @@
 	return j.begun || j.anyRun(func(r *run) bool { return r.phase == phaseInherited })
 }
 
-// retireJobs removes jobs whose state can no longer be queried. Repeated submissions
-// arrive within seconds, long before that.
+// retireJobs removes jobs whose state can no longer be queried and that are no longer submitted
+// again.
 func (s *Scheduler) retireJobs() {
 	n := 0
-	for n < len(s.finished) && s.now-s.finished[n].endedAt > 2*s.opts.StatusRetention {
+	for n < len(s.finished) && s.now-s.finished[n].endedAt > max(2*s.opts.StatusRetention, repeatWindow) {
 		j := s.finished[n]
 		if j.anyRun(func(*run) bool { return true }) {
 			break
@@ -459,7 +470,7 @@
 	}
 	s.finished = s.finished[n:]
 	for c, at := range s.cancelledEarly {
-		if s.now-at > s.opts.StatusRetention {
+		if s.now-at > max(s.opts.StatusRetention, repeatWindow) {
 			delete(s.cancelledEarly, c)
 		}
 	}
--- a/region/region.go
+++ b/region/region.go
@@ -105,7 +105,7 @@
 	advisers        advisers
 	adviceTiers     adviceTiers
 	periodic        []*job // jobs with further occurrences
-	written         []*job // jobs in the order of writtenAt
+	written         []*job // jobs whose records may have to be written again, in the order of writtenAt
 	finished        []*job // jobs in the order they ended
 	losses          lossTable
 	openLosses      []*loss        // losses in the order of at
@@ -182,7 +182,7 @@
 func (s *Scheduler) apply(ev Event) {
 	switch ev := ev.(type) {
 	case IntakeRead:
-		s.intake(ev.Records)
+		s.intake(ev)
 	case EntriesRead:
 		s.replay(ev.Entries)
 	case Lead:
@@ -304,6 +304,7 @@
 	}
 	s.reportInherited()
 	slices.SortStableFunc(s.written, func(a, b *job) int { return cmp.Compare(a.writtenAt, b.writtenAt) })
+	slices.SortStableFunc(s.finished, func(a, b *job) int { return cmp.Compare(a.endedAt, b.endedAt) })
 	for _, j := range s.jobs {
 		s.publish(j)
 	}
--- a/region/repeated_test.go
+++ b/region/repeated_test.go
@@ -138,38 +138,63 @@
 }
 
 // Guards against a cancelled job that runs because its cancellation expires before a submission of it:
-// a repeat, or the only one, which was read later than the cancellation.
+// a repeat, or the only one, which was read later than the cancellation. Also if the leader that read
+// them is gone before it has written anything of that.
 func TestCancellationOutlivesSubmissions(t *testing.T) {
 	for _, early := range []bool{false, true} {
-		t.Run(fmt.Sprintf("cancelled early %v", early), func(t *testing.T) {
-			w := shortLogWorld(t)
-			w.runTime = func(model.TaskID) time.Duration { return time.Minute }
-			j := oneStep("a", &record.Step{Count: 2})
-			if early {
-				w.cancelFor("a", "ws")
-				w.run(5 * time.Second)
-				w.submit(j)
-			} else {
-				w.submit(j)
-				w.run(time.Second)
-				w.cancelFor("a", "ws")
-				w.run(5 * time.Second)
-				w.repeat(j)
-			}
-			w.run(16 * time.Second)
-			started := len(w.starts)
-			for range 4 {
-				w.changeLeader()
-				w.run(5 * time.Second)
-				w.mustShow("a", StateCancelled)
-			}
-			if len(w.starts) != started {
-				t.Error("the job was started after it was cancelled")
+		for _, replayed := range []bool{false, true} {
+			for _, retention := range []time.Duration{20 * time.Second, testOptions().LogRetention} {
+				name := fmt.Sprintf("cancelled early %v, leader changes %v, retention %v", early, replayed, retention)
+				t.Run(name, func(t *testing.T) { cancellationOutlives(t, early, replayed, retention) })
 			}
-		})
+		}
 	}
 }
 
+func cancellationOutlives(t *testing.T, early, replayed bool, retention time.Duration) {
+	w := shortLogWorld(t)
+	w.logRetention = retention
+	w.changeLeader()
+	w.runTime = func(model.TaskID) time.Duration { return time.Hour }
+	j := oneStep("a", &record.Step{Count: 2})
+	if early {
+		w.cancelFor("a", "ws")
+		w.run(5 * time.Second)
+		w.submit(j)
+	} else {
+		w.submit(j)
+		w.run(time.Second)
+		w.cancelFor("a", "ws")
+		w.run(5 * time.Second)
+		w.repeat(j)
+	}
+	w.run(100 * time.Millisecond)
+	if replayed {
+		w.changeLeader()
+	}
+	w.run(retention - 4500*time.Millisecond)
+	started := w.totalStarts()
+	for range 4 {
+		w.changeLeader()
+		w.run(time.Second)
+		if retention < time.Minute {
+			w.mustShow("a", StateCancelled)
+		}
+	}
+	if w.totalStarts() != started {
+		t.Error("the job was started after it was cancelled")
+	}
+}
+
+// totalStarts returns how many starts workers have executed.
+func (w *world) totalStarts() int {
+	n := 0
+	for _, starts := range w.starts {
+		n += starts
+	}
+	return n
+}
+
 // Guards against a job that has ended and is answered as unknown, while its state may still be asked
 // for, because the log has forgotten its records.
 func TestStateOutlivesShortRetention(t *testing.T) {
@@ -190,12 +215,16 @@
 			w.run(5 * time.Second)
 			w.cancel("cancelled")
 			w.run(time.Second)
+			why := w.sched.jobs["failed"].whyFailed()
 			for i := range 12 {
 				w.clockSkew = skew * time.Duration(i%2) // of the next leader
 				w.changeLeader()
 				for id, state := range want {
 					w.mustShow(id, state)
 				}
+				if got := w.sched.jobs["failed"].whyFailed(); got != why {
+					w.fatal("the job failed for %q, want %q", got, why)
+				}
 				w.run(8500 * time.Millisecond)
 			}
 		})
--- a/region/replay.go
+++ b/region/replay.go
@@ -28,6 +28,8 @@
 			s.replayCrashed(k.Crashed)
 		case *record.Entry_Kept:
 			s.replaySnapshot(k.Kept)
+		case *record.Entry_EndedJobs:
+			s.replayEndedJobs(k.EndedJobs)
 		}
 	}
 }
@@ -134,32 +136,56 @@
 	return s.now - age
 }
 
-// rewriteOld appends snapshots of live jobs to the log before their records expire.
-// Without them, the next leader would not know of a job that runs for longer than the
-// retention of the log.
+// rewriteLater adds a job to those whose records may have to be written again.
+func (s *Scheduler) rewriteLater(j *job) {
+	j.rewritten = true
+	s.written = append(s.written, j)
+}
+
+// rewriteOld appends snapshots of live jobs to the log, and the ends of other jobs where that is
+// needed, before their records expire. Without them, the next leader would not know of a job that
+// runs for longer than the retention of the log.
 func (s *Scheduler) rewriteOld() {
 	const perTick = 4 // spreads the snapshots of many old jobs
+	ends := &endedBatch{maxBytes: s.opts.RecordBytes - snapshotMargin}
 	for written := 0; written < perTick && len(s.written) > 0; {
 		j := s.written[0]
-		if s.now < s.rewriteDueAt(j) {
-			return
+		if s.now < s.rewriteDueAt(j) || j.ended() && !j.closed { // its end is not in the log yet
+			break
+		}
+		endDue := j.ended() && s.endIsDue(j)
+		if endDue && !ends.add(s.endOf(j)) {
+			break
 		}
 		s.written[0] = nil
 		s.written = s.written[1:]
-		if j.ended() {
+		switch {
+		case endDue:
+			j.outlived = false
+		case j.ended():
+			j.rewritten = false
 			continue
+		default:
+			written += s.writeSnapshot(j)
 		}
 		j.writtenAt = s.now
-		s.written = append(s.written, j)
-		for _, k := range snapshotJob(j, s.opts.RecordBytes-snapshotMargin) {
-			k.WrittenUnixMs = s.unixMs
-			s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
-			written++
-		}
+		s.rewriteLater(j)
 	}
+	s.writeEnds(ends)
+}
+
+// writeSnapshot appends a snapshot of a live job, and returns the number of its records.
+func (s *Scheduler) writeSnapshot(j *job) int {
+	parts := snapshotJob(j, s.opts.RecordBytes-snapshotMargin)
+	for _, k := range parts {
+		k.WrittenUnixMs = s.unixMs
+		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
+	}
+	return len(parts)
 }
 
-// snapshotMargin is what an entry may take beyond the job and the tasks of a snapshot, in bytes.
+// snapshotMargin is what an entry may take beyond the job and the tasks of a snapshot, or beyond the
+// jobs of an EndedJobs record, in bytes.
 const snapshotMargin = 128
 
 // snapshotJob returns a snapshot of the job, which the log stores as Kept records of at most maxBytes.
@@ -190,7 +216,7 @@
 	return parts
 }
 
-// taskOverhead is the tag and length of a task in a Kept record, in bytes.
+// taskOverhead is the tag and length of a task in a Kept record, or a job in an EndedJobs record, in bytes.
 const taskOverhead = 5
 
 func snapshotTask(t *task) *record.TaskState {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -50,6 +50,7 @@
 	entryTimes          []time.Duration // when each of entries was appended
 	maxLease            time.Duration   // the longest lease of workers; 0 for testLease
 	logRetention        time.Duration   // after which entries expire; 0 for the usual option, without expiry
+	statusRetention     time.Duration   // 0 for the usual option
 	minActive           int             // least number of active workers; 0 for the usual one
 	probes              map[string]int  // answered probes by worker
 	pendingAppends      []pendingAppend
@@ -147,6 +148,7 @@
 	if w.logRetention > 0 {
 		o.LogRetention = w.logRetention
 	}
+	o.StatusRetention = cmp.Or(w.statusRetention, o.StatusRetention)
 	o.RecordBytes = w.recordBytes
 	if w.drains != nil {
 		o.ZoneDrain = testZoneDrain
