--- a/region/world_test.go
+++ b/region/world_test.go
@@ -40,8 +40,9 @@
 	advice           *adviceService // nil: each call is answered within its expected duration
 
 	intake        []*record.Intake
-	intakeTimes   []time.Duration // when each of intake was appended
-	intakeExpires bool            // records of the intake expire after logRetention, as entries do
+	intakeTimes   []time.Duration        // when each of intake was appended
+	submitted     map[string]*record.Job // first submission of each job, also if it has expired
+	intakeExpires bool                   // records of the intake expire after logRetention, as entries do
 	// membersFailTogether lets every member of a gang that fails end as failed, not the last one to
 	// start alone.
 	membersFailTogether bool
@@ -51,6 +52,7 @@
 	entryTimes          []time.Duration // when each of entries was appended
 	maxLease            time.Duration   // the longest lease of workers; 0 for testLease
 	logRetention        time.Duration   // after which entries expire; 0 for the usual option, without expiry
+	statusRetention     time.Duration   // 0 for the usual option
 	minActive           int             // least number of active workers; 0 for the usual one
 	probes              map[string]int  // answered probes by worker
 	pendingAppends      []pendingAppend
@@ -150,6 +152,7 @@
 	if w.logRetention > 0 {
 		o.LogRetention = w.logRetention
 	}
+	o.StatusRetention = cmp.Or(w.statusRetention, o.StatusRetention)
 	o.RecordBytes = w.recordBytes
 	if w.drains != nil {
 		o.ZoneDrain = testZoneDrain
@@ -164,7 +167,7 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
-		now:        time.Hour,
+		now: time.Hour, submitted: make(map[string]*record.Job),
 		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
@@ -422,14 +425,8 @@
 	return CallOK, false
 }
 
-func (w *world) job(id string) *record.Job {
-	for _, r := range w.intake {
-		if j := r.GetSubmitted(); j != nil && j.Id == id {
-			return j
-		}
-	}
-	return nil
-}
+// job returns the job that was submitted with the id, or nil if there is none.
+func (w *world) job(id string) *record.Job { return w.submitted[id] }
 
 func (w *world) fatal(format string, args ...any) {
 	w.t.Helper()
