leader: submissions that expire while a new leader loads are not taken for new jobs

What callers would see: once the log is older than its retention, a change of leader can run a short job once more that ended a whole retention ago (TWICE). Not seen on a deployment. Cause: intake and entries are read at the same time. A submission is read just before it expires; the entries are read a little later, after a read that got no answer for instance, when the ends of the job's tasks have expired as well. Within one partition, the same happens to records before a gap.

Change: if entries have expired, the leader reads the oldest retained offset of each partition of the intake after the entries, and drops older submissions; what was read before a gap is dropped. A submission that is retained after the entries were read was retained all the while, and so were its newer ends. One more round trip while loading, and none before the first records expire. Weighed: reading the intake after the entries (a further round trip or more for every load, also where nothing expires; not measured); judging by times of acceptance (clocks step).

--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -46,7 +46,7 @@
 		}
 		ends = append(ends, got.End)
 	}
-	entries, err := New(Config{Client: client}).readEntries(context.Background(), ends)
+	entries, _, err := New(Config{Client: client}).readEntries(context.Background(), ends)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/leader/load.go
+++ b/leader/load.go
@@ -27,60 +27,97 @@
 	// refers to; for the same reason it is applied first.
 	var (
 		group               conc.WaitGroup
-		intake              [][][]byte
-		next                []int64
+		intake              []partition
 		entries             []*record.Entry
+		expired             bool
 		intakeErr, entryErr error
 	)
-	group.Go(func() { intake, next, intakeErr = l.readPartitions(ctx, TopicIntake, IntakeParts, nil) })
-	group.Go(func() { entries, entryErr = l.readEntries(ctx, ends) })
+	group.Go(func() { intake, intakeErr = l.readPartitions(ctx, TopicIntake, IntakeParts, nil) })
+	group.Go(func() { entries, expired, entryErr = l.readEntries(ctx, ends) })
 	group.Wait()
 	if err := errors.Join(intakeErr, entryErr); err != nil {
 		return nil, err
 	}
-	for part, records := range intake {
-		l.applyPublished(sched.Handle(now, l.decodeIntake(records)))
+	if expired {
+		if err := l.dropExpired(ctx, TopicIntake, intake); err != nil {
+			return nil, err
+		}
+	}
+	next := make([]int64, len(intake))
+	for part, p := range intake {
+		l.applyPublished(sched.Handle(now, l.decodeIntake(p.records)))
 		l.intakeReadAt[part].Store(int64(now))
+		next[part] = p.next
 	}
 	l.applyPublished(sched.Handle(now, region.EntriesRead{Entries: entries}))
 	return next, nil
 }
 
+// partition is what was read of a partition: the records up to the offset next. first is the oldest
+// retained offset at the newest read.
+type partition struct {
+	records     [][]byte
+	first, next int64
+}
+
+// expire drops the records below the oldest retained offset.
+func (p *partition) expire(first int64) {
+	kept := min(max(p.next-first, 0), int64(len(p.records)))
+	p.records = p.records[int64(len(p.records))-kept:]
+}
+
 // readPartitions reads the partitions of a topic concurrently, each up to its offset in ends
-// or, if ends is nil, up to its present end. It returns the records and the next offset of
-// each. One after the other they would leave the region without a leader for as many more
-// round trips, which takes seconds with a slow store.
-func (l *Leader) readPartitions(ctx context.Context, topic string, parts int, ends []int64) ([][][]byte, []int64, error) {
-	records, next, errs := make([][][]byte, parts), make([]int64, parts), make([]error, parts)
+// or, if ends is nil, up to its present end. One after the other they would leave the region
+// without a leader for as many more round trips, which takes seconds with a slow store.
+func (l *Leader) readPartitions(ctx context.Context, topic string, parts int, ends []int64) ([]partition, error) {
+	read, errs := make([]partition, parts), make([]error, parts)
 	var group conc.WaitGroup
 	for part := range parts {
 		end := int64(-1)
 		if ends != nil {
 			end = ends[part]
 		}
+		group.Go(func() { read[part], errs[part] = l.readPartition(ctx, topic, part, end) })
+	}
+	group.Wait()
+	return read, errors.Join(errs...)
+}
+
+// dropExpired drops the records that have expired since they were read.
+//
+// The guard is against a job whose submission was read just before it expired, while the ends of its
+// tasks, which were appended later, had expired when the entries were read: the job would run again.
+// It holds because a submission that is retained after the entries were read was retained all the
+// while, and so were the entries that are newer.
+func (l *Leader) dropExpired(ctx context.Context, topic string, read []partition) error {
+	errs := make([]error, len(read))
+	var group conc.WaitGroup
+	for part := range read {
 		group.Go(func() {
-			next[part], errs[part] = l.readPartition(ctx, topic, part, end, func(data []byte) {
-				records[part] = append(records[part], data)
-			})
+			end, err := l.readPartitionFrom(ctx, topic, part, read[part].next, -1)
+			if errs[part] = err; err == nil {
+				read[part].expire(end.first)
+			}
 		})
 	}
 	group.Wait()
-	return records, next, errors.Join(errs...)
+	return errors.Join(errs...)
 }
 
 // readEntries returns the entries of earlier leaders in the order in which they were written.
-// An entry that was appended to two partitions is returned once.
-func (l *Leader) readEntries(ctx context.Context, ends []int64) ([]*record.Entry, error) {
-	parts, _, err := l.readPartitions(ctx, TopicEntries, len(ends), ends)
+// An entry that was appended to two partitions is returned once. expired reports whether
+// earlier ones have expired.
+func (l *Leader) readEntries(ctx context.Context, ends []int64) (all []*record.Entry, expired bool, err error) {
+	parts, err := l.readPartitions(ctx, TopicEntries, len(ends), ends)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	var all []*record.Entry
-	for _, records := range parts {
-		for _, data := range records {
+	for _, p := range parts {
+		expired = expired || p.first > 0
+		for _, data := range p.records {
 			e := &record.Entry{}
 			if err := proto.Unmarshal(data, e); err != nil {
-				return nil, err
+				return nil, false, err
 			}
 			all = append(all, e)
 		}
@@ -88,7 +125,7 @@
 	slices.SortStableFunc(all, func(a, b *record.Entry) int {
 		return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.Seq, b.Seq))
 	})
-	return slices.CompactFunc(all, func(a, b *record.Entry) bool { return a.Fence == b.Fence && a.Seq == b.Seq }), nil
+	return slices.CompactFunc(all, func(a, b *record.Entry) bool { return a.Fence == b.Fence && a.Seq == b.Seq }), expired, nil
 }
 
 // applyPublished applies published states and crashes while loading. All other commands are
@@ -140,34 +177,39 @@
 }
 
 // readPartition reads a partition up to its present end, or up to the given end if that is
-// not negative. It passes each record to handle and returns the next offset.
-func (l *Leader) readPartition(ctx context.Context, topic string, part int, end int64, handle func([]byte)) (int64, error) {
-	var from int64
+// not negative.
+func (l *Leader) readPartition(ctx context.Context, topic string, part int, end int64) (partition, error) {
+	return l.readPartitionFrom(ctx, topic, part, 0, end)
+}
+
+// readPartitionFrom does the same from an offset on. What was read before others expired has expired
+// as well, and is dropped.
+func (l *Leader) readPartitionFrom(ctx context.Context, topic string, part int, from, end int64) (partition, error) {
 	reporter := l.retryReporter("load_reads", "loading "+topic)
 	size := newReadSize(l.cfg.LinkBps)
+	p := partition{next: from}
 	for {
-		b, err := l.cfg.Client.ReadLog(ctx, size.timeout, platform.Read{Topic: topic, Part: part, From: from, MaxKB: size.kb})
+		b, err := l.cfg.Client.ReadLog(ctx, size.timeout, platform.Read{Topic: topic, Part: part, From: p.next, MaxKB: size.kb})
 		if expired := (*platform.ExpiredError)(nil); asExpired(err, &expired) {
-			from = expired.First
+			p = partition{first: expired.First, next: expired.First}
 			continue
 		}
 		size.adjust(err)
 		if !reporter.Observe(err) {
 			if !boottime.Sleep(ctx, readRetryDelay) {
-				return 0, err
+				return p, err
 			}
 			continue
 		}
-		for _, data := range b.Records {
-			handle(data)
-		}
-		from += int64(len(b.Records))
+		p.records = append(p.records, b.Records...)
+		p.next += int64(len(b.Records))
+		p.first = max(p.first, b.First)
 		stop := b.End
 		if end >= 0 {
 			stop = min(end, stop)
 		}
-		if from >= stop {
-			return from, nil
+		if p.next >= stop {
+			return p, nil
 		}
 	}
 }
--- a/leader/load_test.go
+++ b/leader/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -78,3 +80,36 @@
 	}
 	store.Append(topic, data)
 }
+
+// Guards against an assignment that is read without the end that expired after it, when records expire
+// between two reads of a partition: the task would count as running.
+func TestRecordsBeforeGapAreDropped(t *testing.T) {
+	batch := func(w http.ResponseWriter, first uint64, records ...string) {
+		out := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, 10), first)
+		for _, r := range records {
+			out = append(binary.BigEndian.AppendUint32(out, uint32(len(r))), r...)
+		}
+		_, _ = w.Write(out)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("from") {
+		case "0":
+			batch(w, 0, "0", "1")
+		case "2":
+			w.WriteHeader(http.StatusGone)
+			_, _ = w.Write([]byte(`{"first":7}`))
+		default:
+			batch(w, 7, "7", "8", "9")
+		}
+	}))
+	defer server.Close()
+	l := New(Config{Client: platform.NewClient(platform.Addresses{Log: server.Listener.Addr().String()}, 1, nil)})
+	got, err := l.readPartition(context.Background(), TopicEntries, 0, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := partition{records: [][]byte{[]byte("7"), []byte("8"), []byte("9")}, first: 7, next: 10}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(partition{})); diff != "" {
+		t.Error(diff)
+	}
+}
