Tests: repeats in random histories where only repeated and cancelled jobs' ends are written again

Cause: with status_s 120 and keep_s 20 the ends of all jobs are written again, and hide a missing mark of a repeat. Change: the histories are also played with keep_s 70 and status_s 5.

--- a/region/repeated_test.go
+++ b/region/repeated_test.go
@@ -234,19 +234,32 @@
 // Random histories in which submissions are repeated up to 8 s later and leaders change, with a log
 // that keeps records for 20 s: no job runs again, and each is shown in its state.
 func TestRepeatsInRandomHistories(t *testing.T) {
+	playRepeatsHistories(t, 20*time.Second, testOptions().StatusRetention)
+}
+
+// The same where states can be queried for 5 s only, so that only the ends of repeated and cancelled
+// jobs are written again.
+func TestRepeatsInRandomHistoriesWithShortStatusRetention(t *testing.T) {
+	playRepeatsHistories(t, 70*time.Second, 5*time.Second)
+}
+
+func playRepeatsHistories(t *testing.T, logRetention, statusRetention time.Duration) {
 	const histories = 16
+	play := func(seed uint64) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { repeatsHistory(t, seed, logRetention, statusRetention) })
+	}
 	for seed := uint64(1); seed <= histories; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { repeatsHistory(t, seed) })
+		play(seed)
 	}
 	for i := range *seedCount {
-		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { repeatsHistory(t, *firstSeed+i) })
+		play(*firstSeed + i)
 	}
 }
 
-func repeatsHistory(t *testing.T, seed uint64) {
+func repeatsHistory(t *testing.T, seed uint64, logRetention, statusRetention time.Duration) {
 	t.Parallel()
 	w := newWorld(t, seed)
-	w.logRetention, w.intakeExpires = 20*time.Second, true
+	w.logRetention, w.statusRetention, w.intakeExpires = logRetention, statusRetention, true
 	for i := range 8 {
 		w.addWorker(fmt.Sprintf("w%d", i), 8)
 	}
@@ -269,15 +282,32 @@
 	for _, fw := range w.workers {
 		fw.unreachable = false
 	}
-	for range 12 {
+	ended := make(map[string]State)
+	for quiet := time.Duration(0); quiet < max(logRetention+30*time.Second, time.Minute); quiet += 5 * time.Second {
 		w.changeLeader()
 		w.run(4500 * time.Millisecond)
+		w.noteEnded(jobs, ended)
 	}
 	for _, id := range jobs {
-		if s := w.states[id]; s != StateCompleted && s != StateFailed && s != StateCancelled {
-			w.fatal("job %s is still %v, want it ended", id, s)
+		if ended[id] == StateUnknown {
+			w.fatal("job %s is still %v, want it ended", id, w.states[id])
+		}
+		if statusRetention > w.now-w.acceptedAt[id] {
+			w.mustShow(id, ended[id])
+		}
+	}
+}
+
+// noteEnded notes the states in which jobs have ended, and fails the test if one has left its state.
+func (w *world) noteEnded(jobs []string, ended map[string]State) {
+	for _, id := range jobs {
+		s := w.states[id]
+		if was := ended[id]; was != StateUnknown && s != was && s != StateUnknown {
+			w.fatal("job %s was shown as %v, and is now shown as %v", id, was, s)
+		}
+		if s == StateCompleted || s == StateFailed || s == StateCancelled {
+			ended[id] = s
 		}
-		w.mustShow(id, w.states[id])
 	}
 }
 
