Leader: leadership counts as proved from before its fencing, not from its loading

Cause: a leader that was paused, or cut off from the log, between fencing off earlier ones and leading took the moment at which it leads for a proof that no other one leads (lastProofAt = now). Where another had claimed the leadership meanwhile, it renewed leases for up to four seconds more, and the other one, which counts from its own begin, started tasks again that had run, or had ended as done, on workers that it did not reach. Change: Lead carries the time at which fencing began, or at which the newest heartbeat was sent that was acked while loading.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -114,6 +114,7 @@
 	intakeReadAt [IntakeParts]atomic.Int64 // when the newest read of each partition that is applied was sent
 	loadedAt     atomic.Int64              // when loading was completed
 	lastAppendAt atomic.Int64              // when the newest append was acked
+	provenAt     atomic.Int64              // until when no later leader had led, as known while loading
 	callTimeout  timeoutEstimator          // of calls to workers
 	ctx          context.Context           // ends with the leadership
 	cancel       context.CancelCauseFunc
@@ -248,6 +249,7 @@
 	defer context.AfterFunc(parent, func() { cancel(context.Cause(parent)) })()
 	l.lastAppendAt.Store(int64(boottime.Now()))
 	began := boottime.Now()
+	l.provenAt.Store(int64(began))
 	ends, err := l.fencePartitions(ctx)
 	if err != nil {
 		return err
@@ -293,8 +295,9 @@
 			panic(err) // entries are built by this program and always encode
 		}
 		acked := make(chan struct{})
-		l.writer.Write(data, func(logwriter.Ack) {
+		l.writer.Write(data, func(ack logwriter.Ack) {
 			l.lastAppendAt.Store(int64(boottime.Now()))
+			l.provenAt.Store(int64(ack.SentAt))
 			close(acked)
 		})
 		select {
@@ -311,7 +314,7 @@
 // loop runs the scheduler, in the only goroutine that uses it after loading.
 func (l *Leader) loop(ctx context.Context, sched *region.Scheduler) {
 	d := &dispatcher{leader: l, ctx: ctx}
-	d.execute(sched.Handle(boottime.Now(), region.Lead{Fence: l.cfg.Fence}))
+	d.execute(sched.Handle(boottime.Now(), region.Lead{Fence: l.cfg.Fence, ProvenAt: time.Duration(l.provenAt.Load())}))
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	var (
--- a/region/bench_test.go
+++ b/region/bench_test.go
@@ -15,7 +15,7 @@
 	s := New(testOptions())
 	now := time.Hour
 	s.Handle(now, Tick{UnixMs: now.Milliseconds()})
-	s.Handle(now, Lead{Fence: 1})
+	s.Handle(now, Lead{Fence: 1, ProvenAt: now})
 	s.Handle(now, ConfigRead{Config: testConfig()})
 	s.Handle(now, AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
 	for i := range workers {
@@ -123,7 +123,7 @@
 func fullScheduler(workers int) *Scheduler {
 	s := New(testOptions())
 	s.Handle(time.Hour, Tick{UnixMs: 1})
-	s.Handle(time.Hour, Lead{Fence: 1})
+	s.Handle(time.Hour, Lead{Fence: 1, ProvenAt: time.Hour})
 	s.Handle(time.Hour, ConfigRead{Config: testConfig()})
 	policy := func(priority int32) *record.Policy {
 		return &record.Policy{Service: "svc", Priority: priority, MaxAttempts: 3, Stretch: 100, TargetLatencyMs: 1000}
--- a/region/event.go
+++ b/region/event.go
@@ -29,8 +29,12 @@
 	EntriesRead struct{ Entries []*record.Entry }
 
 	// Lead begins leadership with a fencing token. All earlier records have been read
-	// by then.
-	Lead struct{ Fence int64 }
+	// by then. ProvenAt is when the appends that fenced off earlier leaders were sent, or a
+	// later append that has succeeded.
+	Lead struct {
+		Fence    int64
+		ProvenAt time.Duration
+	}
 
 	// ConfigRead puts a configuration into force.
 	ConfigRead struct{ Config *model.Config }
--- a/region/leaders_test.go
+++ b/region/leaders_test.go
@@ -34,6 +34,7 @@
 	sched      *Scheduler
 	generation int
 	fence      int64
+	claimedAt  time.Duration
 	loaded     bool
 	frozen     bool
 	queue      []queued
@@ -110,7 +111,7 @@
 	w := f.w
 	w.generation++
 	w.fence++
-	l := &leader{sched: New(w.options()), generation: w.generation, fence: w.fence, cut: make(map[string]time.Duration)}
+	l := &leader{sched: New(w.options()), generation: w.generation, fence: w.fence, claimedAt: w.now, cut: make(map[string]time.Duration)}
 	f.byGeneration[l.generation] = l
 	f.claimed = l.generation
 	w.sched = l.sched
@@ -131,7 +132,7 @@
 	w.step(Tick{UnixMs: (w.now + w.clockSkew).Milliseconds()})
 	w.step(IntakeRead{Records: w.intake})
 	w.step(EntriesRead{Entries: entries})
-	w.step(Lead{Fence: l.fence})
+	w.step(Lead{Fence: l.fence, ProvenAt: l.claimedAt})
 	w.step(ConfigRead{Config: w.config()})
 	w.step(AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
 	for _, id := range w.names {
--- a/region/leadershistory_test.go
+++ b/region/leadershistory_test.go
@@ -101,11 +101,18 @@
 	for seed := uint64(1); seed <= histories; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { keptWorkersHistory(t, seed) })
 	}
+	for _, seed := range keptWorkersSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { keptWorkersHistory(t, seed) })
+	}
 	for i := range *seedCount {
 		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { keptWorkersHistory(t, *firstSeed+i) })
 	}
 }
 
+// keptWorkersSeeds are seeds that have failed at some time: a leader was frozen while it loaded, and
+// another one led before it woke.
+var keptWorkersSeeds = []uint64{1045, 5333}
+
 func keptWorkersHistory(t *testing.T, seed uint64) {
 	t.Parallel()
 	w := newWorld(t, seed)
--- a/region/overload_test.go
+++ b/region/overload_test.go
@@ -42,7 +42,7 @@
 func TestSlowLogIsNotStalled(t *testing.T) {
 	const append = 400 * time.Millisecond
 	s := New(testOptions())
-	s.Handle(time.Hour, Lead{Fence: 1})
+	s.Handle(time.Hour, Lead{Fence: 1, ProvenAt: time.Hour})
 	s.seq = 1
 	s.Handle(time.Hour+append, Committed{Seq: 1, SentAt: time.Hour})
 	s.seq = 2
--- a/region/region.go
+++ b/region/region.go
@@ -186,7 +186,7 @@
 	case EntriesRead:
 		s.replay(ev.Entries)
 	case Lead:
-		s.lead(ev.Fence)
+		s.lead(ev)
 	case ConfigRead:
 		s.config = ev.Config
 		if ev.Config != nil {
@@ -291,11 +291,15 @@
 
 // lead begins leadership. Runs of earlier leaders are confirmed when their workers
 // answer.
-func (s *Scheduler) lead(fence int64) {
+//
+// The guard is against a leader that was paused, or cut off from the log, after it had fenced off
+// earlier ones and before it leads: by then another one may lead, and may not wait for the leases
+// of one that counts its leadership as proved from now on.
+func (s *Scheduler) lead(ev Lead) {
 	s.applyReplayedCancels()
-	s.fence = fence
+	s.fence = ev.Fence
 	s.leadSince = s.now
-	s.lastProofAt = s.now
+	s.lastProofAt = ev.ProvenAt
 	s.lastAppendAt = s.now
 	s.noteInheritedCalls()
 	for _, w := range s.workerList {
--- a/region/size_bench_test.go
+++ b/region/size_bench_test.go
@@ -21,7 +21,7 @@
 func newSizedScheduler(workers int) *sizedScheduler {
 	s := &sizedScheduler{Scheduler: New(testOptions()), now: time.Hour}
 	s.handle(Tick{UnixMs: s.now.Milliseconds()})
-	s.handle(Lead{Fence: 1})
+	s.handle(Lead{Fence: 1, ProvenAt: s.now})
 	s.handle(ConfigRead{Config: testConfig()})
 	s.handle(AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
 	for i := range workers {
@@ -145,7 +145,7 @@
 	for i := range 500 {
 		hosts = append(hosts, fmt.Sprintf("h%03d", i))
 	}
-	for _, ev := range []Event{Tick{UnixMs: now.Milliseconds()}, Lead{Fence: 1}, ConfigRead{Config: config}, AdviceHostsChanged{Hosts: hosts}} {
+	for _, ev := range []Event{Tick{UnixMs: now.Milliseconds()}, Lead{Fence: 1, ProvenAt: now}, ConfigRead{Config: config}, AdviceHostsChanged{Hosts: hosts}} {
 		s.Handle(now, ev)
 	}
 	for i := range workers {
--- a/region/slots_test.go
+++ b/region/slots_test.go
@@ -44,7 +44,7 @@
 	}
 	submit("young", time.Second)
 	submit("old", testOptions().LogRetention/2+time.Second)
-	s.Handle(now, Lead{Fence: 1})
+	s.Handle(now, Lead{Fence: 1, ProvenAt: now})
 	written := make(map[string]int)
 	for _, c := range s.Handle(now, Tick{UnixMs: now.Milliseconds()}) {
 		if a, ok := c.(Append); ok {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -225,7 +225,7 @@
 	w.expireEntries()
 	w.step(IntakeRead{Records: w.intake})
 	w.step(EntriesRead{Entries: w.entries})
-	w.step(Lead{Fence: w.fence})
+	w.step(Lead{Fence: w.fence, ProvenAt: w.now})
 	w.step(ConfigRead{Config: w.config()})
 	w.readDrains(w.generation)
 	w.step(AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
