--- a/region/endedjobs_test.go
+++ b/region/endedjobs_test.go
@@ -313,7 +313,7 @@
 		entry := &record.Entry{Kind: &record.Entry_EndedJobs{EndedJobs: k}}
 		size = proto.Size(entry)
 		s.Handle(time.Hour, EntriesRead{Entries: []*record.Entry{entry}})
-		s.Handle(time.Hour, Lead{Fence: 1})
+		s.Handle(time.Hour, Lead{Fence: 1, ProvenAt: time.Hour})
 		for _, j := range s.jobs {
 			j.outlived = true
 		}
--- a/region/endorder_test.go
+++ b/region/endorder_test.go
@@ -29,7 +29,7 @@
 		}}})
 	}
 	handle(EntriesRead{Entries: assigned})
-	commands := handle(Lead{Fence: 2})
+	commands := handle(Lead{Fence: 2, ProvenAt: now})
 	seq := int64(0)
 	for range 3 {
 		for _, c := range commands {
--- a/region/replayfailed_test.go
+++ b/region/replayfailed_test.go
@@ -17,7 +17,7 @@
 	for _, ev := range []Event{Tick{UnixMs: w.now.Milliseconds()}, IntakeRead{Records: w.intake}, EntriesRead{Entries: w.entries}} {
 		w.sched.Handle(w.now, ev)
 	}
-	w.step(Lead{Fence: w.fence})
+	w.step(Lead{Fence: w.fence, ProvenAt: w.now})
 	w.step(ConfigRead{Config: w.config()})
 	w.step(AdviceHostsChanged{Hosts: []string{"", "h2", "h3"}})
 	for _, id := range w.names {
