region: the wait for a worker after a stall is bounded, and longer than its first calls

Change: failed probes count against their workers from half a second after a stall on; the runs are lost at the latest three seconds after they would have been; a stall between the begin of leadership and the first tick counts. An end that is acknowledged is not taken for new.

TestRunIsLostAlthoughLeaderStallsAgainAndAgain is new.

--- a/region/endlog.go
+++ b/region/endlog.go
@@ -11,10 +11,11 @@
 	acked     int64          // highest number in an acknowledgement that was answered
 }
 
-// isNew reports whether an end has yet to be applied. Ends may be listed in any order.
+// isNew reports whether an end has yet to be applied. A list may have any order, but has the lowest
+// of the ends that are not acknowledged.
 func (l *endLog) isNew(number int64) bool {
 	applied, pending := l.pending[number]
-	return !l.read[number] || pending && !applied
+	return number > l.acked && !l.read[number] || pending && !applied
 }
 
 func (l *endLog) markRead(number int64) {
--- a/region/probe.go
+++ b/region/probe.go
@@ -192,7 +192,7 @@
 		s.dirty = true
 	}
 	w.probedAt = max(w.probedAt, ev.SentAt)
-	w.silent = false
+	w.silent, w.deferredSince = false, 0
 	s.inheritedReached(w)
 	s.workerAnswered(w.ref())
 	w.endsListed = len(ev.Response.Ended)
--- a/region/region.go
+++ b/region/region.go
@@ -302,6 +302,7 @@
 	s.leadSince = s.now
 	s.lastProofAt = ev.ProvenAt
 	s.lastAppendAt = s.now
+	s.listening.tickAt = s.now
 	s.noteInheritedCalls()
 	for _, w := range s.workerList {
 		w.unread = true
--- a/region/stall_test.go
+++ b/region/stall_test.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,73 +11,91 @@
 
 const testStall = 1600 * time.Millisecond
 
-// stallWorld returns a world in which the leader stands still, for longer than the lease of a worker,
-// while a task there ends as done. The answer that lists the end has come too late when the leader
-// goes on. The job is urgent, so its lease is a short one.
-func stallWorld(t *testing.T, advice *record.Advice) *world {
+// listedEndWorld returns a world in which an urgent task, whose lease is a short one, has ended as
+// done, its worker has listed the end, and the leader has not read the answer. lose says how it is
+// kept from doing so. Earlier probes of the worker have failed.
+func listedEndWorld(t *testing.T, advice *record.Advice, lose func(*fakeWorker)) (*world, *fakeWorker) {
 	w := mixedWorld(t, 2)
-	w.runTime = func(model.TaskID) time.Duration { return 200 * time.Millisecond }
+	for _, fw := range w.workers {
+		fw.answersLost = true
+		w.after(time.Second, func() { fw.answersLost = false })
+	}
+	w.run(2 * time.Second)
+	w.runTime = func(model.TaskID) time.Duration { return 60 * time.Millisecond }
 	j := urgentJob("u1")
 	j.Policy.Advice = advice
 	w.submitTo(j, "urgent")
 	for w.starts[model.TaskID{Job: "u1"}] == 0 {
 		w.run(time.Millisecond)
 	}
-	w.run(20 * time.Millisecond) // until the start is answered
-	w.stall(testStall, 10*time.Millisecond)
+	w.run(2 * testDelay) // until the start is answered
+	var on *fakeWorker
 	for _, fw := range w.workers {
-		fw.answersLost = len(fw.runs) > 0
-		w.after(testStall, func() { fw.answersLost = false })
+		if len(fw.runs) > 0 {
+			on = fw
+			lose(fw)
+		}
 	}
-	return w
+	for on.listedEnds == 0 {
+		w.run(time.Millisecond)
+	}
+	return w, on
 }
 
-// Guards against a task that runs again after it was done: its worker has listed the end while the
-// leader stood still, and the leader counts the run as lost before it reads that answer.
+func loseAnswers(fw *fakeWorker) { fw.answersLost = true }
+
+// Guards against a task that runs again after it was done: its worker has listed the end just before
+// the leader stands still, the call has timed out when it goes on, and the leader counts the run as
+// lost before it has called the worker again.
 func TestRunIsNotLostWhileLeaderStandsStill(t *testing.T) {
 	for name, advice := range map[string]*record.Advice{
 		"with advice":    {DecideMs: 20, EachMs: 2, ValidMs: 2000},
 		"without advice": nil,
 	} {
-		t.Run(name, func(t *testing.T) {
-			w := stallWorld(t, advice)
-			w.run(20 * time.Second)
-			w.mustRunOnce("u1")
-		})
+		for _, after := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", answers lost for ", after, " more"), func(t *testing.T) {
+				w, fw := listedEndWorld(t, advice, loseAnswers)
+				w.stall(testStall, 10*time.Millisecond)
+				w.after(testStall+after, func() { fw.answersLost = false })
+				w.run(20 * time.Second)
+				w.mustRunOnce("u1")
+			})
+		}
 	}
 }
 
 // Guards against a task that runs again after it was done: its worker has listed the end, and the
-// answer is on its way for longer than the lease. An earlier probe of the worker has failed.
+// answer is on its way for longer than the lease.
 func TestRunIsNotLostWhileAnswerIsAwaited(t *testing.T) {
-	w := mixedWorld(t, 2)
-	w.runTime = func(model.TaskID) time.Duration { return 200 * time.Millisecond }
-	for _, fw := range w.workers {
-		fw.answersLost = true
-		w.after(time.Second, func() { fw.answersLost = false })
-	}
-	w.run(2 * time.Second)
-	w.submitTo(urgentJob("u1"), "urgent")
-	for w.starts[model.TaskID{Job: "u1"}] == 0 {
-		w.run(time.Millisecond)
-	}
-	w.run(20 * time.Millisecond) // until the start is answered
-	for _, fw := range w.workers {
-		if len(fw.runs) > 0 {
-			fw.answerDelay = 2 * time.Second
-		}
-	}
+	w, _ := listedEndWorld(t, nil, func(fw *fakeWorker) { fw.answerDelay = 2 * time.Second })
 	w.run(20 * time.Second)
 	w.mustRunOnce("u1")
 }
 
+// Guards against a run that is never counted as lost: its worker is gone, and the leader stands still
+// again and again.
+func TestRunIsLostAlthoughLeaderStallsAgainAndAgain(t *testing.T) {
+	w, fw := listedEndWorld(t, nil, loseAnswers)
+	fw.unreachable = true
+	expiry := w.sched.workers[fw.entry.ID].lapsesAt()
+	for end := w.now + 20*time.Second; w.now < end; w.run(300 * time.Millisecond) {
+		w.stall(250*time.Millisecond, 10*time.Millisecond)
+		if w.states["u1"] == StateCompleted {
+			if late := w.now - expiry; late > 2*maxExpiryDelay {
+				t.Errorf("completed %v after the lease has expired, want at most %v", late, 2*maxExpiryDelay)
+			}
+			return
+		}
+	}
+	t.Error("not completed within 20 s")
+}
+
 // Guards against a run that is never counted as lost because the leader has stood still: its worker
 // has become unreachable meanwhile.
 func TestRunOnUnreachableWorkerIsLostAfterStall(t *testing.T) {
-	w := stallWorld(t, nil)
-	for _, fw := range w.workers {
-		fw.unreachable = len(fw.runs) > 0
-	}
+	w, fw := listedEndWorld(t, nil, loseAnswers)
+	fw.unreachable = true
+	w.stall(testStall, 10*time.Millisecond)
 	w.run(testStall + urgentUseless/2)
 	w.mustComplete("u1")
 }
--- a/region/worker.go
+++ b/region/worker.go
@@ -40,7 +40,8 @@
 	probeMissed               bool            // the newest probe got no answer
 	lossyUntil                time.Duration   // lossyWait applies before this time
 	probedAt                  time.Duration   // when the newest answered probe was sent
-	unansweredAt              time.Duration   // when the newest probe was sent that it did not answer
+	unansweredAt              time.Duration   // when the newest probe was sent that failed, or that another incarnation answered
+	deferredSince             time.Duration   // since when defersExpiry holds; 0 if it does not
 	grantedAt                 time.Duration   // when a lease was last granted
 	fenceSteps                int64           // how often its fencing token was raised under this leader
 	ackFence                  int64           // fencing token of the newest probe that acknowledged ends
@@ -351,9 +352,11 @@
 	for i := len(s.active) - 1; i >= 0; i-- { // forget removes the worker
 		w := s.active[i]
 		switch {
-		case len(w.runs) == 0 || s.delayedByLink(w) || s.silenceIsOurs(w):
+		case len(w.runs) == 0 || s.delayedByLink(w):
 		case s.now > w.lapsesAt():
-			s.expireRunsOn(w)
+			if !s.defersExpiry(w) {
+				s.expireRunsOn(w)
+			}
 		case !w.fenced:
 			s.expireLateStarts(w)
 		}
