region: an entry of the host list alone ends no runs

Crashes were counted against tasks whose workers had not crashed.

Cause: a death inferred from discovery. endEarlierWorkerAt ended the runs of the worker at the address of an entry with another id, workerListed those of the life before an entry with the same id, and showCrashesBefore counted both as crashes. Nobody had asked the process.

An entry of another id is probed like any other; one of the same id is held, asked at once, and applied or passed over by the answer. Crashes are counted by the same answers. Without an answer the runs end by their lease.

A worker without work in whose place another answers is not probed again until its next entry; each such entry cost a probe and a connection every 150 ms.

Changed tests: TestEntryIsAppliedByItsAddress said that an entry ends the runs of an earlier worker at its address, which is the fault. Its successor, TestEarlierWorkerIsFoundByItsAddress, wants that the entry ends none, and that the answer ends them, found by the address as before. The world of package region answers a probe of an earlier life as one of another incarnation, as platform.Client does.

--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -130,7 +130,7 @@
 	sent := boottime.Now()
 	response, err := d.leader.cfg.Client.Probe(d.ctx, d.leader.callTimeout.timeout(minProbeTimeout, maxCallTimeout), c.Request)
 	d.observeCall(sent, c.Request.Wait, err)
-	d.leader.push(d.ctx, region.ProbeAnswered{Request: c.Request, SentAt: sent, Response: response, Err: callError(platform.Receipt{Err: err}, nil)})
+	d.leader.push(d.ctx, region.ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: response, Err: callError(platform.Receipt{Err: err}, nil)})
 }
 
 func (d *dispatcher) advise(c region.Advise) {
--- a/region/crash.go
+++ b/region/crash.go
@@ -171,13 +171,15 @@
 	s.crashesShown(shown)
 }
 
-// showCrashesBefore shows the crashes of the workers that the entry of a worker follows.
-func (s *Scheduler) showCrashesBefore(e model.WorkerEntry) {
+// showCrashesBefore shows the crashes of the workers that an incarnation, which has answered,
+// follows.
+func (s *Scheduler) showCrashesBefore(ref model.WorkerRef) {
 	if len(s.openLosses) == 0 {
 		return
 	}
-	s.incarnationEnded(s.losses.byWorker[e.ID], func(l *loss) bool { return l.ref.BornUnix < e.BornUnix })
-	s.incarnationEnded(s.losses.byAddress[e.Address], func(l *loss) bool { return l.ref.BornUnix < e.BornUnix })
+	earlier := func(l *loss) bool { return l.ref.BornUnix < ref.BornUnix }
+	s.incarnationEnded(s.losses.byWorker[ref.ID], earlier)
+	s.incarnationEnded(s.losses.byAddress[ref.Address], earlier)
 }
 
 // expireLosses drops the losses whose workers were not heard of again.
--- a/region/end.go
+++ b/region/end.go
@@ -12,7 +12,7 @@
 	switch {
 	case r.phase == phaseLateStart:
 		s.setIdle(r, false) // its end, if there was one, is gone with the incarnation
-	case r.unsettled():
+	case r.unsettled() || r.startedUnverified():
 		s.awaitLateStart(r, why)
 	default:
 		s.markLost(r, why)
--- a/region/event.go
+++ b/region/event.go
@@ -54,6 +54,7 @@
 	// ProbeAnswered is the answer to a Probe that was sent at SentAt.
 	ProbeAnswered struct {
 		Request  model.ProbeRequest
+		Verify   bool // as in the Probe
 		SentAt   time.Duration
 		Response model.ProbeResponse
 		Err      CallError
@@ -156,6 +157,7 @@
 	Probe struct {
 		Request model.ProbeRequest
 		After   time.Duration
+		Verify  bool // only to verify an entry of the host list
 	}
 
 	// Advise asks the advice service, through Host, on which workers a step may run.
--- a/region/history_test.go
+++ b/region/history_test.go
@@ -46,8 +46,9 @@
 
 // regressionSeeds are further seeds that have failed at some time: with starts in flight that
 // reached a worker's next incarnation (98 to 568), one of them seconds late (245), and
-// with a start that reached the next incarnation while there was no leader (the last five).
-var regressionSeeds = []uint64{98, 152, 216, 245, 272, 384, 489, 490, 568, 514, 795, 872, 958, 1089}
+// with a start that reached the next incarnation while there was no leader (514 to 1089), or
+// before its entry was verified (the last one).
+var regressionSeeds = []uint64{98, 152, 216, 245, 272, 384, 489, 490, 568, 514, 795, 872, 958, 1089, 81207}
 
 func randomHistory(t *testing.T, seed uint64) {
 	t.Parallel()
--- a/region/incarnation_test.go
+++ b/region/incarnation_test.go
@@ -96,14 +96,19 @@
 	}
 }
 
-// Guards against an entry of the host list that costs a look at every worker of the region: a
-// worker at the address of an earlier one is found by its address.
-func TestEntryIsAppliedByItsAddress(t *testing.T) {
+// Guards against an answer that costs a look at every worker of the region: the earlier worker at
+// the address of one that answers is found by its address. Its entry alone ends nothing.
+func TestEarlierWorkerIsFoundByItsAddress(t *testing.T) {
 	w, fw := minuteRun(t)
-	w.sched.workerList = nil
 	next := w.newWorker("w2", 1)
 	next.entry.Address, next.entry.BornUnix = fw.entry.Address, fw.entry.BornUnix+1
 	w.step(WorkerListed{Entry: next.entry})
+	if n := len(w.sched.workers["w1"].runs); n != 1 {
+		t.Errorf("%d runs of a worker whose address another entry has, want 1", n)
+	}
+	w.sched.workerList = nil
+	ref := w.sched.workers["w2"].ref()
+	w.step(ProbeAnswered{Request: model.ProbeRequest{Worker: ref}, SentAt: w.now, Response: model.ProbeResponse{BornUnix: ref.BornUnix}})
 	if n := len(w.sched.workers["w1"].runs); n != 0 {
 		t.Errorf("%d runs of a worker whose address a later one has, want none", n)
 	}
--- a/region/probe.go
+++ b/region/probe.go
@@ -58,7 +58,7 @@
 // arrive in order.
 func (s *Scheduler) probe(w *worker, after time.Duration) {
 	w.probeHeldAt = 0
-	if w.probing || !s.leading() || w.incarnation.Address == "" || !w.isActive() && w.settled() {
+	if w.probing || !s.leading() || w.incarnation.Address == "" || w.needsNoProbe() {
 		return
 	}
 	request := model.ProbeRequest{Worker: w.ref(), Fence: s.fenceOf(w)}
@@ -86,6 +86,10 @@
 	if !known {
 		return
 	}
+	if ev.Verify {
+		s.verifyAnswered(w, ev)
+		return
+	}
 	w.probing = false
 	if ev.Request.Worker.BornUnix != w.incarnation.BornUnix {
 		s.probe(w, 0)
@@ -152,16 +156,19 @@
 // answered in its place. If it was the newest known one, the worker gets no work until the host
 // list has an entry of the new incarnation, which may differ in kind or size.
 func (s *Scheduler) otherIncarnation(w *worker, called model.WorkerRef) {
-	s.incarnationEnded(s.losses.byWorker[w.entry.ID], func(l *loss) bool { return l.ref.BornUnix <= called.BornUnix })
+	// Not those on earlier ones or elsewhere: the called one may be of an entry that names no worker.
+	s.incarnationEnded(s.losses.byWorker[w.entry.ID], func(l *loss) bool { return l.ref == called })
 	if called.BornUnix < w.incarnation.BornUnix {
 		s.endRuns(w, func(r *run) bool { return r.ref.BornUnix <= called.BornUnix })
 		return
 	}
+	w.succeeds = false
 	if !w.fenced && !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != phaseLateStart }) {
-		return // known already
+		s.noteReplaced(w) // its end is known already
+		return
 	}
 	s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
-	s.endIncarnation(w)
+	s.incarnationReplaced(w)
 }
 
 // probePause returns the pause before the next probe of a worker.
@@ -191,8 +198,10 @@
 	}
 	w.probedAt = max(w.probedAt, ev.SentAt)
 	w.silent = false
+	s.knownAnswered(w, ev.SentAt)
 	s.inheritedReached(w)
 	s.workerAnswered(w.ref())
+	s.endPredecessors(w)
 	w.endsListed = len(ev.Response.Ended)
 	w.ends.acked = max(w.ends.acked, ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
--- a/region/standby.go
+++ b/region/standby.go
@@ -42,9 +42,13 @@
 	return len(w.runs) > 0 || len(w.pendingCalls) > 0 || w.strays > 0 || w.ends.highest > w.ends.acked
 }
 
-// settled reports whether a worker can be left without probes: it has no work, and if an earlier
-// leader has used it, it has shown that to this one.
-func (w *worker) settled() bool { return !w.hasWork() && !w.unread }
+// settled reports whether a worker can be left without probes: it has no work, if an earlier
+// leader has used it, it has shown that to this one, and it is not awaited after a crash.
+func (w *worker) settled() bool { return !w.hasWork() && !w.unread && !w.succeeds }
+
+// needsNoProbe reports whether a settled worker is left without probes: it is on standby, or
+// another one has answered in its place. The next entry ends the latter.
+func (w *worker) needsNoProbe() bool { return w.settled() && (!w.isActive() || w.replaced) }
 
 // wanted reports whether a step counts on the worker.
 func (w *worker) wanted() bool {
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 // a worker restarts after a delay, with a new clock, new numbers of ends and possibly
 // another capacity, and the host list shows the new incarnation even later.
 type strict struct {
+	foreignEntries     *rand.Rand                       // other writers write entries at random; nil for none
 	lateCallsReachNext bool                             // late calls may reach a later incarnation than the one they were sent to
 	doneTasks          map[model.TaskID]bool            // has ended as done, recorded or not
 	cancelled          map[string]bool                  // jobs whose cancellation a scheduler has received
@@ -136,7 +138,14 @@
 	reply := func(after time.Duration, e CallError) { w.answer(generation, after, func() Event { return event(e) }) }
 	w.after(after, func() {
 		fw := w.workers[ref.ID]
+		if fw == nil {
+			w.callForeign(generation, name, 0, ref, event)
+			return
+		}
 		switch {
+		case ref.Address != fw.entry.Address && w.answersAt(ref.Address):
+			reply(2*testDelay, CallOtherIncarnation)
+			return
 		case ref.Address != fw.entry.Address:
 			reply(testDelay, CallNotSent)
 			return
@@ -296,6 +305,7 @@
 			w.cancelStrict(jobs[len(jobs)-1-w.rng.IntN(10)])
 		}
 		injectFault(w, 40, crashWithDowntime)
+		w.writeForeignEntry()
 	}
 	faultFree = true
 	w.mustEnd(jobs)
--- a/region/suspicion.go
+++ b/region/suspicion.go
@@ -117,6 +117,13 @@
 	}
 }
 
+// hasBefore reports whether there are losses on earlier incarnations of the worker, or on earlier
+// workers at its address.
+func (b *lossTable) hasBefore(ref model.WorkerRef) bool {
+	earlier := func(l *loss) bool { return l.ref.BornUnix < ref.BornUnix }
+	return slices.ContainsFunc(b.byWorker[ref.ID], earlier) || slices.ContainsFunc(b.byAddress[ref.Address], earlier)
+}
+
 func (b *lossTable) remove(l *loss) {
 	removeLoss(b.byWorker, l.ref.ID, l)
 	removeLoss(b.byAddress, l.ref.Address, l)
--- a/region/worker.go
+++ b/region/worker.go
@@ -59,6 +59,7 @@
 	keptFreeFor               *step           // step whose isolated tasks it is kept free for
 	wasKeptFreeFor            *step           // the same in the previous pass
 	claimed                   model.Resources // room for which steps request tickets in this pass
+	verification
 }
 
 func (w *worker) ref() model.WorkerRef { return w.incarnation }
@@ -162,18 +163,28 @@
 }
 
 func (s *Scheduler) workerListed(e model.WorkerEntry) {
-	s.endEarlierWorkerAt(e)
-	w, known := s.workers[e.ID]
-	inUse := known && w.hasWork()
-	w = s.workerNamed(e.ID)
+	w := s.workerNamed(e.ID)
 	if w.outdated(e) {
 		s.explain("", "entry of an earlier life passed over", Field{"worker", e.ID}, Field{"born", e.BornUnix}, Field{"known", w.incarnation.BornUnix})
 		return
 	}
+	if w.mustVerify(e) {
+		w.unverified = &unverifiedEntry{entry: e, readAt: s.now}
+		s.verify(w, 0)
+		return
+	}
+	s.applyEntry(w, e)
+}
+
+// applyEntry applies an entry of the host list. Where the worker has work, it is of the known
+// incarnation, or of another one that has replaced it (mustVerify).
+func (s *Scheduler) applyEntry(w *worker, e model.WorkerEntry) {
+	inUse := w.hasWork()
 	if w.incarnation.BornUnix != e.BornUnix && w.incarnation.BornUnix != 0 {
 		s.explain("", "worker has a new life", Field{"worker", e.ID}, Field{"runs_lost", len(w.runs)})
 		s.endIncarnation(w)
 	}
+	w.unverified, w.replaced = nil, false
 	if w.listed && e.Draining && !w.entry.Draining {
 		s.explain("", "worker drains", Field{"worker", e.ID}, Field{"runs", len(w.runs)})
 	}
@@ -181,12 +192,12 @@
 		s.explain("", "worker listed", Field{"worker", e.ID}, Field{"zone", e.Zone}, Field{"milli_cpu", e.Capacity.MilliCPU})
 	}
 	w.entry = e
-	s.setIncarnation(w, model.WorkerRef{ID: e.ID, Address: e.Address, BornUnix: e.BornUnix})
+	s.setIncarnation(w, refOf(e))
 	w.listed = true
 	s.endEarlierRuns(w)
-	s.showCrashesBefore(e)
 	s.joinRack(w, inUse)
 	s.dirty = true
+	s.askPredecessors(w)
 	s.probe(w, 0)
 }
 
@@ -205,28 +216,6 @@
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.ref.BornUnix > e.BornUnix })
 }
 
-// endEarlierWorkerAt ends the runs of a worker that had the entry's address before: the new
-// process has no runs of the old one, whatever its id.
-func (s *Scheduler) endEarlierWorkerAt(e model.WorkerEntry) {
-	for _, w := range s.byAddress[""] {
-		if len(w.runs) > 0 && w.entry.ID != e.ID {
-			s.endRunsAt(w, e)
-		}
-	}
-	for _, w := range slices.Clone(s.byAddress[e.Address]) {
-		if w.entry.ID != e.ID && w.incarnation.BornUnix < e.BornUnix {
-			s.endIncarnation(w)
-			s.unlist(w)
-		}
-	}
-}
-
-// endRunsAt ends the inherited runs of a worker without a known address whose own addresses now
-// have a later worker.
-func (s *Scheduler) endRunsAt(w *worker, e model.WorkerEntry) {
-	s.endRuns(w, func(r *run) bool { return r.ref.Address == e.Address && r.ref.BornUnix < e.BornUnix })
-}
-
 // endRuns ends the runs on a worker, for which ended holds, of an incarnation that has ended.
 func (s *Scheduler) endRuns(w *worker, ended func(*run) bool) {
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !ended(r) })
@@ -285,7 +274,11 @@
 
 func (s *Scheduler) workerUnlisted(id string) {
 	w, known := s.workers[id]
-	if !known || !w.listed {
+	if !known {
+		return
+	}
+	w.unverified = nil
+	if !w.listed {
 		return
 	}
 	s.explain("", "worker unlisted", Field{"worker", id}, Field{"runs", len(w.runs)})
@@ -304,7 +297,7 @@
 // hasLeft reports whether nothing is to be done about a worker without an entry in the host list:
 // it has no runs, and every end that it lists is acknowledged, unless it does not answer.
 func (w *worker) hasLeft() bool {
-	return !w.listed && len(w.runs) == 0 && !(w.fenced && !w.probeMissed && w.ends.highest > w.ends.acked)
+	return !w.listed && w.unverified == nil && len(w.runs) == 0 && !(w.fenced && !w.probeMissed && w.ends.highest > w.ends.acked)
 }
 
 // forget removes a worker that has left.
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -68,6 +68,8 @@
 	doneRuns     map[model.TaskID]int32
 	failures     map[model.TaskID]int
 	explanations []string
+	foreign      []model.WorkerEntry // entries of the host list that other writers wrote, under ids of no worker
+	foreignCalls map[string]int      // calls to workers of such entries, by kind
 }
 
 // fakeWorker simulates a worker that follows the call protocol.
@@ -160,8 +162,9 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
-		now:        time.Hour,
-		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int),
+		now:          time.Hour,
+		foreignCalls: make(map[string]int),
+		acceptedAt:   make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
 	w.fails = func(model.TaskID, int32) bool { return false }
@@ -226,6 +229,9 @@
 	for _, id := range w.names {
 		w.deliverListing(w.workers[id])
 	}
+	for _, e := range w.foreign {
+		w.step(WorkerListed{Entry: e})
+	}
 	w.tick(w.generation)
 }
 
@@ -356,6 +362,10 @@
 		return
 	}
 	fw := w.workers[ref.ID]
+	if fw == nil {
+		w.callForeign(generation, name, after, ref, event)
+		return
+	}
 	const timeout = 400 * time.Millisecond
 	if err, failed := fw.connectionError(); failed {
 		delay := 2 * testDelay
@@ -365,7 +375,7 @@
 		w.answer(generation, after+delay, func() Event { return event(err) })
 		return
 	}
-	if fw == nil || fw.unreachable || fw.entry.Address != ref.Address {
+	if fw.unreachable || fw.entry.Address != ref.Address {
 		w.answer(generation, after+timeout, func() Event { return event(CallNoAnswer) })
 		return
 	}
@@ -389,8 +399,6 @@
 // address another worker has.
 func (fw *fakeWorker) connectionError() (err CallError, failed bool) {
 	switch {
-	case fw == nil:
-		return CallOK, false
 	case fw.replaced:
 		return CallOtherIncarnation, true
 	case fw.down && fw.dark:
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -277,7 +277,12 @@
 			}
 			fw.listedEnds = newest
 		}
+		if fw.entry.BornUnix != c.Request.Worker.BornUnix {
+			return CallOtherIncarnation
+		}
 		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
 		return CallOK
-	}, func(e CallError) Event { return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e} })
+	}, func(e CallError) Event {
+		return ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: got, Err: e}
+	})
 }
