--- a/region/repeated_test.go
+++ b/region/repeated_test.go
@@ -244,7 +244,7 @@
 }
 
 func playRepeatsHistories(t *testing.T, logRetention, statusRetention time.Duration) {
-	const histories = 16
+	const histories = 8
 	play := func(seed uint64) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { repeatsHistory(t, seed, logRetention, statusRetention) })
 	}
