region: random histories in which workers leave

20 histories, each with some 20 workers that drain and leave with the answers of their last 200 ms at the most. Workers that have left are not kept in the list of those that leave.

--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -162,3 +162,51 @@
 		})
 	}
 }
+
+// Random histories in which workers leave, each with the answers of its last milliseconds, and others
+// come. No task may run again after it was done.
+func TestHistoriesWithLeavingWorkers(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			leavingHistory(newWorld(t, seed))
+		})
+	}
+}
+
+func leavingHistory(w *world) {
+	for i := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", i), 8)
+	}
+	w.runTime = func(model.TaskID) time.Duration {
+		return 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(5*time.Second)))
+	}
+	w.startLeader()
+	var jobs []string
+	for i := range 400 {
+		w.run(50 * time.Millisecond)
+		if i%4 == 0 {
+			j := randomJob(w, fmt.Sprintf("j%03d", i))
+			w.submit(j)
+			jobs = append(jobs, j.Id)
+		}
+		if i%20 == 0 {
+			w.replaceLeaving(fmt.Sprintf("w%d", 8+i/20))
+		}
+	}
+	w.mustEnd(jobs)
+	if len(w.sched.leaving) > 0 {
+		w.fatal("%d workers that have left are still expected to leave", len(w.sched.leaving))
+	}
+}
+
+// replaceLeaving adds a worker, and lets a random one that stays drain and leave.
+func (w *world) replaceLeaving(id string) {
+	w.addWorker(id, 8)
+	fw := w.workers[w.names[w.rng.IntN(len(w.names))]]
+	if fw.entry.Draining {
+		return
+	}
+	w.drainWorker(fw, time.Duration(w.rng.Int64N(int64(300*time.Millisecond))))
+	w.after(testRemaining-time.Duration(w.rng.Int64N(int64(200*time.Millisecond))), func() { fw.answersLost = true })
+}
