region: runs that outlast a leaving worker are evicted as soon as it drains

Callers got the results of such runs late: the run went on until shortly before its worker left, and what it had not saved was done again. Now those that are not expected to end in time are stopped when the worker's entry is read; the others may end.

TestRunThatOutlastsLeavingWorkerIsEvictedAtOnce fails with either of the other ways. Long-running tasks serve for as long as they can.

--- a/region/evict.go
+++ b/region/evict.go
@@ -53,19 +53,20 @@
 		if w.leavesAt == 0 || s.workers[w.entry.ID] != w {
 			return true
 		}
-		if len(w.runs) > 0 && s.now >= w.leavesAt-lead {
-			s.evict(w)
+		if len(w.runs) > 0 {
+			s.evict(w, s.now >= w.leavesAt-lead)
 		}
 		return false
 	})
 }
 
-// evict stops the runs on a worker. Members of their gangs elsewhere are stopped at once: the gang
-// runs again only when all have ended.
-func (s *Scheduler) evict(w *worker) {
+// evict stops runs on a worker that leaves: all if it is about to, and before that those which are not
+// expected to end in time, so that they are done elsewhere sooner. Members of their gangs elsewhere are
+// stopped at once: the gang runs again only when all have ended.
+func (s *Scheduler) evict(w *worker, all bool) {
 	reported := false
 	for _, r := range w.sortedRuns() {
-		if r.task.run != r || r.phase == phaseStopping || r.phase == phaseLateStart {
+		if r.task.run != r || r.phase == phaseStopping || r.phase == phaseLateStart || !all && !r.outlastsWorker() {
 			continue
 		}
 		if !reported {
@@ -77,3 +78,9 @@
 		s.stopOtherMembers(r.task, r.number)
 	}
 }
+
+// outlastsWorker reports whether the run is expected to end too late for its end to be read before its
+// worker leaves. A long-running task has no end, and serves for as long as it can stay.
+func (r *run) outlastsWorker() bool {
+	return !r.task.step.rec.LongRunning && r.endsAt > r.worker.leavesAt-evictionMargin
+}
--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// Guards against work that is thrown away: a run that is not expected to end before its worker leaves is
+// stopped at once, and one that is goes on.
+func TestRunThatOutlastsLeavingWorkerIsEvictedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		estimate time.Duration
+		evicted  bool
+	}{{testRemaining / 2, false}, {2 * testRemaining, true}} {
+		w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1, EstimateMs: c.estimate.Milliseconds()}), testRemaining/2)
+		w.drainWorker(fw, 0)
+		w.run(testRemaining / 4)
+		if evicted := len(fw.runs) == 0; evicted != c.evicted {
+			t.Errorf("a run that is expected to take %v on a worker that leaves in %v: evicted %v, want %v", c.estimate, testRemaining, evicted, c.evicted)
+		}
+	}
+}
+
 // Guards against a start that is in flight when its runs are evicted: the run must not be there
 // when the worker leaves.
 func TestStartInFlightWhenWorkerIsEvicted(t *testing.T) {
