--- a/host/unlisted_test.go
+++ b/host/unlisted_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
-
-	"github.com/fireflyfold/fireflyfold/platform/fakeplatform"
 )
 
 // Guards against a run that goes on after its job was cancelled: its worker has no entry in the
@@ -14,15 +11,7 @@
 func TestCancelledTaskIsStoppedOnUnlistedWorker(t *testing.T) {
 	f := newTestRegion(t, 0, 1, time.Hour)
 	worker := f.workers[0]
-	var running atomic.Int32
-	worker.Observer = func(e fakeplatform.WorkerEvent) {
-		switch e.What {
-		case fakeplatform.RunStarted:
-			running.Add(1)
-		case fakeplatform.RunDone, fakeplatform.RunAborted:
-			running.Add(-1)
-		}
-	}
+	running := countRuns(worker)
 	f.add("h0")
 	f.add("h1")
 	f.waitUntil("a host leads", func() bool { return f.leader() != nil })
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -97,6 +97,16 @@
 	return worker.Relist
 }}
 
+// workerLeaves lets a worker drain and leave at the time that its entry names, and adds another one.
+var workerLeaves = fault{"worker leaves", func(f *fleet, h, w int) func() {
+	worker := f.worker(w)
+	remaining := time.Duration(1500+500*(h%4)) * time.Millisecond
+	worker.Drain(remaining)
+	<-time.After(remaining)
+	f.replace(worker)
+	return nil
+}}
+
 // lateExecution makes a worker leave calls unanswered and execute them 2 to 5 s later,
 // after newer ones.
 var lateExecution = fault{"worker executes late", func(f *fleet, h, w int) func() {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -95,10 +95,20 @@
 
 // replaceWorker crashes a worker permanently and adds another one.
 func (f *fleet) replaceWorker(i int) {
+	f.replace(f.worker(i))
+}
+
+// replace does the same with the given worker, unless it is gone.
+func (f *fleet) replace(w *worker) {
 	f.mu.Lock()
-	w := f.workers[i%len(f.workers)]
-	f.workers = append(f.workers[:i%len(f.workers)], f.workers[i%len(f.workers)+1:]...)
+	i := slices.Index(f.workers, w)
+	if i >= 0 {
+		f.workers = slices.Delete(f.workers, i, i+1)
+	}
 	f.mu.Unlock()
+	if i < 0 {
+		return
+	}
 	w.Crash()
 	f.addWorker()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// Runs TestSoak with workers that drain and leave as a fifth of all faults. Guards against tasks that are
+// lost, or run twice, because their worker has left.
+func TestSoakWithLeavingWorkers(t *testing.T) {
+	program := buildProgram(t)
+	list := withFifth(faults, workerLeaves)
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, program, list, *firstSeed+i) })
+	}
+}
+
 // Runs TestSoakWithWorkerRestarts with workers that leave calls unanswered and execute them
 // seconds later as another fifth of all faults.
 func TestSoakWithLateExecution(t *testing.T) {
