region: a run that will be evicted before it ends is evicted at once

Callers got results late: a run that was expected to end in the last StopTime + 0.8 s of its leaving worker, but not in the last 0.8 s, was left there until all runs were stopped StopTime + 0.8 s before the worker may leave. What it had not saved by then was lost.

Cause: outlastsWorker compared with another time than the one at which all runs are evicted. Tests have no StopTime, with which the two are the same. Change: one time for both, evictAt.

Tests: TestRunThatOutlastsLeavingWorkerIsEvictedAtOnce with a StopTime fails on the code before ("a run that is expected to take 2.8s on a worker that leaves in 4s, with stops of 900ms: evicted false, want true"). StopTime in the time of the eviction was guarded by no test: without it go test ./region -run 'Evict|Leaving|Leaves|Worker|Histor' passed; TestRunIsEvictedInTimeForItsStop now fails ("1 runs on w1 shortly before it leaves"). go test -race ./region passes.

--- a/region/evict.go
+++ b/region/evict.go
@@ -48,25 +48,29 @@
 // It holds because the worker has no runs by then. The tasks also run elsewhere sooner than after the
 // worker's lease.
 func (s *Scheduler) evictLeaving() {
-	lead := s.opts.StopTime + evictionMargin
 	s.leaving = slices.DeleteFunc(s.leaving, func(w *worker) bool {
 		if w.leavesAt == 0 || s.workers[w.entry.ID] != w {
 			return true
 		}
 		if len(w.runs) > 0 {
-			s.evict(w, s.now >= w.leavesAt-lead)
+			s.evict(w, s.now >= s.evictAt(w))
 		}
 		return false
 	})
 }
 
+// evictAt returns when all runs are stopped on a worker that leaves.
+func (s *Scheduler) evictAt(w *worker) time.Duration {
+	return w.leavesAt - s.opts.StopTime - evictionMargin
+}
+
 // evict stops runs on a worker that leaves: all if it is about to, and before that those which are not
 // expected to end in time, so that they are done elsewhere sooner. Members of their gangs elsewhere are
 // stopped at once: the gang runs again only when all have ended.
 func (s *Scheduler) evict(w *worker, all bool) {
 	reported := false
 	for _, r := range w.sortedRuns() {
-		if r.task.run != r || r.phase == phaseStopping || r.phase == phaseLateStart || !all && !r.outlastsWorker() {
+		if r.task.run != r || r.phase == phaseStopping || r.phase == phaseLateStart || !all && !s.outlastsEviction(r) {
 			continue
 		}
 		if !reported {
@@ -79,8 +83,8 @@
 	}
 }
 
-// outlastsWorker reports whether the run is expected to end too late for its end to be read before its
-// worker leaves. A long-running task has no end, and serves for as long as it can stay.
-func (r *run) outlastsWorker() bool {
-	return !r.task.step.rec.LongRunning && r.endsAt > r.worker.leavesAt-evictionMargin
+// outlastsEviction reports whether the run is not expected to end before all runs on its worker are
+// stopped. A long-running task has no end, and serves for as long as it can stay.
+func (s *Scheduler) outlastsEviction(r *run) bool {
+	return !r.task.step.rec.LongRunning && r.endsAt > s.evictAt(r.worker)
 }
--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -116,19 +116,43 @@
 	}
 }
 
-// Guards against work that is thrown away: a run that is not expected to end before its worker leaves is
-// stopped at once, and one that is goes on.
+// Guards against work that is thrown away: a run that is not expected to end before all runs on its leaving
+// worker are stopped is stopped at once, and one that is goes on.
 func TestRunThatOutlastsLeavingWorkerIsEvictedAtOnce(t *testing.T) {
 	for _, c := range []struct {
-		estimate time.Duration
-		evicted  bool
-	}{{testRemaining / 2, false}, {2 * testRemaining, true}} {
+		estimate, stopTime time.Duration
+		evicted            bool
+	}{
+		{testRemaining / 2, 0, false},
+		{2 * testRemaining, 0, true},
+		{testRemaining - evictionMargin - 400*time.Millisecond, 0, false},
+		{testRemaining - evictionMargin - 400*time.Millisecond, 900 * time.Millisecond, true},
+	} {
 		w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1, EstimateMs: c.estimate.Milliseconds()}), testRemaining/2)
+		w.sched.opts.StopTime = c.stopTime
 		w.drainWorker(fw, 0)
 		w.run(testRemaining / 4)
 		if evicted := len(fw.runs) == 0; evicted != c.evicted {
-			t.Errorf("a run that is expected to take %v on a worker that leaves in %v: evicted %v, want %v", c.estimate, testRemaining, evicted, c.evicted)
+			t.Errorf("a run that is expected to take %v on a worker that leaves in %v, with stops of %v: evicted %v, want %v", c.estimate, testRemaining, c.stopTime, evicted, c.evicted)
+		}
+	}
+}
+
+// Guards against a stop that takes as long as it may: the run must have ended when its worker leaves.
+func TestRunIsEvictedInTimeForItsStop(t *testing.T) {
+	const stopTime = 900 * time.Millisecond
+	w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1}), -time.Minute)
+	w.sched.opts.StopTime = stopTime
+	w.callDelay = func(call string) time.Duration {
+		if call == "stop" {
+			return stopTime
 		}
+		return 0
+	}
+	w.drainWorker(fw, 0)
+	w.run(testRemaining - evictionMargin/2)
+	if len(fw.runs) > 0 {
+		t.Errorf("%d runs on w1 shortly before it leaves, want none", len(fw.runs))
 	}
 }
 
