region: what is left of a run on a leaving worker is told by its progress

Callers got a result late after a change of leaders: a run of 5 s with 0.5 s to go, on a worker that had just begun to drain for 4 s, was stopped and run again from its start (completed 9.8 s after it was handed in, and 5.1 s where it may end).

Cause: endsAt counts a whole run time from when this leader first saw the run, so that inherited runs, and those that resume from a checkpoint, seem to outlast their worker. Change: what is left is the share of the run time that their progress leaves.

Test: TestInheritedRunThatIsNearlyDoneIsNotEvicted fails on the code before ("0 runs on a worker that leaves in 4s, want one that ends in 100 ms").

--- a/region/evict.go
+++ b/region/evict.go
@@ -89,6 +89,14 @@
 
 // outlastsEviction reports whether the run is not expected to end before all runs on its worker are
 // stopped. A long-running task has no end, and serves for as long as it can stay.
+//
+// endsAt counts a whole run time from when this leader first saw the run. One that it has inherited, or
+// that resumes from a checkpoint, has less left by its progress.
 func (s *Scheduler) outlastsEviction(r *run) bool {
-	return !r.task.step.rec.LongRunning && r.endsAt > s.evictAt(r.worker)
+	evictAt := s.evictAt(r.worker)
+	if r.task.step.rec.LongRunning || r.endsAt <= evictAt {
+		return false
+	}
+	left := r.task.step.runTimeOn(r.worker) * time.Duration(100-r.percent) / 100
+	return r.percent == 0 || s.now+left > evictAt
 }
--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -156,6 +156,23 @@
 	}
 }
 
+// Guards against work that is thrown away after a change of leaders: the new one counts the run time of
+// an inherited run from its own first look, and knows by its progress that little is left.
+func TestInheritedRunThatIsNearlyDoneIsNotEvicted(t *testing.T) {
+	const runTime = 5 * time.Second
+	w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1, EstimateMs: runTime.Milliseconds()}), testRemaining-runTime)
+	w.run(runTime - 600*time.Millisecond)
+	w.stopLeader()
+	w.run(50 * time.Millisecond)
+	w.startLeader()
+	w.run(50 * time.Millisecond)
+	w.drainWorker(fw, 0)
+	w.run(400 * time.Millisecond)
+	if len(fw.runs) != 1 {
+		t.Errorf("%d runs on a worker that leaves in %v, want one that ends in 100 ms", len(fw.runs), testRemaining)
+	}
+}
+
 // Guards against ticks that grow with the runs of leaving workers: one that stops nothing sorts no runs.
 func TestTickOfLeavingWorkerAllocatesNothing(t *testing.T) {
 	w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 4, EstimateMs: 100}), testRemaining/2)
