--- a/region/evict.go
+++ b/region/evict.go
@@ -48,39 +48,55 @@
 // It holds because the worker has no runs by then. The tasks also run elsewhere sooner than after the
 // worker's lease.
 func (s *Scheduler) evictLeaving() {
-	lead := s.opts.StopTime + evictionMargin
 	s.leaving = slices.DeleteFunc(s.leaving, func(w *worker) bool {
 		if w.leavesAt == 0 || s.workers[w.entry.ID] != w {
 			return true
 		}
-		if len(w.runs) > 0 {
-			s.evict(w, s.now >= w.leavesAt-lead)
+		if slices.ContainsFunc(w.runs, s.mustEvict) {
+			s.evict(w)
 		}
 		return false
 	})
 }
 
-// evict stops runs on a worker that leaves: all if it is about to, and before that those which are not
-// expected to end in time, so that they are done elsewhere sooner. Members of their gangs elsewhere are
-// stopped at once: the gang runs again only when all have ended.
-func (s *Scheduler) evict(w *worker, all bool) {
-	reported := false
+// evictAt returns when all runs are stopped on a worker that leaves.
+func (s *Scheduler) evictAt(w *worker) time.Duration {
+	return w.leavesAt - s.opts.StopTime - evictionMargin
+}
+
+// mustEvict reports whether a run on a worker that leaves is to be stopped now: at evictAt, or before if
+// it is not expected to end by then, so that it is done elsewhere sooner.
+func (s *Scheduler) mustEvict(r *run) bool {
+	if r.phase == phaseStopping || r.phase == phaseLateStart {
+		return false
+	}
+	return s.now >= s.evictAt(r.worker) || s.outlastsEviction(r)
+}
+
+// evict stops the runs on a worker that mustEvict. Members of their gangs elsewhere are stopped at once:
+// the gang runs again only when all have ended.
+func (s *Scheduler) evict(w *worker) {
+	s.explain("", "runs evicted", Field{"worker", w.entry.ID}, Field{"runs", len(w.runs)}, Field{"leaves_in_ms", (w.leavesAt - s.now).Milliseconds()})
 	for _, r := range w.sortedRuns() {
-		if r.task.run != r || r.phase == phaseStopping || r.phase == phaseLateStart || !all && !r.outlastsWorker() {
+		if r.task.run != r || !s.mustEvict(r) {
 			continue
 		}
-		if !reported {
-			reported = true
-			s.explain("", "runs evicted", Field{"worker", w.entry.ID}, Field{"runs", len(w.runs)}, Field{"leaves_in_ms", (w.leavesAt - s.now).Milliseconds()})
-		}
 		s.emit(Count{Name: "runs_evicted"})
 		s.stopRun(r, "its worker is about to leave")
 		s.stopOtherMembers(r.task, r.number)
 	}
 }
 
-// outlastsWorker reports whether the run is expected to end too late for its end to be read before its
-// worker leaves. A long-running task has no end, and serves for as long as it can stay.
-func (r *run) outlastsWorker() bool {
-	return !r.task.step.rec.LongRunning && r.endsAt > r.worker.leavesAt-evictionMargin
+// outlastsEviction reports whether the run is not expected to end before all runs on its worker are
+// stopped. A long-running task has no end, and serves for as long as it can stay.
+//
+// endsAt counts a whole run time from when this leader first saw the run. One that it has inherited, or
+// that resumes from a checkpoint, has less left by its progress.
+func (s *Scheduler) outlastsEviction(r *run) bool {
+	evictAt := s.evictAt(r.worker)
+	if r.task.step.rec.LongRunning || r.endsAt <= evictAt {
+		return false
+	}
+	left := r.task.step.runTimeOn(r.worker) * time.Duration(100-r.percent) / 100
+	return r.percent == 0 || s.now+left > evictAt
 }
--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -116,19 +116,73 @@
 	}
 }
 
-// Guards against work that is thrown away: a run that is not expected to end before its worker leaves is
-// stopped at once, and one that is goes on.
+// Guards against work that is thrown away: a run that is not expected to end before all runs on its leaving
+// worker are stopped is stopped at once, and one that is goes on.
 func TestRunThatOutlastsLeavingWorkerIsEvictedAtOnce(t *testing.T) {
 	for _, c := range []struct {
-		estimate time.Duration
-		evicted  bool
-	}{{testRemaining / 2, false}, {2 * testRemaining, true}} {
+		estimate, stopTime time.Duration
+		evicted            bool
+	}{
+		{testRemaining / 2, 0, false},
+		{2 * testRemaining, 0, true},
+		{testRemaining - evictionMargin - 400*time.Millisecond, 0, false},
+		{testRemaining - evictionMargin - 400*time.Millisecond, 900 * time.Millisecond, true},
+	} {
 		w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1, EstimateMs: c.estimate.Milliseconds()}), testRemaining/2)
+		w.sched.opts.StopTime = c.stopTime
 		w.drainWorker(fw, 0)
 		w.run(testRemaining / 4)
 		if evicted := len(fw.runs) == 0; evicted != c.evicted {
-			t.Errorf("a run that is expected to take %v on a worker that leaves in %v: evicted %v, want %v", c.estimate, testRemaining, evicted, c.evicted)
+			t.Errorf("a run that is expected to take %v on a worker that leaves in %v, with stops of %v: evicted %v, want %v", c.estimate, testRemaining, c.stopTime, evicted, c.evicted)
+		}
+	}
+}
+
+// Guards against a stop that takes as long as it may: the run must have ended when its worker leaves.
+func TestRunIsEvictedInTimeForItsStop(t *testing.T) {
+	const stopTime = 900 * time.Millisecond
+	w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1}), -time.Minute)
+	w.sched.opts.StopTime = stopTime
+	w.callDelay = func(call string) time.Duration {
+		if call == "stop" {
+			return stopTime
 		}
+		return 0
+	}
+	w.drainWorker(fw, 0)
+	w.run(testRemaining - evictionMargin/2)
+	if len(fw.runs) > 0 {
+		t.Errorf("%d runs on w1 shortly before it leaves, want none", len(fw.runs))
+	}
+}
+
+// Guards against work that is thrown away after a change of leaders: the new one counts the run time of
+// an inherited run from its own first look, and knows by its progress that little is left.
+func TestInheritedRunThatIsNearlyDoneIsNotEvicted(t *testing.T) {
+	const runTime = 5 * time.Second
+	w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 1, EstimateMs: runTime.Milliseconds()}), testRemaining-runTime)
+	w.run(runTime - 600*time.Millisecond)
+	w.stopLeader()
+	w.run(50 * time.Millisecond)
+	w.startLeader()
+	w.run(50 * time.Millisecond)
+	w.drainWorker(fw, 0)
+	w.run(400 * time.Millisecond)
+	if len(fw.runs) != 1 {
+		t.Errorf("%d runs on a worker that leaves in %v, want one that ends in 100 ms", len(fw.runs), testRemaining)
+	}
+}
+
+// Guards against ticks that grow with the runs of leaving workers: one that stops nothing sorts no runs.
+func TestTickOfLeavingWorkerAllocatesNothing(t *testing.T) {
+	w, fw := leavingWorld(t, oneStep("a", &record.Step{Count: 4, EstimateMs: 100}), testRemaining/2)
+	w.drainWorker(fw, 0)
+	w.run(10 * time.Millisecond)
+	if n := testing.AllocsPerRun(100, w.sched.evictLeaving); n > 0 {
+		t.Errorf("%v allocations in a tick, want none", n)
+	}
+	if len(w.sched.leaving) != 1 || len(fw.runs) != 4 {
+		t.Errorf("%d workers leave, with %d runs, want 1 with 4", len(w.sched.leaving), len(fw.runs))
 	}
 }
 
