lifeconn: time-outs of new connections grow, and are remembered

What callers saw: a worker whose dial and handshake take longer than 50 ms is never reached on a new connection, however often it is called, although it answers each handshake. Its probes fail, its lease is not renewed, its runs are given up and started again.

Cause: the three attempts of a call had the same time, 50 ms at least, and the time grew from successes only. Where none comes in time, it never grows.

Evidence: TestFarWorkerIsReachedOnNewConnection (go test ./lifeconn), red on the code as it was: "call 3: not sent" for workers that answer or accept after 70 ms, after 40 and 40 ms, and after 600 ms.

Change: an attempt that times out gives the next one twice its time; a call without an answer in time leaves a back-off of one doubling, two at most, for the next call to the same incarnation, until a handshake of it is answered (as RFC 6298 has it for retransmissions); and an incarnation's own handshakes set its first attempt, at three times their mean. All of it is kept for each incarnation, for as long as an idle connection would be, so that silent and far ones do not make near ones slow. An attempt still has 800 ms at most and a call three of them, 2.4 s, which is within the 3 s that package region counts on. A refused dial stays final, and says nothing about time; nor does a reset.

Before: 150 ms until a silent worker is given up on the floor, never reached after 50 ms. After: 350 ms for the first call, 1.4 s from the third on; reached within one call up to 200 ms, within three up to 800 ms (fake clock, the tests above and TestSilentWorkerIsGivenUpInTime). The price is that a worker that comes back after a long silence is called at pauses of up to 0.8 s instead of 50 ms.

Broken by hand, each red: no growth within a call, concurrent time-outs counted each, no back-off, no own mean, back-off kept after an answer, failures fed into the mean of all, no upper bounds, refused dials repeated, incarnations never forgotten. go test -race -p 2 on lifeconn, platform, leader, host and region green. A first form of TestSilentWorkerIsGivenUpInTime, with eight calls at a time, made the race detector itself fail in some runs ("ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346", also beside the code before); with one at a time, 600 runs were green.

--- a/lifeconn/lifeconn.go
+++ b/lifeconn/lifeconn.go
@@ -17,8 +17,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,20 +25,10 @@
 )
 
 const (
-	// A handshake that is not answered within handshakeTimeoutFactor times the mean is
-	// repeated on another connection, up to handshakeAttempts attempts in all.
-	handshakeTimeoutFactor = 8
-	handshakeAttempts      = 3
-	// minHandshakeTimeout and maxHandshakeTimeout bound that timeout: healthy processes
-	// answer within milliseconds, but over a busy link or with a busy processor all
-	// responses are late.
-	minHandshakeTimeout = 50 * time.Millisecond
-	maxHandshakeTimeout = 800 * time.Millisecond
-	// handshakeMeanWindow is the number of handshakes that the running mean covers.
-	handshakeMeanWindow = 32
 	// maxIdleConns is the number of idle connections kept per incarnation.
 	maxIdleConns = 4
-	// idleTimeout is how long an idle connection is kept.
+	// idleTimeout is how long an idle connection is kept, and what is known of an incarnation
+	// that is not called.
 	idleTimeout = 30 * time.Second
 	// maxUncheckedIdle is how long after its last call a connection is reused without
 	// checking whether the peer has closed it.
@@ -94,19 +82,21 @@
 
 // Pool makes calls and keeps idle connections for reuse. It is safe for concurrent use.
 type Pool struct {
-	dial          linkstats.Dial
-	maxCalls      int          // concurrent calls to one incarnation
-	meanHandshake atomic.Int64 // running mean of dial and handshake in ns; of two concurrent updates, one may be lost
+	dial     linkstats.Dial
+	maxCalls int // concurrent calls to one incarnation
 
-	mu      sync.Mutex
-	conns   map[Incarnation]*connSet
-	sweptAt time.Time
+	mu            sync.Mutex
+	meanHandshake time.Duration // running mean of dial and handshake, over all incarnations
+	conns         map[Incarnation]*connSet
+	sweptAt       time.Time
 }
 
 // connSet holds the connections to one incarnation.
 type connSet struct {
-	idle     []*persistConn // least recently used first
-	inFlight int
+	idle       []*persistConn // least recently used first
+	inFlight   int
+	usedAt     time.Time // end of the newest call
+	handshakes handshakeEstimate
 }
 
 // NewPool returns a pool that opens connections with dial and makes at most maxCalls
@@ -198,21 +188,19 @@
 		p.conns[inc] = set
 	}
 	set.inFlight--
+	set.usedAt = time.Now()
 	switch {
 	case l == nil:
 	case len(set.idle) >= maxIdleConns:
 		_ = l.conn.Close() // unused
 	default:
-		l.usedAt = time.Now()
+		l.usedAt = set.usedAt
 		set.idle = append(set.idle, l)
 	}
-	if set.inFlight == 0 && len(set.idle) == 0 {
-		delete(p.conns, inc)
-	}
 }
 
-// sweep closes connections that have been idle for longer than idleTimeout. The caller
-// holds p.mu.
+// sweep closes connections that have been idle for longer than idleTimeout, and forgets
+// incarnations that were not called for as long. The caller holds p.mu.
 func (p *Pool) sweep() {
 	if time.Since(p.sweptAt) < sweepInterval {
 		return
@@ -223,7 +211,7 @@
 			_ = set.idle[0].conn.Close() // unused
 			set.idle = set.idle[1:]
 		}
-		if set.inFlight == 0 && len(set.idle) == 0 {
+		if set.inFlight == 0 && len(set.idle) == 0 && time.Since(set.usedAt) > idleTimeout {
 			delete(p.conns, inc)
 		}
 	}
@@ -243,50 +231,3 @@
 		}
 	}
 }
-
-// connect opens a connection, completes the handshake on it and returns its response. A
-// handshake that leaves the incarnation undetermined is repeated on another connection.
-func (p *Pool) connect(ctx context.Context, inc Incarnation, hs Handshake) (*persistConn, Response, error) {
-	var (
-		l    *persistConn
-		resp Response
-		err  error
-	)
-	for range handshakeAttempts {
-		l, resp, err = p.connectOnce(ctx, inc, hs)
-		if err == nil || !errors.Is(err, ErrUnverified) || errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil {
-			break
-		}
-	}
-	return l, resp, err
-}
-
-func (p *Pool) connectOnce(ctx context.Context, inc Incarnation, hs Handshake) (*persistConn, Response, error) {
-	start := time.Now()
-	timeout := min(max(minHandshakeTimeout, handshakeTimeoutFactor*time.Duration(p.meanHandshake.Load())), maxHandshakeTimeout)
-	dialCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := p.dial(dialCtx, "tcp", inc.Address)
-	if err != nil {
-		return nil, Response{}, errors.Mark(err, ErrUnverified)
-	}
-	l := newPersistConn(conn)
-	resp, err := l.exchange(ctx, start.Add(timeout), hs.Call)
-	switch {
-	case err != nil:
-		err = errors.Mark(err, ErrUnverified)
-	default:
-		if err = hs.Check(resp); err == nil && resp.closeConn {
-			err = errors.Mark(errNotReusable, ErrUnverified)
-		}
-	}
-	if err != nil {
-		_ = conn.Close() // the handshake's error is returned
-		return nil, Response{}, err
-	}
-	mean := time.Duration(p.meanHandshake.Load())
-	p.meanHandshake.Store(int64(mean + (time.Since(start)-mean)/handshakeMeanWindow))
-	return l, resp, nil
-}
-
-var errNotReusable = errors.New("the peer closes the connection after one call")
