platform, region: ends listed by a handshake are read if its probe is not answered

What callers saw: a worker that lists an end in the answer to the handshake of a new connection, and exits before it answers the probe, never lists it again. Its run counts as lost with the lease, and a task that was done runs again.

Cause: of the answer to a handshake, only the birth was read.

An end is a fact of the incarnation that lists it, and Check has compared its birth.

The simulated workers filled the response of a probe also where its answer was lost; nothing read it. They do not any more.

--- a/lifeconn/lifeconn.go
+++ b/lifeconn/lifeconn.go
@@ -106,19 +106,25 @@
 }
 
 // Do makes a call. A *NotSentError means that the call was not and will not be executed;
-// after any other error it may have been executed, or may still be.
+// after any other error it may have been executed, or may still be. With such an error, the
+// response is that of the handshake if a connection was opened for the call.
 func (p *Pool) Do(ctx context.Context, inc Incarnation, c Call, hs Handshake) (Response, error) {
 	l, err := p.acquire(inc)
 	if err != nil {
 		return Response{}, &NotSentError{Cause: err}
 	}
+	var handshake Response
 	if l == nil {
-		if l, _, err = p.connect(ctx, inc, hs); err != nil {
+		if l, handshake, err = p.connect(ctx, inc, hs); err != nil {
 			p.release(inc, nil)
 			return Response{}, &NotSentError{Cause: err}
 		}
 	}
-	return p.callOn(ctx, inc, l, c)
+	resp, err := p.callOn(ctx, inc, l, c)
+	if err != nil {
+		return handshake, err
+	}
+	return resp, nil
 }
 
 // DoHandshake makes the handshake call for its response: on an idle connection if there is
--- a/region/event.go
+++ b/region/event.go
@@ -57,7 +57,8 @@
 		SentAt time.Duration
 	}
 
-	// ProbeAnswered is the answer to a Probe that was sent at SentAt.
+	// ProbeAnswered is the answer to a Probe that was sent at SentAt. If it was not answered, the
+	// response has at most the ends that the handshake of its connection listed.
 	ProbeAnswered struct {
 		Request  model.ProbeRequest
 		Verify   bool // as in the Probe
--- a/region/leaders_test.go
+++ b/region/leaders_test.go
@@ -490,7 +490,12 @@
 			reply(CallOK)
 		}
 		list()
-	}, func(e CallError) Event { return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e} })
+	}, func(e CallError) Event {
+		if e != CallOK {
+			got = model.ProbeResponse{}
+		}
+		return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e}
+	})
 	w.after(c.After, func() { f.when(generation, true, func() { sent = w.now }) })
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -110,6 +110,9 @@
 		s.probeAgain(w, probeRetry)
 		return
 	default:
+		// Ends that the handshake listed are facts, whatever became of the probe. Whether it renewed
+		// leases and acknowledged ends is not known, nor is what runs.
+		s.readEnds(w, ev.Response.Ended)
 		w.probeMissed = true
 		w.unansweredAt = ev.SentAt
 		w.lossyUntil = s.now + lossyWindow
@@ -206,11 +209,7 @@
 	s.endPredecessors(w)
 	w.endsListed = len(ev.Response.Ended)
 	w.ends.acknowledged(ev.Request.AckedUpTo)
-	for _, e := range ev.Response.Ended {
-		if s.readEnd(w, e) {
-			newEnds++
-		}
-	}
+	newEnds = s.readEnds(w, ev.Response.Ended)
 	w.strays, w.unread = 0, false
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
 	for _, row := range ev.Response.Running {
@@ -224,6 +223,16 @@
 	return newEnds
 }
 
+// readEnds applies listed ends and returns how many were not known.
+func (s *Scheduler) readEnds(w *worker, ends []model.End) (newEnds int) {
+	for _, e := range ends {
+		if s.readEnd(w, e) {
+			newEnds++
+		}
+	}
+	return newEnds
+}
+
 // readEnd applies a listed end and reports whether it is applied now for the first time.
 func (s *Scheduler) readEnd(w *worker, e model.End) bool {
 	ends := w.ends
--- a/region/probe_test.go
+++ b/region/probe_test.go
@@ -56,3 +56,25 @@
 		t.Errorf("a task was started %d times, its lease was not renewed", n)
 	}
 }
+
+// Guards against a task that runs again after it was done: its worker lists the end in the answer to
+// the handshake of a new connection, and dies before it answers the probe.
+func TestEndListedByHandshakeIsRead(t *testing.T) {
+	w := mixedWorld(t, 2)
+	w.runTime = func(model.TaskID) time.Duration { return 60 * time.Millisecond }
+	w.submitTo(urgentJob("u1"), "urgent")
+	var on *fakeWorker
+	for on == nil {
+		w.run(time.Millisecond)
+		for _, fw := range w.workers {
+			if fw.nextEnd > 0 {
+				on = fw
+			}
+		}
+	}
+	on.handshakes = true
+	w.run(time.Second)
+	on.unreachable = true
+	w.run(20 * time.Second)
+	w.mustRunOnce("u1")
+}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -90,6 +90,7 @@
 	voidEnds     int   // how many ends at the front of ends a lease expiry has made void
 	unreachable  bool
 	answersLost  bool               // calls are executed, and their answers are lost
+	handshakes   bool               // it answers handshakes, and executes no probe
 	answerDelay  time.Duration      // how long the leader waits for an answer beyond the usual time
 	hangs        bool               // tasks start but make no progress
 	slowdown     time.Duration      // factor by which tasks take longer; 0 for 1
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -264,11 +264,18 @@
 		return
 	}
 	sent := w.now + c.After
-	var got model.ProbeResponse
+	var (
+		got       model.ProbeResponse
+		handshake bool // got is what the handshake listed
+	)
 	w.call(generation, "hold", c.After, c.Request.Worker, func(fw *fakeWorker) CallError {
 		if c.Request.Fence < fw.fence {
 			return CallFenced
 		}
+		if fw.handshakes {
+			got, handshake = model.ProbeResponse{Ended: append([]model.End(nil), fw.ends...)}, true
+			return CallNoAnswer
+		}
 		fw.fence = c.Request.Fence
 		w.probes[fw.entry.ID]++
 		w.expireLease(fw)
@@ -298,6 +305,9 @@
 		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
 		return CallOK
 	}, func(e CallError) Event {
+		if e != CallOK && !handshake {
+			got = model.ProbeResponse{}
+		}
 		return ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: got, Err: e}
 	})
 }
