platform: ends beside a row that cannot be read are taken

What callers would see: one row that cannot be read in the answer of a worker, and all its ends go unread for as long as it is listed; its runs count as lost with the lease, and what was done runs again.

Cause: decodeProbe dropped the whole answer.

Change: the ends that can be read are returned with the error, if the birth is that of the incarnation called, and are read as those of a handshake are. The answer stays an error, so that an end that was skipped is not acknowledged by a higher number: acknowledgements follow only an answer that was read in full, and the lowest unacknowledged ends are in every list. A worker whose answers stay malformed gets no renewals, as before; counter malformed_probe_answers.

--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -130,6 +130,9 @@
 	sent := boottime.Now()
 	response, err := d.leader.cfg.Client.Probe(d.ctx, d.leader.callTimeout.timeout(minProbeTimeout, maxCallTimeout), c.Request)
 	d.observeCall(sent, c.Request.Wait, err)
+	if platform.IsMalformed(err) {
+		d.count(region.Count{Name: "malformed_probe_answers"})
+	}
 	d.leader.push(d.ctx, region.ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: response, Err: callError(platform.Receipt{Err: err}, nil)})
 }
 
--- a/leader/dispatch_test.go
+++ b/leader/dispatch_test.go
@@ -1,9 +1,17 @@
 package leader
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/platform"
 	"github.com/fireflyfold/fireflyfold/region"
 )
@@ -30,3 +38,42 @@
 		}
 	}
 }
+
+// Guards against ends that are never read because another row of the answer cannot be, and against
+// such answers that nobody notices. An end of another incarnation is not read.
+func TestEndsOfMalformedProbeAnswerReachTheScheduler(t *testing.T) {
+	const ended = `"running":[["x",1]],"ended":[[8,"5c0e7a21d94b36f8.0.1.8",1,"done",""]]}`
+	for name, c := range map[string]struct {
+		body string
+		ends int
+	}{
+		"of the incarnation called": {`{"clockMs":1,"born":3,` + ended, 1},
+		"of another incarnation":    {`{"clockMs":1,"born":4,` + ended, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				body := c.body
+				if calls.Add(1) == 1 {
+					body = `{"clockMs":1,"born":3}` // to the handshake
+				}
+				_, _ = w.Write([]byte(body)) // fails only if the caller has disconnected
+			}))
+			defer server.Close()
+			client := platform.NewClient(platform.Addresses{}, 4, nil)
+			defer client.CloseIdle()
+			metrics := tally.NewTestScope("", nil)
+			l := New(Config{Client: client, Log: logrus.NewEntry(logrus.New()), Metrics: metrics})
+			d := &dispatcher{leader: l, ctx: context.Background()}
+			ref := model.WorkerRef{ID: "i-1", Address: server.Listener.Addr().String(), BornUnix: 3}
+			d.probe(region.Probe{Request: model.ProbeRequest{Worker: ref, Fence: 1, Wait: time.Second}})
+			ev, ok := (<-l.events.Items()).(region.ProbeAnswered)
+			if !ok || ev.Err != region.CallNoAnswer || len(ev.Response.Ended) != c.ends || len(ev.Response.Running) > 0 {
+				t.Errorf("%+v, want %d ends and no answer", ev, c.ends)
+			}
+			if n := metrics.Snapshot().Counters()["malformed_probe_answers+"]; n == nil || n.Value() != 1 {
+				t.Errorf("malformed_probe_answers is %v, want 1", n)
+			}
+		})
+	}
+}
