--- a/lifeconn/connect.go
+++ b/lifeconn/connect.go
@@ -11,7 +11,8 @@
 
 const (
 	// A connection is opened with up to handshakeAttempts attempts. Each that times out gives
-	// the next one twice its time.
+	// the next one twice its time. Their sum bounds how long after Do a call may be sent, which
+	// callers count on.
 	handshakeAttempts = 3
 	// The first attempt has handshakeTimeoutFactor times the mean of all incarnations, and at
 	// least ownTimeoutFactor times that of its own (RFC 6298 allows a first sample as much).
