region: stops of evicted runs are paced

At most 16 stops are sent to a worker at a tick.

TestEvictionIsPaced fails without the bound (100 runs stopped within a tick).

--- a/region/evict.go
+++ b/region/evict.go
@@ -9,6 +9,10 @@
 // answer is sent again after its time-out and stopRetry, and the ends wait for the next probe.
 const evictionMargin = 800 * time.Millisecond
 
+// maxEvictionsPerTick bounds the stops that are sent to one worker at a time: the pool of connections
+// refuses more calls than it has for one worker, and probes need some of them.
+const maxEvictionsPerTick = 16
+
 // noteDeparture notes from when on a worker may leave, as its newest entry says. Entries may be read
 // late, and then tell a time that is too late, so that the earliest one counts.
 func (s *Scheduler) noteDeparture(w *worker) {
@@ -76,15 +80,20 @@
 // evict stops the runs on a worker that mustEvict. Members of their gangs elsewhere are stopped at once:
 // the gang runs again only when all have ended.
 func (s *Scheduler) evict(w *worker) {
-	s.explain("", "runs evicted", Field{"worker", w.entry.ID}, Field{"runs", len(w.runs)}, Field{"leaves_in_ms", (w.leavesAt - s.now).Milliseconds()})
+	evicted := 0
 	for _, r := range w.sortedRuns() {
+		if evicted == maxEvictionsPerTick {
+			break
+		}
 		if r.task.run != r || !s.mustEvict(r) {
 			continue
 		}
+		evicted++
 		s.emit(Count{Name: "runs_evicted"})
-		s.stopRun(r, "its worker is about to leave")
+		s.stopRun(r, "its worker leaves")
 		s.stopOtherMembers(r.task, r.number)
 	}
+	s.explain("", "runs evicted", Field{"worker", w.entry.ID}, Field{"runs", evicted}, Field{"leaves_in_ms", (w.leavesAt - s.now).Milliseconds()})
 }
 
 // outlastsEviction reports whether the run is not expected to end before all runs on its worker are
--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -280,3 +280,28 @@
 	w.drainWorker(fw, time.Duration(w.rng.Int64N(int64(300*time.Millisecond))))
 	w.after(testRemaining-time.Duration(w.rng.Int64N(int64(200*time.Millisecond))), func() { fw.answersLost = true })
 }
+
+// Guards against stops that are refused because more calls are made to one worker at a time than the pool
+// of connections allows.
+func TestEvictionIsPaced(t *testing.T) {
+	const runs = 100
+	w := newWorld(t, 1)
+	w.runTime = func(model.TaskID) time.Duration { return time.Minute }
+	fw := w.addWorker("w1", runs)
+	w.startLeader()
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("a", &record.Step{Count: runs, EstimateMs: time.Minute.Milliseconds()}))
+	w.run(time.Second)
+	stopped := func() int { return runs - len(fw.runs) }
+	w.drainWorker(fw, 0)
+	for before := 0; before < runs; {
+		w.run(20 * time.Millisecond)
+		if n := stopped() - before; n > maxEvictionsPerTick {
+			t.Fatalf("%d runs stopped within a tick, want at most %d", n, maxEvictionsPerTick)
+		}
+		before = stopped()
+		if w.now > time.Hour+testRemaining {
+			t.Fatalf("%d of %d runs stopped in time", before, runs)
+		}
+	}
+}
