region: the deferred end of a run on a leaving worker is kept

Callers would see a task run again 22 s after it was done: two starts of it had got no answer, so that its end as done, which the leader had read for 2.4 s, was deferred and went with its worker (found by the review of the eviction).

Ends are deferred because a call without an answer may be executed by the worker's next incarnation, which has not seen our fencing token. A worker that leaves as announced has none, or only under the same id within 13 s, by a call that outlives its connection. From the eviction on, an end as done is therefore kept; all other ends are deferred as before.

TestDeferredEndOfLeavingWorker (the reviewer's, unchanged) fails without it: "started again after it was done" at 25.99 s.

--- a/region/end.go
+++ b/region/end.go
@@ -81,7 +81,7 @@
 			s.learn(r, e.Outcome)
 		}
 		r.calls.runListed()
-		if s.mayStartLate(r) {
+		if s.mayStartLate(r) && !s.keepsEndOf(r, e) {
 			s.deferEnd(r)
 			return false
 		}
--- a/region/evict.go
+++ b/region/evict.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
 )
 
 // evictionMargin is how long before a worker leaves its runs must have stopped: a stop without an
@@ -96,6 +98,14 @@
 	s.explain("", "runs evicted", Field{"worker", w.entry.ID}, Field{"runs", evicted}, Field{"leaves_in_ms", (w.leavesAt - s.now).Milliseconds()})
 }
 
+// keepsEndOf reports whether the task of a run whose end a worker lists as final is done, although a start
+// call of the run may still be executed: the worker leaves for good, with the end, and only a later
+// incarnation under its id could execute the call.
+func (s *Scheduler) keepsEndOf(r *run, e model.End) bool {
+	w := r.worker
+	return w.leavesAt > 0 && s.now >= s.evictAt(w) && r.task.isFinal(e.Outcome)
+}
+
 // outlastsEviction reports whether the run is not expected to end before all runs on its worker are
 // stopped. A long-running task has no end, and serves for as long as it can stay.
 //
--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -281,6 +281,29 @@
 	w.after(testRemaining-time.Duration(w.rng.Int64N(int64(200*time.Millisecond))), func() { fw.answersLost = true })
 }
 
+// Guards against a task that runs again after it was done: its end is deferred, as two start calls got no
+// answer, and goes with the worker that leaves.
+func TestDeferredEndOfLeavingWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(model.TaskID) time.Duration { return 400 * time.Millisecond }
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(100 * time.Millisecond)
+	w.callDelay = func(call string) time.Duration {
+		if call == "start" {
+			return 1300 * time.Millisecond
+		}
+		return 0
+	}
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(2500 * time.Millisecond)
+	w.callDelay = func(string) time.Duration { return 0 }
+	w.addWorker("w2", 8)
+	w.drainWorker(fw, 0)
+	w.run(40 * time.Second)
+	w.mustComplete("a")
+}
+
 // Guards against stops that are refused because more calls are made to one worker at a time than the pool
 // of connections allows.
 func TestEvictionIsPaced(t *testing.T) {
