region: a ticket binds a start only once its incarnation has answered

What callers saw: a task of a queue with advice ran twice at once, after its worker had come back under its id.

19024 probe of life 1 of w7, answered 19750 w7 crashes, life 2 begins, and is listed; w7 is cut off, its entry waits 20036 tickets for w7 are issued: life 2 is up. j360 is assigned to life 1 20042 its starts, naming life 1, are executed by life 2, and answered 20040 a ticket for j363 on w7 is issued, for life 2 20044 j363 is assigned, its start names life 1 20050 its start is executed by life 2, and answered 20302 life 2 answers as itself 20304 w7 has a new life: run lost, not kept (startedUnverified left advice out) 20350 run 2 starts on w3, run 1 goes on in life 2

Hypotheses. 1: life 2 executed a start with a ticket issued while it was up. Confirmed: the ticket for j363 was issued at 20040. 2: life 2 accepted a ticket of life 1. Refuted: the model clears them, and the only ticket for j363 on w7 after the crash is of 20040. 3: the verification itself ended a run of the incarnation that answered. Refuted: the run is of a start that names life 1.

Cause: "a ticket is valid in one incarnation only" is true of the incarnation that is up when the ticket is issued. Advice names workers by id alone, so this need not be the one that the leader knows. bound() took it for that one.

Now a ticket counts as bound to the run's incarnation only once that has answered a probe sent after the ticket was issued (the answer's time is kept with it), or once the run or its end has been listed: whoever executed it accepts the ticket, and nobody else does. That costs no call and no record. step.bound() is gone.

A gang that is done shows the same of each member. The path check saves a wait and guards no promise; it would cost each urgent task with advice a round trip. A successor needs no record of calls: it keeps an inherited run with advice when another incarnation is verified, and that one's first answer tells.

Green, so not proved by a test of its own: that the answer is of the run's own incarnation (ticketBound), as the answer of another settles the run as well.

--- a/region/advice.go
+++ b/region/advice.go
@@ -40,6 +40,7 @@
 	worker   *worker // nil without an answer
 	eligible bool
 	ticket   string
+	issuedBy time.Duration // the ticket was issued before this time
 	until    time.Duration
 }
 
@@ -357,7 +358,7 @@
 				eligible++
 			}
 		}
-		m := adviceMark{worker: w, eligible: good, ticket: ticket}
+		m := adviceMark{worker: w, eligible: good, ticket: ticket, issuedBy: ev.At}
 		if good {
 			m.until = until
 		}
--- a/region/end.go
+++ b/region/end.go
@@ -80,6 +80,7 @@
 		if !r.idle { // else learned when its end was deferred
 			s.learn(r, e.Outcome)
 		}
+		r.listed = true
 		r.calls.runListed()
 		if s.mayStartLate(r) {
 			s.deferEnd(r)
--- a/region/late_start.go
+++ b/region/late_start.go
@@ -8,14 +8,16 @@
 	"github.com/fireflyfold/fireflyfold/record"
 )
 
-// bound reports whether the step's starts are bound to one incarnation of their worker, or
-// may be executed more than once: a ticket is valid in one incarnation only, and copies of
-// speculative tasks may run at the same time.
-func (st *step) bound() bool { return st.needsAdvice() || st.rec.Speculative }
+// defersEnds reports whether the end of a run of the step may have to wait for another start
+// call of it. Copies of speculative tasks may run at the same time. An incarnation that has
+// executed a start with a ticket is the only one that accepts the ticket.
+func (st *step) defersEnds() bool { return !st.needsAdvice() && !st.rec.Speculative }
 
 // unsettled reports whether a start call of the run is not known to have been executed or
-// refused.
-func (r *run) unsettled() bool { return !r.task.step.bound() && r.calls.unsettled() }
+// refused, and may be executed by another incarnation than the one that it names.
+func (r *run) unsettled() bool {
+	return !r.task.step.rec.Speculative && !r.ticketBound() && r.calls.unsettled()
+}
 
 // mayStartLate reports whether a start call of the run may still be executed, in this
 // incarnation of its worker or a later one.
@@ -91,12 +93,12 @@
 // lateStartRoom returns how many tasks of the step a worker has room for if its next
 // incarnation executes all starts that may be late.
 func (s *Scheduler) lateStartRoom(st *step, w *worker) int {
-	if w.idleRuns == 0 || st.bound() {
+	if w.idleRuns == 0 || st.rec.Speculative {
 		return len(st.tasks) // all such starts are within the room in use
 	}
 	left := w.entry.Capacity
 	for _, r := range w.runs {
-		if r.unsettled() || r.phase == phaseLogging && !r.task.step.bound() {
+		if r.unsettled() || r.startedUnseen() || r.phase == phaseLogging && !r.task.step.rec.Speculative {
 			left = left.Sub(r.demand)
 		}
 	}
@@ -152,7 +154,7 @@
 // knows how many calls may be open. A call that was not executed leaves its record to the
 // next one.
 func (s *Scheduler) sendRecorded(r *run, after time.Duration) {
-	if r.task.step.bound() || r.calls.logged > r.calls.unanswered {
+	if !r.task.step.defersEnds() || r.calls.logged > r.calls.unanswered {
 		s.sendStart(r, after)
 		return
 	}
@@ -164,7 +166,7 @@
 // recordSettled records that no start call of the run can be executed any more: a new
 // leader need not wait for one.
 func (s *Scheduler) recordSettled(r *run) {
-	if r.calls.recorded || r.task.step.bound() || r.unsettled() {
+	if r.calls.recorded || !r.task.step.defersEnds() || r.unsettled() {
 		return
 	}
 	r.calls.recorded = true
--- a/region/pathcheck.go
+++ b/region/pathcheck.go
@@ -13,7 +13,9 @@
 // worthless by then, because its start was sent to a worker that had just become
 // unreachable. The call that is sent first has no effect, so that the task can be placed
 // elsewhere at once if it gets no answer.
-func (s *Scheduler) needsPathCheck(r *run) bool { return r.latencySensitive && !r.task.step.bound() }
+func (s *Scheduler) needsPathCheck(r *run) bool {
+	return r.latencySensitive && r.task.step.defersEnds()
+}
 
 // pathCheckID is the run that checkPath names: the one before, which has ended.
 func (r *run) pathCheckID() model.RunID { return model.RunID{Task: r.task.id(), Run: r.number - 1} }
--- a/region/place.go
+++ b/region/place.go
@@ -152,7 +152,7 @@
 		return rejectState
 	case !st.demand().Fits(w.free()) || s.lateStartRoom(st, w) == 0:
 		return rejectRoom
-	case !st.bound() && w.endsListed >= maxEndsKept:
+	case st.defersEnds() && w.endsListed >= maxEndsKept:
 		return rejectState
 	case st.rec.Requires != "" && !w.entry.HasLabel(st.rec.Requires):
 		return rejectLabel
--- a/region/probe.go
+++ b/region/probe.go
@@ -277,6 +277,7 @@
 	r.lost = nil
 	s.progress(r, row)
 	s.acquit(r)
+	r.listed = true
 	r.calls.runListed()
 	s.settleListed(r, sentAt)
 	if r.phase == phaseLateStart {
--- a/region/run.go
+++ b/region/run.go
@@ -34,6 +34,8 @@
 	demand           model.Resources
 	latencySensitive bool // counted as latency-sensitive in its worker's runCounts
 	ticket           string
+	ticketAt         time.Duration // the ticket was issued before this time, or this leader's term if it is 0
+	listed           bool          // its worker has listed it, or an end of it
 	assigned         time.Duration
 	startedAt        time.Duration // when the worker was known to have it
 	endsAt           time.Duration // when it is expected to end
@@ -69,7 +71,7 @@
 		// refuses starts of earlier leaders since.
 		return true
 	}
-	return r.settledAt > 0 && sentAt > r.settledAt
+	return r.settledAt > 0 && sentAt > r.settledAt || r.ticketOutlived()
 }
 
 func (r *run) id() model.RunID { return model.RunID{Task: r.task.id(), Run: r.number} }
@@ -142,7 +144,7 @@
 func (s *Scheduler) assign(t *task, w *worker, number int32) {
 	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now, resumed: t.checkpoint != ""}
 	if mark := t.step.advice.mark(w); mark != nil {
-		r.ticket = mark.ticket
+		r.ticket, r.ticketAt = mark.ticket, mark.issuedBy
 	}
 	s.occupy(r)
 	s.pacer.tokens--
--- a/region/start.go
+++ b/region/start.go
@@ -42,7 +42,7 @@
 	if r.leaseUntil == 0 {
 		r.leaseUntil = s.grantLease(r.worker)
 	}
-	if !r.task.step.bound() {
+	if r.task.step.defersEnds() {
 		s.outdateAcks(r.worker)
 	}
 	r.phase = phaseSending
@@ -127,7 +127,7 @@
 // startTimedOut handles a start without an answer. A second call of a run defers its end
 // (mayStartLate), so it is sent only if a probe does not list the run.
 func (s *Scheduler) startTimedOut(r *run) {
-	if r.task.step.bound() {
+	if !r.task.step.defersEnds() {
 		s.retryStart(r)
 		return
 	}
--- a/region/verify.go
+++ b/region/verify.go
@@ -47,14 +47,24 @@
 	return refOf(e) != w.incarnation && !assigned && !w.replaced && w.hasWork()
 }
 
-// startedUnverified reports whether the run's start was answered after the worker's unverified
-// entry was read.
+// startedUnverified reports whether the run may be one of the incarnation that the worker's
+// unverified entry names.
 //
 // The guard is against a task that runs twice at once if an intermediary has passed the start on to
 // the next incarnation, which answered it. The next probe shows whether the run is there.
-func (r *run) startedUnverified() bool {
-	u := r.worker.unverified
-	return u != nil && r.startedAt >= u.readAt && !r.task.step.bound()
+func (r *run) startedUnverified() bool { return r.worker.unverified != nil && r.startedUnseen() }
+
+// startedUnseen reports whether the next incarnation may have executed the run's start: it was
+// answered, or sent by an earlier leader, and the incarnation that it names has not answered a
+// probe since.
+func (r *run) startedUnseen() bool {
+	switch {
+	case !r.begun || r.listed || r.task.step.rec.Speculative:
+		return false
+	case r.task.step.needsAdvice():
+		return !r.ticketBound()
+	}
+	return r.startedAt > r.worker.probedAt
 }
 
 // verify probes the incarnation that the worker's unverified entry names. The probe renews and
