region: a run that another life may have is kept when a call shows that life

What callers would see: a task runs twice at once, until the entry of its worker's next life is read.

Cause: the next life answers a start that names the one before. A probe is then answered by another life (otherIncarnation), whose entry is not read yet, and the runs were given up at once. startedUnverified asks only where an entry waits. With and without advice.

Now runs whose start was answered, or sent by an earlier leader, and whose own incarnation has not answered a probe since, are kept (awaitUnseen) until the next life's first answer; or until another worker at the address has answered a probe sent later (endUnseen): what was there before has ended. Runs that a probe has seen in their own life are given up at once, as before.

Evidence (go test ./region -run 'ListedLate|ReassignedAddress'): before, TestStartAnsweredByIncarnationListedLate red with and without advice; now green. TestReplacedWorkerCostsNoLease, 24 ways to come back, green before and after. Broken by hand: without awaitUnseen that test is red; without endUnseen TestNoWaitForAnsweredStartAtReassignedAddress. Green, so not proved by a test of its own: that the answer is to a probe sent after the run was kept.

--- a/region/probe.go
+++ b/region/probe.go
@@ -170,6 +170,7 @@
 		return
 	}
 	s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
+	s.awaitUnseen(w)
 	s.incarnationReplaced(w)
 }
 
@@ -203,7 +204,7 @@
 	s.knownAnswered(w, ev.SentAt)
 	s.inheritedReached(w)
 	s.workerAnswered(w.ref())
-	s.endPredecessors(w)
+	s.endPredecessors(w, ev.SentAt)
 	w.endsListed = len(ev.Response.Ended)
 	w.ends.acknowledged(ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
--- a/region/ticket_test.go
+++ b/region/ticket_test.go
@@ -225,3 +225,43 @@
 	w.run(shortLease + 2*time.Second)
 	w.mustComplete("a")
 }
+
+// Guards against a task that runs twice at once: the next incarnation has answered its start, and is
+// known from an answer to a probe long before it is listed.
+func TestStartAnsweredByIncarnationListedLate(t *testing.T) {
+	for name, j := range map[string]*record.Job{"with advice": advised("a", &record.Step{}), "without advice": deferrable("a", &record.Step{})} {
+		t.Run(name, func(t *testing.T) {
+			w, fw := unnoticedWorld(t, 8)
+			w.submit(j)
+			w.untilStarted("a")
+			w.addWorker("w2", 8)
+			w.run(2 * time.Second)
+			w.show(fw)
+			w.run(20 * time.Second)
+			w.mustRunOnce("a")
+		})
+	}
+}
+
+// Guards against a task that waits for the end of a lease: its start was answered just before its
+// worker crashed, and another worker answers at the address.
+func TestNoWaitForAnsweredStartAtReassignedAddress(t *testing.T) {
+	for name, j := range map[string]*record.Job{"with advice": advised("a", &record.Step{}), "without advice": deferrable("a", &record.Step{})} {
+		t.Run(name, func(t *testing.T) {
+			w, fw := unnoticedWorld(t, 8)
+			w.submit(j)
+			w.untilStarted("a")
+			w.run(2 * testDelay)
+			fw.clearState(w)
+			fw.replaced = true
+			w.run(500 * time.Millisecond)
+			next := w.newWorker("w2", 8)
+			next.entry.Address, next.entry.BornUnix = fw.entry.Address, fw.entry.BornUnix+1
+			w.deliver(WorkerListed{Entry: next.entry})
+			w.run(time.Second)
+			if n := len(next.runs); n != 1 {
+				t.Errorf("%d runs on the worker that has the address, want 1", n)
+			}
+		})
+	}
+}
--- a/region/verify.go
+++ b/region/verify.go
@@ -67,6 +67,26 @@
 	return r.startedAt > r.worker.probedAt
 }
 
+// awaitUnseen keeps the runs of a worker's incarnation, in whose place another one has answered, that
+// the other may have. It may be the worker's next one, whose entry is still to be read.
+func (s *Scheduler) awaitUnseen(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.startedUnseen() {
+			s.awaitLateStart(r, "another life may have it")
+		}
+	}
+}
+
+// endUnseen ends the runs of awaitUnseen on a worker whose address has been taken by another one, which
+// has answered a probe sent at sentAt: whatever was there before has ended.
+func (s *Scheduler) endUnseen(w *worker, sentAt time.Duration) {
+	for _, r := range w.sortedRuns() {
+		if r.startedUnseen() && !r.calls.unsettled() && r.phase == phaseLateStart && r.settledBefore(sentAt) {
+			s.markLost(r, "another worker has its address")
+		}
+	}
+}
+
 // verify probes the incarnation that the worker's unverified entry names. The probe renews and
 // acknowledges nothing, so that any incarnation may execute it.
 func (s *Scheduler) verify(w *worker, after time.Duration) {
@@ -171,7 +191,7 @@
 
 // endPredecessors ends what the answer of a worker shows to have ended: the earlier workers at its
 // address, whatever their ids, and its own earlier incarnations.
-func (s *Scheduler) endPredecessors(w *worker) {
+func (s *Scheduler) endPredecessors(w *worker, sentAt time.Duration) {
 	w.succeeds = false
 	ref := w.ref()
 	for _, o := range slices.Clone(s.byAddress[""]) {
@@ -182,6 +202,7 @@
 		if !o.replaced {
 			s.incarnationReplaced(o)
 		}
+		s.endUnseen(o, sentAt)
 	}
 	s.showCrashesBefore(ref)
 }
