region: a late probe drops no end of a start with a ticket of the next life

What callers would see: a task of a queue with advice is done, and starts again.

Cause: a probe that acknowledges ends of one life is held up, and the next one executes it after it has executed a start that names the life before, with a ticket that was issued for itself. The end of that run is forgotten unread. For starts without tickets outdateAcks raises the worker's fencing token, so that the late probe is refused; steps with advice were left out, as their tickets were taken for ones of the life that the start names.

Now the token rises for them too while their ticket is not known to be of that life (ticketBound). An acknowledgement that was answered will not be executed again and raises no token any more, with advice or without, unless one with the same token got no answer.

A token that rises between two starts costs a refused start where they overtake one another, it is thought; this was not traced.

--- a/region/probe.go
+++ b/region/probe.go
@@ -111,6 +111,9 @@
 		return
 	default:
 		w.probeMissed = true
+		if ev.Request.AckedUpTo > 0 {
+			w.lostAckFence = ev.Request.Fence
+		}
 		w.unansweredAt = ev.SentAt
 		w.lossyUntil = s.now + lossyWindow
 		s.retryUnlisted(w, false)
@@ -206,7 +209,7 @@
 	s.workerAnswered(w.ref())
 	s.endPredecessors(w, ev.SentAt)
 	w.endsListed = len(ev.Response.Ended)
-	w.ends.acknowledged(ev.Request.AckedUpTo)
+	w.acknowledged(ev.Request)
 	for _, e := range ev.Response.Ended {
 		if s.readEnd(w, e) {
 			newEnds++
@@ -255,9 +258,17 @@
 	return number
 }
 
-// outdateAcks raises the worker's fencing token if a probe with the present one has
-// acknowledged ends. An incarnation that executes a start with the new one refuses the
-// probe.
+// acknowledged records that a probe was answered. It will not be executed again.
+func (w *worker) acknowledged(probe model.ProbeRequest) {
+	w.ends.acknowledged(probe.AckedUpTo)
+	if probe.AckedUpTo > 0 && probe.Fence == w.ackFence && w.lostAckFence != w.ackFence {
+		w.ackFence = 0
+	}
+}
+
+// outdateAcks raises the worker's fencing token if a probe with the present one that
+// acknowledges ends may still be executed. An incarnation that executes a start with the new
+// one refuses the probe.
 func (s *Scheduler) outdateAcks(w *worker) {
 	if w.ackFence == s.fenceOf(w) {
 		s.raiseFence(w)
--- a/region/start.go
+++ b/region/start.go
@@ -42,7 +42,7 @@
 	if r.leaseUntil == 0 {
 		r.leaseUntil = s.grantLease(r.worker)
 	}
-	if r.task.step.defersEnds() {
+	if !r.task.step.rec.Speculative && !r.ticketBound() {
 		s.outdateAcks(r.worker)
 	}
 	r.phase = phaseSending
--- a/region/ticket_test.go
+++ b/region/ticket_test.go
@@ -131,6 +131,37 @@
 	w.mustComplete("a")
 }
 
+// Guards against a task that starts again after it was done: a probe of the earlier incarnation is
+// held up, and acknowledges the end of the run in the next one before it was read.
+func TestLateProbeDropsEndOfStartWithTicket(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(model.TaskID) time.Duration { return 200 * time.Millisecond }
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	held := false
+	w.callDelay = func(call string) time.Duration {
+		if call != "hold" || held || w.sched.workers["w1"].ackFence == 0 {
+			return 0
+		}
+		held = true
+		return 700 * time.Millisecond
+	}
+	w.submit(advised("earlier", &record.Step{}))
+	for !held {
+		w.run(time.Millisecond)
+	}
+	earlier := fw.entry
+	fw.clearState(w)
+	fw.listed, fw.bornAt = &earlier, w.now
+	fw.entry.BornUnix++
+	w.submit(advised("a", &record.Step{}))
+	w.untilStarted("a")
+	w.run(time.Second)
+	w.show(fw)
+	w.run(10 * time.Second)
+	w.mustRunOnce("a")
+}
+
 // Guards against a worker above its capacity: its next incarnation executes the late start of a run
 // whose end is deferred, and those with tickets for the room of that run.
 func TestNextLifeHasRoomForStartWithTicket(t *testing.T) {
@@ -204,6 +235,34 @@
 	}
 }
 
+// Guards against a task that starts again after it was done: of two probes with one fencing token
+// that acknowledge ends, the first is held up and drops the end of a late start.
+func TestLostAcknowledgementDropsEndOfLateStart(t *testing.T) {
+	const hold = 2 * time.Second
+	h, fw := newHeldWorld(t, 8)
+	h.listAfter = 1200 * time.Millisecond
+	h.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
+	var heldAt time.Duration
+	h.probeHeld = func() time.Duration {
+		if heldAt > 0 || h.sched.workers["w1"].ackFence == 0 {
+			return 0
+		}
+		heldAt = h.now
+		h.note("a probe that acknowledges an end is held up")
+		return 6 * time.Second
+	}
+	h.submit(deferrable("earlier", &record.Step{}))
+	h.untilTrue("a probe is held up", func() bool { return heldAt > 0 })
+	h.advance(3200 * time.Millisecond)
+	h.calls, h.delays = 0, []time.Duration{hold}
+	h.submitHeld(deferrable("a", &record.Step{}))
+	h.until(200 * time.Millisecond)
+	fw.unreachable = true
+	h.addWorker("w2", 8)
+	h.restartBefore(fw, hold)
+	h.finish("a")
+}
+
 // Guards against a wait that costs a task its time: its start got no answer, and the incarnation that
 // it names has answered a probe since the ticket was issued.
 func TestNoWaitForStartWithTicketOfKnownIncarnation(t *testing.T) {
--- a/region/worker.go
+++ b/region/worker.go
@@ -44,7 +44,8 @@
 	deferredSince             time.Duration   // since when defersExpiry holds; 0 if it does not
 	grantedAt                 time.Duration   // when a lease was last granted
 	fenceSteps                int64           // how often its fencing token was raised under this leader
-	ackFence                  int64           // fencing token of the newest probe that acknowledged ends
+	ackFence                  int64           // fencing token of the newest probe that acknowledged ends and may still be executed; 0 for none
+	lostAckFence              int64           // that of the newest one without an answer
 	ends                      *endLog         // ends of its incarnation
 	endsListed                int             // ends in the answer to the newest probe
 	idleRuns                  int             // how many of runs are idle
