--- a/region/probe.go
+++ b/region/probe.go
@@ -114,6 +114,9 @@
 		// leases and acknowledged ends is not known, nor is what runs.
 		s.readEnds(w, ev.Response.Ended)
 		w.probeMissed = true
+		if ev.Request.AckedUpTo > 0 {
+			w.lostAckFence = ev.Request.Fence
+		}
 		w.unansweredAt = ev.SentAt
 		w.lossyUntil = s.now + lossyWindow
 		s.retryUnlisted(w, false)
@@ -173,6 +176,7 @@
 		return
 	}
 	s.explain("", "another life answers for worker", Field{"worker", w.entry.ID}, Field{"runs_lost", len(w.runs)})
+	s.awaitUnseen(w)
 	s.incarnationReplaced(w)
 }
 
@@ -207,9 +211,9 @@
 	s.noteDepartureByClock(w)
 	s.inheritedReached(w)
 	s.workerAnswered(w.ref())
-	s.endPredecessors(w)
+	s.endPredecessors(w, ev.SentAt)
 	w.endsListed = len(ev.Response.Ended)
-	w.ends.acknowledged(ev.Request.AckedUpTo)
+	w.acknowledged(ev.Request)
 	newEnds = s.readEnds(w, ev.Response.Ended)
 	w.strays, w.unread = 0, false
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
@@ -264,9 +268,17 @@
 	return number
 }
 
-// outdateAcks raises the worker's fencing token if a probe with the present one has
-// acknowledged ends. An incarnation that executes a start with the new one refuses the
-// probe.
+// acknowledged records that a probe was answered. It will not be executed again.
+func (w *worker) acknowledged(probe model.ProbeRequest) {
+	w.ends.acknowledged(probe.AckedUpTo)
+	if probe.AckedUpTo > 0 && probe.Fence == w.ackFence && w.lostAckFence != w.ackFence {
+		w.ackFence = 0
+	}
+}
+
+// outdateAcks raises the worker's fencing token if a probe with the present one that
+// acknowledges ends may still be executed. An incarnation that executes a start with the new
+// one refuses the probe.
 func (s *Scheduler) outdateAcks(w *worker) {
 	if w.ackFence == s.fenceOf(w) {
 		s.raiseFence(w)
@@ -287,6 +299,7 @@
 	r.lost = nil
 	s.progress(r, row)
 	s.acquit(r)
+	r.listed = true
 	r.calls.runListed()
 	s.settleListed(r, sentAt)
 	if r.phase == phaseLateStart {
--- a/region/verify.go
+++ b/region/verify.go
@@ -47,14 +47,44 @@
 	return refOf(e) != w.incarnation && !assigned && !w.replaced && w.hasWork()
 }
 
-// startedUnverified reports whether the run's start was answered after the worker's unverified
-// entry was read.
+// startedUnverified reports whether the run may be one of the incarnation that the worker's
+// unverified entry names.
 //
 // The guard is against a task that runs twice at once if an intermediary has passed the start on to
 // the next incarnation, which answered it. The next probe shows whether the run is there.
-func (r *run) startedUnverified() bool {
-	u := r.worker.unverified
-	return u != nil && r.startedAt >= u.readAt && !r.task.step.bound()
+func (r *run) startedUnverified() bool { return r.worker.unverified != nil && r.startedUnseen() }
+
+// startedUnseen reports whether the next incarnation may have executed the run's start: it was
+// answered, or sent by an earlier leader, and the incarnation that it names has not answered a
+// probe since.
+func (r *run) startedUnseen() bool {
+	switch {
+	case !r.begun || r.listed || r.task.step.rec.Speculative:
+		return false
+	case r.task.step.needsAdvice():
+		return !r.ticketBound()
+	}
+	return r.startedAt > r.worker.probedAt
+}
+
+// awaitUnseen keeps the runs of a worker's incarnation, in whose place another one has answered, that
+// the other may have. It may be the worker's next one, whose entry is still to be read.
+func (s *Scheduler) awaitUnseen(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.startedUnseen() {
+			s.awaitLateStart(r, "another life may have it")
+		}
+	}
+}
+
+// endUnseen ends the runs of awaitUnseen on a worker whose address has been taken by another one, which
+// has answered a probe sent at sentAt: whatever was there before has ended.
+func (s *Scheduler) endUnseen(w *worker, sentAt time.Duration) {
+	for _, r := range w.sortedRuns() {
+		if r.startedUnseen() && !r.calls.unsettled() && r.phase == phaseLateStart && r.settledBefore(sentAt) {
+			s.markLost(r, "another worker has its address")
+		}
+	}
 }
 
 // verify probes the incarnation that the worker's unverified entry names. The probe renews and
@@ -161,7 +191,7 @@
 
 // endPredecessors ends what the answer of a worker shows to have ended: the earlier workers at its
 // address, whatever their ids, and its own earlier incarnations.
-func (s *Scheduler) endPredecessors(w *worker) {
+func (s *Scheduler) endPredecessors(w *worker, sentAt time.Duration) {
 	w.succeeds = false
 	ref := w.ref()
 	for _, o := range slices.Clone(s.byAddress[""]) {
@@ -172,6 +202,7 @@
 		if !o.replaced {
 			s.incarnationReplaced(o)
 		}
+		s.endUnseen(o, sentAt)
 	}
 	s.showCrashesBefore(ref)
 }
