region: a task that lasts is not given up, and an outage of a rack is no task's fault

What callers saw: a job with a task that lasts was shown as failed, and the task never started again, after three crashes of the rack that held it, although no run had ended as failed (LOST). An ordinary job whose data is on a rack that fails several times was given up as well.

Cause: giveUpIfCrashing saw only the crashes of one task. It made no exception for tasks that last, which run until their job is cancelled, and did not ask whether other workers of the rack had failed at the same time. Crashes of a service were forgotten only after a run four times as long as the longest one.

Change: a task that lasts is never given up. Crashes of its runs that went on for less than 10 s are conclusive as before; then it runs only on workers without other jobs, after a pause that doubles with each crash, from 4 s to a minute. Otherwise it waits 2 s at most for such a worker, as services may fill all of them. Records have the outage, the time of the loss and of the assignment, so that a new leader has the same weights and pauses. status and explain say which crashes do not count.

--- a/host/explain.go
+++ b/host/explain.go
@@ -123,7 +123,7 @@
 
 func crashMessage(id model.RunID, c region.CrashCounted) *hostrpc.Crash {
 	return &hostrpc.Crash{
-		Occurrence: id.Task.Occurrence, Step: id.Task.Step, Task: id.Task.Index, Run: id.Run, Worker: c.Worker, Alone: c.Alone, Begun: c.Begun,
+		Occurrence: id.Task.Occurrence, Step: id.Task.Step, Task: id.Task.Index, Run: id.Run, Worker: c.Worker, Alone: c.Alone, Begun: c.Begun, Outage: c.Outage,
 	}
 }
 
@@ -138,6 +138,9 @@
 		if !c.Begun {
 			line += "; its start got no answer"
 		}
+		if c.Outage {
+			line += "; not counted, as its rack failed"
+		}
 		out = append(out, line)
 	}
 	return out
--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -37,7 +37,9 @@
 			d.explain(c)
 		case region.CrashCounted:
 			d.leader.status.ApplyCrash(c)
-			d.count(region.Count{Name: "worker_crashes_counted"})
+			if !c.Outage {
+				d.count(region.Count{Name: "worker_crashes_counted"})
+			}
 		case region.Count:
 			d.count(c)
 		case region.StepDown:
--- a/leader/status.go
+++ b/leader/status.go
@@ -59,12 +59,17 @@
 	}
 }
 
-// ApplyCrash records a crash that counts against a task.
+// ApplyCrash records a crash under a run, or what is known of one now.
 func (b *StatusView) ApplyCrash(c region.CrashCounted) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if id := c.RunID.Task.Job; len(b.crashes[id]) < maxCrashesShown {
-		b.crashes[id] = append(b.crashes[id], c)
+	shown := b.crashes[c.RunID.Task.Job]
+	known := slices.IndexFunc(shown, func(o region.CrashCounted) bool { return o.RunID == c.RunID && o.Worker == c.Worker })
+	switch {
+	case known >= 0:
+		shown[known] = c
+	case len(shown) < maxCrashesShown:
+		b.crashes[c.RunID.Task.Job] = append(shown, c)
 	}
 }
 
--- a/region/advice.go
+++ b/region/advice.go
@@ -212,7 +212,7 @@
 func (s *Scheduler) claimRoom(st *step) bool {
 	want := 0
 	for _, t := range st.tasks {
-		if t.waiting() && !t.held() {
+		if t.waiting() && !s.held(t) {
 			want++
 		}
 	}
--- a/region/crash.go
+++ b/region/crash.go
@@ -32,10 +32,21 @@
 	return max(0, r.worker.probedAt-r.startedAt)
 }
 
+// ranUnderEarlierLeaders returns how long the run had been assigned when this leadership began.
+//
+// The guard is against a task that lasts and answers for a crash since this leader has hardly seen
+// its run.
+func (s *Scheduler) ranUnderEarlierLeaders(r *run) time.Duration {
+	if r.assignedUnixMs == 0 {
+		return 0
+	}
+	return max(0, time.Duration(s.leadSinceUnixMs-r.assignedUnixMs)*time.Millisecond)
+}
+
 // lossFrom describes the loss of a run that may have begun in the known incarnation of its
 // worker, or returns nil if it has not, or if its loss there is known.
 func (s *Scheduler) lossFrom(r *run) *loss {
-	l := &loss{task: r.task, run: r.number, ref: r.ref, begun: r.begun, alone: true, at: s.now}
+	l := &loss{task: r.task, run: r.number, ref: r.ref, begun: r.begun, alone: true, at: s.now, lostAt: s.now}
 	if r.phase == phaseLateStart && r.ref.BornUnix != r.worker.incarnation.BornUnix {
 		if !s.mayStartLate(r) {
 			return nil
@@ -55,6 +66,9 @@
 			l.witness = true
 		}
 	}
+	if r.task.step.rec.LongRunning {
+		l.ran += s.ranUnderEarlierLeaders(r)
+	}
 	return l
 }
 
@@ -93,7 +107,8 @@
 // else runs there. Only crashes count that a later incarnation of the worker, or a later worker
 // at its address, has shown: a worker that is silent may be cut off and work on. A job that
 // runs beside such a task is not given up with it, since from the second crash on each runs on
-// workers without other jobs.
+// workers without other jobs. Crashes in an outage of the rack do not count. A task that lasts is
+// not given up, but started again after growing pauses.
 func (s *Scheduler) crashesShown(losses []*loss) {
 	slices.SortStableFunc(losses, compareLosses)
 	for _, l := range losses {
@@ -101,11 +116,16 @@
 		if t.done || t.step.job.ended() {
 			continue
 		}
+		s.noteShown(l)
 		s.countCrash(l)
-		s.append(&record.Entry{Kind: &record.Entry_Crashed{Crashed: &record.Crashed{Task: t.id().Record(), Loss: l.record()}}})
+		s.judgeBeforeGivingUp(t)
+		if !l.outage {
+			s.recordCrashed(l)
+		}
 		s.explain(t.step.job.rec.Id, "worker crashed under run", Field{"worker", l.ref.ID}, Field{"step", t.step.index}, Field{"task", t.index},
 			Field{"run", l.run}, Field{"begun", l.begun}, Field{"alone", l.alone}, Field{"witness", l.witness}, Field{"ran_ms", l.ran.Milliseconds()},
-			Field{"crashes", len(t.suspicion.crashes)}, Field{"weight", t.suspicion.weight()})
+			Field{"crashes", len(t.suspicion.crashes)}, Field{"weight", weightOf(t.suspicion.crashes)},
+			Field{"pause_ms", max(0, t.pausedUntil()-s.now).Milliseconds()})
 	}
 	for _, l := range losses {
 		s.giveUpIfCrashing(l.task)
@@ -116,16 +136,35 @@
 func (s *Scheduler) countCrash(l *loss) {
 	t := l.task
 	t.suspicion.crashes = append(t.suspicion.crashes, l)
+	if n := len(t.suspicion.crashes) - maxCrashesKept; n > 0 && t.step.rec.LongRunning {
+		t.suspicion.crashes = slices.Delete(t.suspicion.crashes, 0, n)
+	}
 	s.noteSuspect(t)
-	s.emit(CrashCounted{RunID: model.RunID{Task: t.id(), Run: l.run}, Worker: l.ref.ID, Alone: l.alone, Begun: l.begun})
+	s.emitCrash(l)
+}
+
+func (s *Scheduler) emitCrash(l *loss) {
+	s.emit(CrashCounted{RunID: model.RunID{Task: l.task.id(), Run: l.run}, Worker: l.ref.ID, Alone: l.alone, Begun: l.begun, Outage: l.outage})
+}
+
+// isGivenUp reports whether the crashes of the task fail its job.
+func (t *task) isGivenUp() bool { return !t.done && !t.step.rec.LongRunning && t.crashesWorkers() }
+
+// judgeBeforeGivingUp decides which crashes were outages before the job of their task fails.
+func (s *Scheduler) judgeBeforeGivingUp(t *task) {
+	if !t.isGivenUp() {
+		return
+	}
+	for _, l := range slices.Clone(t.suspicion.crashes) {
+		s.judge(l)
+	}
 }
 
 // giveUpIfCrashing fails the job of a task that crashes the workers that start it.
 func (s *Scheduler) giveUpIfCrashing(t *task) {
-	if t.done || !t.suspicion.conclusive() {
-		return
+	if t.isGivenUp() {
+		s.fail(t.step.job, t, failureCrashes)
 	}
-	s.fail(t.step.job, t, failureCrashes)
 }
 
 // addOpen adds a loss that may turn out to be a crash.
@@ -134,7 +173,7 @@
 	s.losses.add(l)
 	s.openLosses = append(s.openLosses, l)
 	s.noteSuspect(l.task)
-	if t := l.task; t.held() {
+	if t := l.task; s.held(t) {
 		s.explain(t.step.job.rec.Id, "task held: workers may have crashed under it", Field{"step", t.step.index}, Field{"task", t.index},
 			Field{"lost", len(t.suspicion.open)}, Field{"crashes", len(t.suspicion.crashes)})
 	}
@@ -196,7 +235,7 @@
 // with a crash.
 func (s *Scheduler) acquit(r *run) {
 	t := r.task
-	if r.startedAt == 0 || !t.suspected() || s.now-r.startedAt < max(minAcquittal, 4*t.suspicion.longestRun()) {
+	if r.startedAt == 0 || !t.suspected() || s.now-r.startedAt < t.acquittal() {
 		return
 	}
 	s.explain(t.step.job.rec.Id, "crashes forgotten", Field{"step", t.step.index}, Field{"task", t.index}, Field{"run", r.number},
@@ -216,14 +255,24 @@
 	}
 	l := s.lossOf(t, e.Loss)
 	for _, o := range slices.Clone(t.suspicion.open) {
-		if o.run == l.run && o.ref.ID == l.ref.ID && o.ref.BornUnix == l.ref.BornUnix {
+		if o.sameAs(l) {
 			s.dropOpen(o)
 		}
 	}
-	s.countCrash(l)
+	t.suspicion.crashes = slices.DeleteFunc(t.suspicion.crashes, l.sameAs) // it is logged again if it was an outage
+	s.replayCrash(l)
 	s.giveUpIfCrashing(t)
 }
 
+// replayCrash counts a crash that an earlier leader has counted, and decides whether it was an outage
+// if there was no time for that.
+func (s *Scheduler) replayCrash(l *loss) {
+	if !l.outage && s.now-l.lostAt < crashRetention {
+		s.noteShown(l)
+	}
+	s.countCrash(l)
+}
+
 // replaySuspicion applies the crashes and losses in a snapshot of a task, which replace those in
 // earlier records.
 func (s *Scheduler) replaySuspicion(t *task, ts *record.TaskState) {
@@ -232,7 +281,7 @@
 	}
 	t.suspicion.crashes = nil
 	for _, l := range ts.Crashes {
-		s.countCrash(s.lossOf(t, l))
+		s.replayCrash(s.lossOf(t, l))
 	}
 	for _, l := range ts.Losses {
 		s.addOpen(s.lossOf(t, l))
--- a/region/end.go
+++ b/region/end.go
@@ -43,7 +43,7 @@
 func (s *Scheduler) recordLost(r *run) {
 	end := &record.Ended{Task: r.task.id().Record(), Run: r.number, Outcome: record.Outcome_OUTCOME_LOST}
 	if r.lost != nil && !r.task.done {
-		end.Loss = r.lost.record()
+		end.Loss = s.recordOf(r.lost)
 		s.addOpen(r.lost)
 	}
 	s.appendEnd(end)
--- a/region/event.go
+++ b/region/event.go
@@ -188,12 +188,13 @@
 	}
 
 	// CrashCounted reports a crash of a worker that counts against a task, or that has been
-	// replayed from the log.
+	// replayed from the log. It is reported again if it does not count any more.
 	CrashCounted struct {
 		RunID  model.RunID
 		Worker string
 		Alone  bool // no other job ran on the worker
 		Begun  bool // the worker is known to have started the run
+		Outage bool // it does not count: the rack failed
 	}
 
 	// Count adds 1 to a counter. Why is its tag, or empty.
--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -28,7 +28,7 @@
 	if !st.gangWaits() {
 		return true // members of the last run have not ended yet
 	}
-	if slices.ContainsFunc(st.tasks, (*task).held) {
+	if slices.ContainsFunc(st.tasks, s.held) {
 		st.heldBy = reasonNames[rejectIsolation]
 		return true
 	}
--- a/region/isolate.go
+++ b/region/isolate.go
@@ -10,8 +10,9 @@
 	// isolateAfterLosses runs on that were lost with their workers.
 	isolateAfter       = 2
 	isolateAfterLosses = 3
-	// isolationWait is how long a task with no more than isolateAfter crashes waits for a worker
-	// without other jobs. A service full of long-running tasks may have none.
+	// isolationWait is how long a task with no more than isolateAfter crashes, or one that lasts
+	// whose crashes are not conclusive, waits for a worker without other jobs. A service full of
+	// long-running tasks may have none.
 	isolationWait = 2 * time.Second
 	// minProbation is the shortest time for which no other job is started beside it.
 	minProbation = time.Second
@@ -23,21 +24,28 @@
 // isolated reports whether the task is to run on workers without other jobs: the next crash
 // then shows whether the task has caused it, and ends no other job's runs.
 func (t *task) isolated() bool {
-	crashes := len(t.suspicion.crashes)
+	crashes := len(t.suspicion.counted())
 	total := crashes + len(t.suspicion.open)
 	return crashes > 0 && total >= isolateAfter || total >= isolateAfterLosses
 }
 
 // mustIsolate reports whether the task is not started beside other jobs.
 func (s *Scheduler) mustIsolate(t *task) bool {
-	few := len(t.suspicion.crashes)+len(t.suspicion.open) <= isolateAfter
-	return s.suspects[t] && !(few && s.now-t.step.waitingSince > isolationWait)
+	if !s.suspects[t] {
+		return false
+	}
+	unsure := len(t.suspicion.counted())+len(t.suspicion.open) <= isolateAfter || t.step.rec.LongRunning && !t.crashesWorkers()
+	return !unsure || s.now-t.step.waitingSince <= isolationWait
 }
 
-// held reports whether the task waits for the fate of workers that may have crashed under it.
-func (t *task) held() bool {
+// held reports whether the task waits for the fate of workers that may have crashed under it, or,
+// if it lasts, until its pause is over.
+func (s *Scheduler) held(t *task) bool {
+	if t.step.rec.LongRunning {
+		return s.now < t.pausedUntil()
+	}
 	open := len(t.suspicion.open)
-	return open > 0 && open+len(t.suspicion.crashes) >= maxOpenCrashes
+	return open > 0 && open+len(t.suspicion.counted()) >= maxOpenCrashes
 }
 
 // noteSuspect updates which tasks are isolated after the suspicion of one has changed.
@@ -119,17 +127,17 @@
 // suspectWaits reports whether a task of the step waits for a worker without other jobs, or for
 // the fate of workers that may have crashed under it.
 func (s *Scheduler) suspectWaits(st *step) bool {
-	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && (t.held() || s.mustIsolate(t)) })
+	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && (s.held(t) || s.mustIsolate(t)) })
 }
 
 // anyStartable reports whether a task of the step waits for a worker.
-func (st *step) anyStartable() bool {
-	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && !t.held() })
+func (s *Scheduler) anyStartable(st *step) bool {
+	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && !s.held(t) })
 }
 
 // moreRoomHelps reports whether a task of the step waits for room beside other jobs.
 func (s *Scheduler) moreRoomHelps(st *step) bool {
-	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && !t.held() && !s.mustIsolate(t) })
+	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && !s.held(t) && !s.mustIsolate(t) })
 }
 
 // isolatedWaiting returns how many isolated tasks of the step can be started once a worker is
@@ -140,7 +148,7 @@
 		return n
 	}
 	for _, t := range st.tasks {
-		if t.waiting() && s.mustIsolate(t) && !t.held() {
+		if t.waiting() && s.mustIsolate(t) && !s.held(t) {
 			n++
 		}
 	}
--- a/region/late_start.go
+++ b/region/late_start.go
@@ -140,7 +140,7 @@
 	s.explain(r.task.step.job.rec.Id, "run in doubt began", Field{"worker", r.ref.ID}, Field{"run", r.number},
 		Field{"step", r.task.step.index}, Field{"task", r.task.index})
 	s.setIdle(r, false)
-	r.ref = r.worker.ref()
+	r.ref, r.assignedUnixMs = r.worker.ref(), s.unixMs
 	s.recordAssigned(r)
 	s.confirm(r)
 	if r.task.step.rec.Gang {
--- a/region/pass.go
+++ b/region/pass.go
@@ -270,5 +270,5 @@
 		return s.placeGang(st)
 	}
 	s.placeTasks(st)
-	return !st.anyStartable()
+	return !s.anyStartable(st)
 }
--- a/region/place.go
+++ b/region/place.go
@@ -72,7 +72,7 @@
 	defer func() { s.explainPlaced(st, placed) }()
 	fitting, why := s.fitting(st)
 	for _, t := range st.tasks {
-		if !t.waiting() || t.held() {
+		if !t.waiting() || s.held(t) {
 			continue
 		}
 		if !s.withinCap(st, 1) {
--- a/region/region.go
+++ b/region/region.go
@@ -108,7 +108,8 @@
 	written         []*job // jobs whose records may have to be written again, in the order of writtenAt
 	finished        []*job // jobs in the order they ended
 	losses          lossTable
-	openLosses      []*loss        // losses in the order of at
+	openLosses      []*loss // losses in the order of at
+	shown           shownCrashes
 	suspects        map[*task]bool // tasks that are isolated
 	lateStartRuns   []*run         // runs of awaitLateStart
 	terms           terms
@@ -128,6 +129,7 @@
 	uncommittedSince time.Duration    // the oldest uncommitted entry has waited since then or longer
 	commitCallbacks  []commitCallback // callbacks that wait for a commit, by entry number
 	leadSince        time.Duration
+	leadSinceUnixMs  int64
 	// meanAnswerTime is a running mean of the time in which workers answer a start or stop.
 	meanAnswerTime time.Duration
 	loopLag        time.Duration // running mean of how long events wait for the driver
@@ -299,7 +301,7 @@
 func (s *Scheduler) lead(ev Lead) {
 	s.applyReplayedCancels()
 	s.fence = ev.Fence
-	s.leadSince = s.now
+	s.leadSince, s.leadSinceUnixMs = s.now, s.unixMs
 	s.lastProofAt = ev.ProvenAt
 	s.lastAppendAt = s.now
 	s.listening.tickAt = s.now
@@ -339,6 +341,7 @@
 	s.expirePathChecks()
 	s.departed.expire(s.now)
 	s.expireLosses()
+	s.judgeCrashes()
 	s.retireJobs()
 	s.rewriteOld()
 	s.dirty = true
--- a/region/replay.go
+++ b/region/replay.go
@@ -64,7 +64,7 @@
 		s.release(t.run)
 	}
 	r := &run{
-		task: t, number: a.Run, worker: s.workerNamed(a.Worker), phase: phaseInherited, calls: calls, begun: true,
+		task: t, number: a.Run, worker: s.workerNamed(a.Worker), phase: phaseInherited, calls: calls, begun: true, assignedUnixMs: a.AssignedUnixMs,
 		ref: model.WorkerRef{ID: a.Worker, Address: a.Address, BornUnix: a.BornUnixMs},
 	}
 	s.occupy(r)
@@ -131,7 +131,9 @@
 		}
 		if ts.Worker != "" {
 			t.endedRun = ts.Run - 1
-			s.replayAssigned(&record.Assigned{Task: ts.Task, Run: ts.Run, Worker: ts.Worker, BornUnixMs: ts.BornUnixMs, Address: ts.Address})
+			s.replayAssigned(&record.Assigned{
+				Task: ts.Task, Run: ts.Run, Worker: ts.Worker, BornUnixMs: ts.BornUnixMs, Address: ts.Address, AssignedUnixMs: ts.AssignedUnixMs,
+			})
 		}
 	}
 	if k.Cancelled {
@@ -196,7 +198,7 @@
 
 // writeSnapshot appends a snapshot of a live job, and returns the number of its records.
 func (s *Scheduler) writeSnapshot(j *job) int {
-	parts := snapshotJob(j, s.opts.RecordBytes-snapshotMargin)
+	parts := s.snapshotJob(j, s.opts.RecordBytes-snapshotMargin)
 	for _, k := range parts {
 		k.WrittenUnixMs = s.unixMs
 		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
@@ -212,7 +214,7 @@
 //
 // The guard is against a record that grows with the tasks that have run until the log rejects it:
 // from then on, neither this leader nor a successor could keep the job.
-func snapshotJob(j *job, maxBytes int) []*record.Kept {
+func (s *Scheduler) snapshotJob(j *job, maxBytes int) []*record.Kept {
 	k := &record.Kept{Job: j.rec, Cancelled: j.cancelled}
 	parts, size := []*record.Kept{k}, proto.Size(k)
 	for _, occ := range j.occs {
@@ -221,7 +223,7 @@
 				if t.lastRun == 0 {
 					continue
 				}
-				ts := snapshotTask(t)
+				ts := s.snapshotTask(t)
 				n := proto.Size(ts) + taskOverhead
 				if size+n > maxBytes {
 					k.More = true
@@ -239,13 +241,14 @@
 // taskOverhead is the tag and length of a task in a Kept record, or a job in an EndedJobs record, in bytes.
 const taskOverhead = 5
 
-func snapshotTask(t *task) *record.TaskState {
+func (s *Scheduler) snapshotTask(t *task) *record.TaskState {
 	ts := &record.TaskState{
 		Task: t.id().Record(), Run: t.lastRun, Attempts: t.attempts, Done: t.done, Checkpoint: t.checkpoint,
-		Crashes: recordsOf(t.suspicion.crashes), Losses: recordsOf(t.suspicion.open),
+		Crashes: s.recordsOf(t.suspicion.crashes), Losses: s.recordsOf(t.suspicion.open),
 	}
 	if t.run != nil {
 		ts.Worker, ts.BornUnixMs, ts.Address = t.run.ref.ID, t.run.ref.BornUnix, t.run.ref.Address
+		ts.AssignedUnixMs = t.run.assignedUnixMs
 	}
 	return ts
 }
--- a/region/run.go
+++ b/region/run.go
@@ -49,6 +49,7 @@
 	resumed          bool  // it starts from a checkpoint
 	begun            bool  // its worker is known to have started it, or an earlier leader has sent its start
 	endListedIn      int64 // birth of the incarnation that has listed an end of it which is deferred; 0 for none
+	assignedUnixMs   int64 // when it was assigned, by the clock of its leader; 0 for unknown
 	lost             *loss // what is known of its loss, while its worker is silent
 	observed         observation
 	percent          int
@@ -140,7 +141,7 @@
 // assign places a waiting task on a worker. The start is sent once the assignment is in the
 // log, so that the next leader knows every run that may be alive.
 func (s *Scheduler) assign(t *task, w *worker, number int32) {
-	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now, resumed: t.checkpoint != ""}
+	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now, assignedUnixMs: s.unixMs, resumed: t.checkpoint != ""}
 	if mark := t.step.advice.mark(w); mark != nil {
 		r.ticket = mark.ticket
 	}
@@ -169,6 +170,7 @@
 func (s *Scheduler) recordAssigned(r *run) int64 {
 	return s.append(&record.Entry{Kind: &record.Entry_Assigned{Assigned: &record.Assigned{
 		Task: r.task.id().Record(), Run: r.number, Worker: r.ref.ID, BornUnixMs: r.ref.BornUnix, Address: r.ref.Address,
+		AssignedUnixMs: r.assignedUnixMs,
 	}}})
 }
 
--- a/region/suspicion.go
+++ b/region/suspicion.go
@@ -10,9 +10,10 @@
 
 const (
 	// A crash that is shown counts crashWeight against each task that ran on the worker,
-	// aloneWeight if no other job did, and nothing if it was a witness. A task is given up at
-	// giveUpWeight: after three crashes alone, or five beside others. At least minBegun of the
-	// runs are known to have begun, unless there are certainCrashes.
+	// aloneWeight if no other job did, and nothing if it was a witness or the crash was part of
+	// an outage. A task is given up at giveUpWeight: after three crashes alone, or five beside
+	// others. At least minBegun of the runs are known to have begun, unless there are
+	// certainCrashes.
 	crashWeight    = 1
 	aloneWeight    = 2
 	giveUpWeight   = 5
@@ -31,27 +32,32 @@
 	// the worker had not.
 	witness bool
 	ran     time.Duration // how long the run was seen running
-	at      time.Duration // when it was lost
+	at      time.Duration // when it was lost, or replayed
+	lostAt  time.Duration // when it was lost
+	shownAt time.Duration // when the crash was shown, or replayed
+	judgeAt time.Duration // when judgeCrashes decides on outage; 0 if that is decided, or if the crash is not shown
+	outage  bool          // other workers of the rack failed at the same time
 }
 
-func (l *loss) record() *record.Loss {
+func (s *Scheduler) recordOf(l *loss) *record.Loss {
 	return &record.Loss{
 		Run: l.run, Worker: l.ref.ID, BornUnixMs: l.ref.BornUnix, Address: l.ref.Address, Alone: l.alone, RanMs: l.ran.Milliseconds(), Begun: l.begun,
-		Witness: l.witness,
+		Witness: l.witness, Outage: l.outage, LostUnixMs: s.unixMs - (s.now - l.lostAt).Milliseconds(),
 	}
 }
 
 func (s *Scheduler) lossOf(t *task, r *record.Loss) *loss {
 	return &loss{
 		task: t, run: r.Run, begun: r.Begun, alone: r.Alone, witness: r.Witness, ran: time.Duration(r.RanMs) * time.Millisecond, at: s.now,
+		lostAt: s.now - max(0, time.Duration(s.unixMs-r.LostUnixMs)*time.Millisecond), outage: r.Outage,
 		ref: model.WorkerRef{ID: r.Worker, Address: r.Address, BornUnix: r.BornUnixMs},
 	}
 }
 
-func recordsOf(losses []*loss) []*record.Loss {
+func (s *Scheduler) recordsOf(losses []*loss) []*record.Loss {
 	out := make([]*record.Loss, len(losses))
 	for i, l := range losses {
-		out[i] = l.record()
+		out[i] = s.recordOf(l)
 	}
 	return out
 }
@@ -62,10 +68,16 @@
 	open    []*loss // lost runs whose workers may have crashed
 }
 
-func (c *suspicion) weight() int {
+// counted returns the crashes that were not part of an outage.
+func (c *suspicion) counted() []*loss {
+	return slices.DeleteFunc(slices.Clone(c.crashes), func(l *loss) bool { return l.outage })
+}
+
+func weightOf(crashes []*loss) int {
 	sum := 0
-	for _, l := range c.crashes {
+	for _, l := range crashes {
 		switch {
+		case l.outage:
 		case l.alone:
 			sum += aloneWeight
 		case !l.witness:
@@ -76,14 +88,14 @@
 }
 
 // conclusive reports whether the crashes show that the task crashes the workers that start it.
-func (c *suspicion) conclusive() bool {
+func conclusive(crashes []*loss) bool {
 	begun := 0
-	for _, l := range c.crashes {
+	for _, l := range crashes {
 		if l.begun {
 			begun++
 		}
 	}
-	return c.weight() >= giveUpWeight && (begun >= minBegun || len(c.crashes) >= certainCrashes)
+	return weightOf(crashes) >= giveUpWeight && (begun >= minBegun || len(crashes) >= certainCrashes)
 }
 
 // longestRun returns the longest time for which a lost run was seen running.
@@ -97,10 +109,15 @@
 
 // hasRun reports whether a crash or a loss of the run is known.
 func (c *suspicion) hasRun(ref model.WorkerRef, run int32) bool {
-	is := func(l *loss) bool { return l.run == run && l.ref.ID == ref.ID && l.ref.BornUnix == ref.BornUnix }
+	is := (&loss{run: run, ref: ref}).sameAs
 	return slices.ContainsFunc(c.crashes, is) || slices.ContainsFunc(c.open, is)
 }
 
+// sameAs reports whether two losses of a task are of the same run in the same incarnation.
+func (l *loss) sameAs(o *loss) bool {
+	return l.run == o.run && l.ref.ID == o.ref.ID && l.ref.BornUnix == o.ref.BornUnix
+}
+
 // lossTable finds the open losses of a worker by its id and by its address.
 type lossTable struct {
 	byWorker  map[string][]*loss
--- a/region/widen.go
+++ b/region/widen.go
@@ -13,7 +13,7 @@
 	if !known || p.onStandby == 0 || s.now < max(st.waitingSince, st.widenedAt)+widenAfter {
 		return
 	}
-	if st.advice.inFlight > 0 || st.heldBy == heldByCap || st.heldBy == heldByLink || st.heldBy == heldByAdvisers || !st.anyStartable() {
+	if st.advice.inFlight > 0 || st.heldBy == heldByCap || st.heldBy == heldByLink || st.heldBy == heldByAdvisers || !s.anyStartable(st) {
 		return
 	}
 	st.widenedAt = s.now
