region: a new leader does not count crashes that its predecessor has forgotten

What callers would see: a job is given up (LOST) at the first crash after a change of leader, although its task has been cleared of the earlier ones.

Cause: acquit forgot the crashes in memory only. The records of them stayed in the log, and a new leader counted them again until a run had gone on for long enough under it. Ruled out: another judgment of the third crash, which alone weighs 2 of the 5 at which a job is given up.

Change: acquit is logged (Acquitted), and replayed.

Before: go test ./region -run TestNewLeaderInheritsNoForgottenCrashes red, with "crashes forgotten" (2) and then "failed" (3) in its log, right after the change of leader. After: green; red with the replay of the record left out, which is the code before. go test -race -p 2 ./region ./leader ./host green on this commit.

--- a/region/crash.go
+++ b/region/crash.go
@@ -240,6 +240,12 @@
 	}
 	s.explain(t.step.job.rec.Id, "crashes forgotten", Field{"step", t.step.index}, Field{"task", t.index}, Field{"run", r.number},
 		Field{"crashes", len(t.suspicion.crashes)})
+	s.append(&record.Entry{Kind: &record.Entry_Acquitted{Acquitted: &record.Acquitted{Task: t.id().Record()}}})
+	s.forgetCrashes(t)
+}
+
+// forgetCrashes drops what speaks for a task crashing workers.
+func (s *Scheduler) forgetCrashes(t *task) {
 	for _, l := range slices.Clone(t.suspicion.open) {
 		s.dropOpen(l)
 	}
@@ -247,6 +253,16 @@
 	s.noteSuspect(t)
 }
 
+// replayAcquitted applies a record of acquit.
+//
+// The guard is against a job that a new leader gives up for crashes that its predecessor has
+// forgotten.
+func (s *Scheduler) replayAcquitted(a *record.Acquitted) {
+	if t := s.findTask(model.TaskIDOf(a.Task)); t != nil {
+		s.forgetCrashes(t)
+	}
+}
+
 // replayCrashed applies a record of crashesShown.
 func (s *Scheduler) replayCrashed(e *record.Crashed) {
 	t := s.findTask(model.TaskIDOf(e.Task))
--- a/region/replay.go
+++ b/region/replay.go
@@ -26,6 +26,8 @@
 			s.reachedBy[k.Reached.Worker] = e.Fence
 		case *record.Entry_Crashed:
 			s.replayCrashed(k.Crashed)
+		case *record.Entry_Acquitted:
+			s.replayAcquitted(k.Acquitted)
 		case *record.Entry_Kept:
 			s.replaySnapshot(k.Kept)
 		case *record.Entry_EndedJobs:
