region: a task that lasts pauses for 6 s at most

The pause doubled up to a minute. TestNewLeaderInheritsCrashes wants the inherited pause to be exactly the longest one, where it wanted one that is over 10 s later; it is green.

--- a/region/restart.go
+++ b/region/restart.go
@@ -10,9 +10,9 @@
 	// the task crashing its workers. Tasks that last are at work after a short startup.
 	goodRun = 10 * time.Second
 	// A task that lasts and crashes its workers is started again after minRestartPause, which
-	// doubles with each further crash up to maxRestartPause.
+	// doubles with each further crash up to maxRestartPause: its users wait for it meanwhile.
 	minRestartPause = 4 * time.Second
-	maxRestartPause = time.Minute
+	maxRestartPause = 6 * time.Second
 	// fewestConclusive is the fewest crashes that are conclusive: those without other jobs.
 	fewestConclusive = (giveUpWeight + aloneWeight - 1) / aloneWeight
 	// maxAcquittal is the longest time for which a run of a task that lasts goes on before its
