Say why workers are not read, and what a lost run rests on

What operators saw: `run lost ... its lease is over` had `looked_ms_ago` and nothing else. Whether probes had failed, and how, whether one was in flight, whether the worker was listed, and whether its lease was really over could not be told afterwards, so that an end that was not read for a whole lease had five explanations (answers not taken in, no probe sent, a worker that left, an end acknowledged without its record, a lease that outlived the leader's reckoning).

Change: - platform.FailureOf gives a failed call a typed reason (model.CallFailure) from its typed errors; the leader counts it (`probe_failures{why}`) and passes it with ProbeAnswered. - The scheduler keeps for each worker the newest failure, how many in a row, and what it knew when runs were given up. `run lost` has it (failed_ms_ago, failure, failures, in_flight_ms, held_ms, listed, draining, ends_read, ends_acked, clock_ms_ago, lease_over_ms). - Lines `worker not answering` and `worker answers again`, once an outage, for workers with runs only, at most 20 a second, those after lost runs counted apart; the rest counts in `outage_lines_suppressed`. The second tells by the worker's own clock whether its lease was over. This is kept for a minute for a worker that was forgotten: behind a cut its entry expires before it answers again.

A probe that is refused for its fencing token begins no outage: a start with a raised token overtakes probes in ordinary work (the test of outages shows it if that guard is taken out).

Guards broken by hand, each with a test red: 14 in the classification, 4 in the leader, 20 in the scheduler, among them the bound of lines, the one line an outage, none for idle workers, the fencing token, the next incarnation, the forgotten worker and the end of leadership (which was green at first: the test now looks at all tags).

--- a/leader/dispatch.go
+++ b/leader/dispatch.go
@@ -130,7 +130,11 @@
 	sent := boottime.Now()
 	response, err := d.leader.cfg.Client.Probe(d.ctx, d.leader.callTimeout.timeout(minProbeTimeout, maxCallTimeout), c.Request)
 	d.observeCall(sent, c.Request.Wait, err)
-	d.leader.push(d.ctx, region.ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: response, Err: callError(platform.Receipt{Err: err}, nil)})
+	failure := platform.FailureOf(err)
+	if err != nil && d.ctx.Err() == nil {
+		d.count(region.Count{Name: "probe_failures", Why: failure.String()})
+	}
+	d.leader.push(d.ctx, region.ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: response, Err: callError(platform.Receipt{Err: err}, nil), Failure: failure})
 }
 
 func (d *dispatcher) advise(c region.Advise) {
@@ -158,7 +162,7 @@
 	if c.Why != "" {
 		scope = scope.Tagged(map[string]string{"why": c.Why})
 	}
-	scope.Counter(c.Name).Inc(1)
+	scope.Counter(c.Name).Inc(max(c.N, 1))
 }
 
 // callError classifies the outcome of a call to a worker.
--- a/region/end.go
+++ b/region/end.go
@@ -22,9 +22,12 @@
 // markLost ends a run whose worker reported no end. It does not count as an attempt.
 func (s *Scheduler) markLost(r *run, why string) {
 	t := r.task
-	s.explain(t.step.job.rec.Id, "run lost", Field{"why", why}, Field{"worker", r.ref.ID}, Field{"born", r.ref.BornUnix},
-		Field{"step", t.step.index}, Field{"task", t.index}, Field{"run", r.number},
-		Field{"phase", int(r.phase)}, Field{"looked_ms_ago", r.worker.probeAge(s.now).Milliseconds()})
+	s.explain(t.step.job.rec.Id, "run lost", append([]Field{{"why", why}, {"worker", r.ref.ID}, {"born", r.ref.BornUnix},
+		{"step", t.step.index}, {"task", t.index}, {"run", r.number},
+		{"phase", int(r.phase)}, {"looked_ms_ago", r.worker.probeAge(s.now).Milliseconds()}}, r.worker.contactFields(s.now)...)...)
+	if why == leaseOver {
+		r.worker.noteGivenUp(s.now)
+	}
 	s.release(r)
 	s.recordLost(r)
 	s.stopOtherMembers(t, r.number)
@@ -106,7 +109,7 @@
 	s.emit(Count{Name: "given_up_runs_done"})
 	s.explain(e.Task.Job, "run done after it was given up", Field{"worker", w.entry.ID}, Field{"born", w.incarnation.BornUnix},
 		Field{"step", e.Task.Step}, Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"newest_run", t.lastRun}, Field{"task_done", t.done},
-		Field{"end", e.Number})
+		Field{"end", e.Number}, Field{"lost_ms_ago", msSince(w.givenUp.at, s.now)})
 }
 
 // stopLaterRuns stops later runs of a task, and of the other members of its gang, after an
--- a/region/endlog.go
+++ b/region/endlog.go
@@ -26,14 +26,17 @@
 	l.highest = max(l.highest, number)
 }
 
-// acknowledged records that an acknowledgement up to the number was answered.
-func (l *endLog) acknowledged(number int64) {
+// acknowledged records that an acknowledgement up to the number was answered, and returns how many
+// ends that were read it covers for the first time.
+func (l *endLog) acknowledged(number int64) (ends int64) {
 	l.acked = max(l.acked, number)
 	for n := range l.read {
 		if n <= l.acked {
 			delete(l.read, n)
+			ends++
 		}
 	}
+	return ends
 }
 
 func (l *endLog) deferred(number int64) {
--- a/region/event.go
+++ b/region/event.go
@@ -64,6 +64,7 @@
 		SentAt   time.Duration
 		Response model.ProbeResponse
 		Err      CallError
+		Failure  model.CallFailure // why Err is not CallOK; only reported
 	}
 
 	// StartAnswered is the answer to a Start that was sent at SentAt.
@@ -196,10 +197,11 @@
 		Begun  bool // the worker is known to have started the run
 	}
 
-	// Count adds 1 to a counter. Why is its tag, or empty.
+	// Count adds N to a counter, or 1 if N is 0. Why is its tag, or empty.
 	Count struct {
 		Name string
 		Why  string
+		N    int64
 	}
 
 	// StepDown ends the leadership, because Worker has seen a higher fencing token:
--- a/region/leaders_test.go
+++ b/region/leaders_test.go
@@ -490,7 +490,9 @@
 			reply(CallOK)
 		}
 		list()
-	}, func(e CallError) Event { return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e} })
+	}, func(e CallError) Event {
+		return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e, Failure: w.failureOf(c.Request.Worker.ID, e)}
+	})
 	w.after(c.After, func() { f.when(generation, true, func() { sent = w.now }) })
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -77,7 +77,7 @@
 		}
 		request.UntilMs = s.grantLease(w)
 	}
-	w.probing = true
+	w.probing, w.probeSentAt = true, s.now+after
 	s.emit(Probe{Request: request, After: after})
 }
 
@@ -92,9 +92,13 @@
 	}
 	w.probing = false
 	if ev.Request.Worker.BornUnix != w.incarnation.BornUnix {
+		s.emit(Count{Name: "probe_answers_passed_over"})
 		s.probe(w, 0)
 		return
 	}
+	if ev.Err != CallOK {
+		s.noteProbeFailed(w, ev)
+	}
 	switch ev.Err {
 	case CallOK:
 	case CallFenced:
@@ -117,6 +121,7 @@
 		s.probeAgain(w, probeRetry)
 		return
 	}
+	s.noteProbeAnswered(w, ev)
 	newEnds := s.readProbe(w, ev)
 	if w.probeMissed {
 		w.probeMissed = false
@@ -205,7 +210,7 @@
 	s.workerAnswered(w.ref())
 	s.endPredecessors(w)
 	w.endsListed = len(ev.Response.Ended)
-	w.ends.acknowledged(ev.Request.AckedUpTo)
+	s.endsAcked += w.ends.acknowledged(ev.Request.AckedUpTo)
 	for _, e := range ev.Response.Ended {
 		if s.readEnd(w, e) {
 			newEnds++
--- a/region/region.go
+++ b/region/region.go
@@ -141,6 +141,8 @@
 	gangRooms      []gangRoom
 	reservable     reservablePlaces // of the gang that reserves now
 	overload       overload
+	outageLines    outageLines
+	endsAcked      int64 // ends acknowledged since the last tick
 	pacer          startPacer
 	tailStart      [numClasses]int // where the next pass resumes trying the tail of each class
 
@@ -328,6 +330,7 @@
 		return
 	}
 	s.noteTick()
+	s.countAcknowledged()
 	s.checkDrainAge()
 	s.addDueOccurrences()
 	s.expireRuns()
--- a/region/worker.go
+++ b/region/worker.go
@@ -62,6 +62,7 @@
 	wasKeptFreeFor            *step           // the same in the previous pass
 	claimed                   model.Resources // room for which steps request tickets in this pass
 	verification
+	*contact
 }
 
 func (w *worker) ref() model.WorkerRef { return w.incarnation }
@@ -96,7 +97,7 @@
 func (s *Scheduler) workerNamed(id string) *worker {
 	w, known := s.workers[id]
 	if !known {
-		w = &worker{entry: model.WorkerEntry{ID: id}, slot: s.slots.alloc(), pendingCalls: make(pendingCalls), fenceSteps: s.departed.fenceSteps(id), ends: &endLog{}}
+		w = &worker{entry: model.WorkerEntry{ID: id}, slot: s.slots.alloc(), pendingCalls: make(pendingCalls), fenceSteps: s.departed.fenceSteps(id), ends: &endLog{}, contact: s.departed.contact(id)}
 		s.setIncarnation(w, model.WorkerRef{ID: id})
 		s.workers[id] = w
 		s.workerList = append(s.workerList, w)
@@ -243,6 +244,7 @@
 	w.clockMs, w.leaseMs = 0, 0
 	w.ends, w.endsListed = &endLog{}, 0
 	w.silent = false
+	w.endOutage()
 	w.inheritedUntil = s.now + s.maxLease() + lapseMargin
 	w.fenced = false
 	s.raiseFence(w)
@@ -309,7 +311,7 @@
 	s.leaveRack(w)
 	s.deactivateWorker(w)
 	w.probeHeldAt = 0
-	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), s.now)
+	s.departed.add(w.entry.ID, min(w.fenceSteps+1, maxFenceSteps), w.departing(), s.now)
 	s.slots.release(w.slot)
 	for i, o := range s.workerList {
 		if o == w {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -73,6 +73,8 @@
 	doneRuns     map[model.TaskID]int32
 	failures     map[model.TaskID]int
 	explanations []string
+	counts       map[string]int64    // counters
+	hungProbes   bool                // calls of probes do not come back
 	foreign      []model.WorkerEntry // entries of the host list that other writers wrote, under ids of no worker
 	foreignCalls map[string]int      // calls to workers of such entries, by kind
 }
@@ -89,6 +91,7 @@
 	listedEnds   int64 // highest number of an end in an answer to a probe
 	voidEnds     int   // how many ends at the front of ends a lease expiry has made void
 	unreachable  bool
+	failsWith    model.CallFailure  // why calls get no answer; 0 for model.CallTimedOut
 	answersLost  bool               // calls are executed, and their answers are lost
 	answerDelay  time.Duration      // how long the leader waits for an answer beyond the usual time
 	hangs        bool               // tasks start but make no progress
@@ -172,7 +175,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
 		now: time.Hour, submitted: make(map[string]*record.Job), foreignCalls: make(map[string]int),
-		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int),
+		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int), counts: make(map[string]int64),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
 	w.fails = func(model.TaskID, int32) bool { return false }
@@ -356,7 +359,11 @@
 		w.call(generation, "stop", c.After, c.Request.Worker, func(fw *fakeWorker) CallError { return w.stop(fw, c.Request) },
 			func(e CallError) Event { return StopAnswered{Request: c.Request, Err: e} })
 	case Probe:
-		w.probe(generation, c)
+		if !w.hungProbes {
+			w.probe(generation, c)
+		}
+	case Count:
+		w.counts[c.Name] += max(c.N, 1)
 	case Advise:
 		w.seesAdvice(c)
 		w.advise(generation, c)
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -298,6 +298,6 @@
 		sort.Slice(got.Running, func(i, j int) bool { return fmt.Sprint(got.Running[i].Task) < fmt.Sprint(got.Running[j].Task) })
 		return CallOK
 	}, func(e CallError) Event {
-		return ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: got, Err: e}
+		return ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: got, Err: e, Failure: w.failureOf(c.Request.Worker.ID, e)}
 	})
 }
