--- a/region/event.go
+++ b/region/event.go
@@ -65,6 +65,7 @@
 		SentAt   time.Duration
 		Response model.ProbeResponse
 		Err      CallError
+		Failure  model.CallFailure // why Err is not CallOK; only reported
 	}
 
 	// StartAnswered is the answer to a Start that was sent at SentAt.
@@ -198,10 +199,11 @@
 		Outage bool // it does not count: the rack failed
 	}
 
-	// Count adds 1 to a counter. Why is its tag, or empty.
+	// Count adds N to a counter, or 1 if N is 0. Why is its tag, or empty.
 	Count struct {
 		Name string
 		Why  string
+		N    int64
 	}
 
 	// StepDown ends the leadership, because Worker has seen a higher fencing token:
--- a/region/leaders_test.go
+++ b/region/leaders_test.go
@@ -494,7 +494,7 @@
 		if e != CallOK {
 			got = model.ProbeResponse{}
 		}
-		return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e}
+		return ProbeAnswered{Request: c.Request, SentAt: sent, Response: got, Err: e, Failure: w.failureOf(c.Request.Worker.ID, e)}
 	})
 	w.after(c.After, func() { f.when(generation, true, func() { sent = w.now }) })
 }
--- a/region/probe.go
+++ b/region/probe.go
@@ -77,7 +77,7 @@
 		}
 		request.UntilMs = s.grantLease(w)
 	}
-	w.probing = true
+	w.probing, w.probeSentAt = true, s.now+after
 	s.emit(Probe{Request: request, After: after})
 }
 
@@ -92,9 +92,13 @@
 	}
 	w.probing = false
 	if ev.Request.Worker.BornUnix != w.incarnation.BornUnix {
+		s.emit(Count{Name: "probe_answers_passed_over"})
 		s.probe(w, 0)
 		return
 	}
+	if ev.Err != CallOK {
+		s.noteProbeFailed(w, ev)
+	}
 	switch ev.Err {
 	case CallOK:
 	case CallFenced:
@@ -123,6 +127,7 @@
 		s.probeAgain(w, probeRetry)
 		return
 	}
+	s.noteProbeAnswered(w, ev)
 	newEnds := s.readProbe(w, ev)
 	if w.probeMissed {
 		w.probeMissed = false
@@ -213,7 +218,7 @@
 	s.workerAnswered(w.ref())
 	s.endPredecessors(w, ev.SentAt)
 	w.endsListed = len(ev.Response.Ended)
-	w.acknowledged(ev.Request)
+	s.endsAcked += w.acknowledged(ev.Request)
 	newEnds = s.readEnds(w, ev.Response.Ended)
 	w.strays, w.unread = 0, false
 	listed := make(map[model.TaskID]bool, len(ev.Response.Running))
@@ -268,12 +273,14 @@
 	return number
 }
 
-// acknowledged records that a probe was answered. It will not be executed again.
-func (w *worker) acknowledged(probe model.ProbeRequest) {
-	w.ends.acknowledged(probe.AckedUpTo)
+// acknowledged records that a probe was answered, and returns how many ends it has acknowledged. It will
+// not be executed again.
+func (w *worker) acknowledged(probe model.ProbeRequest) (ends int64) {
+	ends = w.ends.acknowledged(probe.AckedUpTo)
 	if probe.AckedUpTo > 0 && probe.Fence == w.ackFence && w.lostAckFence != w.ackFence {
 		w.ackFence = 0
 	}
+	return ends
 }
 
 // outdateAcks raises the worker's fencing token if a probe with the present one that
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -308,6 +308,6 @@
 		if e != CallOK && !handshake {
 			got = model.ProbeResponse{}
 		}
-		return ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: got, Err: e}
+		return ProbeAnswered{Request: c.Request, Verify: c.Verify, SentAt: sent, Response: got, Err: e, Failure: w.failureOf(c.Request.Worker.ID, e)}
 	})
 }
