region: tell when an end that was read is deferred, and applied

New lines "end deferred" and "deferred end applied" with the run, its worker and the time between, counters ends_deferred{why} and ends_deferred_applied; "run stopped" has phase, ran_ms, resumed and percent. No decision changes.

--- a/region/end.go
+++ b/region/end.go
@@ -1,6 +1,8 @@
 package region
 
 import (
+	"time"
+
 	"github.com/fireflyfold/fireflyfold/model"
 	"github.com/fireflyfold/fireflyfold/record"
 )
@@ -63,14 +65,20 @@
 	return outcome == record.Outcome_OUTCOME_DONE && !t.step.rec.LongRunning
 }
 
-// runEnded applies an end that a worker lists. It returns false if the end is deferred.
-func (s *Scheduler) runEnded(w *worker, e model.End) bool {
+// Why an end that a worker lists is deferred.
+const (
+	deferredForCall     = "another start call of the run may be executed"
+	deferredForLaterRun = "a later run of the task may start"
+)
+
+// runEnded applies an end that a worker lists, or returns why it is deferred.
+func (s *Scheduler) runEnded(w *worker, e model.End) (deferred string) {
 	t := s.findTask(e.Task)
 	if t == nil {
 		s.emit(Count{Name: "ends_of_unknown_jobs"})
 		s.explain(e.Task.Job, "end of an unknown job", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step}, Field{"task", e.Task.Index},
 			Field{"run", e.Run}, Field{"outcome", e.Outcome.String()}, Field{"end", e.Number})
-		return true
+		return ""
 	}
 	r := t.run
 	if r != nil && (r.number != e.Run || r.worker != w) {
@@ -87,7 +95,7 @@
 		r.calls.runListed()
 		if s.mayStartLate(r) && !s.keepsEndOf(r, e) {
 			s.deferEnd(r)
-			return false
+			return deferredForCall
 		}
 		s.release(r)
 	}
@@ -95,10 +103,27 @@
 		s.reportGivenUp(w, t, e)
 	}
 	if t.isFinal(e.Outcome) && s.stopLaterRuns(t, e.Run) {
-		return false
+		return deferredForLaterRun
 	}
 	s.applyEnd(w, t, e)
-	return true
+	return ""
+}
+
+// reportDeferred reports an end that was read and is neither applied nor acknowledged yet.
+func (s *Scheduler) reportDeferred(w *worker, e model.End, why string) {
+	s.emit(Count{Name: "ends_deferred", Why: why})
+	s.explain(e.Task.Job, "end deferred", append(endFields(w, e), Field{"why", why})...)
+}
+
+// reportApplied reports that an end is applied which was deferred for the time waited.
+func (s *Scheduler) reportApplied(w *worker, e model.End, waited time.Duration) {
+	s.emit(Count{Name: "ends_deferred_applied"})
+	s.explain(e.Task.Job, "deferred end applied", append(endFields(w, e), Field{"deferred_ms", waited.Milliseconds()})...)
+}
+
+func endFields(w *worker, e model.End) []Field {
+	return []Field{{"worker", w.entry.ID}, {"born", w.incarnation.BornUnix}, {"occurrence", e.Task.Occurrence}, {"step", e.Task.Step},
+		{"task", e.Task.Index}, {"run", e.Run}, {"outcome", e.Outcome.String()}, {"end", e.Number}}
 }
 
 // reportGivenUp reports an end as done of a run that was counted as lost: its task was, or would have
--- a/region/endlog.go
+++ b/region/endlog.go
@@ -1,21 +1,29 @@
 package region
 
+import "time"
+
 // endLog tracks which ends of one incarnation of a worker were applied and which may be
 // acknowledged. The worker forgets all ends up to the acknowledged number, so an end that is
 // deferred keeps those after it.
 type endLog struct {
-	highest   int64          // highest number read
-	read      map[int64]bool // numbers read that are not acknowledged
-	committed int64          // highest number whose record is in the log
-	pending   map[int64]bool // lower numbers that were deferred; true once applied, until their record is in the log
-	acked     int64          // highest number in an acknowledgement that was answered
+	highest   int64                  // highest number read
+	read      map[int64]bool         // numbers read that are not acknowledged
+	committed int64                  // highest number whose record is in the log
+	pending   map[int64]*deferredEnd // lower numbers that were deferred, until their record is in the log
+	acked     int64                  // highest number in an acknowledgement that was answered
+}
+
+// deferredEnd is an end that was listed and could not be applied at once.
+type deferredEnd struct {
+	since   time.Duration // when it was deferred
+	applied bool          // it was applied since
 }
 
 // isNew reports whether an end has yet to be applied. A list may have any order, but has the lowest
 // of the ends that are not acknowledged.
 func (l *endLog) isNew(number int64) bool {
-	applied, pending := l.pending[number]
-	return number > l.acked && !l.read[number] || pending && !applied
+	d := l.pending[number]
+	return number > l.acked && !l.read[number] || d != nil && !d.applied
 }
 
 func (l *endLog) markRead(number int64) {
@@ -39,19 +47,28 @@
 	return ends
 }
 
-func (l *endLog) deferred(number int64) {
+// deferred records that an end has to wait, and reports whether it is deferred for the first time.
+func (l *endLog) deferred(number int64, now time.Duration) (first bool) {
 	l.markRead(number)
+	if l.pending[number] != nil {
+		return false
+	}
 	if l.pending == nil {
-		l.pending = make(map[int64]bool)
+		l.pending = make(map[int64]*deferredEnd)
 	}
-	l.pending[number] = false
+	l.pending[number] = &deferredEnd{since: now}
+	return true
 }
 
-func (l *endLog) applied(number int64) {
+// applied records that an end is applied, and returns what is known of its deferral; nil if it was not
+// deferred.
+func (l *endLog) applied(number int64) *deferredEnd {
 	l.markRead(number)
-	if _, pending := l.pending[number]; pending {
-		l.pending[number] = true
+	d := l.pending[number]
+	if d != nil {
+		d.applied = true
 	}
+	return d
 }
 
 // inLog records that the record of an end is in the log.
--- a/region/endlog_test.go
+++ b/region/endlog_test.go
@@ -22,7 +22,7 @@
 	l.applied(1)
 	l.inLog(1)
 	read(3) // numbers may have gaps
-	l.deferred(3)
+	l.deferred(3, 0)
 	read(4)
 	l.applied(4)
 	l.inLog(4)
--- a/region/probe.go
+++ b/region/probe.go
@@ -249,11 +249,15 @@
 	if !ends.isNew(e.Number) {
 		return false
 	}
-	if !s.runEnded(w, e) {
-		ends.deferred(e.Number)
+	if why := s.runEnded(w, e); why != "" {
+		if ends.deferred(e.Number, s.now) {
+			s.reportDeferred(w, e, why)
+		}
 		return false
 	}
-	ends.applied(e.Number)
+	if d := ends.applied(e.Number); d != nil {
+		s.reportApplied(w, e, s.now-d.since)
+	}
 	s.afterCommit(s.seq, func() { ends.inLog(e.Number) })
 	return true
 }
--- a/region/run.go
+++ b/region/run.go
@@ -182,7 +182,8 @@
 		return
 	}
 	s.explain(r.task.step.job.rec.Id, "run stopped", Field{"why", why}, Field{"worker", r.ref.ID}, Field{"born", r.ref.BornUnix},
-		Field{"step", r.task.step.index}, Field{"task", r.task.index}, Field{"run", r.number})
+		Field{"step", r.task.step.index}, Field{"task", r.task.index}, Field{"run", r.number}, Field{"phase", int(r.phase)},
+		Field{"ran_ms", msSince(r.startedAt, s.now)}, Field{"resumed", r.resumed}, Field{"percent", r.percent})
 	if r.phase == phaseLogging {
 		s.abandon(r, why)
 		return
