region: a task is not started again once its end was read

What callers saw: a task ran once more after a run of it was done (TWICE), if the end that was read had to wait.

Cause: an end as done that waits, since a later run of its task or another call of its own run may still start, left no trace in the task. If the later run was listed as stopped or was lost first, or the worker began a new incarnation, went, or the leader changed, the task waited, and the next pass started it.

Change: the task keeps such an end (rememberDone), waits for nothing while it does, and is completed as soon as no later run may start, whether the worker lists the end again or not.

No test shows the stop of later runs that cannot start late. What one leader has read and not recorded before it ends is still unknown to the next one.

--- a/region/end.go
+++ b/region/end.go
@@ -13,7 +13,7 @@
 func (s *Scheduler) abandon(r *run, why string) {
 	switch {
 	case r.phase == phaseLateStart:
-		s.setIdle(r, false) // its end, if there was one, is gone with the incarnation
+		s.setIdle(r, false) // the worker does not list its end any more; rememberDone keeps one as done
 	case r.unsettled() || r.startedUnverified():
 		s.awaitLateStart(r, why)
 	default:
@@ -69,6 +69,8 @@
 const (
 	deferredForCall     = "another start call of the run may be executed"
 	deferredForLaterRun = "a later run of the task may start"
+	// It is not an end of the incarnation whose ends are applied.
+	deferredForIncarnation = "another incarnation lists it"
 )
 
 // runEnded applies an end that a worker lists, or returns why it is deferred.
@@ -147,10 +149,11 @@
 		tasks = t.step.tasks
 	}
 	for _, m := range tasks {
-		if !t.done && m.run != nil && m.run.number > number && s.mayStartLate(m.run) {
-			s.stopRun(m.run, "an earlier run is done")
-			mayStart = true
+		if t.done || m.run == nil || m.run.number <= number {
+			continue
 		}
+		mayStart = mayStart || s.mayStartLate(m.run)
+		s.stopRun(m.run, "an earlier run is done")
 	}
 	return mayStart
 }
@@ -160,25 +163,32 @@
 	if e.Run <= t.endedRun && (!t.isFinal(e.Outcome) || t.done) {
 		return
 	}
+	if t.isFinal(e.Outcome) {
+		s.applyDone(t, e.Run, e.Checkpoint)
+		return
+	}
 	t.lastRun = max(t.lastRun, e.Run)
 	s.recordEnd(t, e.Run, e.Outcome, e.Checkpoint)
 	if e.Outcome == record.Outcome_OUTCOME_FAILED {
 		s.explain(e.Task.Job, "run failed", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step},
 			Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"attempts", t.attempts})
 	}
-	if t.isFinal(e.Outcome) {
-		if t.run != nil {
-			s.stopRun(t.run, "an earlier run is done")
-		}
-		s.gangDone(t, e.Run)
-		return
-	}
 	if e.GangTimedOut {
 		s.explain(e.Task.Job, "gang member ended alone", Field{"step", e.Task.Step}, Field{"task", e.Task.Index}, Field{"run", e.Run})
 	}
 	s.stopOtherMembers(t, e.Run)
 }
 
+// applyDone completes a task, and the other members of its gang, with the end of a run.
+func (s *Scheduler) applyDone(t *task, number int32, checkpoint string) {
+	t.lastRun = max(t.lastRun, number)
+	s.recordEnd(t, number, record.Outcome_OUTCOME_DONE, checkpoint)
+	if t.run != nil {
+		s.stopRun(t.run, "an earlier run is done")
+	}
+	s.gangDone(t, number)
+}
+
 // countEnd applies the end of a run to its task and job.
 func (s *Scheduler) countEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
 	first := number > t.endedRun
--- a/region/job.go
+++ b/region/job.go
@@ -83,6 +83,7 @@
 	suspicion    suspicion
 	movedOffSlow bool          // it was moved off a slow worker once
 	run          *run          // run that may be alive; nil for none
+	doneEnd      *doneEnd      // a run was read as done, and that is not applied yet; nil for none
 	runTime      time.Duration // run time of the run that completed it
 	ranOn        *worker       // worker of that run
 }
@@ -92,7 +93,7 @@
 }
 
 // waiting reports whether the task has yet to be assigned.
-func (t *task) waiting() bool { return !t.done && t.run == nil }
+func (t *task) waiting() bool { return !t.done && t.run == nil && t.doneEnd == nil }
 
 func (j *job) ended() bool    { return j.cancelled || j.failed || j.complete() }
 func (j *job) periodic() bool { return j.rec.RepeatCount > 0 }
--- a/region/probe.go
+++ b/region/probe.go
@@ -87,12 +87,14 @@
 		return
 	}
 	if ev.Verify {
+		s.readEndsElsewhere(w, ev)
 		s.verifyAnswered(w, ev)
 		return
 	}
 	w.probing = false
 	if ev.Request.Worker.BornUnix != w.incarnation.BornUnix {
 		s.emit(Count{Name: "probe_answers_passed_over"})
+		s.readEndsElsewhere(w, ev)
 		s.probe(w, 0)
 		return
 	}
@@ -243,6 +245,17 @@
 	return newEnds
 }
 
+// readEndsElsewhere remembers the ends as done that another incarnation of a worker lists than the one
+// whose ends are applied. What it lists is true, also if it is the last that is heard of it.
+func (s *Scheduler) readEndsElsewhere(w *worker, ev ProbeAnswered) {
+	for _, e := range ev.Response.Ended {
+		if s.rememberDone(e) {
+			s.reportDeferred(w, e, deferredForIncarnation)
+		}
+	}
+	s.applyDoneEnds()
+}
+
 // readEnd applies a listed end and reports whether it is applied now for the first time.
 func (s *Scheduler) readEnd(w *worker, e model.End) bool {
 	ends := w.ends
@@ -252,6 +265,7 @@
 	if why := s.runEnded(w, e); why != "" {
 		if ends.deferred(e.Number, s.now) {
 			s.reportDeferred(w, e, why)
+			s.rememberDone(e)
 		}
 		return false
 	}
--- a/region/read_end_test.go
+++ b/region/read_end_test.go
@@ -9,59 +9,181 @@
 	"github.com/fireflyfold/fireflyfold/record"
 )
 
-// readEndSteps are the kinds of steps that the tests of read ends play.
-func readEndSteps() map[string]*record.Step {
-	return map[string]*record.Step{"task": {Count: 1}, "gang": {Count: 3, Gang: true}}
+// readEndWorld is a world in which run 1 of a job's first task is done on w1, whose answers are lost, and
+// is given up: run 2 is assigned on w2.
+type readEndWorld struct {
+	*world
+	w1, w2 *fakeWorker
+	task   *task
 }
 
-// submitReadEnd submits a job with the step, which is done after two seconds on w1, and returns its first task.
-func submitReadEnd(w *world, step *record.Step, advice bool) *task {
-	j := oneStep("a", &record.Step{Count: step.Count, Gang: step.Gang})
-	if advice {
-		j = withAdvice(j, true)
+// eachReadEnd runs a test for tasks and gangs, with and without advice.
+func eachReadEnd(t *testing.T, test func(t *testing.T, w *readEndWorld)) {
+	for name, step := range map[string]*record.Step{"task": {Count: 1}, "gang": {Count: 3, Gang: true}} {
+		for _, advice := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " advice ", advice), func(t *testing.T) { test(t, newReadEndWorld(t, step, advice)) })
+		}
+	}
+}
+
+func newReadEndWorld(t *testing.T, step *record.Step, advice bool) *readEndWorld {
+	w := &readEndWorld{world: newWorld(t, 1)}
+	w.runTime = func(model.TaskID) time.Duration { return 2 * time.Second }
+	w.w1 = w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(100 * time.Millisecond)
+	w.submit(withAdvice(oneStep("a", &record.Step{Count: step.Count, Gang: step.Gang}), advice))
+	for len(w.w1.runs) == 0 {
+		w.run(time.Millisecond)
+	}
+	w.w2 = w.addWorker("w2", 8)
+	w.run(1900 * time.Millisecond)
+	w.w1.answersLost = true
+	w.task = w.sched.findTask(model.TaskID{Job: "a"})
+	for w.task.run == nil || w.task.run.number != 2 {
+		w.run(time.Millisecond)
+	}
+	return w
+}
+
+// readEnd lets the leader read the end of run 1.
+func (w *readEndWorld) readEnd() {
+	w.w1.answersLost = false
+	for end := w.now + 5*time.Second; w.counts["given_up_runs_done"] == 0 && w.now < end; {
+		w.run(time.Millisecond)
 	}
-	w.submit(j)
-	return w.sched.findTask(model.TaskID{Job: "a"})
+}
+
+// startUnanswered lets w2 execute run 2 without an answer.
+func (w *readEndWorld) startUnanswered() {
+	w.w2.answersLost = true
+	for len(w.w2.runs) == 0 {
+		w.run(time.Millisecond)
+	}
+}
+
+// mustNotStart fails the test if a run of the task is assigned after the newest one, or if its job is not
+// completed in some time.
+func (w *readEndWorld) mustNotStart(newest int32) {
+	w.t.Helper()
+	w.run(30 * time.Second)
+	task := w.sched.findTask(model.TaskID{Job: "a"})
+	if task.lastRun > newest {
+		w.t.Errorf("run %d was started after run 1 had been read as done", task.lastRun)
+	}
+	w.mustComplete("a")
 }
 
 // Guards against a task that is started again after its end was read: an earlier run is listed as done
 // while the start of a later run has no answer, and the end of the later run is read first.
 func TestTaskIsNotStartedAgainAfterItsEndIsRead(t *testing.T) {
-	for name, step := range readEndSteps() {
-		for _, advice := range []bool{false, true} {
-			for back := time.Duration(0); back < 1500*time.Millisecond; back += 50 * time.Millisecond {
-				t.Run(fmt.Sprint(name, " advice ", advice, " ", back), func(t *testing.T) {
-					w := newWorld(t, 1)
-					w.runTime = func(model.TaskID) time.Duration { return 2 * time.Second }
-					w1 := w.addWorker("w1", 8)
-					w.startLeader()
-					w.run(100 * time.Millisecond)
-					task := submitReadEnd(w, step, advice)
-					for len(w1.runs) == 0 {
-						w.run(time.Millisecond)
-					}
-					w2 := w.addWorker("w2", 8)
-					w.run(1900 * time.Millisecond)
-					w1.answersLost = true // the end is listed, and not read until back
-					for len(w2.runs) == 0 {
-						if task.run != nil && task.run.number == 2 {
-							w2.answersLost = true // the start of run 2 is executed, and not answered
-						}
-						w.run(time.Millisecond)
-					}
-					w.run(back)
-					w1.answersLost = false
-					w.after(30*time.Millisecond, func() { w2.answersLost = false })
-					for end := w.now + 5*time.Second; w.counts["given_up_runs_done"] == 0 && w.now < end; {
-						w.run(time.Millisecond)
-					}
-					newest := task.lastRun
-					w.run(20 * time.Second)
-					if task.lastRun > newest {
-						t.Errorf("run %d was started after run 1 had been read as done", task.lastRun)
-					}
-				})
-			}
+	for back := time.Duration(0); back < 1500*time.Millisecond; back += 50 * time.Millisecond {
+		t.Run(back.String(), func(t *testing.T) {
+			eachReadEnd(t, func(t *testing.T, w *readEndWorld) {
+				w.startUnanswered()
+				w.run(back)
+				w.after(30*time.Millisecond, func() { w.w2.answersLost = false })
+				w.readEnd()
+				w.mustNotStart(w.task.lastRun)
+			})
+		})
+	}
+}
+
+// Guards against the start of a run whose record is being written while an earlier run of the task, or of
+// another member of its gang, is read as done.
+func TestRunIsNotStartedIfAnEarlierOneIsDone(t *testing.T) {
+	eachReadEnd(t, func(t *testing.T, w *readEndWorld) {
+		w.logDown = true
+		w.readEnd()
+		w.logDown = false
+		w.mustNotStart(2)
+		if n := w.starts[model.TaskID{Job: "a"}]; n != 1 {
+			t.Errorf("%d starts, want one", n)
+		}
+	})
+}
+
+// Guards against a task that is started again by the next leader: its end was read and had to wait, and
+// its worker is gone.
+func TestNextLeaderKnowsOfReadEnd(t *testing.T) {
+	eachReadEnd(t, func(t *testing.T, w *readEndWorld) {
+		w.startUnanswered()
+		w.readEnd()
+		w.w1.unreachable = true
+		w.run(10 * time.Millisecond)
+		newest := w.task.lastRun
+		w.stopLeader()
+		w.run(20 * time.Millisecond)
+		w.w2.answersLost = false
+		w.startLeader()
+		w.mustNotStart(newest)
+	})
+}
+
+// Guards against the same with the snapshot of a job, which replaces its earlier records.
+func TestSnapshotHasReadEnd(t *testing.T) {
+	eachReadEnd(t, func(t *testing.T, w *readEndWorld) {
+		w.startUnanswered()
+		w.readEnd()
+		kept := w.sched.snapshotJob(w.task.step.job, defaultRecordBytes)[0]
+		next := New(testOptions())
+		next.Handle(w.now, EntriesRead{Entries: []*record.Entry{{Kind: &record.Entry_Kept{Kept: kept}}}})
+		if len(next.doneEnds) != 1 || next.doneEnds[0].doneEnd.run != 1 {
+			t.Errorf("the next leader knows of %d ends, want that of run 1", len(next.doneEnds))
 		}
+	})
+}
+
+// Guards against a task that is started again after its end was read and deferred, as a second start call
+// of its run may be executed: its worker begins a next incarnation before the end is applied.
+func TestReadEndOutlivesItsWorker(t *testing.T) {
+	for _, restartAt := range []time.Duration{2 * time.Second, 6 * time.Second, 12 * time.Second} {
+		t.Run(restartAt.String(), func(t *testing.T) {
+			h, fw := newHeldWorld(t, 8, dropped)
+			h.submitHeld(deferrable("a", &record.Step{}))
+			h.until(restartAt)
+			if h.counts["ends_deferred"] == 0 {
+				t.Fatal("no end is deferred")
+			}
+			h.restart(fw)
+			h.finish("a")
+			if n := h.sched.findTask(model.TaskID{Job: "a"}).lastRun; n != 1 {
+				t.Errorf("run %d was started, want only the one that is done", n)
+			}
+		})
+	}
+}
+
+// Guards against a task that is started again although its end was read: the answer that lists it comes from
+// another incarnation than the one whose ends are applied, as it arrives late or verifies an entry.
+func TestEndInAnswerOfAnotherIncarnation(t *testing.T) {
+	for name, verify := range map[string]bool{"late": false, "verifies an entry": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.runTime = func(model.TaskID) time.Duration { return 20 * time.Second }
+			fw := w.addWorker("w1", 8)
+			w.startLeader()
+			w.submit(withAdvice(oneStep("a", &record.Step{Count: 1}), true))
+			w.run(time.Second)
+			earlier := w.sched.workers["w1"].ref()
+			w.issuesTicket = func(string, string) bool { return false } // the task waits
+			fw.restart(w)
+			w.deliver(WorkerListed{Entry: fw.entry})
+			w.run(time.Second)
+			done := model.End{Number: 1, RunID: model.RunID{Task: model.TaskID{Job: "a"}, Run: 1}, Outcome: record.Outcome_OUTCOME_DONE}
+			w.step(ProbeAnswered{
+				Request: model.ProbeRequest{Worker: earlier}, Verify: verify, SentAt: w.now - 1500*time.Millisecond,
+				Response: model.ProbeResponse{BornUnix: earlier.BornUnix, Ended: []model.End{done}},
+			})
+			w.issuesTicket = func(string, string) bool { return true }
+			task := w.sched.findTask(done.Task)
+			newest := task.lastRun
+			w.run(20 * time.Second)
+			w.mustComplete("a")
+			if task.lastRun != newest {
+				t.Errorf("run %d was started after run 1 had been read as done", task.lastRun)
+			}
+		})
 	}
 }
--- a/region/region.go
+++ b/region/region.go
@@ -23,6 +23,8 @@
 //     incarnation of its worker. While that is possible, its run has not ended: the
 //     task is not started elsewhere, and an end that the worker lists is neither
 //     recorded nor acknowledged.
+//   - Once an end as done was read, no run of its task is started, although the end may have
+//     to wait: it is remembered, and recorded for the next leader.
 //   - Every start call that a later incarnation could execute is committed to the
 //     log before it is sent, so a new leader knows how many there may be.
 package region
@@ -114,6 +116,7 @@
 	shown           shownCrashes
 	suspects        map[*task]bool // tasks that are isolated
 	lateStartRuns   []*run         // runs of awaitLateStart
+	doneEnds        []*task        // tasks with an end of rememberDone
 	terms           terms
 	reachedBy       map[string]int64 // fencing token of the newest earlier leader that has recorded to have reached a worker
 	inheritedCalls  []*run           // runs of noteInheritedCalls
@@ -344,6 +347,7 @@
 	s.resizePools()
 	s.recordTerm()
 	s.settleLateStarts()
+	s.applyDoneEnds()
 	s.expirePathChecks()
 	s.departed.expire(s.now)
 	s.expireLosses()
--- a/region/replay.go
+++ b/region/replay.go
@@ -22,6 +22,8 @@
 			s.replaySettled(k.Settled)
 		case *record.Entry_Sending:
 			s.replaySending(k.Sending, e.Fence)
+		case *record.Entry_DoneRead:
+			s.replayDoneRead(k.DoneRead)
 		case *record.Entry_Reached:
 			s.reachedBy[k.Reached.Worker] = e.Fence
 		case *record.Entry_Crashed:
@@ -131,6 +133,9 @@
 			s.taskDone(t)
 			continue
 		}
+		if ts.DoneRun > 0 && t.doneEnd == nil {
+			s.keepDone(t, doneEnd{run: ts.DoneRun, readAt: s.now})
+		}
 		if ts.Worker != "" {
 			t.endedRun = ts.Run - 1
 			s.replayAssigned(&record.Assigned{
@@ -248,6 +253,9 @@
 		Task: t.id().Record(), Run: t.lastRun, Attempts: t.attempts, Done: t.done, Checkpoint: t.checkpoint,
 		Crashes: s.recordsOf(t.suspicion.crashes), Losses: s.recordsOf(t.suspicion.open),
 	}
+	if t.doneEnd != nil {
+		ts.DoneRun = t.doneEnd.run
+	}
 	if t.run != nil {
 		ts.Worker, ts.BornUnixMs, ts.Address = t.run.ref.ID, t.run.ref.BornUnix, t.run.ref.Address
 		ts.AssignedUnixMs = t.run.assignedUnixMs
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -39,6 +39,7 @@
 	lastWorker       int            // number of the newest worker that replaced a crashed one
 	advice           *adviceService // nil: each call is answered within its expected duration
 	leaders          *leaders       // several leaders at a time; nil if a leader ends when it is replaced
+	readEnds         readEnds       // ends as done that were read
 
 	intake        []*record.Intake
 	intakeTimes   []time.Duration        // when each of intake was appended
@@ -298,7 +299,9 @@
 
 func (w *world) step(ev Event) {
 	generation := w.generation
+	w.noteReadEnds(ev)
 	for _, c := range append([]Command(nil), w.sched.Handle(w.now, ev)...) {
+		w.checkReadEnds(c)
 		w.execute(generation, c)
 	}
 }
