region: a run that restores its checkpoint is not taken for a straggler

Callers saw jobs end late, and tasks lost their one move: a run that went on from a checkpoint was stopped as "far slower than its queue's tasks are" some 0.6 to 0.7 s after its start, and its sound worker got no work for 2 s.

Cause: such a run shows the percentage of its checkpoint while it restores (0.6 s). Its observation began with the first report of progress, so that the pause counted as time in which it gained nothing: the first gain projected a run time many times too long. The same projection, and the run time at its end, went into the estimates of its queue (in the test, 5.78 times the declared time for tasks that take what they declare).

Now the observation of a run that is not seen from its start (resumed, inherited, of a gang) begins when its progress has changed since an earlier report. A run on a worker that is really slow is still found, 1 of its percents later.

The stand-in worker restores only in worlds with a restoreTime.

The estimates are shorter now that the pause is not in them, and what was tuned with the longer ones (room for gangs, eviction) may have to be looked at again.

--- a/region/learn.go
+++ b/region/learn.go
@@ -132,10 +132,14 @@
 // of them hangs.
 func (s *Scheduler) progress(r *run, row model.Running) {
 	st := r.task.step.rec
+	first := !r.reported
+	r.reported = true
 	if row.Percent != r.percent || r.progressedAt == 0 {
 		r.percent = row.Percent
 		r.progressedAt = s.now
-		r.observeProgress(s.now)
+		if !first {
+			r.observeProgress(s.now)
+		}
 		s.sampleRunTime(r)
 		if !st.Gang && !st.LongRunning && s.isStraggler(r) {
 			r.task.movedOffSlow = true
--- a/region/progress.go
+++ b/region/progress.go
@@ -17,11 +17,11 @@
 	maxSampleStart = 70
 )
 
-// observation is the part of a run that this leader has seen. A run that an earlier leader
-// assigned was under way before, one that resumes from a checkpoint does not begin at zero,
-// and a gang's begins when its last member has started.
+// observation is the part of a run's work that this leader has seen. A run that an earlier
+// leader assigned was under way before, one that resumes from a checkpoint does not begin at
+// zero and restores first, and a gang's begins when its last member has started.
 type observation struct {
-	since       time.Duration // 0 before the first report of progress that counts
+	since       time.Duration // 0 before it begins
 	fromPercent int
 	sampled     bool // its run time is in the estimates of its queue
 }
@@ -38,13 +38,15 @@
 // observeFromStart begins the observation of a run that starts now at zero.
 func (r *run) observeFromStart(now time.Duration) {
 	if r.phase != phaseInherited && !r.resumed && !r.task.step.rec.Gang {
-		r.observed.since = now
+		r.observed.since, r.observed.fromPercent = now, r.percent
 	}
 }
 
-// observeProgress begins the observation of any other run with a report of its progress.
+// observeProgress begins the observation of any other run when its progress has changed since
+// an earlier report. Before that it may wait for other members of its gang or restore its
+// checkpoint, at the percentage of the checkpoint: a pause of its start, not a slow worker.
 func (r *run) observeProgress(now time.Duration) {
-	if r.observed.since == 0 && (!r.task.step.rec.Gang || r.percent > 0) {
+	if r.observed.since == 0 {
 		r.observed.since, r.observed.fromPercent = now, r.percent
 	}
 }
--- a/region/run.go
+++ b/region/run.go
@@ -54,6 +54,7 @@
 	assignedUnixMs   int64 // when it was assigned, by the clock of its leader; 0 for unknown
 	lost             *loss // what is known of its loss, while its worker is silent
 	observed         observation
+	reported         bool // its worker has reported its progress
 	percent          int
 	progressedAt     time.Duration // when percent last changed
 }
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -52,6 +52,8 @@
 	entries             []*record.Entry
 	entryTimes          []time.Duration // when each of entries was appended
 	maxLease            time.Duration   // the longest lease of workers; 0 for testLease
+	restoreTime         time.Duration   // how long a run restores that resumes; 0: tasks begin anew
+	resumedRuns         int             // runs that resumed, with a restoreTime
 	logRetention        time.Duration   // after which entries expire; 0 for the usual option, without expiry
 	statusRetention     time.Duration   // 0 for the usual option
 	minActive           int             // least number of active workers; 0 for the usual one
@@ -116,6 +118,8 @@
 	runTime    time.Duration // run time; 0 for a gang member
 	checkpoint string        // newest checkpoint
 	done       bool          // of a gang that is done, and its end is not listed yet
+	from       int           // percent of the checkpoint that it resumes from
+	restores   time.Duration // how long it restores that before it works
 }
 
 type timedEvent struct {
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -18,7 +18,7 @@
 	case r.runTime == 0:
 		return int((now - r.startedAt) / (100 * time.Millisecond))
 	}
-	return int(100 * (now - r.startedAt) / r.runTime)
+	return r.progress(now)
 }
 
 // clock returns the worker's monotonic clock in ms. It restarts with each incarnation.
@@ -94,7 +94,8 @@
 		return
 	}
 	r.runTime = w.runTime(o.Task) * max(1, fw.slowdown)
-	w.after(r.runTime, func() {
+	w.resume(r)
+	w.after(r.timeLeft(), func() {
 		w.expireLease(fw)
 		if fw.runs[o.Task] == r && !fw.hangs {
 			w.finish(fw, o.Task)
