region: a run that restores its checkpoint is not taken for one that hangs

Callers would see jobs that never end where restores take long: a run was stopped as "no progress" after 1.5 s without any, also while it restored its checkpoint, and its next run restored anew.

Cause: stallTimeout knew nothing of the time that a restore takes; the setting bounds.restoreMs was not read. With 0.6 s, as deployed today, and probes up to 0.8 s apart the margin was 0.1 s.

Now the setting is read (0.6 s without it), and a run that has a checkpoint and has not been seen to work may show no progress for that much longer. One on which nothing moves at all is found that much later.

Tests: TestLongRestoreIsNoStall, red before ("run stopped [{why no progress} ... {ran_ms 1632} {resumed true}", again and again); TestResumedRunThatHangsIsMoved, seen red with no limit for resumed runs ("no run that hangs was stopped").

--- a/host/host.go
+++ b/host/host.go
@@ -238,7 +238,7 @@
 		Client: h.client, Fence: fence, CallBytes: h.settings.MaxAppendBytes, LinkBps: h.settings.LinkBps,
 		Options: region.Options{
 			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
-			ZoneDrain: h.settings.ZoneDrain, StopTime: h.settings.StopTime, LogRetention: h.settings.LogRetention, RecordBytes: h.settings.MaxRecordBytes, StatusRetention: h.settings.StatusRetention,
+			ZoneDrain: h.settings.ZoneDrain, StopTime: h.settings.StopTime, RestoreTime: h.settings.RestoreTime, LogRetention: h.settings.LogRetention, RecordBytes: h.settings.MaxRecordBytes, StatusRetention: h.settings.StatusRetention,
 			StartsPerS: startShare * float64(h.settings.LinkBps) / startBytes,
 		},
 		LinkLoad: func() float64 { return h.linkLoad.At(boottime.Now()) },
--- a/region/learn.go
+++ b/region/learn.go
@@ -121,10 +121,19 @@
 	}
 }
 
-// stallTimeout is how long a run may show no progress. Probes are up to 0.8 s apart,
+// stallTimeout is how long a run that works may show no progress. Probes are up to 0.8 s apart,
 // and the slowest healthy tasks gain one percent in a second.
 const stallTimeout = 1500 * time.Millisecond
 
+// progressTimeout returns how long the run may show no progress: one that has resumed first
+// restores its checkpoint.
+func (s *Scheduler) progressTimeout(r *run) time.Duration {
+	if r.observed.since == 0 && r.task.checkpoint != "" {
+		return stallTimeout + s.opts.RestoreTime
+	}
+	return stallTimeout
+}
+
 // progress records the progress of a run and stops a run without progress. A worker on
 // which tasks hang otherwise seems healthy, as it answers and no task on it fails. The
 // stop does not count as an attempt, and the task continues elsewhere from its
@@ -148,7 +157,7 @@
 		}
 		return
 	}
-	if st.Gang || st.LongRunning || r.phase != phaseRunning || s.now-r.progressedAt < stallTimeout {
+	if st.Gang || st.LongRunning || r.phase != phaseRunning || s.now-r.progressedAt < s.progressTimeout(r) {
 		return
 	}
 	r.worker.health.stalled(s.now)
--- a/region/region.go
+++ b/region/region.go
@@ -43,6 +43,7 @@
 	Lease           time.Duration // the longest lease that the scheduler grants
 	ZoneDrain       time.Duration // maximum time until no task starts in a drained zone; 0 for no bound
 	StopTime        time.Duration // maximum time until a worker has stopped a run
+	RestoreTime     time.Duration // how long a run restores its checkpoint before it works
 	LogRetention    time.Duration // age at which records of the log expire
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	StartsPerS      float64       // starts per second that the driver's link carries beside its other traffic; 0 for no limit
--- a/region/resume_test.go
+++ b/region/resume_test.go
@@ -42,6 +42,7 @@
 func resumedWorld(t *testing.T, restore, slowdown time.Duration) *world {
 	w := mixedWorld(t, 4)
 	w.restoreTime = restore
+	w.sched.opts.RestoreTime = restore
 	submit := func(id string, tasks int32) {
 		j := deferrableJob(id, tasks)
 		j.Steps[0].Checkpointing = true
@@ -124,3 +125,31 @@
 	}
 	w.mustComplete("resumed")
 }
+
+// Guards against a job that never ends because its tasks restore their checkpoints for longer than a run
+// may show no progress: each is stopped before it works, and restores anew.
+func TestLongRestoreIsNoStall(t *testing.T) {
+	w := resumedWorld(t, 2*stallTimeout, 1)
+	w.run(8 * time.Second)
+	w.mustComplete("resumed")
+	if n := w.stopsFor("no progress"); n != 0 {
+		t.Errorf("%d runs stopped that restored their checkpoints", n)
+	}
+}
+
+// Guards against a task that hangs for good: it has resumed on a worker on which tasks hang.
+func TestResumedRunThatHangsIsMoved(t *testing.T) {
+	w := resumedWorld(t, testRestore, 1)
+	for _, fw := range w.workers {
+		fw.hangs = len(fw.runs) > 0
+	}
+	w.run(stallTimeout + testRestore + time.Second)
+	if n := w.stopsFor("no progress"); n == 0 {
+		t.Error("no run that hangs was stopped")
+	}
+	for _, fw := range w.workers {
+		fw.hangs = false
+	}
+	w.run(12 * time.Second)
+	w.mustComplete("resumed")
+}
