region: keep no checkpoint that makes a record too large for the log

What callers saw: nothing yet, found by reading. A worker whose checkpoint is longer than platform.recordBytes makes the leader step down ("entry rejected; stepping down") at the end of the run, or when its job is written again, and each successor that reads the same end as well.

Cause: a checkpoint is an opaque string of the worker, copied into Ended and Kept records whatever its size.

Change: half of the record's size bounds a checkpoint, when it is listed and when it is replayed. A longer one is not kept: line "checkpoint not kept" and counter checkpoints_not_kept{why}, once a run. The end counts, and the task goes on from the last checkpoint that fits.

Conclusion: no checkpoint can make a record of a task exceed the log's limit.

--- a/region/end.go
+++ b/region/end.go
@@ -161,7 +161,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	s.recordEnd(t, e.Run, e.Outcome, e.Checkpoint)
+	s.recordEnd(t, e.Run, e.Outcome, s.checkpointToKeep(w, t, e.RunID, e.Checkpoint))
 	if e.Outcome == record.Outcome_OUTCOME_FAILED {
 		s.explain(e.Task.Job, "run failed", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step},
 			Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"attempts", t.attempts})
@@ -183,9 +183,7 @@
 func (s *Scheduler) countEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
 	first := number > t.endedRun
 	t.endedRun = max(t.endedRun, number)
-	if checkpoint != "" {
-		s.saveCheckpoint(t, checkpoint)
-	}
+	s.saveCheckpoint(t, checkpoint)
 	switch {
 	case t.isFinal(outcome):
 		s.taskDone(t)
@@ -216,14 +214,3 @@
 		s.fail(t.step.job, t, failureAttempts)
 	}
 }
-
-// saveCheckpoint stores a checkpoint; that of one member is valid for the whole gang.
-func (s *Scheduler) saveCheckpoint(t *task, checkpoint string) {
-	if !t.step.rec.Gang {
-		t.checkpoint = checkpoint
-		return
-	}
-	for _, m := range t.step.tasks {
-		m.checkpoint = checkpoint
-	}
-}
--- a/region/job.go
+++ b/region/job.go
@@ -79,7 +79,8 @@
 	attempts     int32  // runs that ended as failed
 	lastRun      int32  // highest run number assigned
 	endedRun     int32  // highest run number whose end was counted
-	checkpoint   string // newest checkpoint
+	reportedRun  int32  // newest run of which a checkpoint that is not kept was reported
+	checkpoint   string // newest checkpoint that is kept
 	suspicion    suspicion
 	movedOffSlow bool          // it was moved off a slow worker once
 	run          *run          // run that may be alive; nil for none
--- a/region/probe.go
+++ b/region/probe.go
@@ -304,9 +304,7 @@
 		return
 	}
 	r := t.run
-	if row.Checkpoint != "" {
-		s.saveCheckpoint(t, row.Checkpoint)
-	}
+	s.saveCheckpoint(t, s.checkpointToKeep(w, t, row.RunID, row.Checkpoint))
 	r.lost = nil
 	s.progress(r, row)
 	s.acquit(r)
--- a/region/replay.go
+++ b/region/replay.go
@@ -124,7 +124,10 @@
 		if t == nil || t.lastRun > ts.Run {
 			continue
 		}
-		t.lastRun, t.endedRun, t.attempts, t.checkpoint = ts.Run, ts.Run, ts.Attempts, ts.Checkpoint
+		t.lastRun, t.endedRun, t.attempts, t.checkpoint = ts.Run, ts.Run, ts.Attempts, ""
+		if s.checkCheckpoint(ts.Checkpoint) == "" {
+			t.checkpoint = ts.Checkpoint
+		}
 		s.replaySuspicion(t, ts)
 		j.begun = true
 		if ts.Done {
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -118,6 +118,9 @@
 
 // save returns the newest checkpoint of a run. A gang's is the same for all members.
 func (w *world) save(id model.TaskID, r *fakeRun) string {
+	if w.checkpointOf != nil {
+		return w.checkpointOf(id, r)
+	}
 	j := w.job(id.Job)
 	if w.strict == nil || !j.Steps[id.Step].Checkpointing {
 		return ""
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -65,10 +65,11 @@
 
 	runTime      func(id model.TaskID) time.Duration
 	fails        func(id model.TaskID, run int32) bool
-	issuesTicket func(step, worker string) bool  // the advice service issues a ticket
-	losesAnswer  func(call string) bool          // the call is executed, but its answer is lost
-	seesAdvice   func(c Advise)                  // is shown each call for advice
-	callDelay    func(call string) time.Duration // extra delay until the call is executed
+	issuesTicket func(step, worker string) bool           // the advice service issues a ticket
+	losesAnswer  func(call string) bool                   // the call is executed, but its answer is lost
+	seesAdvice   func(c Advise)                           // is shown each call for advice
+	callDelay    func(call string) time.Duration          // extra delay until the call is executed
+	checkpointOf func(id model.TaskID, r *fakeRun) string // newest checkpoint of a run; nil for the usual one
 	starts       map[model.TaskID]int
 	doneRuns     map[model.TaskID]int32
 	failures     map[model.TaskID]int
