region: keep no checkpoint that a record cannot encode

What callers saw: nothing yet, found while the bound of checkpoints was added. A worker whose checkpoint is not UTF-8 ends the leading host with a panic when the end of its run is encoded, and each successor too.

Cause: protobuf strings must be UTF-8, and the bytes of a worker's JSON string are passed on unchanged.

Evidence, before the change: go test ./region -run NotUTF8, red: two entries of the log cannot be encoded ("string field contains invalid UTF-8"), and the next run is started from that checkpoint.

Change: such a checkpoint is not kept, as one that is too long; why is "not UTF-8".

After: green.

Conclusion: no checkpoint that a worker lists reaches a record that cannot be encoded.

--- a/region/checkpoint.go
+++ b/region/checkpoint.go
@@ -1,6 +1,10 @@
 package region
 
-import "github.com/fireflyfold/fireflyfold/model"
+import (
+	"unicode/utf8"
+
+	"github.com/fireflyfold/fireflyfold/model"
+)
 
 // checkpointShare is the divisor of the size of a record that bounds a checkpoint. The other half is for
 // the state of its task: an address, and a few losses of about 100 bytes each.
@@ -9,19 +13,25 @@
 // checkpointFailure is why a checkpoint is not kept.
 type checkpointFailure string
 
-const checkpointTooLong checkpointFailure = "too long"
+const (
+	checkpointTooLong checkpointFailure = "too long"
+	checkpointNotUTF8 checkpointFailure = "not UTF-8"
+)
 
 // checkpointBound returns the size of the longest checkpoint that is kept, in bytes.
 func (s *Scheduler) checkpointBound() int { return s.opts.RecordBytes / checkpointShare }
 
 // checkCheckpoint returns why a checkpoint cannot be kept, or "".
 //
-// The guard is against a checkpoint that makes a record too large for the log: the leader would step
-// down, and so would each successor to which the worker lists it.
+// The guard is against a checkpoint that makes a record too large for the log, or that no record can
+// encode: the leader would step down or end, and so would each successor to which the worker lists it.
 func (s *Scheduler) checkCheckpoint(checkpoint string) checkpointFailure {
 	if len(checkpoint) > s.checkpointBound() {
 		return checkpointTooLong
 	}
+	if !utf8.ValidString(checkpoint) {
+		return checkpointNotUTF8
+	}
 	return ""
 }
 
--- a/region/checkpoint_test.go
+++ b/region/checkpoint_test.go
@@ -102,3 +102,36 @@
 		})
 	}
 }
+
+// Guards against a checkpoint that cannot be encoded into a record: the leader would end with a panic, and so
+// would each successor to which the worker lists it.
+func TestCheckpointThatIsNotUTF8IsNotKept(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(model.TaskID) time.Duration { return 3 * time.Second }
+	w.fails = func(_ model.TaskID, run int32) bool { return run == 1 }
+	var resumedFrom string
+	w.checkpointOf = func(_ model.TaskID, r *fakeRun) string {
+		if r.number > 1 {
+			resumedFrom = r.checkpoint
+			return r.checkpoint
+		}
+		if w.now-r.startedAt < 2*time.Second {
+			return "short"
+		}
+		return "a\xff"
+	}
+	w.addWorker("w1", 4)
+	w.startLeader()
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(12 * time.Second)
+	w.mustComplete("a")
+	for _, e := range w.entries {
+		if _, err := proto.Marshal(e); err != nil {
+			t.Errorf("an entry of the log cannot be encoded: %v", err)
+		}
+	}
+	if resumedFrom != "short" {
+		t.Errorf("the second run was started from the checkpoint %q, want the last one that can be kept", resumedFrom)
+	}
+	w.mustLine("checkpoint not kept", "why not UTF-8", "run 1")
+}
