region: keep of an occurrence that is over only that it is

Change: once all tasks of an occurrence are done and none of their runs may be alive, it is part of a set of ranges. findTask has no task of it: records and ends of it apply to nothing, and a run of it that is listed is stopped as a stray.

Conclusion: what is kept of a periodic job follows from the occurrences that are not over.

--- a/region/end.go
+++ b/region/end.go
@@ -74,6 +74,11 @@
 // runEnded applies an end that a worker lists, or returns why it is deferred.
 func (s *Scheduler) runEnded(w *worker, e model.End) (deferred string) {
 	t := s.findTask(e.Task)
+	if t == nil && s.isOver(e.Task) {
+		s.emit(Count{Name: "ends_of_past_occurrences"})
+		s.explain(e.Task.Job, "end of a past occurrence", endFields(w, e)...)
+		return ""
+	}
 	if t == nil {
 		s.emit(Count{Name: "ends_of_unknown_jobs"})
 		s.explain(e.Task.Job, "end of an unknown job", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step}, Field{"task", e.Task.Index},
--- a/region/job.go
+++ b/region/job.go
@@ -26,12 +26,13 @@
 	begun         bool           // a task of it has started
 	queue         *queueEstimate // observed run times of its queue
 	overShare     bool           // its workspace was above its share when the job arrived
-	occs          []*occurrence
-	objective     time.Duration // of its newest occurrence
-	nextOcc       int32         // first occurrence that has not been created
-	remainingOccs int           // occurrences with tasks that are not done
-	state         State         // last published
-	closed        bool          // its end may be shown
+	occs          []*occurrence  // those that are kept, in ascending order
+	over          occurrenceSet  // of a periodic job, those of which only that they are over is kept
+	objective     time.Duration  // of its newest occurrence
+	nextOcc       int32          // first occurrence that has not been created
+	remainingOccs int            // occurrences with tasks that are not done
+	state         State          // last published
+	closed        bool           // its end may be shown
 	endedAt       time.Duration
 }
 
@@ -445,6 +446,7 @@
 	}
 	j := st.job
 	j.remainingOccs--
+	s.forgetIfOver(st.occ)
 	if !j.complete() || j.failed || j.cancelled {
 		return
 	}
--- a/region/replay.go
+++ b/region/replay.go
@@ -30,13 +30,15 @@
 			s.replayAcquitted(k.Acquitted)
 		case *record.Entry_Kept:
 			s.replaySnapshot(k.Kept)
+		case *record.Entry_KeptRepeating:
+			s.replaySnapshot(k.KeptRepeating)
 		case *record.Entry_EndedJobs:
 			s.replayEndedJobs(k.EndedJobs)
 		}
 	}
 }
 
-// findTask returns the task with the id, or nil if there is none. It creates the
+// findTask returns the task with the id, or nil if there is none, or its occurrence is over. It creates the
 // occurrences of the job up to that of the task: one that was assigned was due.
 func (s *Scheduler) findTask(id model.TaskID) *task {
 	j, known := s.jobs[id.Job]
@@ -46,7 +48,11 @@
 	for j.nextOcc <= id.Occurrence {
 		s.addOccurrence(j)
 	}
-	st := j.occs[id.Occurrence].steps[id.Step]
+	occ := j.occurrenceOf(id.Occurrence)
+	if occ == nil {
+		return nil
+	}
+	st := occ.steps[id.Step]
 	if int(id.Index) >= len(st.tasks) {
 		return nil
 	}
@@ -119,6 +125,7 @@
 	if !k.More {
 		j.writtenAt = s.writtenAt(k.WrittenUnixMs)
 	}
+	s.replayOver(j, k.Over)
 	for _, ts := range k.Tasks {
 		t := s.findTask(model.TaskIDOf(ts.Task))
 		if t == nil || t.lastRun > ts.Run {
@@ -206,6 +213,10 @@
 	parts := s.snapshotJob(j, s.opts.RecordBytes-snapshotMargin)
 	for _, k := range parts {
 		k.WrittenUnixMs = s.unixMs
+		if len(j.over) > 0 {
+			s.append(&record.Entry{Kind: &record.Entry_KeptRepeating{KeptRepeating: k}})
+			continue
+		}
 		s.append(&record.Entry{Kind: &record.Entry_Kept{Kept: k}})
 	}
 	return len(parts)
@@ -222,6 +233,18 @@
 func (s *Scheduler) snapshotJob(j *job, maxBytes int) []*record.Kept {
 	k := &record.Kept{Job: j.rec, Cancelled: j.cancelled}
 	parts, size := []*record.Kept{k}, proto.Size(k)
+	makeRoom := func(n int) {
+		if size+n > maxBytes {
+			k.More = true
+			k = &record.Kept{Job: &record.Job{Id: j.rec.Id}, Continued: true}
+			parts, size = append(parts, k), proto.Size(k)
+		}
+		size += n
+	}
+	for _, r := range j.recordsOfOver() {
+		makeRoom(proto.Size(r) + taskOverhead)
+		k.Over = append(k.Over, r)
+	}
 	for _, occ := range j.occs {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
@@ -229,14 +252,8 @@
 					continue
 				}
 				ts := s.snapshotTask(t)
-				n := proto.Size(ts) + taskOverhead
-				if size+n > maxBytes {
-					k.More = true
-					k = &record.Kept{Job: &record.Job{Id: j.rec.Id}, Continued: true}
-					parts, size = append(parts, k), proto.Size(k)
-				}
+				makeRoom(proto.Size(ts) + taskOverhead)
 				k.Tasks = append(k.Tasks, ts)
-				size += n
 			}
 		}
 	}
--- a/region/run.go
+++ b/region/run.go
@@ -138,6 +138,7 @@
 	s.freeRoom(r)
 	ws := t.step.job.rec.Workspace
 	s.used[ws] = s.used[ws].Sub(t.step.request)
+	s.forgetIfOver(t.step.occ)
 }
 
 // assign places a waiting task on a worker. The start is sent once the assignment is in the
