--- a/region/doneend.go
+++ b/region/doneend.go
@@ -10,9 +10,8 @@
 
 // doneEnd is an end as done that was read and cannot be applied yet.
 type doneEnd struct {
-	run        int32
-	checkpoint string
-	readAt     time.Duration // when it was read, or replayed
+	run    int32
+	readAt time.Duration // when it was read, or replayed
 }
 
 // rememberDone keeps an end that completes its task and cannot be applied yet, and reports whether it was
@@ -26,10 +25,8 @@
 	if t == nil || !t.isFinal(e.Outcome) || t.done || t.doneEnd != nil || t.step.job.ended() {
 		return false
 	}
-	s.keepDone(t, doneEnd{run: e.Run, checkpoint: e.Checkpoint, readAt: s.now})
-	s.append(&record.Entry{Kind: &record.Entry_DoneRead{DoneRead: &record.DoneRead{
-		Task: e.Task.Record(), Run: e.Run, Checkpoint: e.Checkpoint,
-	}}})
+	s.keepDone(t, doneEnd{run: e.Run, readAt: s.now})
+	s.append(&record.Entry{Kind: &record.Entry_DoneRead{DoneRead: &record.DoneRead{Task: e.Task.Record(), Run: e.Run}}})
 	return true
 }
 
@@ -52,7 +49,7 @@
 		s.emit(Count{Name: "ends_remembered_applied"})
 		s.explain(t.step.job.rec.Id, "remembered end applied", Field{"occurrence", t.step.occ.k}, Field{"step", t.step.index}, Field{"task", t.index},
 			Field{"run", e.run}, Field{"newest_run", t.lastRun}, Field{"deferred_ms", (s.now - e.readAt).Milliseconds()})
-		s.applyDone(t, e.run, e.checkpoint)
+		s.applyDone(t, e.run, "")
 		t.doneEnd = nil
 		return true
 	})
@@ -70,6 +67,6 @@
 // replayDoneRead applies a record of rememberDone.
 func (s *Scheduler) replayDoneRead(e *record.DoneRead) {
 	if t := s.findTask(model.TaskIDOf(e.Task)); t != nil && !t.done && t.doneEnd == nil {
-		s.keepDone(t, doneEnd{run: e.Run, checkpoint: e.Checkpoint, readAt: s.now})
+		s.keepDone(t, doneEnd{run: e.Run, readAt: s.now})
 	}
 }
--- a/region/end.go
+++ b/region/end.go
@@ -76,6 +76,11 @@
 // runEnded applies an end that a worker lists, or returns why it is deferred.
 func (s *Scheduler) runEnded(w *worker, e model.End) (deferred string) {
 	t := s.findTask(e.Task)
+	if t == nil && s.isOver(e.Task) {
+		s.emit(Count{Name: "ends_of_past_occurrences"})
+		s.explain(e.Task.Job, "end of a past occurrence", endFields(w, e)...)
+		return ""
+	}
 	if t == nil {
 		s.emit(Count{Name: "ends_of_unknown_jobs"})
 		s.explain(e.Task.Job, "end of an unknown job", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step}, Field{"task", e.Task.Index},
@@ -164,11 +169,11 @@
 		return
 	}
 	if t.isFinal(e.Outcome) {
-		s.applyDone(t, e.Run, e.Checkpoint)
+		s.applyDone(t, e.Run, s.checkpointToKeep(w, t, e.RunID, e.Checkpoint))
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	s.recordEnd(t, e.Run, e.Outcome, e.Checkpoint)
+	s.recordEnd(t, e.Run, e.Outcome, s.checkpointToKeep(w, t, e.RunID, e.Checkpoint))
 	if e.Outcome == record.Outcome_OUTCOME_FAILED {
 		s.explain(e.Task.Job, "run failed", Field{"worker", w.entry.ID}, Field{"step", e.Task.Step},
 			Field{"task", e.Task.Index}, Field{"run", e.Run}, Field{"attempts", t.attempts})
@@ -193,9 +198,7 @@
 func (s *Scheduler) countEnd(t *task, number int32, outcome record.Outcome, checkpoint string) {
 	first := number > t.endedRun
 	t.endedRun = max(t.endedRun, number)
-	if checkpoint != "" {
-		s.saveCheckpoint(t, checkpoint)
-	}
+	s.saveCheckpoint(t, checkpoint)
 	switch {
 	case t.isFinal(outcome):
 		s.taskDone(t)
@@ -226,14 +229,3 @@
 		s.fail(t.step.job, t, failureAttempts)
 	}
 }
-
-// saveCheckpoint stores a checkpoint; that of one member is valid for the whole gang.
-func (s *Scheduler) saveCheckpoint(t *task, checkpoint string) {
-	if !t.step.rec.Gang {
-		t.checkpoint = checkpoint
-		return
-	}
-	for _, m := range t.step.tasks {
-		m.checkpoint = checkpoint
-	}
-}
--- a/region/readends_test.go
+++ b/region/readends_test.go
@@ -1,6 +1,10 @@
 package region
 
-import "github.com/fireflyfold/fireflyfold/model"
+import (
+	"slices"
+
+	"github.com/fireflyfold/fireflyfold/model"
+)
 
 // readEnds are the ends as done that schedulers of a world have read, whatever became of them.
 type readEnds map[readEndKey]int32
@@ -33,7 +37,7 @@
 			if d := e.GetDoneRead(); d != nil {
 				w.noteReadEnd(model.TaskIDOf(d.Task), d.Run)
 			}
-			for _, t := range e.GetKept().GetTasks() {
+			for _, t := range slices.Concat(e.GetKept().GetTasks(), e.GetKeptRepeating().GetTasks()) {
 				if t.DoneRun > 0 {
 					w.noteReadEnd(model.TaskIDOf(t.Task), t.DoneRun)
 				}
