region: a gang without an answer of the advice service is held by advice

What operators saw: "step waits" and "assigned" named the service as what holds a gang that waits for its first answer. Without candidates no worker is counted as rejected, and the summary falls back to the service; single tasks had a rule of their own. The same rule now stands for gangs. Only the reason that is reported changes.

TestStepWithoutAnswerIsHeldByAdvice/gang was red before: held by "service".

--- a/region/gangplace.go
+++ b/region/gangplace.go
@@ -96,6 +96,9 @@
 		total += n
 	}
 	if total < len(st.tasks) {
+		if st.needsAdvice() && len(s.candidates(st)) == 0 {
+			return nil, reasonNames[rejectAdvice]
+		}
 		return nil, counts.summary()
 	}
 	if isolated := s.isolatedWaiting(st); isolated > 0 {
