region: an end that a forgotten worker lists is remembered

What callers would see: a task that runs again after it was done. Order: an entry of the worker with another address is being verified, the worker is unlisted, its lease lapses and it is forgotten, and then the answer to the verification lists the run as done. The answer was passed over whole, as its worker was not known.

TestEndInAnswerOfForgottenWorker, red before: "run 2 was started after run 1 had been read as done". The check of all simulated histories looks at such answers as well now.

Two guards behind it: no start of a task is sent that is known to be done, and a run of such a task that a worker lists is stopped.

--- a/region/doneend.go
+++ b/region/doneend.go
@@ -32,14 +32,26 @@
 
 func (s *Scheduler) keepDone(t *task, e doneEnd) {
 	t.doneEnd = &e
+	t.step.doneEnds++
 	s.doneEnds = append(s.doneEnds, t)
 }
 
+func (t *task) dropDone() {
+	t.doneEnd = nil
+	t.step.doneEnds--
+}
+
+// knownDone reports whether a run of the task, or of its gang, was read as done, whether that is applied or
+// not.
+func (t *task) knownDone() bool {
+	return t.done || t.doneEnd != nil || t.step.rec.Gang && t.step.doneEnds > 0
+}
+
 // applyDoneEnds applies the ends of rememberDone for which nothing has to be waited for any more.
 func (s *Scheduler) applyDoneEnds() {
 	s.doneEnds = slices.DeleteFunc(s.doneEnds, func(t *task) bool {
 		if t.done || t.step.job.ended() {
-			t.doneEnd = nil
+			t.dropDone()
 			return true
 		}
 		if !s.mayApplyDone(t) {
@@ -50,7 +62,7 @@
 		s.explain(t.step.job.rec.Id, "remembered end applied", Field{"occurrence", t.step.occ.k}, Field{"step", t.step.index}, Field{"task", t.index},
 			Field{"run", e.run}, Field{"newest_run", t.lastRun}, Field{"deferred_ms", (s.now - e.readAt).Milliseconds()})
 		s.applyDone(t, e.run, "")
-		t.doneEnd = nil
+		t.dropDone()
 		return true
 	})
 }
--- a/region/end.go
+++ b/region/end.go
@@ -78,7 +78,7 @@
 	t := s.findTask(e.Task)
 	if t == nil && s.isOver(e.Task) {
 		s.emit(Count{Name: "ends_of_past_occurrences"})
-		s.explain(e.Task.Job, "end of a past occurrence", endFields(w, e)...)
+		s.explain(e.Task.Job, "end of a past occurrence", endFields(w.ref(), e)...)
 		return ""
 	}
 	if t == nil {
@@ -117,19 +117,19 @@
 }
 
 // reportDeferred reports an end that was read and is neither applied nor acknowledged yet.
-func (s *Scheduler) reportDeferred(w *worker, e model.End, why string) {
+func (s *Scheduler) reportDeferred(w model.WorkerRef, e model.End, why string) {
 	s.emit(Count{Name: "ends_deferred", Why: why})
 	s.explain(e.Task.Job, "end deferred", append(endFields(w, e), Field{"why", why})...)
 }
 
 // reportApplied reports that an end is applied which was deferred for the time waited.
-func (s *Scheduler) reportApplied(w *worker, e model.End, waited time.Duration) {
+func (s *Scheduler) reportApplied(w model.WorkerRef, e model.End, waited time.Duration) {
 	s.emit(Count{Name: "ends_deferred_applied"})
 	s.explain(e.Task.Job, "deferred end applied", append(endFields(w, e), Field{"deferred_ms", waited.Milliseconds()})...)
 }
 
-func endFields(w *worker, e model.End) []Field {
-	return []Field{{"worker", w.entry.ID}, {"born", w.incarnation.BornUnix}, {"occurrence", e.Task.Occurrence}, {"step", e.Task.Step},
+func endFields(w model.WorkerRef, e model.End) []Field {
+	return []Field{{"worker", w.ID}, {"born", w.BornUnix}, {"occurrence", e.Task.Occurrence}, {"step", e.Task.Step},
 		{"task", e.Task.Index}, {"run", e.Run}, {"outcome", e.Outcome.String()}, {"end", e.Number}}
 }
 
--- a/region/job.go
+++ b/region/job.go
@@ -58,6 +58,7 @@
 	latestForCredit  time.Duration // latest start that still earns partial credit
 	queued           bool          // on the ready list
 	failedRun        int32         // of a gang: the newest run that has used up an attempt
+	doneEnds         int           // tasks with a doneEnd
 	advice           adviceState
 	heldBy           string // why it could not start in the last pass that tried it; reported as held_by
 	notUntil         time.Duration
--- a/region/probe.go
+++ b/region/probe.go
@@ -84,17 +84,18 @@
 func (s *Scheduler) probeAnswered(ev ProbeAnswered) {
 	w, known := s.workers[ev.Request.Worker.ID]
 	if !known {
+		s.readEndsElsewhere(ev)
 		return
 	}
 	if ev.Verify {
-		s.readEndsElsewhere(w, ev)
+		s.readEndsElsewhere(ev)
 		s.verifyAnswered(w, ev)
 		return
 	}
 	w.probing = false
 	if ev.Request.Worker.BornUnix != w.incarnation.BornUnix {
 		s.emit(Count{Name: "probe_answers_passed_over"})
-		s.readEndsElsewhere(w, ev)
+		s.readEndsElsewhere(ev)
 		s.probe(w, 0)
 		return
 	}
@@ -246,11 +247,12 @@
 }
 
 // readEndsElsewhere remembers the ends as done that another incarnation of a worker lists than the one
-// whose ends are applied. What it lists is true, also if it is the last that is heard of it.
-func (s *Scheduler) readEndsElsewhere(w *worker, ev ProbeAnswered) {
+// whose ends are applied, or a worker that was forgotten. What it lists is true, also if it is the last that
+// is heard of it.
+func (s *Scheduler) readEndsElsewhere(ev ProbeAnswered) {
 	for _, e := range ev.Response.Ended {
 		if s.rememberDone(e) {
-			s.reportDeferred(w, e, deferredForIncarnation)
+			s.reportDeferred(ev.Request.Worker, e, deferredForIncarnation)
 		}
 	}
 	s.applyDoneEnds()
@@ -264,13 +266,13 @@
 	}
 	if why := s.runEnded(w, e); why != "" {
 		if ends.deferred(e.Number, s.now) {
-			s.reportDeferred(w, e, why)
+			s.reportDeferred(w.ref(), e, why)
 			s.rememberDone(e)
 		}
 		return false
 	}
 	if d := ends.applied(e.Number); d != nil {
-		s.reportApplied(w, e, s.now-d.since)
+		s.reportApplied(w.ref(), e, s.now-d.since)
 	}
 	s.afterCommit(s.seq, func() { ends.inLog(e.Number) })
 	return true
@@ -331,7 +333,7 @@
 	if r.phase == phaseInherited || r.phase == phaseSending {
 		s.confirm(r)
 	}
-	if t.done || t.step.job.ended() {
+	if t.knownDone() || t.step.job.ended() {
 		s.stopRun(r, "job is over")
 	}
 }
--- a/region/read_end_test.go
+++ b/region/read_end_test.go
@@ -21,18 +21,20 @@
 func eachReadEnd(t *testing.T, test func(t *testing.T, w *readEndWorld)) {
 	for name, step := range map[string]*record.Step{"task": {Count: 1}, "gang": {Count: 3, Gang: true}} {
 		for _, advice := range []bool{false, true} {
-			t.Run(fmt.Sprint(name, " advice ", advice), func(t *testing.T) { test(t, newReadEndWorld(t, step, advice)) })
+			t.Run(fmt.Sprint(name, " advice ", advice), func(t *testing.T) {
+				test(t, newReadEndWorld(t, withAdvice(oneStep("a", &record.Step{Count: step.Count, Gang: step.Gang}), advice)))
+			})
 		}
 	}
 }
 
-func newReadEndWorld(t *testing.T, step *record.Step, advice bool) *readEndWorld {
+func newReadEndWorld(t *testing.T, j *record.Job) *readEndWorld {
 	w := &readEndWorld{world: newWorld(t, 1)}
-	w.runTime = func(model.TaskID) time.Duration { return 2 * time.Second }
+	w.runTime = func(id model.TaskID) time.Duration { return 2*time.Second + time.Duration(id.Step)*10*time.Second }
 	w.w1 = w.addWorker("w1", 8)
 	w.startLeader()
 	w.run(100 * time.Millisecond)
-	w.submit(withAdvice(oneStep("a", &record.Step{Count: step.Count, Gang: step.Gang}), advice))
+	w.submit(j)
 	for len(w.w1.runs) == 0 {
 		w.run(time.Millisecond)
 	}
@@ -155,6 +157,37 @@
 	}
 }
 
+// Guards against a task that is started again although an answer listed its end: the worker was forgotten
+// while the answer that verifies its entry was on its way.
+func TestEndInAnswerOfForgottenWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(model.TaskID) time.Duration { return 2 * time.Second }
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.submit(withAdvice(oneStep("a", &record.Step{Count: 1}), true))
+	w.run(1900 * time.Millisecond)
+	fw.unreachable = true
+	moved := fw.entry
+	moved.Address = "10.0.0.9:1"
+	w.deliver(WorkerListed{Entry: moved})
+	w.deliver(WorkerUnlisted{ID: "w1"})
+	for end := w.now + 30*time.Second; w.sched.workers["w1"] != nil && w.now < end; {
+		w.run(time.Millisecond)
+	}
+	task := w.sched.findTask(model.TaskID{Job: "a"})
+	done := model.End{Number: 1, RunID: model.RunID{Task: task.id(), Run: 1}, Outcome: record.Outcome_OUTCOME_DONE}
+	w.step(ProbeAnswered{
+		Request: model.ProbeRequest{Worker: refOf(moved)}, Verify: true, SentAt: w.now - 1500*time.Millisecond,
+		Response: model.ProbeResponse{BornUnix: moved.BornUnix, Ended: []model.End{done}},
+	})
+	w.addWorker("w2", 8)
+	w.run(20 * time.Second)
+	w.mustComplete("a")
+	if task.lastRun != 1 {
+		t.Errorf("run %d was started after run 1 had been read as done", task.lastRun)
+	}
+}
+
 // Guards against a task that is started again although its end was read: the answer that lists it comes from
 // another incarnation than the one whose ends are applied, as it arrives late or verifies an entry.
 func TestEndInAnswerOfAnotherIncarnation(t *testing.T) {
--- a/region/readends_test.go
+++ b/region/readends_test.go
@@ -27,8 +27,7 @@
 	switch ev := ev.(type) {
 	case ProbeAnswered:
 		for _, e := range ev.Response.Ended {
-			known := w.sched.workers[ev.Request.Worker.ID] != nil
-			if t := w.sched.findTask(e.Task); known && t != nil && t.isFinal(e.Outcome) {
+			if t := w.sched.findTask(e.Task); t != nil && t.isFinal(e.Outcome) {
 				w.noteReadEnd(e.Task, e.Run)
 			}
 		}
--- a/region/start.go
+++ b/region/start.go
@@ -21,6 +21,10 @@
 	if r.task.run != r || (r.phase != phaseLogging && r.phase != phaseSending) {
 		return
 	}
+	if r.task.knownDone() {
+		s.abortStart(r, "an earlier run is done")
+		return
+	}
 	// The append may have taken longer than the ticket is valid, and the worker would
 	// refuse the start.
 	if r.phase == phaseLogging && !r.task.step.ticketHolds(r.worker, s.now) {
