region: a later run of a task that is done uses up no attempt

What callers saw: a job shown as failed although its task was done. A run was given up, a later one started, and the first one was read as done; the later one, which was stopped for that, was listed as failed and used up the last attempt. So it was also once the end was applied, while another step of the job was open. Crashes of workers under such a run failed the job in the same way.

TestJobDoesNotFailByALaterRunOfADoneTask, both cases red before ("job a is 4, want completed").

A task that is known to be done, or whose gang is, counts no failure and is not given up for crashes.

--- a/region/crash.go
+++ b/region/crash.go
@@ -148,7 +148,9 @@
 }
 
 // isGivenUp reports whether the crashes of the task fail its job.
-func (t *task) isGivenUp() bool { return !t.done && !t.step.rec.LongRunning && t.crashesWorkers() }
+func (t *task) isGivenUp() bool {
+	return !t.knownDone() && !t.step.rec.LongRunning && t.crashesWorkers()
+}
 
 // judgeBeforeGivingUp decides which crashes were outages before the job of their task fails.
 func (s *Scheduler) judgeBeforeGivingUp(t *task) {
--- a/region/end.go
+++ b/region/end.go
@@ -212,9 +212,10 @@
 }
 
 // countFailure uses up an attempt for a run that has failed. The members of a gang share their
-// attempts, and a run of it is one attempt, however many of them end as failed.
+// attempts, and a run of it is one attempt, however many of them end as failed. A task that is known to be
+// done uses up none: its later runs were started for nothing.
 func (s *Scheduler) countFailure(t *task, number int32) {
-	if t.step.rec.LongRunning {
+	if t.step.rec.LongRunning || t.knownDone() {
 		return
 	}
 	if t.step.rec.Gang {
--- a/region/read_end_test.go
+++ b/region/read_end_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// Guards against a job that fails although its task is done: a later run, which is stopped for that, is
+// listed as failed and uses up the attempts.
+func TestJobDoesNotFailByALaterRunOfADoneTask(t *testing.T) {
+	for name, answered := range map[string]bool{"end is remembered": false, "end is applied": true} {
+		t.Run(name, func(t *testing.T) {
+			j := oneStep("a", &record.Step{Count: 1})
+			j.Steps = append(j.Steps, &record.Step{Count: 1, Request: j.Steps[0].Request, EstimateMs: 500, DependsOn: []int32{0}})
+			j.Policy = &record.Policy{Service: "svc", MaxAttempts: 1, Stretch: 2, TargetLatencyMs: 1000}
+			w := newReadEndWorld(t, j)
+			if answered {
+				w.run(300 * time.Millisecond)
+				w.w2.answersLost = true
+			} else {
+				w.startUnanswered()
+			}
+			w.failures[w.task.id()]++
+			w.end(w.w2, w.task.id(), record.Outcome_OUTCOME_FAILED)
+			w.readEnd()
+			if w.task.done != answered || w.task.doneEnd == nil != answered {
+				t.Fatalf("done %v, remembered %v", w.task.done, w.task.doneEnd)
+			}
+			w.w2.answersLost = false
+			w.run(30 * time.Second)
+			w.mustComplete("a")
+		})
+	}
+}
+
 // Guards against a task that is started again although an answer listed its end: the worker was forgotten
 // while the answer that verifies its entry was on its way.
 func TestEndInAnswerOfForgottenWorker(t *testing.T) {
