region: a start with a ticket is awaited until its ticket has expired

Cause: a clock of something else taken for the run's own. A start with a ticket without an answer was awaited like one that needs none, for 13 s after its time-out, and then for a lease after the last grant of any call. But a worker refuses a start whose ticket has expired, whenever it arrives. What held the wait at 13 s was not the start: a probe, or a second call of the start, may be executed as late, and renew the lease of an incarnation that has executed the first.

Change: - startCalls.expireAt: no call of the run is executed later. The wait ends a longest lease after it. - lateGrants: calls without an answer that may grant a lease late are kept by their fencing token, in place of one time for all. Only those with the token of the start, or a higher one, count. A probe that was answered does not count any more. - outdateGrants raises the token before a start whose ticket is not bound, if a call with the present one may grant later than its ticket is valid: an incarnation that executes the start refuses that call. Once a probe at most, and not beyond half of the tokens. - A probe beside an unanswered start whose ticket is not bound grants nothing (awaitsBinding). - A second call of such a start waits until the incarnation that it names has answered, as for starts without a ticket.

--- a/region/advice.go
+++ b/region/advice.go
@@ -361,6 +361,7 @@
 		m := adviceMark{worker: w, eligible: good, ticket: ticket, issuedBy: ev.At}
 		if good {
 			m.until = until
+			st.renewTicket(m)
 		}
 		st.advice.store(m)
 	}
--- a/region/late_start.go
+++ b/region/late_start.go
@@ -61,7 +61,9 @@
 	s.lateStartRuns = append(s.lateStartRuns, r)
 	s.explain(r.task.step.job.rec.Id, "run in doubt", Field{"why", why}, Field{"worker", r.ref.ID},
 		Field{"step", r.task.step.index}, Field{"task", r.task.index}, Field{"run", r.number},
-		Field{"unanswered", r.calls.unanswered}, Field{"inherited", r.calls.inherited})
+		Field{"unanswered", r.calls.unanswered}, Field{"inherited", r.calls.inherited}, Field{"ticket", r.calls.expireAt > 0},
+		Field{"starts_for_ms", max(0, s.startsClosedAt(r)-s.now).Milliseconds()},
+		Field{"waits_for_ms", (s.lateLeaseEnd(r, s.startsClosedAt(r)) - s.now).Milliseconds()})
 	s.stopOtherMembers(r.task, r.number)
 	s.publish(r.task.step.job)
 }
@@ -115,14 +117,20 @@
 		if s.mayStartLate(r) {
 			return false
 		}
-		r.settledAt = s.now
-		if r.unsettled() { // for want of an answer; the time may lie before this leader's term
-			r.settledAt = max(1, r.calls.closedAt(s.inheritedSince(r)))
-		}
+		r.settledAt = max(1, s.startsClosedAt(r))
 		return true
 	})
 }
 
+// startsClosedAt returns from when on no start of the run can be executed any more: from now on if
+// all were answered. For want of an answer, the time may lie before this leader's term.
+func (s *Scheduler) startsClosedAt(r *run) time.Duration {
+	if r.unsettled() {
+		return r.calls.closedAt(s.inheritedSince(r))
+	}
+	return s.now
+}
+
 // lateStartEnded reports whether a run of awaitLateStart has ended although no probe shows
 // it: its starts can no longer be executed, and a lease that a late call has granted in a
 // later incarnation has expired.
@@ -130,8 +138,13 @@
 	if r.settledAt == 0 {
 		return false
 	}
-	latest := max(r.settledAt, r.worker.grantedAt+lateCallWindow)
-	return s.now > latest+s.maxLease()+lapseMargin
+	return s.now > s.lateLeaseEnd(r, r.settledAt)
+}
+
+// lateLeaseEnd returns the end of the longest lease that an incarnation can have which may execute
+// a start of the run until closedAt.
+func (s *Scheduler) lateLeaseEnd(r *run, closedAt time.Duration) time.Duration {
+	return max(closedAt, r.worker.grants.last(r.calls.fence)) + s.maxLease() + lapseMargin
 }
 
 // adopt continues a run of awaitLateStart that its worker lists: the start call was executed
--- a/region/lease.go
+++ b/region/lease.go
@@ -75,7 +75,6 @@
 	}
 	until := w.clock(s.now) + s.leaseFor(w).Milliseconds()
 	w.leaseMs = max(w.leaseMs, until)
-	w.grantedAt = s.now
 	return until
 }
 
--- a/region/probe.go
+++ b/region/probe.go
@@ -66,7 +66,7 @@
 	// renewal may be executed late, so that the runs of a worker that does not come back
 	// could never be declared lost. Such a probe renews and acknowledges nothing and only
 	// shows whether the worker answers.
-	if w.fenced && !w.probeMissed && s.now-w.clockAt <= maxClockAge {
+	if w.fenced && !w.probeMissed && s.now-w.clockAt <= maxClockAge && !s.awaitsBinding(w) {
 		request.AckedUpTo = s.acknowledgement(w)
 		request.Wait = probeWait
 		if len(w.runs) > 0 {
@@ -76,6 +76,7 @@
 			request.Wait = lossyWait
 		}
 		request.UntilMs = s.grantLease(w)
+		w.grants.probeSent(request.Fence, s.now+after)
 	}
 	w.probing, w.probeSentAt = true, s.now+after
 	s.emit(Probe{Request: request, After: after})
@@ -93,6 +94,7 @@
 		return
 	}
 	w.probing = false
+	s.settleProbeGrant(w, ev.Err)
 	if ev.Request.Worker.BornUnix != w.incarnation.BornUnix {
 		s.emit(Count{Name: "probe_answers_passed_over"})
 		s.readEndsElsewhere(ev)
--- a/region/run.go
+++ b/region/run.go
@@ -148,6 +148,7 @@
 	r := &run{task: t, number: number, worker: w, ref: w.ref(), phase: phaseLogging, assigned: s.now, assignedUnixMs: s.unixMs, resumed: t.checkpoint != ""}
 	if mark := t.step.advice.mark(w); mark != nil {
 		r.ticket, r.ticketAt = mark.ticket, mark.issuedBy
+		r.calls.expireAt = t.step.ticketExpiry(mark.issuedBy)
 	}
 	s.occupy(r)
 	s.pacer.tokens--
@@ -196,6 +197,7 @@
 }
 
 func (s *Scheduler) sendStop(r *run, after time.Duration) {
+	s.outdateStarts(r)
 	r.worker.pendingCalls.sent(r.id(), s.now+after)
 	s.emit(Stop{After: after, Request: model.StopRequest{
 		RunID: r.id(), Worker: r.target(), Fence: s.fenceOf(r.worker),
--- a/region/start.go
+++ b/region/start.go
@@ -46,13 +46,14 @@
 	if r.leaseUntil == 0 {
 		r.leaseUntil = s.grantLease(r.worker)
 	}
-	if !r.task.step.rec.Speculative && !r.ticketBound() {
-		s.outdateAcks(r.worker)
-	}
+	s.outdateCalls(r)
 	r.phase = phaseSending
 	r.startAttempts++
 	r.calls.sent(s.now + after)
-	r.worker.grantedAt = s.now + after
+	if r.calls.fence == 0 {
+		r.calls.fence = s.fenceOf(r.worker)
+	}
+	s.addGrant(r.worker, lateGrant{s.fenceOf(r.worker), s.startGrantsUntil(r, s.now+after)})
 	r.worker.pendingCalls.sent(r.id(), s.now+after)
 	s.emit(Start{After: after, Request: model.StartRequest{
 		RunID:  r.id(),
@@ -61,6 +62,18 @@
 	}})
 }
 
+// outdateCalls raises the worker's fencing token before a start that another incarnation than the
+// named one may execute, if that incarnation must refuse calls which were sent before.
+func (s *Scheduler) outdateCalls(r *run) {
+	if r.task.step.rec.Speculative || r.ticketBound() {
+		return
+	}
+	s.outdateAcks(r.worker)
+	if r.task.step.needsAdvice() {
+		s.outdateGrants(r)
+	}
+}
+
 // hasRoom reports whether the runs on the worker, with this one, are still within its capacity,
 // which may have shrunk since the run was assigned. Resources that the run does not need do not
 // count.
@@ -129,9 +142,11 @@
 }
 
 // startTimedOut handles a start without an answer. A second call of a run defers its end
-// (mayStartLate), so it is sent only if a probe does not list the run.
+// (mayStartLate), so it is sent only if a probe does not list the run. One with a ticket waits for
+// the incarnation that it names to answer: another one that has executed the first call would take
+// the second one for a renewal of its lease, whatever its ticket.
 func (s *Scheduler) startTimedOut(r *run) {
-	if !r.task.step.defersEnds() {
+	if r.task.step.rec.Speculative || r.ticketBound() {
 		s.retryStart(r)
 		return
 	}
@@ -142,16 +157,16 @@
 }
 
 // retryUnlisted sends the starts again that an answered probe has not shown to be executed.
-// That of a gang member is aborted instead, also if the probe got no answer: the other
-// members wait, and a gang's end, which another worker may list, cannot be deferred.
+// That of a gang member is aborted instead if it has no ticket, or if the probe got no answer: the
+// other members wait, and a gang's end, which another worker may list, cannot be deferred.
 func (s *Scheduler) retryUnlisted(w *worker, answered bool) {
 	for _, r := range w.sortedRuns() {
 		switch {
 		case !r.awaitsProbe || r.phase != phaseSending:
-		case r.task.step.rec.Gang:
+		case r.task.step.rec.Gang && (!answered || r.task.step.defersEnds()):
 			r.awaitsProbe = false
 			s.abortStart(r, "its worker did not answer")
-		case answered:
+		case answered && (r.ticketBound() || r.task.step.defersEnds()):
 			r.awaitsProbe = false
 			s.retryStart(r)
 		}
--- a/region/startcalls.go
+++ b/region/startcalls.go
@@ -21,9 +21,11 @@
 )
 
 // startCalls tracks the start calls of a run. A call is open while it may still be
-// executed: until it is answered, or lateCallWindow is over. One call of a run is in flight
+// executed: until it is answered, or lateCallWindow is over, or its ticket has expired. One call of a run is in flight
 // at a time.
 type startCalls struct {
+	fence          int64         // fencing token of the first; 0 if an earlier leader has sent it
+	expireAt       time.Duration // when the ticket that all of them carry has certainly expired; 0 if they need none
 	inFlight       bool
 	inFlightTill   time.Duration // end of the window of that call
 	unanswered     int           // calls that timed out
@@ -51,6 +53,10 @@
 		c.unansweredTill = now + lateCallWindow
 	case CallOK:
 		c.executed, c.confirmed = false, true
+	default:
+		if c.unanswered == 0 {
+			c.fence = 0 // no call was executed
+		}
 	}
 }
 
@@ -87,7 +93,8 @@
 	return c.unsettled() && now < c.closedAt(inheritedSince)
 }
 
-// closedAt returns from when on no call can be executed any more.
+// closedAt returns from when on no call can be executed any more. A worker refuses one whose ticket
+// has expired, whenever it arrives.
 func (c *startCalls) closedAt(inheritedSince time.Duration) time.Duration {
 	closed := c.unansweredTill
 	if c.inFlight {
@@ -96,5 +103,13 @@
 	if c.inherited > 0 {
 		closed = max(closed, inheritedSince+inheritedWindow)
 	}
-	return closed
+	return c.closesBy(closed)
+}
+
+// closesBy returns from when on a call is not executed that may be until a time, but for its ticket.
+func (c *startCalls) closesBy(until time.Duration) time.Duration {
+	if c.expireAt > 0 {
+		return min(until, c.expireAt)
+	}
+	return until
 }
--- a/region/worker.go
+++ b/region/worker.go
@@ -42,18 +42,18 @@
 	probedAt                  time.Duration   // when the newest answered probe was sent
 	unansweredAt              time.Duration   // when the newest probe was sent that failed, or that another incarnation answered
 	deferredSince             time.Duration   // since when defersExpiry holds; 0 if it does not
-	grantedAt                 time.Duration   // when a lease was last granted
-	fenceSteps                int64           // how often its fencing token was raised under this leader
-	ackFence                  int64           // fencing token of the newest probe that acknowledged ends and may still be executed; 0 for none
-	lostAckFence              int64           // that of the newest one without an answer
-	ends                      *endLog         // ends of its incarnation
-	endsListed                int             // ends in the answer to the newest probe
-	idleRuns                  int             // how many of runs are idle
-	pausedUntil               time.Duration   // no new work before this time
-	leavesAt                  time.Duration   // from when on the draining worker may leave; 0 if that is not known
-	pendingCalls              pendingCalls    // start and stop calls without an answer
-	silent                    bool            // a call of checkPath got no answer, and none was answered since
-	overdue                   bool            // one of them is overdue, as of the newest pass
+	grants                    lateGrants
+	fenceSteps                int64         // how often its fencing token was raised under this leader
+	ackFence                  int64         // fencing token of the newest probe that acknowledged ends and may still be executed; 0 for none
+	lostAckFence              int64         // that of the newest one without an answer
+	ends                      *endLog       // ends of its incarnation
+	endsListed                int           // ends in the answer to the newest probe
+	idleRuns                  int           // how many of runs are idle
+	pausedUntil               time.Duration // no new work before this time
+	leavesAt                  time.Duration // from when on the draining worker may leave; 0 if that is not known
+	pendingCalls              pendingCalls  // start and stop calls without an answer
+	silent                    bool          // a call of checkPath got no answer, and none was answered since
+	overdue                   bool          // one of them is overdue, as of the newest pass
 	health                    health
 	speed                     speed
 	reserved                  *step           // gang that reserves room here
--- a/region/worldworker_test.go
+++ b/region/worldworker_test.go
@@ -38,16 +38,19 @@
 	if o.UntilMs < fw.clock(w.now) {
 		return CallLeaseExpired
 	}
+	r, running := fw.runs[o.Task]
+	running = running && r.number == o.Run
+	until, issued := fw.tickets[o.Ticket]
+	if old := o.Run <= fw.highest[o.Task]; !running && !old && o.Ticket != "" && (!issued || w.now > until) {
+		return CallNoTicket // the lease is not taken from it, as it is from one that is old
+	}
 	fw.until = max(fw.until, min(o.UntilMs, fw.clock(w.now)+w.longestLease().Milliseconds()))
-	if r, ok := fw.runs[o.Task]; ok && r.number == o.Run {
+	if running {
 		return CallOK
 	}
 	if o.Run <= fw.highest[o.Task] {
 		return CallOldRun
 	}
-	if until, ok := fw.tickets[o.Ticket]; o.Ticket != "" && (!ok || w.now > until) {
-		return CallNoTicket
-	}
 	w.recordStart(fw, o)
 	return CallOK
 }
