region: a second start of a speculative task with a ticket waits for its worker

Cause: since a start with a ticket is awaited until its ticket has expired, calls of other starts count only as long as their tickets are valid. That leaves out a second call: an incarnation that has executed the first one takes the lease of the second, whatever its ticket. Second calls wait until the named incarnation has answered, but for speculative steps, which were exempt as nothing waits for their late starts. Another task on that worker does.

Change: startTimedOut sends a second call of a speculative task with a ticket at once only if its ticket is bound.

--- a/region/lategrants_test.go
+++ b/region/lategrants_test.go
@@ -201,3 +201,22 @@
 	g.callDelay = func(string) time.Duration { return 0 }
 	g.finish(12 * time.Second)
 }
+
+// Guards against a task that runs twice at once: the incarnation that has executed its start has also
+// executed that of a speculative task, whose second call renews the lease after both tickets have expired.
+func TestSecondStartOfSpeculativeTaskDoesNotProlong(t *testing.T) {
+	g := newLateGrantWorld(t, func(call string, n int) time.Duration {
+		if call == "start" && n == 2 {
+			return 5 * time.Second
+		}
+		return noDelay
+	})
+	g.issuesTicket = func(step, worker string) bool { return worker == "w1" || step[0] == 'a' }
+	g.submit(advised("b", &record.Step{Speculative: true}))
+	g.submit(advised("a", &record.Step{}))
+	g.untilStarted("a")
+	g.untilStarted("b")
+	g.run(1500 * time.Millisecond)
+	g.callDelay = func(string) time.Duration { return 0 }
+	g.finish(12 * time.Second)
+}
--- a/region/start.go
+++ b/region/start.go
@@ -146,7 +146,7 @@
 // the incarnation that it names to answer: another one that has executed the first call would take
 // the second one for a renewal of its lease, whatever its ticket.
 func (s *Scheduler) startTimedOut(r *run) {
-	if r.task.step.rec.Speculative || r.ticketBound() {
+	if r.task.step.rec.Speculative && !r.task.step.needsAdvice() || r.ticketBound() {
 		s.retryStart(r)
 		return
 	}
