region: a stop outdates all starts of its run

Cause: a worker takes the lease of a start that it refuses as old, whatever its ticket. The token rose before a stop only if no answer had bound the ticket to the named incarnation, and the next one might have accepted it. It need not: it may execute the stop and then the start of the run, and another task, of which it has executed the start with the same token, goes on for a lease longer than it is awaited. That is possible between the probe that binds the one and the next one, within which the worker crashes. A second call of the run, with a token that has risen since, was not covered either, nor was a speculative task; and where half of the tokens are used, neither did the token rise nor did the wait become longer.

Change: outdateStarts counts any start with a ticket that may still be executed, by the token of the newest, and adds it to the calls that may grant late where it leaves the token.

Evidence: TestStartOfKnownIncarnationAfterItsStopDoesNotProlong, red without the change ('two concurrent runs of a task' at 10.597 s); TestStartAfterItsStopIsAwaitedWithoutTokens, red without it.

--- a/region/lategrants.go
+++ b/region/lategrants.go
@@ -78,13 +78,17 @@
 	return r.calls.closesBy(at + lateCallWindow)
 }
 
-// outdateStarts raises the worker's fencing token before a stop of a run whose start may be executed
-// by another incarnation than the named one. That would take the lease of a start that comes after
-// the stop, whether its ticket has expired or not, unless it has to refuse it for its token.
+// outdateStarts raises the worker's fencing token before a stop of a run of which a start may still be
+// executed. An incarnation that has executed the stop would take the lease of that start, whether its
+// ticket is bound, or has expired, or not, unless it has to refuse it for its token.
 func (s *Scheduler) outdateStarts(r *run) {
 	w := r.worker
-	if r.task.step.needsAdvice() && r.unsettled() && r.calls.fence == s.fenceOf(w) && w.fenceSteps < maxFenceSteps/2 {
+	switch {
+	case !r.task.step.needsAdvice() || !r.calls.unsettled() || r.calls.newestFence != s.fenceOf(w):
+	case w.fenceSteps < maxFenceSteps/2:
 		s.raiseFence(w)
+	default:
+		s.addGrant(w, lateGrant{s.fenceOf(w), s.now + lateCallWindow})
 	}
 }
 
--- a/region/lategrants_test.go
+++ b/region/lategrants_test.go
@@ -220,3 +220,65 @@
 	g.callDelay = func(string) time.Duration { return 0 }
 	g.finish(12 * time.Second)
 }
+
+// Guards against a task that runs twice at once: another task was started before its worker's incarnation
+// ended, and is stopped afterwards. Its start comes after the stop and renews the lease of the next one.
+func TestStartOfKnownIncarnationAfterItsStopDoesNotProlong(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(model.TaskID) time.Duration { return 40 * time.Second }
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(2 * time.Second)
+	g := &lateGrantWorld{world: w, fw: fw, calls: make(map[string]int)}
+	g.callDelay = func(call string) time.Duration {
+		if g.calls[call]++; call == "start" && g.calls[call] == 1 {
+			return 5 * time.Second
+		}
+		return noDelay
+	}
+	known := g.sched.workers["w1"]
+	for known.probeSentAt-g.now != 40*time.Millisecond {
+		g.run(time.Millisecond)
+	}
+	g.submit(advised("b", &record.Step{}))
+	for g.calls["start"] == 0 {
+		g.run(time.Millisecond)
+	}
+	fw.answerDelay = 300 * time.Millisecond
+	for n := g.probes["w1"]; g.probes["w1"] == n; {
+		g.run(time.Millisecond)
+	}
+	earlier := fw.entry
+	fw.clearState(w)
+	fw.listed, fw.bornAt, fw.answersLost = &earlier, g.now, true
+	fw.entry.BornUnix++
+	g.submit(advised("a", &record.Step{}))
+	g.untilStarted("a")
+	b := g.sched.findTask(model.TaskID{Job: "b"}).run
+	g.run(500 * time.Millisecond)
+	if !b.ticketBound() || b.phase != phaseSending {
+		g.fatal("bound %v, phase %d, want a start to the known incarnation without an answer", b.ticketBound(), b.phase)
+	}
+	g.cancel("b")
+	g.callDelay = func(string) time.Duration { return 0 }
+	g.finish(12 * time.Second)
+}
+
+// Guards against the same once half of the worker's fencing tokens are used: where a stop raises none, the
+// start that comes after it is awaited.
+func TestStartAfterItsStopIsAwaitedWithoutTokens(t *testing.T) {
+	w, r := unansweredStart(t)
+	steps := int64(maxFenceSteps / 2)
+	for _, c := range []struct {
+		steps int64
+		until time.Duration
+	}{{steps - 1, 0}, {steps, w.now + lateCallWindow}} {
+		r.worker.fenceSteps, r.worker.grants = c.steps, lateGrants{}
+		r.calls.newestFence = w.sched.fenceOf(r.worker)
+		w.sched.now = w.now
+		w.sched.outdateStarts(r)
+		if until := r.worker.grants.last(0); until != c.until {
+			t.Errorf("%d tokens used: leases are granted until %v, want %v", c.steps, until, c.until)
+		}
+	}
+}
--- a/region/start.go
+++ b/region/start.go
@@ -53,7 +53,8 @@
 	if r.calls.fence == 0 {
 		r.calls.fence = s.fenceOf(r.worker)
 	}
-	s.addGrant(r.worker, lateGrant{s.fenceOf(r.worker), s.startGrantsUntil(r, s.now+after)})
+	r.calls.newestFence = s.fenceOf(r.worker)
+	s.addGrant(r.worker, lateGrant{r.calls.newestFence, s.startGrantsUntil(r, s.now+after)})
 	r.worker.pendingCalls.sent(r.id(), s.now+after)
 	s.emit(Start{After: after, Request: model.StartRequest{
 		RunID:  r.id(),
--- a/region/startcalls.go
+++ b/region/startcalls.go
@@ -25,6 +25,7 @@
 // at a time.
 type startCalls struct {
 	fence          int64         // fencing token of the first; 0 if an earlier leader has sent it
+	newestFence    int64         // fencing token of the newest
 	expireAt       time.Duration // when the ticket that all of them carry has certainly expired; 0 if they need none
 	inFlight       bool
 	inFlightTill   time.Duration // end of the window of that call
