region: a late grant counts from the time-out of its start, and from another incarnation's answer

Callers saw: nothing; found by reading. A task could run twice at once.

Cause: two calls that may grant a lease were counted for too short. A start, for 13 s from its sending: it is executed up to 13 s after its time-out, which is up to 2 s later, and more behind a full link. That of another task, which needs no ticket, may renew a lease so late. And a probe whose answer shows that another incarnation has executed it counted as one that was answered by the one called: it has renewed the lease there until then.

Change: a start that times out is added once more, from then on, also if its run is not the task's any more (awaitStartGrant). A probe that another incarnation answers counts until its answer.

--- a/region/lategrants.go
+++ b/region/lategrants.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/fireflyfold/fireflyfold/model"
 )
 
 // lateGrants holds until when calls without an answer may grant a worker leases, by the fencing
@@ -52,15 +54,33 @@
 }
 
 // settleProbeGrant records the outcome of the probe in flight. One that was answered, or not sent, is
-// not executed any more.
+// not executed any more. Another incarnation than the one called may have executed it before it answered.
 func (s *Scheduler) settleProbeGrant(w *worker, err CallError) {
-	if g := &w.grants; err == CallNoAnswer && g.probe.until > 0 {
-		s.addGrant(w, lateGrant{g.probe.fence, s.now + lateCallWindow})
+	probe := w.grants.probe
+	w.grants.probe = lateGrant{}
+	switch {
+	case err == CallOK:
+		w.grants.renewed = probe.until > 0
+	case probe.until == 0:
+	case err == CallNoAnswer:
+		s.addGrant(w, lateGrant{probe.fence, s.now + lateCallWindow})
+	case err == CallOtherIncarnation:
+		s.addGrant(w, lateGrant{probe.fence, s.now})
+	}
+}
+
+// awaitStartGrant records a start without an answer: it may be executed late from its time-out on. It counts
+// also if its run is not the task's any more.
+func (s *Scheduler) awaitStartGrant(call model.StartRequest) {
+	w, known := s.workers[call.Worker.ID]
+	if !known {
+		return
 	}
-	if err == CallOK {
-		w.grants.renewed = w.grants.probe.until > 0
+	until := s.now + lateCallWindow
+	if r := s.currentRun(call.RunID, call.Worker); r != nil {
+		until = s.startGrantsUntil(r, s.now)
 	}
-	w.grants.probe = lateGrant{}
+	s.addGrant(w, lateGrant{call.Fence, until})
 }
 
 // addGrant records a call to a worker that may grant a lease late.
--- a/region/lategrants_test.go
+++ b/region/lategrants_test.go
@@ -282,3 +282,40 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice at once: the start of another task, which needs no ticket, renews the
+// lease of the incarnation that has executed its start. It is executed late from its time-out on.
+func TestStartIsAwaitedFromItsTimeout(t *testing.T) {
+	w := newWorld(t, 1)
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(time.Second)
+	w.callDelay = func(call string) time.Duration { return map[string]time.Duration{"start": time.Hour}[call] }
+	w.submit(deferrable("b", &record.Step{}))
+	w.run(100 * time.Millisecond)
+	b := w.sched.findTask(model.TaskID{Job: "b"}).run
+	request := model.StartRequest{RunID: b.id(), Worker: b.target(), Fence: w.sched.fenceOf(b.worker)}
+	fw.unreachable = true
+	w.run(2 * time.Second)
+	w.step(StartAnswered{Request: request, Err: CallNoAnswer})
+	if until, want := b.worker.grants.last(request.Fence), w.now+lateCallWindow; until != want {
+		t.Errorf("leases are granted until %v, want %v", until, want)
+	}
+}
+
+// Guards against a task that runs twice at once: the answer to a probe shows that another incarnation has
+// executed it. It has renewed the lease there.
+func TestProbeOfAnotherIncarnationHasGranted(t *testing.T) {
+	w, r := unansweredStart(t)
+	fw := r.worker
+	fw.probing, fw.probeMissed, fw.clockAt = false, false, w.now
+	fw.probedAt = w.now // bound, so that the probe grants a lease
+	w.sched.out, w.sched.now = nil, w.now
+	w.sched.probe(fw, 0)
+	probe := w.sched.out[0].(Probe).Request
+	w.now += 2 * time.Second
+	w.step(ProbeAnswered{Request: probe, SentAt: w.now, Err: CallOtherIncarnation})
+	if until := fw.grants.last(probe.Fence); until < w.now {
+		t.Errorf("leases are granted until %v, want at least until the answer at %v", until, w.now)
+	}
+}
--- a/region/start.go
+++ b/region/start.go
@@ -97,6 +97,9 @@
 
 func (s *Scheduler) startAnswered(ev StartAnswered) {
 	s.callAnswered(ev.Request.Worker, ev.Request.RunID, ev.Err)
+	if ev.Err == CallNoAnswer {
+		s.awaitStartGrant(ev.Request)
+	}
 	r := s.currentRun(ev.Request.RunID, ev.Request.Worker)
 	if r == nil {
 		return
