region: a start without a ticket is sent only to a worker that has answered

Callers saw: nothing on the deployments at hand, whose queues all have advice.

Cause: the check of the path, a call without effect whose answer is awaited before the start goes out, was made for latency-sensitive runs only, as these lose all their worth.

Change: the check is made for each run without a ticket. It goes out while the assignment is recorded, so that a start waits for it no longer than for the log. What is left: a worker that falls silent in the milliseconds between that answer and the start.

Evidence: TestStartWithoutTicketIsNotSentToSilentWorker, a task alone and a gang; red without the change. All other tests of the package as before; TestLateStartOfAnotherTaskIsAwaited lets the check be answered, as its start would not be sent otherwise.

--- a/region/run.go
+++ b/region/run.go
@@ -153,7 +153,7 @@
 	s.occupy(r)
 	s.pacer.tokens--
 	t.lastRun = number
-	if s.needsPathCheck(r) {
+	if needsPathCheck(r) {
 		r.pathUnchecked = true
 		s.checkPath(r)
 	}
