region: each step that waits says why

Seen: an accepted job has nothing running, and no line tells why. "step waits" was written by a placement pass for steps that the pass had tried and failed to place; a task whose last run was in doubt, was being stopped at a silent worker or was inherited from an earlier leader, and a task in no queue, had no line at all. A task held for crashes was "isolation", of a step whose other tasks waited for room "room", and nothing said until when.

Change: steps with tasks that do not run are in a heap by when they are looked at next: 4 s after a task began to wait, then at least each 4 s. A tick looks at 32 of them at most and logs one, that due for longest; the line comes again when the wait has doubled. held_by names what the task that has waited for longest waits for, of a gang the member that keeps it, with run, worker and until_ms.

--- a/region/bench_test.go
+++ b/region/bench_test.go
@@ -151,3 +151,20 @@
 	s.now = time.Hour + 350*time.Second // past half of the gangs' slack
 	return s
 }
+
+// BenchmarkReportWaits is what a tick spends on steps that wait: it looks at a bounded number of them.
+func BenchmarkReportWaits(b *testing.B) {
+	for _, steps := range []int{100, 10_000} {
+		b.Run(fmt.Sprintf("steps=%d", steps), func(b *testing.B) {
+			s := fullScheduler(1)
+			for i := range steps {
+				s.submit(oneStep(fmt.Sprintf("wait%d", i), &record.Step{Count: 4}))
+			}
+			for b.Loop() {
+				s.now += 20 * time.Millisecond
+				s.out = s.out[:0]
+				s.reportWaits()
+			}
+		})
+	}
+}
--- a/region/end.go
+++ b/region/end.go
@@ -11,6 +11,7 @@
 // executed late. A run that is kept ends when a probe shows that it does not run, or when
 // lateStartEnded reports that.
 func (s *Scheduler) abandon(r *run, why string) {
+	s.taskWaits(r)
 	switch {
 	case r.phase == phaseLateStart:
 		s.setIdle(r, false) // the worker does not list its end any more; rememberDone keeps one as done
@@ -101,6 +102,7 @@
 		r.listed = true
 		r.calls.runListed()
 		if s.mayStartLate(r) && !s.keepsEndOf(r, e) {
+			s.taskWaits(r)
 			s.deferEnd(r)
 			return deferredForCall
 		}
--- a/region/job.go
+++ b/region/job.go
@@ -68,7 +68,10 @@
 	preemptedAt  time.Duration // when runs were last preempted for it
 
 	nextPreemptSearch time.Duration // earliest next search of preemptForGang
-	heldReportAt      time.Duration // when reportHeld logs next what holds it
+	watched           bool          // it is on Scheduler.waits
+	lookAt            time.Duration // when reportWaits looks at it next
+	heldReportAt      time.Duration // when reportWaits logs next what holds it
+	reportedSince     time.Duration // since when the task has waited that this is about
 	widenedAt         time.Duration // when workers were last activated for it
 	tooWideUntil      time.Duration // until when couldHold is false without another look
 }
@@ -78,11 +81,12 @@
 	step         *step
 	index        int32
 	done         bool
-	attempts     int32  // runs that ended as failed
-	lastRun      int32  // highest run number assigned
-	endedRun     int32  // highest run number whose end was counted
-	reportedRun  int32  // newest run of which a checkpoint that is not kept was reported
-	checkpoint   string // newest checkpoint that is kept
+	attempts     int32         // runs that ended as failed
+	lastRun      int32         // highest run number assigned
+	endedRun     int32         // highest run number whose end was counted
+	waitsSince   time.Duration // since when it has not run, if it has since its step was ready
+	reportedRun  int32         // newest run of which a checkpoint that is not kept was reported
+	checkpoint   string        // newest checkpoint that is kept
 	suspicion    suspicion
 	movedOffSlow bool          // it was moved off a slow worker once
 	run          *run          // run that may be alive; nil for none
--- a/region/pass.go
+++ b/region/pass.go
@@ -194,9 +194,6 @@
 			st.queued = false
 			continue
 		}
-		if s.now >= st.heldReportAt {
-			s.reportHeld(st)
-		}
 		st.latencySensitive = s.latencySensitive(st)
 		keep = append(keep, st)
 		c := s.classOf(st)
--- a/region/ready.go
+++ b/region/ready.go
@@ -28,11 +28,12 @@
 
 func (s *Scheduler) enqueue(st *step) {
 	s.dirty = true
+	s.watch(st)
 	if st.queued {
 		return
 	}
 	st.queued = true
-	st.waitingSince, st.heldReportAt = s.now, s.now+firstHeldReport
+	st.waitingSince = s.now
 	s.activateNearData(st)
 	at, _ := slices.BinarySearchFunc(s.ready.steps, st, compareSteps)
 	s.ready.steps = slices.Insert(s.ready.steps, at, st)
--- a/region/region.go
+++ b/region/region.go
@@ -144,7 +144,7 @@
 	fullAt         time.Duration // when linkLoad was last above fullLink
 	dirty          bool          // a change may allow a task to start
 	lastPass       time.Duration
-	heldReportedIn time.Duration // when the newest pass ran in which reportHeld wrote a line
+	waits          waitWatch
 	freeBounds     freeBounds
 	gangRooms      []gangRoom
 	reservable     reservablePlaces // of the gang that reserves now
@@ -324,6 +324,7 @@
 	for _, j := range s.jobs {
 		s.publish(j)
 	}
+	s.watchInherited()
 	s.dirty = true
 }
 
@@ -355,6 +356,7 @@
 	s.judgeCrashes()
 	s.retireJobs()
 	s.rewriteOld()
+	s.reportWaits()
 	s.dirty = true
 	if s.now-s.lastAppendAt >= leaderHeartbeatInterval {
 		s.append(&record.Entry{Kind: &record.Entry_AliveUnixMs{AliveUnixMs: ev.UnixMs}})
--- a/region/run.go
+++ b/region/run.go
@@ -133,6 +133,7 @@
 	}
 	s.setIdle(r, false)
 	t.run = nil
+	s.taskWaits(r)
 	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(o *run) bool { return o == r })
 	delete(r.worker.pendingCalls, r.id())
 	delete(r.worker.pendingCalls, r.pathCheckID())
@@ -190,6 +191,7 @@
 		s.abandon(r, why)
 		return
 	}
+	s.taskWaits(r)
 	r.phase = phaseStopping
 	r.settledAt = 0
 	s.sendStop(r, 0)
