region: a task is queued again after an end that was counted before

Seen: nobody. If a worker lists an end of a run with a higher number than the one that is alive, the end of the latter releases its run and changes nothing else: the task waits in no queue, without a line.

Cause: applyEnd returns early for a run that is not newer than the newest counted end; only countEnd queued the step.

Ruled out: no order of events in which a worker lists a run that the leader's log does not know was found (each assignment is in the log before its start is sent).

Evidence: TestTaskIsQueuedAfterAnEndThatWasCounted is red on the code before ("job a is 2, want completed" at 3.7 s) and green now.

--- a/region/end.go
+++ b/region/end.go
@@ -168,6 +168,7 @@
 // applyEnd applies an end to its task. The run that ended is no longer the task's.
 func (s *Scheduler) applyEnd(w *worker, t *task, e model.End) {
 	if e.Run <= t.endedRun && (!t.isFinal(e.Outcome) || t.done) {
+		s.queueIfWaiting(t) // the end of its run has released it
 		return
 	}
 	if t.isFinal(e.Outcome) {
@@ -207,10 +208,15 @@
 	case outcome == record.Outcome_OUTCOME_FAILED && first:
 		s.countFailure(t, number)
 	}
+	s.queueIfWaiting(t)
+	s.dirty = true
+}
+
+// queueIfWaiting queues the step of a task that has yet to be assigned.
+func (s *Scheduler) queueIfWaiting(t *task) {
 	if t.waiting() && !t.step.job.ended() && t.step.ready {
 		s.enqueue(t.step)
 	}
-	s.dirty = true
 }
 
 // countFailure uses up an attempt for a run that has failed. The members of a gang share their
--- a/region/endorder_test.go
+++ b/region/endorder_test.go
@@ -58,3 +58,19 @@
 		}
 	}
 }
+
+// Guards against a task that waits in no queue: its worker lists the end of a run whose number is higher
+// than that of the run which is alive, and this one ends after that.
+func TestTaskIsQueuedAfterAnEndThatWasCounted(t *testing.T) {
+	w := newWorld(t, 1)
+	w.fails = func(_ model.TaskID, run int32) bool { return run == 1 }
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(time.Second)
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(200 * time.Millisecond)
+	fw.nextEnd++
+	fw.ends = append(fw.ends, model.End{Number: fw.nextEnd, RunID: model.RunID{Task: model.TaskID{Job: "a"}, Run: 3}, Outcome: record.Outcome_OUTCOME_LOST})
+	w.run(2500 * time.Millisecond)
+	w.mustComplete("a")
+}
