region: calls for advice name workers that can get work

Seen in a module test: a task with advice waits for ever beside idle workers, "step waits" with held_by "state". All workers of which it has answers have fallen silent and are still listed, as when a zone is cut off; once their leases are over they look empty. Each call names them first, up to its limit of 12 workers (100 for a gang), and never a new worker, whatever the number of these.

Cause: workersToAsk looked at all listed workers, planAdvice and claimRoom at those that are usable.

Change: workersToAsk looks at usable workers, also where it counts the known and the new ones, so that known workers that are silent are no reason either not to ask about few new ones.

Ruled out: known workers that have left the list did not count before either (the lead in the incident was about these).

--- a/region/advice.go
+++ b/region/advice.go
@@ -251,13 +251,17 @@
 
 // workersToAsk returns the workers to name in a call now: eligible ones whose tickets
 // expire and those without an answer. Workers with room come first.
+//
+// Only workers count that can get new work. A call names few workers: the eligible ones of a zone that is
+// cut off, which are listed and look empty once their leases are over, would fill each call, and no worker
+// that answers would be asked about.
 func (s *Scheduler) workersToAsk(st *step) []string {
 	var withRoom, full []string
 	stale, known, unknown := 0, 0, 0
 	room := 0 // tasks that the eligible workers could run if they were empty
 	neededUntil := s.now + s.longestCall(st) + adviceMargin
 	for _, w := range s.active {
-		if !w.listed || w.entry.Draining || s.drains.Contains(w.entry.Zone) || !s.suits(st, w) {
+		if !s.usable(w) || !s.suits(st, w) {
 			continue
 		}
 		m := st.advice.mark(w)
