region: runs that never began hold no task for crashes

Seen in a module test: a task with valid tickets is sent to four workers that are cut off one after another before its start is carried out. With the fourth loss it is held, "workers may have crashed under it", until 30 s after the first: 19 s with four idle workers.

Cause: held counted each lost run whose start may have been carried out. To give a task up, two of its runs must be known to have begun, or there must be five crashes; to hold it, neither was asked.

Change: a task is held with four open losses and crashes if two of the runs are known to have begun, or with five. Tasks that crash their workers before they answer are so started once more than before at most, and never after the fifth.

Evidence: TestRunsThatNeverBeganHoldNoTask (a task, a gang) is red on the code before, "not started after 4 workers were cut off" at 21 s. The histories of tasks that crash their workers, with lost answers too (go test ./region -run 'Crash|Innocent|Acquit|Outage'), hold their limits of further starts.

--- a/region/held.go
+++ b/region/held.go
@@ -232,8 +232,11 @@
 		return waitsPause, t.pausedUntil()
 	}
 	open := t.suspicion.open // in the order in which they expire
-	expire := len(open) + len(t.suspicion.counted()) - maxOpenCrashes + 1
-	return waitsCrashes, open[min(expire, len(open))-1].at + lossRetention
+	until := s.now
+	for ; holdsTask(open, t.suspicion.counted); open = open[1:] {
+		until = open[0].at + lossRetention
+	}
+	return waitsCrashes, until
 }
 
 // causeOfPasses returns why the passes do not place a step that is on the ready list.
--- a/region/isolate.go
+++ b/region/isolate.go
@@ -44,8 +44,18 @@
 	if t.step.rec.LongRunning {
 		return s.now < t.pausedUntil()
 	}
-	open := len(t.suspicion.open)
-	return open > 0 && open+len(t.suspicion.counted()) >= maxOpenCrashes
+	return holdsTask(t.suspicion.open, t.suspicion.counted)
+}
+
+// holdsTask reports whether a task with these open losses and crashes waits until the fate of more workers
+// is known. Runs that are not known to have begun hold it only where they would give it up, if their workers
+// had crashed: a worker that is cut off while a start is on its way says nothing about the task.
+func holdsTask(open []*loss, crashes func() []*loss) bool {
+	if len(open) == 0 {
+		return false
+	}
+	all := slices.Concat(open, crashes())
+	return len(all) >= maxOpenCrashes && (len(all) >= certainCrashes || begunOf(all) >= minBegun)
 }
 
 // noteSuspect updates which tasks are isolated after the suspicion of one has changed.
