region: a new leader does not prolong the hold of a task for crashes

Seen in a module test: four workers fall silent under a task, which is held for 30 s; a leader that is replaced every 9 s never starts it again (45 s after the last loss it still waits beside four idle workers).

Cause: the time of a loss is that of its replay, so that each leader holds the task for another lossRetention.

The loss itself is kept as before, so that a crash that is shown later still counts against the task. Where a leader's clock is ahead, the hold ends sooner by that much, and the task is started once more; it is given up as before.

--- a/region/crash.go
+++ b/region/crash.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxOpenCrashes is how many workers may be down under a task, shown or not, before it is
-	// started again: until the fate of the last ones is known (holdsTask).
+	// started again: until the fate of the last ones is known (task.heldAt).
 	maxOpenCrashes = 4
 	// lossRetention is how long a lost run may turn out to have ended with a crash. Workers
 	// that crash are back sooner.
--- a/region/held.go
+++ b/region/held.go
@@ -231,10 +231,11 @@
 	if t.step.rec.LongRunning {
 		return waitsPause, t.pausedUntil()
 	}
-	open := t.suspicion.open // in the order in which they expire
-	until := s.now
-	for ; holdsTask(open, t.suspicion.counted); open = open[1:] {
-		until = open[0].at + lossRetention
+	until := s.now + lossRetention
+	for _, l := range t.suspicion.open {
+		if ends := l.lostAt + lossRetention; ends < until && !t.heldAt(ends+1) {
+			until = ends
+		}
 	}
 	return waitsCrashes, until
 }
--- a/region/isolate.go
+++ b/region/isolate.go
@@ -44,18 +44,35 @@
 	if t.step.rec.LongRunning {
 		return s.now < t.pausedUntil()
 	}
-	return holdsTask(t.suspicion.open, t.suspicion.counted)
-}
-
-// holdsTask reports whether a task with these open losses and crashes waits until the fate of more workers
-// is known. Runs that are not known to have begun hold it only where they would give it up, if their workers
-// had crashed: a worker that is cut off while a start is on its way says nothing about the task.
-func holdsTask(open []*loss, crashes func() []*loss) bool {
-	if len(open) == 0 {
-		return false
+	return len(t.suspicion.open) > 0 && t.heldAt(s.now)
+}
+
+// heldAt reports whether the task waits at a time until the fate of more workers is known. Runs that are not
+// known to have begun hold it only where they would give it up, if their workers had crashed: a worker that is
+// cut off while a start is on its way says nothing about the task.
+//
+// The time of a loss counts, not when a new leader has read of it. Each leader would otherwise hold the task
+// for another lossRetention.
+func (t *task) heldAt(at time.Duration) bool {
+	open, all, begun := 0, 0, 0
+	count := func(l *loss) {
+		all++
+		if l.begun {
+			begun++
+		}
+	}
+	for _, l := range t.suspicion.open {
+		if at-l.lostAt <= lossRetention {
+			open++
+			count(l)
+		}
+	}
+	for _, l := range t.suspicion.crashes {
+		if !l.outage {
+			count(l)
+		}
 	}
-	all := slices.Concat(open, crashes())
-	return len(all) >= maxOpenCrashes && (len(all) >= certainCrashes || begunOf(all) >= minBegun)
+	return open > 0 && all >= maxOpenCrashes && (all >= certainCrashes || begun >= minBegun)
 }
 
 // noteSuspect updates which tasks are isolated after the suspicion of one has changed.
--- a/region/neverbegun_test.go
+++ b/region/neverbegun_test.go
@@ -45,3 +45,46 @@
 		})
 	}
 }
+
+// Guards against a task that each new leader holds for another half a minute: four workers under it have
+// fallen silent, and leaders are replaced before the time is over.
+func TestNewLeadersDoNotProlongTheHold(t *testing.T) {
+	id := model.TaskID{Job: "a"}
+	w := newWorld(t, 1)
+	w.takesLong("a", time.Minute)
+	for i := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", i), 8)
+	}
+	w.startLeader()
+	w.run(time.Second)
+	j := advised("a", &record.Step{Count: 1})
+	j.Steps[0].EstimateMs = 500
+	w.submit(j)
+	for range maxOpenCrashes {
+		w.untilTask(id, func(t *task) bool { return t.run != nil && t.run.phase == phaseRunning })
+		lost := w.sched.findTask(id).run
+		w.workers[lost.ref.ID].unreachable = true
+		w.untilTask(id, func(t *task) bool { return t.run != lost })
+	}
+	starts := w.starts[id]
+	for range 5 {
+		w.run(9 * time.Second)
+		w.stopLeader()
+		w.startLeader()
+	}
+	if w.starts[id] == starts {
+		w.fatal("not started again 45 s after the last loss: %s", describeTasks(w.sched.jobs["a"]))
+	}
+}
+
+// untilTask runs the world until a condition holds for a task.
+func (w *world) untilTask(id model.TaskID, is func(*task) bool) {
+	w.t.Helper()
+	for range 3000 {
+		if is(w.sched.findTask(id)) {
+			return
+		}
+		w.run(5 * time.Millisecond)
+	}
+	w.fatal("%v is not in the expected state: %s", id, describeTasks(w.sched.jobs[id.Job]))
+}
--- a/region/suspicion.go
+++ b/region/suspicion.go
@@ -89,18 +89,13 @@
 
 // conclusive reports whether the crashes show that the task crashes the workers that start it.
 func conclusive(crashes []*loss) bool {
-	return weightOf(crashes) >= giveUpWeight && (begunOf(crashes) >= minBegun || len(crashes) >= certainCrashes)
-}
-
-// begunOf returns how many of the runs are known to have begun.
-func begunOf(losses []*loss) int {
 	begun := 0
-	for _, l := range losses {
+	for _, l := range crashes {
 		if l.begun {
 			begun++
 		}
 	}
-	return begun
+	return weightOf(crashes) >= giveUpWeight && (begun >= minBegun || len(crashes) >= certainCrashes)
 }
 
 // longestRun returns the longest time for which a lost run was seen running.
