--- a/region/held.go
+++ b/region/held.go
@@ -221,9 +221,9 @@
 func (s *Scheduler) doubtEndsBy(r *run) time.Duration {
 	closed := r.settledAt
 	if closed == 0 {
-		closed = r.calls.closedAt(s.inheritedSince(r))
+		closed = s.startsClosedAt(r)
 	}
-	return max(closed, r.worker.grantedAt+lateCallWindow) + s.maxLease() + lapseMargin
+	return s.lateLeaseEnd(r, closed)
 }
 
 // heldUntil returns until when a task of held is not started.
