region: a run in doubt of a suspected task closes no worker

Cause: a run in doubt of a task under which workers crashed counts as one on probation, since it was not seen to begin: for up to 13 s and a lease (20 s after a change of leader) no other job starts on its worker.

Change: a run in doubt is on probation once its worker lists it.

--- a/region/isolate.go
+++ b/region/isolate.go
@@ -93,9 +93,11 @@
 	}
 }
 
-// onProbation reports whether the run may still be the one that crashes its worker.
+// onProbation reports whether the run may still be the one that crashes its worker. One in doubt has ended
+// as far as is known, and is on probation only once its worker lists it: it would otherwise keep all other
+// jobs off its worker for as long as its start may be carried out.
 func (s *Scheduler) onProbation(r *run) bool {
-	if !s.suspects[r.task] {
+	if !s.suspects[r.task] || r.phase == phaseLateStart {
 		return false
 	}
 	probation := minProbation + r.task.suspicion.longestRun()
