region: no worker is kept free for a gang that cannot start

Seen in a module test: a gang under whose members workers crashed waits, as the run of one member is in doubt for some 20 s. A worker is kept free for the other members, up to four in all, and a job of another kind waits beside it.

Cause: keepFree counted the isolated tasks that wait, also where they can only start together with one that does not.

Change: nothing is kept free for a gang whose members do not all wait, or of which one is held.

Evidence: TestNoWorkerIsKeptFreeForGangThatCannotStart is red on the code before ("not started" 2 s after its submission, w2 idle).

--- a/region/isolate.go
+++ b/region/isolate.go
@@ -185,9 +185,13 @@
 }
 
 // keepFree keeps the workers that become empty first free for the isolated tasks of a step, as
-// many as they need, and at most the given number. It returns how many.
+// many as they need, and at most the given number. It returns how many: none for a gang whose
+// members do not all wait, or that is held, as an empty worker does not let it start.
 func (s *Scheduler) keepFree(st *step, most int) int {
 	kept := 0
+	if st.rec.Gang && (!st.gangWaits() || slices.ContainsFunc(st.tasks, s.held)) {
+		return kept
+	}
 	for need := s.isolatedWaiting(st); need > 0 && kept < most; kept++ {
 		w := s.emptiestFor(st)
 		if w == nil {
