--- a/region/isolate.go
+++ b/region/isolate.go
@@ -44,8 +44,35 @@
 	if t.step.rec.LongRunning {
 		return s.now < t.pausedUntil()
 	}
-	open := len(t.suspicion.open)
-	return open > 0 && open+len(t.suspicion.counted()) >= maxOpenCrashes
+	return len(t.suspicion.open) > 0 && t.heldAt(s.now)
+}
+
+// heldAt reports whether the task waits at a time until the fate of more workers is known. Runs that are not
+// known to have begun hold it only where they would give it up, if their workers had crashed: a worker that is
+// cut off while a start is on its way says nothing about the task.
+//
+// The time of a loss counts, not when a new leader has read of it. Each leader would otherwise hold the task
+// for another lossRetention.
+func (t *task) heldAt(at time.Duration) bool {
+	open, all, begun := 0, 0, 0
+	count := func(l *loss) {
+		all++
+		if l.begun {
+			begun++
+		}
+	}
+	for _, l := range t.suspicion.open {
+		if at-l.lostAt <= lossRetention {
+			open++
+			count(l)
+		}
+	}
+	for _, l := range t.suspicion.crashes {
+		if !l.outage {
+			count(l)
+		}
+	}
+	return open > 0 && all >= maxOpenCrashes && (all >= certainCrashes || begun >= minBegun)
 }
 
 // noteSuspect updates which tasks are isolated after the suspicion of one has changed.
@@ -66,9 +93,11 @@
 	}
 }
 
-// onProbation reports whether the run may still be the one that crashes its worker.
+// onProbation reports whether the run may still be the one that crashes its worker. One in doubt has ended
+// as far as is known, and is on probation only once its worker lists it: it would otherwise keep all other
+// jobs off its worker for as long as its start may be carried out.
 func (s *Scheduler) onProbation(r *run) bool {
-	if !s.suspects[r.task] {
+	if !s.suspects[r.task] || r.phase == phaseLateStart {
 		return false
 	}
 	probation := minProbation + r.task.suspicion.longestRun()
@@ -156,9 +185,13 @@
 }
 
 // keepFree keeps the workers that become empty first free for the isolated tasks of a step, as
-// many as they need, and at most the given number. It returns how many.
+// many as they need, and at most the given number. It returns how many: none for a gang whose
+// members do not all wait, or that is held, as an empty worker does not let it start.
 func (s *Scheduler) keepFree(st *step, most int) int {
 	kept := 0
+	if st.rec.Gang && (!st.gangWaits() || slices.ContainsFunc(st.tasks, s.held)) {
+		return kept
+	}
 	for need := s.isolatedWaiting(st); need > 0 && kept < most; kept++ {
 		w := s.emptiestFor(st)
 		if w == nil {
--- a/region/pass.go
+++ b/region/pass.go
@@ -40,7 +40,7 @@
 	before := s.overdueBefore()
 	for _, w := range s.active {
 		w.overdue = w.pendingCalls.overdue(before)
-		w.claimed = model.Resources{}
+		w.claimed, w.claimedInVain = model.Resources{}, model.Resources{}
 		w.wasReserved, w.reserved, w.softReserved = cmp.Or(w.reserved, w.softReserved), nil, nil
 		w.wasKeptFreeFor, w.keptFreeFor = w.keptFreeFor, nil
 		if s.usable(w) {
@@ -194,9 +194,6 @@
 			st.queued = false
 			continue
 		}
-		if s.now >= st.heldReportAt {
-			s.reportHeld(st)
-		}
 		st.latencySensitive = s.latencySensitive(st)
 		keep = append(keep, st)
 		c := s.classOf(st)
