leader: an odd entry under a worker's id leaves the worker in use

What callers would see: a worker that is up gets no new tasks until its next heartbeat, and none at all if another writer writes under its id after each one. Nothing said which entry was passed over.

Cause: an entry that cannot be read took the worker with that id off the list, as if it had left. It says nothing of the worker, whose own entry before it holds ("the others hold").

Change: the worker stays listed for three heartbeat intervals (setting heartbeatMs), the time for which the platform keeps the entry of a silent worker, unless its own next entry or its removal is read before. In a reading of the whole list, which shows only the newest record of each id, it is unlisted as before: a newer entry of its own, such as one that says that it drains, may have been before that one. New work still depends on answered probes.

--- a/host/host.go
+++ b/host/host.go
@@ -235,7 +235,7 @@
 
 func (h *Host) leaderConfig(fence int64) leader.Config {
 	return leader.Config{
-		Client: h.client, Fence: fence, CallBytes: h.settings.MaxAppendBytes, LinkBps: h.settings.LinkBps,
+		Client: h.client, Fence: fence, CallBytes: h.settings.MaxAppendBytes, LinkBps: h.settings.LinkBps, WorkerHeartbeat: h.settings.WorkerHeartbeat,
 		Options: region.Options{
 			MaxLease: h.settings.MaxLease, Lease: time.Duration(float64(h.settings.MaxLease) * leaseShare),
 			ZoneDrain: h.settings.ZoneDrain, StopTime: h.settings.StopTime, RestoreTime: h.settings.RestoreTime, LogRetention: h.settings.LogRetention, RecordBytes: h.settings.MaxRecordBytes, StatusRetention: h.settings.StatusRetention,
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -92,9 +92,11 @@
 	Client    *platform.Client
 	Fence     int64 // fencing token of this leadership
 	Options   region.Options
-	CallBytes int                  // maximum size of an append
-	LinkBps   int64                // capacity of this host's link in bytes per second; 0 if unknown
-	Config    func() *model.Config // returns the newest configuration, or nil if there is none
+	CallBytes int   // maximum size of an append
+	LinkBps   int64 // capacity of this host's link in bytes per second; 0 if unknown
+	// WorkerHeartbeat is how often a worker writes its entry in the worker list.
+	WorkerHeartbeat time.Duration
+	Config          func() *model.Config // returns the newest configuration, or nil if there is none
 	// ZoneDrains returns the newest confirmed set of drained zones, or nil if there is none.
 	ZoneDrains func() *model.ZoneDrains
 	Hosts      func() []string // returns the hosts that can be asked for advice
