--- a/region/advice.go
+++ b/region/advice.go
@@ -169,7 +169,7 @@
 	}
 	most := max(minAdviceWorkers, adviceWorkersPerTask*len(st.tasks))
 	if a := st.job.rec.Policy.GetAdvice(); a.GetEachMs() > 0 {
-		most = max(most, int(a.GetDecideMs()/a.GetEachMs()))
+		most = max(most, int(min(a.GetDecideMs()/a.GetEachMs(), maxAdviceWorkers)))
 	}
 	return min(maxAdviceWorkers, most)
 }
