region: no advice about workers that never answered

What callers would see: a task of a queue with advice waits behind calls about workers that do not exist, up to 100 names each, while another writer has put sound entries of no worker into the host list.

Cause: workersToAsk names every listed worker, also one that was probed and has never answered this leader, or in whose place another one answered. No task is ever started there.

Change: such workers are not asked about. One that is yet to be probed is, as its answer usually comes before the advice: a new leader's first calls are as before.

--- a/region/advice.go
+++ b/region/advice.go
@@ -257,7 +257,7 @@
 	room := 0 // tasks that the eligible workers could run if they were empty
 	neededUntil := s.now + s.longestCall(st) + adviceMargin
 	for _, w := range s.active {
-		if !w.listed || w.entry.Draining || s.drains.Contains(w.entry.Zone) || !s.suits(st, w) {
+		if !w.listed || w.neverAnswered() || w.entry.Draining || s.drains.Contains(w.entry.Zone) || !s.suits(st, w) {
 			continue
 		}
 		m := st.advice.mark(w)
@@ -289,6 +289,13 @@
 	return names[:min(len(names), st.maxWorkersPerCall())]
 }
 
+// neverAnswered reports whether the worker has been probed and has not yet answered this leader.
+//
+// The guard is against tasks that wait behind calls about workers that do not exist: another writer may
+// put any number of sound entries into the host list. A worker that is yet to be probed is asked about,
+// as its answer usually comes before the advice.
+func (w *worker) neverAnswered() bool { return w.probedAt == 0 && (w.probeMissed || w.replaced) }
+
 // mostOn returns how many tasks of the step may run on a worker with this room.
 func (st *step) mostOn(room model.Resources) int {
 	n := timesIn(st.demand(), room)
