--- a/host/zonedrains_test.go
+++ b/host/zonedrains_test.go
@@ -56,6 +56,35 @@
 	f.waitUntil("only the other zone is drained", func() bool { return m.drained("z2") })
 }
 
+// Guards against hosts that cannot tell each other which zones are drained, nor the configuration, as
+// the key of a record of the operators' topic is not UTF-8.
+func TestOddKeyInOperatorsTopic(t *testing.T) {
+	f := newTestRegion(t, 2, 1, 50*time.Millisecond)
+	for _, key := range []string{"evacuate/\xff\xfe", "evacuate/", "", "\xff", "config\x00"} {
+		f.store.Put(platform.TopicOperators, key, []byte("\xff{"))
+	}
+	m, other := f.hosts[0], f.hosts[1]
+	m.endpoint.Refuse(true)
+	f.waitUntil("no read of the log is in flight", func() bool { return m.config.LogReadAge() > 2*configWait })
+	f.configure(7, "k1", "k7")
+	f.drain("z9")
+	f.waitUntil("the other host knows the drain", func() bool { return slices.Contains(other.zonesDrained(), "z9") })
+	f.waitUntil("the host knows it through the other one", func() bool { return slices.Contains(m.zonesDrained(), "z9") })
+	f.waitUntil("the host knows the configuration through the other one", func() bool {
+		c := m.config.Config()
+		return c != nil && c.Version == 7
+	})
+}
+
+// zonesDrained returns the zones that the host has confirmed as drained.
+func (m *testHost) zonesDrained() []string {
+	d := m.config.drains.get()
+	if d == nil {
+		return nil
+	}
+	return d.Zones
+}
+
 // The log refuses one host, which must learn through another one which zones are drained.
 func TestDrainIsKnownWhileLogRefusesHost(t *testing.T) {
 	f := newTestRegion(t, 3, 1, 50*time.Millisecond)
