--- a/region/advice.go
+++ b/region/advice.go
@@ -175,7 +175,7 @@
 	}
 	most := max(minAdviceWorkers, adviceWorkersPerTask*len(st.tasks))
 	if a := st.job.rec.Policy.GetAdvice(); a.GetEachMs() > 0 {
-		most = max(most, int(a.GetDecideMs()/a.GetEachMs()))
+		most = max(most, int(min(a.GetDecideMs()/a.GetEachMs(), maxAdviceWorkers)))
 	}
 	return min(maxAdviceWorkers, most)
 }
@@ -275,7 +275,7 @@
 // workersToAsk returns the workers to name in a call now: eligible ones whose tickets
 // expire and those without an answer. Workers with room come first.
 //
-// Only workers count that can get new work. A call names few workers: the eligible ones of a zone that is
+// Only workers count that may get new work. A call names few workers: the eligible ones of a zone that is
 // cut off, which are listed and look empty once their leases are over, would fill each call, and no worker
 // that answers would be asked about.
 func (s *Scheduler) workersToAsk(st *step) []string {
@@ -284,7 +284,7 @@
 	room := 0 // tasks that the eligible workers could run if they were empty
 	neededUntil := s.now + s.longestCall(st) + adviceMargin
 	for _, w := range s.active {
-		if !s.usable(w) || !s.suits(st, w) {
+		if !s.mayGetWork(w) || !s.suits(st, w) {
 			continue
 		}
 		m := st.advice.mark(w)
@@ -316,6 +316,19 @@
 	return names[:min(len(names), st.maxWorkersPerCall())]
 }
 
+// mayGetWork reports whether calls for advice name the worker.
+//
+// The guard is against tasks that wait behind calls about workers that are silent, or do not exist: another
+// writer may put any number of sound entries into the host list. A worker that is yet to be probed is asked
+// about, as its answer usually comes before the advice.
+func (s *Scheduler) mayGetWork(w *worker) bool {
+	silent := s.now-w.probedAt >= maxProbeAge
+	if w.probedAt == 0 {
+		silent = w.probeMissed || w.replaced
+	}
+	return w.listed && !silent && !w.entry.Draining && !s.drains.Contains(w.entry.Zone)
+}
+
 // mostOn returns how many tasks of the step may run on a worker with this room.
 func (st *step) mostOn(room model.Resources) int {
 	n := timesIn(st.demand(), room)
