region: random histories of tasks with tickets whose workers come back unseen

In the strict histories a call in time reaches only the incarnation that it names, and few late calls meet tasks with tickets. Here all jobs need tickets, one call in eight is late, and a worker's next incarnation executes all calls without an answer until it is cut off or listed; late calls reach it even then. There is one leader, and no speculative task.

--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -17,6 +17,7 @@
 type strict struct {
 	foreignEntries     *rand.Rand                       // other writers write entries at random; nil for none
 	lateCallsReachNext bool                             // late calls may reach a later incarnation than the one they were sent to
+	unseen             bool                             // calls in time reach it too, and late ones also if it is cut off; its answers are lost
 	doneTasks          map[model.TaskID]bool            // has ended as done, recorded or not
 	cancelled          map[string]bool                  // jobs whose cancellation a scheduler has received
 	checkpoints        map[model.TaskID]map[string]bool // checkpoints that a task has saved
@@ -169,7 +170,7 @@
 		case fw.down:
 			reply(testDelay, CallNotSent)
 			return
-		case fw.entry.BornUnix != ref.BornUnix:
+		case fw.entry.BornUnix != ref.BornUnix && !w.strict.unseen:
 			reply(2*testDelay, CallOtherIncarnation)
 			return
 		case w.rng.IntN(callsPerConnection) == 0 && w.callDelay("proof") > 0:
@@ -177,12 +178,13 @@
 			return
 		}
 		late := w.callDelay(name)
-		lost := late > 0 || w.losesAnswer(name)
+		lost := late > 0 || w.losesAnswer(name) || fw.entry.BornUnix != ref.BornUnix
 		if lost {
 			reply(callTimeout, CallNoAnswer)
 		}
 		w.after(testDelay+late, func() {
-			if fw.unreachable || fw.down || fw.entry.BornUnix != ref.BornUnix && (late == 0 || !w.strict.lateCallsReachNext) {
+			cutOff := fw.unreachable && (late == 0 || !w.strict.unseen)
+			if cutOff || fw.down || fw.entry.BornUnix != ref.BornUnix && !w.strict.unseen && (late == 0 || !w.strict.lateCallsReachNext) {
 				if !lost {
 					reply(callTimeout, CallNoAnswer)
 				}
