entry: a peer must answer before a call is sent to it

What callers saw: a request to a host that is not cut off, sent while another zone is cut off, hung until its deadline (30 s) and was told 504, "stopped at its deadline after it had been sent", outcome unknown. It had never run.

Cause: a host without room or without units of the team forwards to a peer whose digest is up to 3 s old. If that peer was cut off after it, the call hangs in the connection. A trace of every forward (scratch copy, go test -race, 3 processes at a load average of 32, red 1 of 90) has it: oberbayern-4-h1 has three workers and no units, sends its first request to oberbayern-3-h1, which answers, and the second one 1.007 s after the last digest, when oberbayern-3 is cut off: 504 after 30 s.

Change: right before a call goes to a peer, an empty digest is exchanged with it, for a second at most (peerTimeout). A peer that does not answer has been sent nothing: the request goes to another one or is refused as not run, and the router sends the peer nothing before it is seen again. The same fault was in two more places, which are mended alike: requests whose idempotency key has its home in another zone, and calls about jobs of another zone. A cut between that answer and the call still ends as unknown. Membership does not count the missing answer, so that many calls at once declare no host dead.

TestCutOffPeerIsSentNothing: without the change (a copy of the parent commit with the test) all three calls are red, 504, 502 and 502, unknown; with it green. TestSilentPeerGetsNoRequests is red without the line in endTry. TestCutOffZoneServes, unchanged, -race: before 2 of 80 red (2 processes, load average 20 to 33) and 1 of 90 (above); after 80 of 80 green (2 processes, load average 34 to 42). The rate before is so low that the repetitions alone prove little; the trace and the new test do. Cost: one small exchange more for each call that is passed on.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -23,6 +23,10 @@
 	ctx, span := h.tel.Tracer.Start(ctx, "forward", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	span.SetAttributes(attribute.String("peer", string(cmd.Peer)), attribute.Int("try", cmd.Try))
+	if !h.reaches(ctx, cmd.Addr) {
+		h.push(engine.RequestFinished{Finished: request.Finished{ID: c.id, Result: request.ResultNotRun, PeerSilent: true}})
+		return nil
+	}
 	stream, err := h.peers.At(cmd.Addr).Forward(ctx, connect.NewRequest(forwardRequest(c, left)))
 	if err != nil {
 		h.push(engine.RequestFinished{Finished: request.Finished{ID: c.id, Result: forwardResult(ctx, err)}})
@@ -34,6 +38,23 @@
 	return cut
 }
 
+// reaches reports whether the peer at addr answers. It is asked right before a
+// call is sent to it.
+//
+// It guards callers against a peer that was cut off after its last digest: the
+// call would hang until its deadline and end as unknown although it never
+// ran. A peer that does not answer has been sent nothing, so the call can
+// still go to another one or be refused as not run.
+func (h *Host) reaches(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if _, err := h.peers.At(addr).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{})); err != nil {
+		h.metrics.peerFailed.Inc(1)
+		return false
+	}
+	return true
+}
+
 func forwardRequest(c *call, left time.Duration) *peerv1.ForwardRequest {
 	return &peerv1.ForwardRequest{
 		Id:             c.id.String(),
--- a/entry/jobcall.go
+++ b/entry/jobcall.go
@@ -178,6 +178,9 @@
 		stop := context.AfterFunc(h.leaves, cancel)
 		defer stop()
 	}
+	if !h.reaches(ctx, addr) {
+		return nil, nil, false
+	}
 	res, err := h.peers.At(addr).CallJob(ctx, connect.NewRequest(&peerv1.CallJobRequest{
 		Verb:           string(c.verb),
 		Team:           string(c.team),
--- a/entry/route.go
+++ b/entry/route.go
@@ -46,6 +46,9 @@
 	defer cancel()
 	ctx, span := h.tel.Tracer.Start(ctx, "forward")
 	defer span.End()
+	if !h.reaches(ctx, addr) {
+		return nil, nil, false
+	}
 	msg := forwardRequest(c, left)
 	msg.IdempotencyKey = c.key
 	stream, err := h.peers.At(addr).Forward(ctx, connect.NewRequest(msg))
--- a/localfleet/faults_test.go
+++ b/localfleet/faults_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/ident"
 	"github.com/fireflyfold/fireflyfold/localfleet"
+	"github.com/fireflyfold/fireflyfold/settings"
 	"github.com/fireflyfold/fireflyfold/standin"
 )
 
@@ -268,6 +271,95 @@
 	checkAudit(t, f)
 }
 
+// A peer is cut off when its last word is still young. A host without workers
+// must not send it what its callers ask: they would wait until their deadline
+// and be told "unknown" of a call that never ran.
+func TestCutOffPeerIsSentNothing(t *testing.T) {
+	layout := standin.Rosenau()
+	layout.Zones = []standin.ZoneLayout{{Zone: "a", Hosts: 1}, {Zone: "b", Workers: 2, Hosts: 1}}
+	layout.HostLag = 100 * time.Millisecond
+	f, err := localfleet.Start(context.Background(), localfleet.Options{Layout: layout, Adjust: func(s *settings.Settings) {
+		s.Limits.RequestTimeout = 3 * time.Second // for what waits in vain for a worker
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	scheduler(t, f, "b")
+	base := "http://" + scheduler(t, f, "a").Host.APIAddr()
+	request, jobs := base+"/v1/services/grants/x", base+"/v1/jobs"
+	const spec = `{"kind":"batch","need":{"milli_cpu":1000},"run":"10ms"}`
+	key := f.Keys["citizens"]
+	remote := keyOfZone(t, jobs, key, spec, "b")
+	for _, call := range []struct{ url, idempotency, body string }{
+		{request, "", "during"},
+		{request, remote, "during"},
+		{jobs, remote, spec},
+	} {
+		do(t, http.MethodPost, request, key, "before", http.StatusOK)
+		postUntil(t, jobs, key, remote, spec)
+		if err := f.Platform.Network.Isolate("b", standin.RelayFaults{Hang: true}); err != nil {
+			t.Fatal(err)
+		}
+		if status, data := post(t, call.url, key, call.idempotency, call.body); !bytes.Contains(data, []byte(`"not run"`)) {
+			t.Errorf("%s with key %q: status %d: %s", call.url, call.idempotency, status, data)
+		}
+		if err := f.Platform.Network.Isolate("b", standin.RelayFaults{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	checkAudit(t, f)
+}
+
+// keyOfZone returns an idempotency key whose home is the given zone.
+func keyOfZone(t *testing.T, jobs, key, spec string, zone ident.Zone) string {
+	t.Helper()
+	for n := range 32 {
+		idempotency := fmt.Sprint("key ", n)
+		if job := postUntil(t, jobs, key, idempotency, spec).Job; strings.HasPrefix(job, string(zone)+".") {
+			return idempotency
+		}
+	}
+	t.Fatalf("no key has its home in zone %s", zone)
+	return ""
+}
+
+// postUntil submits a job under an idempotency key until it is accepted.
+func postUntil(t *testing.T, jobs, key, idempotency, spec string) jobReply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if status, data := post(t, jobs, key, idempotency, spec); status < http.StatusBadRequest {
+			return parseJob(t, data)
+		}
+		time.Sleep(retryPause)
+	}
+	t.Fatalf("no job was accepted with key %q", idempotency)
+	return jobReply{}
+}
+
+// post sends a body under an idempotency key, or under none if it is empty.
+func post(t *testing.T, url, key, idempotency, body string) (int, []byte) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Idempotency-Key", idempotency)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode, data
+}
+
 // An operator withdraws a key while its team sends requests to every host. No
 // host may accept the key once the change is in force, and other teams go on.
 func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
--- a/request/message.go
+++ b/request/message.go
@@ -107,6 +107,9 @@
 	ServerFail bool          // the upstream answered with a server error
 	Refused    bool          // the worker or peer refused it; not counted as the worker's failure
 	RetryAfter time.Duration // from a peer's refusal; zero if none
+	// PeerSilent is set when the peer did not answer before the request was
+	// sent to it. It gets no request until it is seen again.
+	PeerSilent bool
 }
 
 // Cancelled withdraws a waiting request whose caller disconnected.
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -97,6 +97,27 @@
 	}
 }
 
+// A peer was cut off after its last report and does not answer. The request must
+// go to another peer, and no other request to the silent one before it is seen again.
+func TestSilentPeerGetsNoRequests(t *testing.T) {
+	r := newRouter(newLimits(10), 0, Options{})
+	near := PeerSeen{Host: "near", Zone: "a", Free: 8, Services: []ident.ServiceID{testService}}
+	far := PeerSeen{Host: "far", Zone: "b", Free: 8, Services: []ident.ServiceID{testService}}
+	r.Step(0, near)
+	r.Step(0, far)
+	goesTo := func(cmds []Command, want ident.HostID) {
+		t.Helper()
+		if got := onlyCommand[Forward](t, cmds).Peer; got != want {
+			t.Errorf("sent to %s, want %s", got, want)
+		}
+	}
+	goesTo(r.Step(0, admitted(1, "t", true)), "near")
+	goesTo(r.Step(time.Second, Finished{ID: taskID(1), Result: ResultNotRun, PeerSilent: true}), "far")
+	goesTo(r.Step(time.Second, admitted(2, "t", true)), "far")
+	r.Step(time.Second, near)
+	goesTo(r.Step(time.Second, admitted(3, "t", true)), "near")
+}
+
 // A forwarded request is refused as "not run" because its deadline passed in
 // the queue, and its sender tries another host. A second copy of the forward
 // that arrives late must not run, and is again refused as "not run".
--- a/request/step.go
+++ b/request/step.go
@@ -244,6 +244,9 @@
 	if ev.Result == ResultNotRun && c.peer != "" {
 		c.refusedBy = append(c.refusedBy, c.peer)
 	}
+	if ev.PeerSilent {
+		delete(r.peers, c.peer)
+	}
 	c.avoid = c.worker
 	c.worker = ""
 	c.peer = ""
