leader: an intake record that no host writes does not end the leaders

What callers would see: no leader for as long as the log keeps the record. Each leader panics or runs out of memory as it reads the intake, and so does its successor.

Cause: hosts check what callers submit; the leader took each record that can be decoded for one of theirs. Shown with real hosts, one record each, appended to the topic of the intake: a step with -1 tasks (makeslice: len out of range), one that follows step 7 or -1 (index out of range), 2^31-1 tasks (out of memory at a limit of 12 GB), 2^31-1 occurrences (no end within 60 s), an id with dots (its tasks' names cannot be read in the worker's answers, and no later job on that worker was completed within 30 s). Passed before: no steps, no policy, no request, no id, no record, demands of -2^63 and 2^63-1.

Change: such a record is passed over, also where a host passes it on directly (`intake record passed over`, counter intake_records_invalid).

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -192,7 +192,7 @@
 // for the read, which takes as long as an append where the log is slow, and a second or more
 // where the log does not wake waiting reads.
 func (l *Leader) HandleIntake(ctx context.Context, r *record.Intake) {
-	if l.loaded.Load() {
+	if l.loaded.Load() && l.validIntake(r) {
 		l.push(ctx, region.IntakeRead{Records: []*record.Intake{r}, Notified: true})
 	}
 }
--- a/leader/read.go
+++ b/leader/read.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// validIntake reports whether the scheduler can keep a record of the intake.
+func (l *Leader) validIntake(r *record.Intake) bool {
+	err := checkIntake(r, l.cfg.CallBytes)
+	if err != nil {
+		l.cfg.Metrics.Counter("intake_records_invalid").Inc(1)
+		l.cfg.Log.WithError(err).Error("intake record passed over")
+	}
+	return err == nil
+}
+
 // retryReporter returns a reporter for reads of the log that are retried while this host leads.
 func (l *Leader) retryReporter(metric, operation string) telemetry.RetryReporter {
 	return telemetry.RetryReporter{Metric: metric, Operation: operation, Log: l.cfg.Log, Metrics: l.cfg.Metrics}
@@ -59,6 +69,9 @@
 			l.cfg.Log.WithError(err).Error("cannot decode an intake record")
 			continue
 		}
+		if !l.validIntake(r) {
+			continue
+		}
 		ev.Records = append(ev.Records, r)
 	}
 	return ev
