--- a/region/freed_test.go
+++ b/region/freed_test.go
@@ -44,3 +44,22 @@
 	s.now += 400 * time.Second
 	check("later")
 }
+
+// Guards against passes that look at every run of the region once for each gang that waits.
+func TestRunsAreAddedUpOnceInAPass(t *testing.T) {
+	s := fullScheduler(1)
+	w := s.workerList[0]
+	horizons := []time.Duration{time.Hour, 2 * time.Hour, 3 * time.Hour}
+	var before []model.Resources
+	for _, within := range horizons {
+		before = append(before, s.freedWithin(w, within))
+	}
+	runs := w.runs
+	w.runs = nil // a second look at them would show
+	for i, within := range horizons {
+		if got := s.freedWithin(w, within); got != before[i] || got == (model.Resources{}) {
+			t.Errorf("freed within %v %v, want %v without another look at the runs", within, got, before[i])
+		}
+	}
+	w.runs = runs
+}
