--- a/region/advice.go
+++ b/region/advice.go
@@ -235,9 +235,6 @@
 		if found >= want {
 			break
 		}
-		if !s.suits(st, w) || s.keptApart(st, w) || !s.takes(w, st) {
-			continue
-		}
 		room := w.free().Sub(w.claimed)
 		if respectsAll {
 			room = room.Sub(w.claimedInVain)
@@ -245,10 +242,13 @@
 		if w.reserved == st || w.softReserved == st || len(w.runs) > 0 && st.rec.Gang {
 			room = room.Add(s.freedWithin(w, answerTime))
 		}
-		if n := min(timesIn(st.demand(), room), want-found); n > 0 {
-			s.claims = append(s.claims, claim{worker: w, room: st.demand().Times(int64(n))})
-			found += n
+		// Under load most workers have no room, which is the cheapest check.
+		n := min(timesIn(st.demand(), room), want-found)
+		if n <= 0 || !s.suits(st, w) || s.keptApart(st, w) || !s.takes(w, st) {
+			continue
 		}
+		s.claims = append(s.claims, claim{worker: w, room: st.demand().Times(int64(n))})
+		found += n
 	}
 	enough := found >= st.tasksTogether()
 	for _, c := range s.claims {
