region: a check of how long tasks wait, in all random histories

- a task that could run waits for 12 s at most: half of the room is free on listed workers that can be reached, it fits there twice over, its workspace uses less than half of its cap, and the leader acts.
The time since the task last ran, its last start was sent or the leader began counts, of which only such time.
A failure names held_by and until when;
- of a start without a ticket that is in doubt, until it can no longer be carried out and the lease that it grants is over (from maxDoubt), in addition;
- each waiting task is on the ready list, and its step on the list of reportWaits; no step is ever "not queued".

--- a/region/history_test.go
+++ b/region/history_test.go
@@ -69,6 +69,7 @@
 		return time.Second + time.Duration(w.rng.Int64N(int64(4*time.Second)))
 	}
 	w.startLeader()
+	w.watchWaits()
 	var jobs []string
 	for i := range 400 {
 		w.run(50 * time.Millisecond)
--- a/region/leadershistory_test.go
+++ b/region/leadershistory_test.go
@@ -73,6 +73,7 @@
 		return time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 	}
 	w.startLeader()
+	w.watchWaits()
 	every := 5
 	if w.leaders.isolating {
 		every = 20
@@ -132,6 +133,7 @@
 	}
 	w.runTime = func(model.TaskID) time.Duration { return time.Second + f.random(24*time.Second) }
 	w.startLeader()
+	w.watchWaits()
 	var jobs []string
 	for i := range 12 {
 		w.run(100 * time.Millisecond)
--- a/region/strict_test.go
+++ b/region/strict_test.go
@@ -301,6 +301,7 @@
 		return 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 	}
 	w.startLeader()
+	w.watchWaits()
 	var jobs []string
 	for i := range 400 {
 		w.run(50 * time.Millisecond)
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -40,6 +40,7 @@
 	advice           *adviceService // nil: each call is answered within its expected duration
 	leaders          *leaders       // several leaders at a time; nil if a leader ends when it is replaced
 	readEnds         readEnds       // ends as done that were read
+	waits            *waitNet       // checks how long tasks wait; nil for no check
 
 	intake        []*record.Intake
 	intakeTimes   []time.Duration        // when each of intake was appended
@@ -359,6 +360,7 @@
 		}
 		w.states[c.Job] = c.State
 	case Start:
+		w.waits.started(c.Request.Task, w.isGang(c.Request.Task))
 		w.checkNotCancelled(c.Request)
 		w.checkDrainKnown(c.Request)
 		w.checkRoomKnown(c.Request)
