region: a step without a call for advice says so

"advice" reads as if an answer were awaited.

Evidence: TestStepWithoutCallForAdviceSaysSo, red without the line ("held_by advice").

--- a/region/advice.go
+++ b/region/advice.go
@@ -120,6 +120,9 @@
 func (s *Scheduler) refreshAdvice(st *step) {
 	if st.needsAdvice() {
 		room := s.claimRoom(st)
+		if !room && st.advice.inFlight == 0 && st.heldBy == reasonNames[rejectAdvice] {
+			st.heldBy = heldByUnasked
+		}
 		if s.canRequestAdvice(st) {
 			s.requestAdvice(st, room)
 		}
--- a/region/held_test.go
+++ b/region/held_test.go
@@ -30,6 +30,28 @@
 	}
 }
 
+// Guards against a step that is said to wait for advice although no call is sent for it: a more urgent step
+// asks about all the room that there is.
+func TestStepWithoutCallForAdviceSaysSo(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", 2)
+	w.startLeader()
+	w.takesLong("filler", 7400*time.Millisecond)
+	w.run(100 * time.Millisecond)
+	w.submit(oneStep("filler", &record.Step{Count: 2, EstimateMs: 8000}))
+	w.run(100 * time.Millisecond)
+	w.submit(withAdvice(oneStep("b", &record.Step{Count: 2}), true))
+	w.run(7 * time.Second)
+	j := withAdvice(oneStep("a", &record.Step{Count: 2}), true)
+	j.Policy.Priority, j.Policy.Advice.DecideMs = 0, 5000
+	w.submit(j)
+	w.run(1500 * time.Millisecond)
+	lines := w.waitReports("b")
+	if newest := lines[len(lines)-1]; !strings.Contains(newest, "{held_by advice unasked}") {
+		t.Errorf("not said that no call is sent: %s", newest)
+	}
+}
+
 // waitReports returns the lines "step waits" of a job.
 func (w *world) waitReports(job string) []string {
 	var lines []string
--- a/region/place.go
+++ b/region/place.go
@@ -32,6 +32,7 @@
 	heldByCapacity = "capacity"       // all workers together could not hold it, if they were empty
 	heldByLink     = "link"           // the leader's link is full
 	heldByAdvisers = "advice backlog" // all hosts have calls for advice to wait for
+	heldByUnasked  = "advice unasked" // no advice is asked for: it has no place, or more urgent steps ask about it
 )
 
 // rejectionCounts counts workers by the filter that rejected them.
