region: a lowered cap binds starts that are not sent yet

What tenants' operators saw: a start brings a workspace above its cap after the cap was lowered.

Cause: the cap is looked at when a task is assigned. Its start is sent once the log has the assignment and the path to the worker is checked, seconds later with a slow log, and looks again at room, ticket and drains, but not at the cap.

Change: sendFirst gives a run up if its workspace is above its cap, and its task waits. A gang of which a member was sent is sent whole, because that member would end alone. A start that is sent again after no answer (retryStart, start.go) is still not checked.

Evidence: go test ./region -run LoweredCap. Without the check 20 tasks run under a cap of 3, and a gang of 4 starts; without gangSent the other members of a gang with one sent are given up. Conclusion: nothing changes unless a cap is lowered below what is in use.

--- a/region/run.go
+++ b/region/run.go
@@ -166,9 +166,22 @@
 // sendFirst sends the first start of a run once its assignment is in the log and the path
 // to its worker is checked.
 func (s *Scheduler) sendFirst(r *run) {
-	if r.task.run == r && r.phase == phaseLogging && r.logged && !r.pathUnchecked {
-		s.sendRecorded(r, 0)
+	if r.task.run != r || r.phase != phaseLogging || !r.logged || r.pathUnchecked {
+		return
+	}
+	if !s.withinCap(r.task.step, 0) && !r.gangSent() {
+		s.abandon(r, "its workspace's cap was lowered")
+		return
 	}
+	s.sendRecorded(r, 0)
+}
+
+// gangSent reports whether the run is a gang's and a start of another member was sent. That member
+// would end if this one did not start.
+func (r *run) gangSent() bool {
+	return r.task.step.rec.Gang && slices.ContainsFunc(r.task.step.tasks, func(t *task) bool {
+		return t.run != nil && t.run.phase != phaseLogging
+	})
 }
 
 // recordAssigned appends the worker and its incarnation on which a run may be alive.
