region: a start that was not executed is not awaited

The start, sent at 33.29, was still in flight when the lease was over; its new connection failed after that, so that it was never sent.

Cause: as no call of the run had been executed, its fencing token was dropped, and none stands for that of an earlier leader: all calls that may renew a lease counted, also the probes that a start with a higher token outdates. And nothing has to be awaited at all then.

Change: once the only start of a run that is being stopped, or in doubt, is known not to have been executed, the run is lost at once. A start that is refused as old counts as one that may have been executed.

Evidence: TestStartThatWasNotSentIsNotAwaited, red in both cases without the change.

--- a/region/lategrants_test.go
+++ b/region/lategrants_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// Guards against a task that waits for a start which was not executed: that is known only after the run is
+// being stopped, or in doubt, as a new connection to its worker takes long to fail.
+func TestStartThatWasNotSentIsNotAwaited(t *testing.T) {
+	for name, giveUp := range map[string]func(*Scheduler, *run){
+		"stopping": func(s *Scheduler, r *run) { s.stopRun(r, "test") },
+		"in doubt": func(s *Scheduler, r *run) { s.awaitLateStart(r, "test") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, r := unansweredStart(t)
+			giveUp(w.sched, r)
+			request := model.StartRequest{RunID: r.id(), Worker: r.target(), Fence: w.sched.fenceOf(r.worker)}
+			w.step(StartAnswered{Request: request, Err: CallNotSent})
+			if r.task.run != nil {
+				t.Errorf("the run is still in phase %d", r.task.run.phase)
+			}
+		})
+	}
+}
+
 // Guards against a task that runs twice at once: the advice service issues the ticket of an earlier
 // start once more, which makes that start valid again.
 func TestTicketIssuedAgainIsAwaited(t *testing.T) {
--- a/region/start.go
+++ b/region/start.go
@@ -110,6 +110,11 @@
 	}
 	r.calls.answered(ev.Err, s.now)
 	if r.phase != phaseSending {
+		if (r.phase == phaseStopping || r.phase == phaseLateStart) && !r.begun && !r.listed && r.calls.neverExecuted() {
+			r.lost = nil
+			s.markLost(r, "its start was not executed")
+			return
+		}
 		if ev.Err == CallOK && r.phase == phaseRunning {
 			r.settledAt = s.now
 			s.recordSettled(r)
--- a/region/startcalls.go
+++ b/region/startcalls.go
@@ -24,7 +24,7 @@
 // executed: until it is answered, or lateCallWindow is over, or its ticket has expired. One call of a run is in flight
 // at a time.
 type startCalls struct {
-	fence          int64         // fencing token of the first; 0 if an earlier leader has sent it
+	fence          int64         // fencing token of the first that may have been executed; 0 if that is none of this leader's
 	newestFence    int64         // fencing token of the newest
 	expireAt       time.Duration // when the ticket that all of them carry has certainly expired; 0 if they need none
 	inFlight       bool
@@ -54,13 +54,19 @@
 		c.unansweredTill = now + lateCallWindow
 	case CallOK:
 		c.executed, c.confirmed = false, true
+	case CallOldRun: // it may have been executed, and the run have ended
 	default:
 		if c.unanswered == 0 {
-			c.fence = 0 // no call was executed
+			c.fence = 0
 		}
 	}
 }
 
+// neverExecuted reports, once a call was answered, whether it is known of each that it was not executed.
+func (c *startCalls) neverExecuted() bool {
+	return c.fence == 0 && c.inherited == 0 && !c.confirmed && !c.unsettled()
+}
+
 // runListed records that the worker has listed the run or its end. It shows that one call
 // was executed, not which.
 func (c *startCalls) runListed() {
