--- a/region/lategrants_test.go
+++ b/region/lategrants_test.go
@@ -133,6 +133,14 @@
 
 const noDelay = time.Duration(0)
 
+// secondStartLate delays the second start that is sent.
+func secondStartLate(call string, n int) time.Duration {
+	if call == "start" && n == 1 {
+		return 5 * time.Second
+	}
+	return noDelay
+}
+
 // Guards against a task that runs twice at once: its start is executed in the last moment in which its
 // ticket is valid, and its lease counts from then.
 func TestTaskAwaitsLeaseOfLastValidMoment(t *testing.T) {
@@ -168,12 +176,7 @@
 // Guards against a task that runs twice at once: a second call of its start renews the lease of the
 // incarnation that has executed the first one, after its ticket has expired.
 func TestSecondStartDoesNotProlongStartWithTicket(t *testing.T) {
-	g := newLateGrantWorld(t, func(call string, n int) time.Duration {
-		if call == "start" && n == 1 {
-			return 5 * time.Second
-		}
-		return noDelay
-	})
+	g := newLateGrantWorld(t, secondStartLate)
 	g.submit(advised("a", &record.Step{}))
 	g.untilStarted("a")
 	g.run(1500 * time.Millisecond)
@@ -184,12 +187,7 @@
 // Guards against a task that runs twice at once: the start of another task, which needs no ticket and
 // was sent later, renews the lease of the incarnation that has executed its start.
 func TestLateStartOfAnotherTaskIsAwaited(t *testing.T) {
-	g := newLateGrantWorld(t, func(call string, n int) time.Duration {
-		if call == "start" && n == 1 {
-			return 5 * time.Second
-		}
-		return noDelay
-	})
+	g := newLateGrantWorld(t, secondStartLate)
 	g.submit(advised("a", &record.Step{}))
 	g.untilStarted("a")
 	g.submit(deferrable("b", &record.Step{}))
@@ -204,12 +202,7 @@
 // Guards against a task that runs twice at once: the start of another task renews the lease of the
 // incarnation that has executed its start, as it comes after a stop of that other task.
 func TestStartAfterItsStopDoesNotProlong(t *testing.T) {
-	g := newLateGrantWorld(t, func(call string, n int) time.Duration {
-		if call == "start" && n == 1 {
-			return 5 * time.Second
-		}
-		return noDelay
-	})
+	g := newLateGrantWorld(t, secondStartLate)
 	g.submit(advised("a", &record.Step{}))
 	g.submit(advised("b", &record.Step{}))
 	g.run(100 * time.Millisecond)
