--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -94,7 +94,9 @@
 		if d.store != nil {
 			d.store.close()
 		}
-		_ = os.RemoveAll(d.dir)
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(d.dir)
+		}
 	})
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -45,6 +45,7 @@
 
 	mu         sync.Mutex
 	ended      bool // no more calls are answered
+	dark       bool // it is lost without a sound: calls hang
 	seq        int
 	state      string
 	fence      int64
@@ -262,8 +263,28 @@
 	}
 }
 
+// goDark ends the present life for good, without a sound: its connections stay open, calls hang, and it
+// sends nothing more.
+func (m *machine) goDark() {
+	m.mu.Lock()
+	w := m.life
+	m.life = nil
+	m.mu.Unlock()
+	w.mu.Lock()
+	w.ended, w.dark = true, true
+	m.rec.line("worker %s is lost for good, without a sound", w.id)
+	w.running = make(map[runKey]*running)
+	close(w.over)
+	w.mu.Unlock()
+	time.AfterFunc(3*heartbeat, func() { m.store.put("keyed.servers", w.id, nil) })
+}
+
 // abortIfOver ends a call without an answer once the life is over. The caller holds the lock.
 func (w *life) abortIfOver() {
+	if w.dark {
+		w.mu.Unlock()
+		select {} // until the caller gives up, and the process ends
+	}
 	if w.ended {
 		panic(http.ErrAbortHandler)
 	}
