Host: a bounded number of connections on each port

Callers saw: with 1,500 idle connections on one port a host has 1,523 descriptors where its settings allow 1,000, and 4,524 with a flood on all three. Where descriptors run out, it reaches neither the log nor its workers, and accepts nobody.

Cause: each connection was accepted and kept for as long as its client liked.

Change: package connlimit follows the connections of a server. At the bound, the one that has waited for its client the longest gives way, if it has waited for 250 ms (an answer 1 s); a request that was received whole keeps its connection, also where it was read just before. Callers get 3/8 of the sockets, other hosts 1/4, readiness checks 1/16; with the deployments' limits 1,462, 975 and 243. A listener that waits does not hold up a planned stop.

Evidence: TestIdleConnections 1,523 -> 324 descriptors, TestConnectionsIdleAfterARequest 1,520 -> 324, TestConnectionsToAllPorts 4,524 -> 576. TestBodiesThatNoHandlerReads keeps its descriptors (325), and is red for what connections have received and nobody has read.

--- a/host/host.go
+++ b/host/host.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflyfold/fireflyfold/boottime"
+	"github.com/fireflyfold/fireflyfold/connlimit"
 	"github.com/fireflyfold/fireflyfold/hostrpc"
 	"github.com/fireflyfold/fireflyfold/leader"
 	"github.com/fireflyfold/fireflyfold/linkstats"
@@ -193,16 +193,19 @@
 	for _, p := range []struct {
 		address string
 		handler http.Handler
+		limits  connlimit.Options
 	}{
-		{h.settings.Control, h.meter.Server("", control)},
-		{h.settings.Ready, h.meter.Server("ready", ready)},
-		{h.settings.Front, h.meter.Server("front", front)},
+		{h.settings.Control, h.meter.Server("", control), h.controlLimits()},
+		{h.settings.Ready, h.meter.Server("ready", ready), h.readyLimits()},
+		{h.settings.Front, h.meter.Server("front", front), h.frontLimits()},
 	} {
-		l, err := net.Listen("tcp", p.address)
+		limiter := connlimit.New(p.limits, h.metrics)
+		l, err := limiter.Listen(p.address)
 		if err != nil {
 			return nil, &ListenError{Address: p.address, Cause: err}
 		}
 		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: linkstats.ConnContext}
+		limiter.Attach(s)
 		servers = append([]*http.Server{s}, servers...)
 		h.group.Go(func() {
 			if err := s.Serve(h.meter.Listener(l)); err != http.ErrServerClosed {
--- a/linkstats/linkstats.go
+++ b/linkstats/linkstats.go
@@ -111,6 +111,18 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite ends the host's half of the connection. An http.Server looks for it before it closes a
+// connection on which the client still sends: the client would lose the answer to a reset.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	inner, ok := c.Conn.(syscall.Conn)
