Host: bounded memory of requests that are not answered yet

Callers saw: 600 clients whose bodies of 256 KiB stop one byte short keep 241 to 251 MiB in a host that may have 128; it is ended for that, with all that it answers.

Cause: a body was read into memory without a bound over all requests, and without a time. The head of a request takes up many times its size as a map: some 160 bytes for each line.

Change: what connections receive of a request counts until it is answered, twice the bytes and 160 for each line of a head; callers may take up a fifth of the memory, other hosts a tenth. Where that is used up, the oldest request that has not come to its end is refused with 503, a Retry-After and the end of its connection; one that sends without delay is not the oldest. A single request always fits. A body has 30 s, and each write of an answer 10 s. A body that breaks off was answered with 413, now with 503.

--- a/host/clientlimits.go
+++ b/host/clientlimits.go
@@ -1,7 +1,10 @@
 package host
 
 import (
-	"math"
+	"cmp"
+	"errors"
+	"net/http"
+	"time"
 
 	"github.com/fireflyfold/fireflyfold/connlimit"
 )
@@ -20,6 +23,15 @@
 	// with connBytes: its goroutine, its buffers and what it has received.
 	connMemoryShare = 1. / 4
 	connBytes       = 40 << 10
+	// frontMemoryShare and controlMemoryShare are the fractions of the memory that requests which are
+	// not answered yet may take up.
+	frontMemoryShare   = 1. / 5
+	controlMemoryShare = 1. / 10
+	// readyMemory is the same in bytes: the balancer's requests are small.
+	readyMemory = 1 << 20
+	// bodyTimeout bounds the time that a body may take, and writeTimeout each write of an answer.
+	bodyTimeout  = 30 * time.Second
+	writeTimeout = 10 * time.Second
 )
 
 // maxConns returns how many connections a port may have that gets a share of all sockets.
@@ -33,15 +45,42 @@
 
 // frontLimits returns what callers may hold of the process.
 func (h *Host) frontLimits() connlimit.Options {
-	return connlimit.Options{MaxConns: h.maxConns(frontFDShare), MaxBytes: math.MaxInt64}
+	return connlimit.Options{
+		MaxConns: h.maxConns(frontFDShare), MaxBytes: int64(frontMemoryShare * h.memoryBytes()),
+		BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+	}
 }
 
 // controlLimits returns what clients of the port for other hosts may hold.
 func (h *Host) controlLimits() connlimit.Options {
-	return connlimit.Options{MaxConns: h.maxConns(controlFDShare), MaxBytes: math.MaxInt64}
+	return connlimit.Options{
+		MaxConns: h.maxConns(controlFDShare), MaxBytes: int64(controlMemoryShare * h.memoryBytes()),
+		BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+	}
 }
 
 // readyLimits returns what clients of the readiness port may hold.
 func (h *Host) readyLimits() connlimit.Options {
-	return connlimit.Options{MaxConns: h.maxConns(readyFDShare), MaxBytes: math.MaxInt64}
+	return connlimit.Options{
+		MaxConns: h.maxConns(readyFDShare), MaxBytes: readyMemory,
+		BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+	}
+}
+
+// readBody reads the body of a submission. It answers the
+// call and reports false if the body is too large, does not come in time, or finds no memory.
+func (c *call) readBody() ([]byte, bool) {
+	body, err := connlimit.ReadBody(c.w, c.r, cmp.Or(c.config.Limits.MaxBodyBytes, defaultMaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		c.w.Header().Set("Connection", "close") // the rest of the body is not read
+		c.answer(http.StatusRequestEntityTooLarge, nil)
+	default:
+		c.w.Header().Set("Connection", "close")
+		c.refuse("the request was not received, or found no memory")
+	}
+	return nil, false
 }
--- a/host/front.go
+++ b/host/front.go
@@ -1,9 +1,7 @@
 package host
 
 import (
-	"cmp"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -176,9 +174,8 @@
 // of every host.
 func (c *call) submit() {
 	began := boottime.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, cmp.Or(c.config.Limits.MaxBodyBytes, defaultMaxBodyBytes)))
-	if err != nil {
-		c.answer(http.StatusRequestEntityTooLarge, nil)
+	body, ok := c.readBody()
+	if !ok {
 		return
 	}
 	job, err := platform.DecodeJob(body)
