Host: small receive buffers for what nobody reads yet

Callers saw: clients that send faster than a host reads, or without reading its answers, leave it with up to 175 MiB that its kernel has received; those count as memory, and it may have 128 in all.

Cause: the kernel lets the receive buffer of a connection grow from 128 KiB to 32 MiB, and each connection that waits to be accepted has one as well.

Change: the listeners have receive buffers of 16 KiB, which their connections inherit. A body of 256 KiB takes 16 round trips then, some 32 ms to the callers of the deployments.

--- a/host/clientlimits.go
+++ b/host/clientlimits.go
@@ -29,6 +29,9 @@
 	controlMemoryShare = 1. / 10
 	// readyMemory is the same in bytes: the balancer's requests are small.
 	readyMemory = 1 << 20
+	// receiveBuffer is the size of the receive buffer of each connection. What was received and not
+	// read counts as memory of the process.
+	receiveBuffer = 16 << 10
 	// bodyTimeout bounds the time that a body may take, and writeTimeout each write of an answer.
 	bodyTimeout  = 30 * time.Second
 	writeTimeout = 10 * time.Second
@@ -47,7 +50,7 @@
 func (h *Host) frontLimits() connlimit.Options {
 	return connlimit.Options{
 		MaxConns: h.maxConns(frontFDShare), MaxBytes: int64(frontMemoryShare * h.memoryBytes()),
-		BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+		ReceiveBuffer: receiveBuffer, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	}
 }
 
@@ -55,7 +58,7 @@
 func (h *Host) controlLimits() connlimit.Options {
 	return connlimit.Options{
 		MaxConns: h.maxConns(controlFDShare), MaxBytes: int64(controlMemoryShare * h.memoryBytes()),
-		BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+		ReceiveBuffer: receiveBuffer, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	}
 }
 
@@ -63,7 +66,7 @@
 func (h *Host) readyLimits() connlimit.Options {
 	return connlimit.Options{
 		MaxConns: h.maxConns(readyFDShare), MaxBytes: readyMemory,
-		BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+		ReceiveBuffer: receiveBuffer, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	}
 }
 
