Host: heads of requests are bounded by the configuration

Callers saw: nothing yet; a host read heads of up to 1 MiB whatever limit the operators had set (maxHeaderBytes, 16 KiB in the deployments), so that a dozen clients could take up the memory of all requests that are not complete, and push out ordinary ones that are.

Cause: the limit was decoded and never used. http.Server has one limit for its life, and the configuration comes later and changes.

Change: connlimit counts the bytes of a head and answers with 431 beyond the limit in force, 64 KiB before the first configuration and on the ports that serve no callers.

Evidence: TestHeadOverTheBoundIsRejected.

--- a/host/clientlimits.go
+++ b/host/clientlimits.go
@@ -35,6 +35,8 @@
 	// bodyTimeout bounds the time that a body may take, and writeTimeout each write of an answer.
 	bodyTimeout  = 30 * time.Second
 	writeTimeout = 10 * time.Second
+	// defaultMaxHeaderBytes bounds the head of a request if the configuration sets no limit.
+	defaultMaxHeaderBytes = 64 << 10
 )
 
 // maxConns returns how many connections a port may have that gets a share of all sockets.
@@ -49,7 +51,7 @@
 // frontLimits returns what callers may hold of the process.
 func (h *Host) frontLimits() connlimit.Options {
 	return connlimit.Options{
-		MaxConns: h.maxConns(frontFDShare), MaxBytes: int64(frontMemoryShare * h.memoryBytes()),
+		MaxConns: h.maxConns(frontFDShare), MaxBytes: int64(frontMemoryShare * h.memoryBytes()), MaxHeadBytes: h.maxHeaderBytes,
 		ReceiveBuffer: receiveBuffer, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	}
 }
@@ -57,7 +59,7 @@
 // controlLimits returns what clients of the port for other hosts may hold.
 func (h *Host) controlLimits() connlimit.Options {
 	return connlimit.Options{
-		MaxConns: h.maxConns(controlFDShare), MaxBytes: int64(controlMemoryShare * h.memoryBytes()),
+		MaxConns: h.maxConns(controlFDShare), MaxBytes: int64(controlMemoryShare * h.memoryBytes()), MaxHeadBytes: maxOwnHeaderBytes,
 		ReceiveBuffer: receiveBuffer, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	}
 }
@@ -65,11 +67,21 @@
 // readyLimits returns what clients of the readiness port may hold.
 func (h *Host) readyLimits() connlimit.Options {
 	return connlimit.Options{
-		MaxConns: h.maxConns(readyFDShare), MaxBytes: readyMemory,
+		MaxConns: h.maxConns(readyFDShare), MaxBytes: readyMemory, MaxHeadBytes: maxOwnHeaderBytes,
 		ReceiveBuffer: receiveBuffer, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	}
 }
 
+func maxOwnHeaderBytes() int { return defaultMaxHeaderBytes }
+
+// maxHeaderBytes returns the bound of the head of a caller's request.
+func (h *Host) maxHeaderBytes() int {
+	if config := h.config.Config(); config != nil {
+		return cmp.Or(config.Limits.MaxHeaderBytes, defaultMaxHeaderBytes)
+	}
+	return defaultMaxHeaderBytes
+}
+
 // readBody reads the body of a submission. It answers the
 // call and reports false if the body is too large, does not come in time, or finds no memory.
 func (c *call) readBody() ([]byte, bool) {
