Platform: submissions are decoded step by step, and their memory counts

Callers saw: 150 bodies of 256 KiB each of "{}," as steps, and as many of short elements, take up 2,032 MiB in a host that may have 128; it is ended for that.

Cause: the whole list of steps was decoded before the first one was checked, 30 times its size, for each body at once.

Change: a step is checked as soon as it is decoded, and no more are decoded than a job may have tasks. Before that a bound of what decoding takes up is added to the memory of the request; where it is used up by requests that are served, the submission is refused with 503.

--- a/host/cancel_test.go
+++ b/host/cancel_test.go
@@ -23,7 +23,7 @@
 	other = f.lastOther(leader)
 	leader.endpoint.Stall("log-read intake")
 	f.waitUntil("no read of the intake is in flight", func() bool { return leader.endpoint.Serving("log-read intake") == 0 })
-	job, err := platform.DecodeJob([]byte(twoTasks))
+	job, err := platform.DecodeJob([]byte(twoTasks), 10)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/host/clientlimits.go
+++ b/host/clientlimits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflyfold/fireflyfold/connlimit"
+	"github.com/fireflyfold/fireflyfold/platform"
 )
 
 const (
@@ -82,10 +83,13 @@
 	return defaultMaxHeaderBytes
 }
 
-// readBody reads the body of a submission. It answers the
+// readBody reads the body of a submission, and takes up the memory for decoding it. It answers the
 // call and reports false if the body is too large, does not come in time, or finds no memory.
 func (c *call) readBody() ([]byte, bool) {
 	body, err := connlimit.ReadBody(c.w, c.r, cmp.Or(c.config.Limits.MaxBodyBytes, defaultMaxBodyBytes))
+	if err == nil {
+		err = connlimit.Charge(c.ctx, platform.DecodedJobBytes(body, c.host.maxJobTasks()))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/host/front.go
+++ b/host/front.go
@@ -178,7 +178,7 @@
 	if !ok {
 		return
 	}
-	job, err := platform.DecodeJob(body)
+	job, err := platform.DecodeJob(body, c.host.maxJobTasks())
 	if err != nil {
 		c.host.log.WithError(err).WithField("job", c.job).Info("submission rejected")
 		c.answer(http.StatusBadRequest, nil)
