Host: calls of other hosts are bounded and not compressed

Callers saw: whoever reaches the port for other hosts ends the host: 60 compressed bodies of 64 KiB that are 64 MiB each take up 4,946 MiB, uncompressed ones as much as they send.

Cause: the handlers of the RPC library read a message of any length, decompress it first, and read it into buffers that they use again, so that a body of a few bytes can hold a buffer of megabytes.

Change: the body of a call is read before its handler begins and counts as memory; it has at most the largest record and 64 KiB. Our hosts do not compress their calls; a compressed one is refused.

--- a/exhaustion/host_test.go
+++ b/exhaustion/host_test.go
@@ -372,6 +372,18 @@
 	h.mustHold(t)
 }
 
+// Guards against bodies without a length on the port for other hosts.
+func TestChunksToThePortForHosts(t *testing.T) {
+	h := startHost(t)
+	press(t, h.control, bodyCrowd, func(w *bufio.Writer) error {
+		if _, err := w.WriteString(keepCall(chunkedBody)); err != nil {
+			return err
+		}
+		return inChunks(w, make([]byte, maxBody), 4<<10)
+	})
+	h.mustHold(t)
+}
+
 // Guards against compressed bodies on the port for other hosts.
 func TestCompressedBodiesToThePortForHosts(t *testing.T) {
 	h, body := startHost(t), compressed(64<<20)
--- a/host/clientlimits.go
+++ b/host/clientlimits.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/fireflyfold/fireflyfold/connlimit"
 	"github.com/fireflyfold/fireflyfold/platform"
 )
@@ -38,6 +41,8 @@
 	writeTimeout = 10 * time.Second
 	// defaultMaxHeaderBytes bounds the head of a request if the configuration sets no limit.
 	defaultMaxHeaderBytes = 64 << 10
+	// rpcMargin is the part of a call between hosts that is not its record.
+	rpcMargin = 64 << 10
 )
 
 // maxConns returns how many connections a port may have that gets a share of all sockets.
@@ -83,6 +88,16 @@
 	return defaultMaxHeaderBytes
 }
 
+// maxRPCBytes returns the bound of a call of another host: the largest carries a record of the intake.
+func (h *Host) maxRPCBytes() int64 {
+	return int64(min(h.settings.MaxRecordBytes, math.MaxInt32)) + rpcMargin
+}
+
+// rpcOptions bound the calls of other hosts, which do not compress them.
+func (h *Host) rpcOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithReadMaxBytes(int(h.maxRPCBytes())), connect.WithCompression("gzip", nil, nil)}
+}
+
 // readBody reads the body of a submission, and takes up the memory for decoding it. It answers the
 // call and reports false if the body is too large, does not come in time, or finds no memory.
 func (c *call) readBody() ([]byte, bool) {
--- a/host/host.go
+++ b/host/host.go
@@ -178,8 +178,8 @@
 // servers already run; its server is the first of the result.
 func (h *Host) listen() ([]*http.Server, error) {
 	control := http.NewServeMux()
-	control.Handle(hostrpc.NewLeaderHandler(h))
-	control.Handle(hostrpc.NewHelperHandler(h))
+	control.Handle(hostrpc.NewLeaderHandler(h, h.rpcOptions()...))
+	control.Handle(hostrpc.NewHelperHandler(h, h.rpcOptions()...))
 	control.Handle("/metrics", h.tel.Handler())
 	control.Handle("/v1/", h.operatorRouter())
 	ready := httprouter.New()
@@ -195,7 +195,7 @@
 		handler http.Handler
 		limits  connlimit.Options
 	}{
-		{h.settings.Control, h.meter.Server("", control), h.controlLimits()},
+		{h.settings.Control, h.meter.Server("", connlimit.Buffer(control, h.maxRPCBytes())), h.controlLimits()},
 		{h.settings.Ready, h.meter.Server("ready", ready), h.readyLimits()},
 		{h.settings.Front, h.meter.Server("front", front), h.frontLimits()},
 	} {
