Serve: idle connections give way, and both ports are bounded

Callers saw: 1,500 clients that stay connected after a request, do not read answers or stop short in a body leave a host of "fireflyfold serve" without an answer to others for 60 s and more. Its port for other hosts accepts any number of connections and heads of 1 MiB: 2,029 descriptors, 412 MiB.

Cause: beyond max-connections callers wait until one of the connections ends, and idle ones last for 60 s. The port for other hosts had no bound. Received bytes and the heads of requests did not count.

Callers above the bound still wait to be accepted, until an idle connection gives way.

--- a/entry/host.go
+++ b/entry/host.go
@@ -18,6 +18,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/fireflyfold/fireflyfold/connlimit"
 	"github.com/fireflyfold/fireflyfold/engine"
 	"github.com/fireflyfold/fireflyfold/fleet"
 	"github.com/fireflyfold/fireflyfold/ident"
@@ -86,7 +87,8 @@
 	leaves context.Context // ends when the planned stop begins
 	leave  context.CancelFunc
 
-	api, peerAPI net.Listener
+	api, peerAPI          net.Listener
+	apiLimits, peerLimits *connlimit.Limiter
 }
 
 // end says why a host stopped by itself.
@@ -118,6 +120,8 @@
 		logging: ring.New[engine.AppendGroup](commandRing),
 		end:     make(chan end, 1),
 	}
+	h.apiLimits = connlimit.New(callerLimits(s.Limits), opts.Telemetry.Metrics.SubScope("callers"))
+	h.peerLimits = connlimit.New(peerLimits(s.Limits), opts.Telemetry.Metrics.SubScope("peers"))
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -176,14 +180,13 @@
 func (h *Host) listen() error {
 	s := h.opts.Settings
 	var err error
-	if h.api, err = net.Listen("tcp", s.Host.API.String()); err != nil {
+	if h.api, err = h.apiLimits.Listen(s.Host.API.String()); err != nil {
 		return &ListenError{Role: "callers", Addr: s.Host.API.String(), Cause: err}
 	}
-	if h.peerAPI, err = net.Listen("tcp", s.Host.Peer.String()); err != nil {
+	if h.peerAPI, err = h.peerLimits.Listen(s.Host.Peer.String()); err != nil {
 		_ = h.api.Close()
 		return &ListenError{Role: "peers", Addr: s.Host.Peer.String(), Cause: err}
 	}
-	h.api = limitConnections(h.api, s.Limits.MaxConnections)
 	return nil
 }
 
@@ -257,6 +260,8 @@
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	api.BaseContext = peers.BaseContext
+	h.apiLimits.Attach(api)
+	h.peerLimits.Attach(peers)
 	var duties conc.WaitGroup
 	h.startDuties(ctx, &duties)
 	duties.Go(func() { h.serveAPI(api) })
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,8 +3,6 @@
 import (
 	"io"
 	"log"
-	"net"
-	"sync"
 
 	"github.com/uber-go/tally/v4"
 
@@ -73,51 +71,3 @@
 // discardLog drops the lines that net/http writes for each broken connection:
 // they are counted, not logged.
 func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
-
-// limitedListener bounds the connections that are open at once. Callers over
-// the bound wait in the kernel's backlog and hold nothing of this host.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-}
-
-func limitConnections(l net.Listener, limit int) net.Listener {
-	if limit <= 0 {
-		return l
-	}
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit)}
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{Conn: conn, slots: l.slots}, nil
-}
-
-type limitedConn struct {
-	net.Conn
-	slots chan struct{}
-	once  sync.Once
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	c.once.Do(func() { <-c.slots })
-	return c.Conn.Close()
-}
-
-// CloseWrite ends the host's half of the connection. net/http looks for this
-// method when it closes a connection on which the caller still sends, as after
-// an oversize header. Without it the kernel resets the connection, and the
-// caller may see the reset in place of the refusal.
-func (c *limitedConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
-	}
-	return nil
-}
