Peer: calls are bounded and not compressed

Callers saw: a client that knows the secret of the hosts, or a host that errs, ends another one: bodies without an end take up 6,508 MiB, 60 compressed ones 7,650.

Cause: as on the port of "fireflyfold host": the handlers read and decompress messages of any length into buffers that they keep.

Change: a call has at most twice the largest body and 1 MiB, is read before its handler begins, counts as memory, and is not compressed; our hosts never compressed theirs.

--- a/entry/clientlimits.go
+++ b/entry/clientlimits.go
@@ -21,6 +21,8 @@
 	peerShare = 0.5
 	// peerBodyTimeout bounds the time that a call of another host may take to arrive.
 	peerBodyTimeout = 30 * time.Second
+	// peerMargin is the part of a call of another host that is not its body.
+	peerMargin = 1 << 20
 )
 
 // callerLimits returns what callers may hold of the process. The server bounds the time.
@@ -37,3 +39,7 @@
 }
 
 func requestMemory(l settings.Limits) int64 { return bodyFactor*l.BodyMemory + headMemory }
+
+// maxPeerCall returns the bound of a call of another host in bytes: it carries the body of a request,
+// or a submission that was encoded again.
+func maxPeerCall(l settings.Limits) int64 { return bodyFactor*l.MaxBody + peerMargin }
--- a/entry/host.go
+++ b/entry/host.go
@@ -254,7 +254,7 @@
 	defer h.leave()
 	api := h.server(h.routes())
 	peers := &http.Server{
-		Handler:           peer.NewHandler(&peerServer{h: h}, peer.Secret(h.opts.Settings.Peers.Secret)),
+		Handler:           peer.NewHandler(&peerServer{h: h}, peer.Secret(h.opts.Settings.Peers.Secret), maxPeerCall(h.opts.Settings.Limits)),
 		ReadHeaderTimeout: h.opts.Settings.Limits.HeaderTimeout,
 		IdleTimeout:       peerIdle,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
--- a/exhaustion/serve_test.go
+++ b/exhaustion/serve_test.go
@@ -329,6 +329,18 @@
 	s.mustHold(t)
 }
 
+// Guards against bodies without a length on the port for other hosts.
+func TestServeChunksToThePortForHosts(t *testing.T) {
+	s := startServed(t, true)
+	press(t, s.peer, bodyCrowd, func(w *bufio.Writer) error {
+		if _, err := w.WriteString(peerCall(chunkedBody)); err != nil {
+			return err
+		}
+		return inChunks(w, make([]byte, maxBody), 4<<10)
+	})
+	s.mustHold(t)
+}
+
 // Guards against compressed bodies on the port for other hosts.
 func TestServeCompressedBodiesToThePortForHosts(t *testing.T) {
 	s, body := startServed(t, true), compressed(64<<20)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,8 +13,10 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/fireflyfold/fireflyfold/connlimit"
 	"github.com/fireflyfold/fireflyfold/peer/peerv1"
 )
 
@@ -27,6 +29,9 @@
 	connsByPeer = 128
 )
 
+// frameBytes is what precedes the message of a streaming call.
+const frameBytes = 5
+
 const (
 	authHeader = "Authorization"
 	authScheme = "Bearer "
@@ -44,11 +49,11 @@
 }
 
 // NewHandler serves impl to callers that know the secret and refuses others
-// with 401.
-func NewHandler(impl peerv1.PeerServiceHandler, secret Secret) http.Handler {
-	path, service := peerv1.NewPeerServiceHandler(impl)
+// with 401. Calls have at most maxBytes and are not compressed.
+func NewHandler(impl peerv1.PeerServiceHandler, secret Secret, maxBytes int64) http.Handler {
+	path, service := peerv1.NewPeerServiceHandler(impl, connect.WithReadMaxBytes(int(maxBytes)), connect.WithCompression("gzip", nil, nil))
 	mux := http.NewServeMux()
-	mux.Handle(path, service)
+	mux.Handle(path, connlimit.Buffer(service, maxBytes+frameBytes))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !secret.matches(r.Header.Get(authHeader)) {
 			w.Header().Set("Connection", "close") // a stranger holds no connection
