--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -293,6 +293,31 @@
 	mustAddUp(t, l, nil)
 }
 
+// Guards against heads of many short lines, which take up many times their size as a map.
+func TestLinesOfAHeadCount(t *testing.T) {
+	l := New(roomy, tally.NoopScope)
+	c := open(t, l)
+	const lines, least = 100, 100 // least is the memory of one header in bytes: two texts, a list and an entry of the map
+	if err := c.receive([]byte(strings.Repeat("a:\r\n", lines))); err != nil {
+		t.Fatal(err)
+	}
+	if c.charged < lines*least {
+		t.Errorf("%d bytes for %d lines", c.charged, lines)
+	}
+}
+
+// Guards against a body that stops short in calm, where no other request wants its memory.
+func TestBodyThatStopsShortEndsByItself(t *testing.T) {
+	opts := roomy
+	opts.BodyTimeout = 10 * time.Millisecond
+	s := newServer(t, opts, echoLength)
+	c := s.connect()
+	c.send(post(4, "abc"))
+	if got := c.status(); got != http.StatusServiceUnavailable {
+		t.Errorf("answered with %d", got)
+	}
+}
+
 // open returns a connection of a limiter without a server.
 func open(t *testing.T, l *Limiter) *conn {
 	t.Helper()
