Region: keep only the end of a job a while after it

Callers saw nothing of it yet. A leader keeps a job for 240 s after its end (twice the time for which its state can be queried), with all steps and tasks, and each successor that reads the log does, too. What it holds grows with the rate of jobs times 240 s, although only the end is asked for.

Cause: only periodic jobs forgot their occurrences. retireJobs drops the whole job, and that as late as no caller may ask for it or repeat its submission.

Change: 15 s after its end, and once no run of it may be alive, a job keeps its id, queue, workspace, end and the reason of a failure. A leader that has read only an EndedJobs record knows just that, so every place that looks for a task knows the case: a run that a worker lists late is stopped as a stray, an end of it is one of an unknown job. 15 s are longer than a lease and the time in which a late start is carried out.

--- a/region/job.go
+++ b/region/job.go
@@ -399,6 +399,7 @@
 		n++
 	}
 	s.finished = s.finished[n:]
+	s.compacted = max(s.compacted-n, 0)
 	for c, at := range s.cancelledEarly {
 		if s.now-at > max(s.opts.StatusRetention, repeatWindow) {
 			delete(s.cancelledEarly, c)
--- a/region/region.go
+++ b/region/region.go
@@ -113,6 +113,7 @@
 	periodic        []*job // jobs with further occurrences
 	written         []*job // jobs whose records may have to be written again, in the order of writtenAt
 	finished        []*job // jobs in the order they ended
+	compacted       int    // how many of them are compacted
 	losses          lossTable
 	openLosses      []*loss // losses in the order of at
 	shown           shownCrashes
@@ -356,6 +357,7 @@
 	s.expireLosses()
 	s.judgeCrashes()
 	s.retireJobs()
+	s.compactEnded()
 	s.rewriteOld()
 	s.reportWaits()
 	s.dirty = true
