Host: bound the memory that accepted jobs take up in the leader

What callers saw (trial): 600 submissions of some 50 bytes, each with 10,000 tasks, are accepted, and the leader exceeds its memory: 1,064 MiB of 128. Each successor reads the same log and ends the same way. Small jobs do the same in number: 120,000 submissions of one task, 217 MiB.

Cause: the bound of one job's tasks holds, none over all jobs did. The leader keeps each accepted job with all tasks, and cannot refuse a job that is in the log.

Change: the scheduler counts a bound of the memory that its jobs take up (region.JobMemory; a third of the host's memory for all). The leader's answer to a ping carries an allowance: the host's part of a quarter of what is left, and how old the reads are that it has counted. A host charges what it accepts against it until such a read shows the job. A job larger than half of what the allowance has left is reserved by a call to the leader (Leader.Reserve), which gives at most half of what is left beyond the hosts' quarter. What finds no memory is refused at once with 503 and Retry-After; a denial is remembered until the next answer. Jobs of many tasks are refused first, small ones last.

Three hosts and a change of leader: TestHostsAcceptJobsWithinTheMemoryOfTheLeader. TestJobMemoryIsABound compares the count with the live heap, and each world of region checks the sum at every tick.

--- a/exhaustion/host_test.go
+++ b/exhaustion/host_test.go
@@ -29,6 +29,8 @@
 	connCrowd = 1500
 	// wholeCrowd is how many clients send bodies of the largest size to their end.
 	wholeCrowd = 900
+	// jobsPerClient is how many jobs each client submits that submits many.
+	jobsPerClient = 200
 	// compressedCrowd is how many clients send a small body that is large once it is decompressed.
 	compressedCrowd = 60
 	// endless is after how many bytes a client stops that would go on without end.
@@ -420,6 +422,21 @@
 	h.mustHold(t)
 }
 
+// Guards against jobs that are small and so many that they exceed the memory of the leader.
+func TestManySmallJobs(t *testing.T) {
+	h := startHost(t)
+	const body = `{"spec":"x","steps":[{"count":1,"cpu":100}]}`
+	press(t, h.front, bodyCrowd, func(w *bufio.Writer) error {
+		for range jobsPerClient {
+			if _, err := w.WriteString(request("POST", jobPath(), lengthOf(len(body))) + body); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	h.mustHold(t)
+}
+
 // Guards against a limit that refuses a single request inside the limits of the configuration.
 func TestLargestRequestIsServed(t *testing.T) {
 	h := startHost(t)
--- a/host/election.go
+++ b/host/election.go
@@ -418,6 +418,7 @@
 func (e *election) ping(ctx context.Context, claim *record.Claim) pingResult {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	sent := boottime.Now()
 	resp, err := e.host.peers.leader(claim.Address).Ping(ctx, e.host.pingRequest())
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -435,6 +436,9 @@
 		return pingInconclusive
 	}
 	e.applyPingResponse(resp.Msg)
+	if !resp.Msg.Loading {
+		e.host.jobBudget.renew(resp.Msg.JobAllowance, sent)
+	}
 	switch {
 	case time.Duration(resp.Msg.LogContactMs)*time.Millisecond >= leaderLogTimeout:
 		return pingInconclusive
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -24,6 +24,7 @@
 	store   *fakeplatform.Store
 	workers []*fakeplatform.Worker
 	hosts   []*testHost
+	jobs    int // submitted by fillWithJobs
 }
 
 // testHost is one host with its own access to the log.
--- a/host/front.go
+++ b/host/front.go
@@ -194,7 +194,14 @@
 		c.refuse("stopping")
 		return
 	}
+	charge, err := c.host.jobBudget.take(c.ctx, job.Id, region.JobMemory(job))
+	if err != nil {
+		c.host.log.WithError(err).WithField("job", c.job).Debug("no memory for a job")
+		c.refuse("the leader has no memory for the job")
+		return
+	}
 	outcome := c.appendRecord(&record.Intake{Kind: &record.Intake_Submitted{Submitted: job}})
+	charge.settle(outcome)
 	c.host.metrics.Timer("submission_seconds").Record(boottime.Now() - began)
 	if outcome == appended {
 		c.host.log.WithFields(logrus.Fields{"job": c.job, "queue": job.Queue, "workspace": job.Workspace,
--- a/host/host.go
+++ b/host/host.go
@@ -67,6 +67,8 @@
 	peers       *peers
 	helpers     *helpers
 	peerContact peerContact
+	jobBudget   *jobBudget
+	jobRoom     jobRoom
 	group       conc.WaitGroup
 	runCtx      context.Context // canceled when the host has stopped
 	cancelRun   context.CancelFunc
@@ -90,6 +92,7 @@
 	h.config = newConfigWatch(client, h.log, h.metrics)
 	h.config.fetchFromPeers = h.fetchConfigFromPeers
 	h.election = newElection(h)
+	h.jobBudget = newJobBudget(h)
 	h.intake = logwriter.New(client, logwriter.Target{
 		Topic: leader.TopicIntake, Parts: leader.IntakeParts, Producer: s.Host + "/" + h.incarnation, Epoch: 1, FirstSeq: 1, OwnEpochs: true, CallBytes: s.MaxAppendBytes,
 	})
--- a/host/peers.go
+++ b/host/peers.go
@@ -68,6 +68,7 @@
 	h.helpers.recordPing(req.Msg)
 	resp := &hostrpc.PingResponse{Leading: true, Loading: !l.Loaded(), Incarnation: h.incarnation, LogContactMs: l.LogContactAge().Milliseconds()}
 	h.helpers.fillPingResponse(resp)
+	resp.JobAllowance = h.jobAllowance(l)
 	return connect.NewResponse(resp), nil
 }
 
--- a/hostrpc/hostrpc.connect.go
+++ b/hostrpc/hostrpc.connect.go
@@ -45,6 +45,8 @@
 	LeaderPendingProcedure = "/hostrpc.Leader/Pending"
 	// LeaderKeptProcedure is the fully-qualified name of the Leader's Kept RPC.
 	LeaderKeptProcedure = "/hostrpc.Leader/Kept"
+	// LeaderReserveProcedure is the fully-qualified name of the Leader's Reserve RPC.
+	LeaderReserveProcedure = "/hostrpc.Leader/Reserve"
 	// HelperAdviseProcedure is the fully-qualified name of the Helper's Advise RPC.
 	HelperAdviseProcedure = "/hostrpc.Helper/Advise"
 	// HelperKeepProcedure is the fully-qualified name of the Helper's Keep RPC.
@@ -69,6 +71,9 @@
 	// Kept passes on an intake record that is already in the log: the leader need
 	// not wait until it reads the record itself.
 	Kept(context.Context, *connect.Request[KeptRequest]) (*connect.Response[KeptResponse], error)
+	// Reserve reserves memory of the leader for a job that the caller is about to append
+	// to the intake. It answers RESOURCE_EXHAUSTED if the leader has none left for it.
+	Reserve(context.Context, *connect.Request[ReserveRequest]) (*connect.Response[ReserveResponse], error)
 }
 
 // NewLeaderClient constructs a client for the hostrpc.Leader service. By default, it uses the
@@ -112,6 +117,12 @@
 			connect.WithSchema(leaderMethods.ByName("Kept")),
 			connect.WithClientOptions(opts...),
 		),
+		reserve: connect.NewClient[ReserveRequest, ReserveResponse](
+			httpClient,
+			baseURL+LeaderReserveProcedure,
+			connect.WithSchema(leaderMethods.ByName("Reserve")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -122,6 +133,7 @@
 	explain *connect.Client[ExplainRequest, ExplainResponse]
 	pending *connect.Client[PendingRequest, PendingResponse]
 	kept    *connect.Client[KeptRequest, KeptResponse]
+	reserve *connect.Client[ReserveRequest, ReserveResponse]
 }
 
 // Ping calls hostrpc.Leader.Ping.
@@ -149,6 +161,11 @@
 	return c.kept.CallUnary(ctx, req)
 }
 
+// Reserve calls hostrpc.Leader.Reserve.
+func (c *leaderClient) Reserve(ctx context.Context, req *connect.Request[ReserveRequest]) (*connect.Response[ReserveResponse], error) {
+	return c.reserve.CallUnary(ctx, req)
+}
+
 // LeaderHandler is an implementation of the hostrpc.Leader service.
 type LeaderHandler interface {
 	// Ping is the caller's heartbeat: it keeps the caller on the leader's list of
@@ -163,6 +180,9 @@
 	// Kept passes on an intake record that is already in the log: the leader need
 	// not wait until it reads the record itself.
 	Kept(context.Context, *connect.Request[KeptRequest]) (*connect.Response[KeptResponse], error)
+	// Reserve reserves memory of the leader for a job that the caller is about to append
+	// to the intake. It answers RESOURCE_EXHAUSTED if the leader has none left for it.
+	Reserve(context.Context, *connect.Request[ReserveRequest]) (*connect.Response[ReserveResponse], error)
 }
 
 // NewLeaderHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -202,6 +222,12 @@
 		connect.WithSchema(leaderMethods.ByName("Kept")),
 		connect.WithHandlerOptions(opts...),
 	)
+	leaderReserveHandler := connect.NewUnaryHandler(
+		LeaderReserveProcedure,
+		svc.Reserve,
+		connect.WithSchema(leaderMethods.ByName("Reserve")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hostrpc.Leader/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case LeaderPingProcedure:
@@ -214,6 +240,8 @@
 			leaderPendingHandler.ServeHTTP(w, r)
 		case LeaderKeptProcedure:
 			leaderKeptHandler.ServeHTTP(w, r)
+		case LeaderReserveProcedure:
+			leaderReserveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -243,6 +271,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hostrpc.Leader.Kept is not implemented"))
 }
 
+func (UnimplementedLeaderHandler) Reserve(context.Context, *connect.Request[ReserveRequest]) (*connect.Response[ReserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hostrpc.Leader.Reserve is not implemented"))
+}
+
 // HelperClient is a client for the hostrpc.Helper service.
 type HelperClient interface {
 	// Advise calls the advice service from this host.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -116,6 +116,7 @@
 	intakeReadAt [IntakeParts]atomic.Int64 // when the newest read of each partition that is applied was sent
 	loadedAt     atomic.Int64              // when loading was completed
 	lastAppendAt atomic.Int64              // when the newest append was acked
+	jobMemory    atomic.Int64              // as the scheduler counts it
 	provenAt     atomic.Int64              // until when no later leader had led, as known while loading
 	callTimeout  timeoutEstimator          // of calls to workers
 	ctx          context.Context           // ends with the leadership
@@ -184,6 +185,16 @@
 	return boottime.Now() - time.Duration(oldest)
 }
 
+// JobMemory returns a bound of the memory in bytes that all jobs take up: jobs that State knows and
+// those acknowledged longer than readAge ago. loaded is false while the leader loads.
+func (l *Leader) JobMemory() (bytes int64, readAge time.Duration, loaded bool) {
+	if !l.loaded.Load() {
+		return 0, 0, false
+	}
+	readAge = l.intakeReadAge() // before the memory, which then has at least the jobs of that read
+	return l.jobMemory.Load(), readAge, true
+}
+
 // Loaded reports whether the records of earlier leaders have been replayed.
 func (l *Leader) Loaded() bool { return l.loaded.Load() }
 
@@ -275,12 +286,14 @@
 		"intake": next}).Info("leading")
 	l.lastAppendAt.Store(int64(boottime.Now()))
 	l.loadedAt.Store(int64(boottime.Now()))
+	l.noteJobMemory(sched.JobMemory())
 	l.loaded.Store(true)
 	for part, from := range next {
 		group.Go(func() { l.readIntake(ctx, part, from) })
 	}
 	group.Go(func() { l.watchWorkers(ctx, list) })
 	l.loop(ctx, sched)
+	l.cfg.Metrics.Gauge("job_memory_bytes").Update(0)
 	return context.Cause(ctx)
 }
 
@@ -348,7 +361,7 @@
 			if l.cfg.LinkLoad != nil {
 				tick.LinkLoad = l.cfg.LinkLoad()
 			}
-			d.execute(sched.Handle(boottime.Now(), tick))
+			l.apply(d, sched, tick)
 		}
 		d.execute(sched.Handle(boottime.Now(), region.Schedule{}))
 	}
@@ -370,12 +383,20 @@
 // apply passes an event to the scheduler. A read of the intake counts only from then on: until
 // its records are applied, their jobs are unknown to callers.
 func (l *Leader) apply(d *dispatcher, sched *region.Scheduler, ev region.Event) {
-	d.execute(sched.Handle(boottime.Now(), ev))
+	commands := sched.Handle(boottime.Now(), ev)
+	l.noteJobMemory(sched.JobMemory()) // before the jobs of the event are known to callers
+	d.execute(commands)
 	if read, ok := ev.(region.IntakeRead); ok && read.SentAt > 0 {
 		l.intakeReadAt[read.Part].Store(int64(read.SentAt))
 	}
 }
 
+func (l *Leader) noteJobMemory(bytes int64) {
+	if l.jobMemory.Swap(bytes) != bytes {
+		l.cfg.Metrics.Gauge("job_memory_bytes").Update(float64(bytes))
+	}
+}
+
 // adviceHosts detects changes of the list of hosts that can be asked for advice.
 type adviceHosts struct{ names []string }
 
--- a/region/compact.go
+++ b/region/compact.go
@@ -31,4 +31,6 @@
 	j.failedWhy, j.failedTask = j.whyFailed(), nil
 	j.rec = &record.Job{Id: j.rec.Id, Queue: j.rec.Queue, Workspace: j.rec.Workspace, RepeatCount: j.rec.RepeatCount}
 	j.occs, j.over = nil, nil
+	j.memory = jobMemory{record: newJobMemory(j.rec).record, counted: j.memory.counted}
+	s.countMemory(j)
 }
--- a/region/compact_test.go
+++ b/region/compact_test.go
@@ -26,6 +26,9 @@
 	if j := w.sched.jobs["a"]; len(j.occs) > 0 || len(j.rec.Steps) > 0 {
 		t.Errorf("%d occurrences and %d steps are kept of a job that has ended", len(j.occs), len(j.rec.Steps))
 	}
+	if got, most := w.sched.JobMemory(), JobMemory(&record.Job{Id: "a", Queue: "q", Workspace: "ws"}); got > most {
+		t.Errorf("%d bytes are counted for a job that has ended, want %d at most", got, most)
+	}
 	w.submit(oneStep("a", &record.Step{Count: 4}))
 	w.run(5 * time.Second)
 	if n := w.starts[model.TaskID{Job: "a"}]; n != 1 || w.states["a"] != StateCompleted {
--- a/region/endedjobs.go
+++ b/region/endedjobs.go
@@ -126,6 +126,7 @@
 // addEnded adds a job of which only the record of its end is left.
 func (s *Scheduler) addEnded(e *record.EndedJob) *job {
 	j := &job{rec: &record.Job{Id: e.Id, Queue: e.Queue, Workspace: e.Workspace}}
+	j.memory = newJobMemory(j.rec)
 	s.jobs[e.Id] = j
 	s.rewriteLater(j)
 	return j
--- a/region/job.go
+++ b/region/job.go
@@ -34,6 +34,7 @@
 	state         State          // last published
 	closed        bool           // its end may be shown
 	endedAt       time.Duration
+	memory        jobMemory
 }
 
 // occurrence is one execution of a job's steps.
@@ -133,6 +134,7 @@
 		j.writtenAt = s.writtenAt(rec.AcceptedUnixMs)
 	}
 	s.jobs[rec.Id] = j
+	j.memory = newJobMemory(rec)
 	s.rewriteLater(j)
 	j.overShare = !s.shares.allow(s.share(rec.Workspace), rec.Workspace, j.acceptedAt)
 	if j.periodic() {
@@ -140,6 +142,7 @@
 	} else {
 		s.addOccurrence(j)
 	}
+	s.countMemory(j)
 	s.publish(j)
 	s.cancelIfAsked(j)
 	return j
@@ -313,6 +316,7 @@
 	j.closed = true
 	j.endedAt = s.now
 	s.forgetSuspects(j)
+	s.countMemory(j)
 	s.finished = append(s.finished, j)
 	s.publish(j)
 }
@@ -395,6 +399,7 @@
 			break
 		}
 		delete(s.jobs, j.rec.Id)
+		s.jobMemory -= j.memory.counted
 		s.emit(Publish{Job: j.rec.Id, Queue: j.rec.Queue, State: StateUnknown})
 		n++
 	}
--- a/region/pastoccurrences.go
+++ b/region/pastoccurrences.go
@@ -70,6 +70,7 @@
 	}
 	j.over = j.over.add(occurrenceRange{occ.k, occ.k + 1})
 	j.occs = slices.Concat(j.occs[:i], j.occs[i+1:]) // callers may be going through the old slice
+	s.countMemory(j)
 }
 
 // isOver reports whether the task is of an occurrence of which only that it is over is kept.
@@ -97,6 +98,7 @@
 		j.nextOcc = max(j.nextOcc, to)
 		j.begun = true
 	}
+	s.countMemory(j)
 	if len(ranges) > 0 && j.complete() && !j.failed && !j.cancelled {
 		s.jobEndedOnceCommitted(j)
 	}
--- a/region/region.go
+++ b/region/region.go
@@ -88,6 +88,8 @@
 	config *model.Config
 	drains zoneDrains
 	jobs   map[string]*job
+	// jobMemory is a bound of the memory in bytes that the jobs take up.
+	jobMemory int64
 	// cancelledEarly holds when cancellations were read whose jobs have not been read
 	// yet.
 	cancelledEarly map[cancellation]time.Duration
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -287,6 +287,7 @@
 	}
 	w.step(Tick{UnixMs: (w.now + w.clockSkew).Milliseconds(), LinkLoad: w.linkLoad})
 	w.step(Schedule{})
+	w.checkJobMemory()
 	if w.minActive > 0 && w.sched != nil {
 		w.checkStandby()
 	}
