Region: do not stop long tasks for showing no progress

What callers saw (suspected by the review in the source, shown here): a task that takes more than some 150 s is stopped after 1.5 s without progress and started elsewhere, again and again, and never ends.

Cause: workers report whole percents. A long task shows none for longer than stallTimeout, however healthy it and its worker are.

Change: the time-out is at least four times what a percent of the declared run time takes, and doubles from the second such stop of a task on, as what is declared may be wrong. Tasks that declare less than 37.5 s are moved off a worker on which they hang as soon as before, twice.

--- a/region/job.go
+++ b/region/job.go
@@ -90,6 +90,7 @@
 	checkpoint   string        // newest checkpoint that is kept
 	suspicion    suspicion
 	movedOffSlow bool          // it was moved off a slow worker once
+	stalls       int           // runs of it that were stopped as they showed no progress
 	run          *run          // run that may be alive; nil for none
 	doneEnd      *doneEnd      // a run was read as done, and that is not applied yet; nil for none
 	runTime      time.Duration // run time of the run that completed it
--- a/region/learn.go
+++ b/region/learn.go
@@ -121,17 +121,26 @@
 	}
 }
 
-// stallTimeout is how long a run that works may show no progress. Probes are up to 0.8 s apart,
-// and the slowest healthy tasks gain one percent in a second.
-const stallTimeout = 1500 * time.Millisecond
+const (
+	// stallTimeout is how long a run that works may show no progress at least. Probes are up to 0.8 s
+	// apart, and the slowest tasks of usual length gain one percent in a second.
+	stallTimeout = 1500 * time.Millisecond
+	// maxStallDoublings bounds by how much a task's earlier stops lengthen the time-out.
+	maxStallDoublings = 12
+)
 
-// progressTimeout returns how long the run may show no progress: one that has resumed first
-// restores its checkpoint.
+// progressTimeout returns how long the run may show no progress. Workers report whole percents, so a long
+// task shows none for long. One that has resumed first restores its checkpoint.
+//
+// The guard is against a healthy task that is stopped again and again and never ends: its run time may
+// be far from what was declared, so the time-out doubles from its second stop on.
 func (s *Scheduler) progressTimeout(r *run) time.Duration {
+	percent := declaredRunTime(r.task.step.rec) / 100
+	timeout := max(stallTimeout, stragglerFactor*percent) << min(max(r.task.stalls-1, 0), maxStallDoublings)
 	if r.observed.since == 0 && r.task.checkpoint != "" {
-		return stallTimeout + s.opts.RestoreTime
+		timeout += s.opts.RestoreTime
 	}
-	return stallTimeout
+	return timeout
 }
 
 // progress records the progress of a run and stops a run without progress. A worker on
@@ -161,6 +170,7 @@
 		return
 	}
 	r.worker.health.stalled(s.now)
+	r.task.stalls++
 	s.stopRun(r, "no progress")
 }
 
