Region: send no start to a worker that is known to drain

What callers saw (suspected by the review in the source, shown here): a task starts on a worker that is about to leave, up to seconds after that is known, and is moved or lost with it.

Cause: placement passes over workers that drain, sendStart did not: a run that was assigned before starts whenever its record is committed, and a start without an answer is sent again.

Change: sendStart ends or stops such a run, as it does in a drained zone.

Evidence: a check in every world of region. Without the change TestHistoriesWithLeavingWorkers/1 and /16, TestDeferredEndOfLeavingWorker (a start sent again 1.0 s after the worker was known to drain) and TestStartIsNotSentToADrainingWorker (new) are red.

--- a/region/evict_test.go
+++ b/region/evict_test.go
@@ -201,7 +201,10 @@
 		return 0
 	}
 	w.submit(oneStep("a", &record.Step{Count: 1}))
-	w.run(10 * time.Millisecond)
+	task := model.TaskID{Job: "a"}
+	for w.sched.findTask(task) == nil || w.sched.findTask(task).run == nil || w.sched.findTask(task).run.phase != phaseSending {
+		w.run(time.Millisecond)
+	}
 	w.drainWorker(fw, 0)
 	w.run(testRemaining - time.Millisecond)
 	if len(fw.runs) > 0 {
@@ -304,6 +307,25 @@
 	w.mustComplete("a")
 }
 
+// Guards against a start that is sent to a worker that is about to leave: the run was assigned, and its record
+// not committed, before the worker was known to drain.
+func TestStartIsNotSentToADrainingWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	fw := w.addWorker("w1", 8)
+	w.startLeader()
+	w.run(100 * time.Millisecond)
+	w.logDown = true
+	w.submit(oneStep("a", &record.Step{Count: 1}))
+	w.run(200 * time.Millisecond)
+	fw.entry.Draining = true
+	w.deliver(WorkerListed{Entry: fw.entry})
+	w.addWorker("w2", 8)
+	w.logDown = false
+	w.flushLog()
+	w.run(20 * time.Second)
+	w.mustComplete("a")
+}
+
 // Guards against stops that are refused because more calls are made to one worker at a time than the pool
 // of connections allows.
 func TestEvictionIsPaced(t *testing.T) {
--- a/region/start.go
+++ b/region/start.go
@@ -39,6 +39,10 @@
 		s.abortStart(r, why)
 		return
 	}
+	if r.worker.entry.Draining {
+		s.abortStart(r, "its worker drains")
+		return
+	}
 	if !r.hasRoom() {
 		s.abortStart(r, "its worker's capacity has shrunk")
 		return
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -364,6 +364,7 @@
 		w.waits.started(c.Request.Task, w.isGang(c.Request.Task))
 		w.checkNotCancelled(c.Request)
 		w.checkDrainKnown(c.Request)
+		w.checkWorkerStays(c.Request)
 		w.checkRoomKnown(c.Request)
 		w.call(generation, "start", c.After, c.Request.Worker, func(fw *fakeWorker) CallError { return w.start(fw, c.Request) },
 			func(e CallError) Event { return StartAnswered{Request: c.Request, Err: e} })
@@ -393,6 +394,13 @@
 	}
 }
 
+// checkWorkerStays checks that no start is sent to a worker that is known to drain.
+func (w *world) checkWorkerStays(o model.StartRequest) {
+	if known := w.sched.workers[o.Worker.ID]; known != nil && known.entry.Draining {
+		w.fatal("start sent to worker %s, which is known to drain: %v run %d", o.Worker.ID, o.Task, o.Run)
+	}
+}
+
 func (w *world) append(generation int, c Append) {
 	if w.leaders != nil {
 		w.leaders.append(generation, c)
