Region: count jobs as pending whose inherited run nobody has seen

Cause: the log tells a new leader which runs were assigned, not which began. Their jobs count as started until the worker answers; one that was cut off before the start reached it answers after its lease at the earliest, 10 s and more.

Change: 1 s after a change of leader a job counts as pending whose inherited run no worker has listed. It is still shown as running: pending is published beside the state. Jobs at set times do not count, as before.

--- a/leader/status.go
+++ b/leader/status.go
@@ -20,7 +20,7 @@
 	state     region.State
 	queue     string
 	workspace string
-	timed     bool // runs at set times: not counted as pending
+	pending   bool
 	why       string
 }
 
@@ -45,7 +45,7 @@
 func (b *StatusView) Apply(published region.Publish) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if old, known := b.jobs[published.Job]; known && old.state == region.StateQueued && !old.timed {
+	if old, known := b.jobs[published.Job]; known && old.pending {
 		b.pending[old.queue]--
 	}
 	if published.State == region.StateUnknown {
@@ -53,8 +53,8 @@
 		delete(b.crashes, published.Job)
 		return
 	}
-	b.jobs[published.Job] = jobStatus{state: published.State, queue: published.Queue, workspace: published.Workspace, timed: published.Timed, why: published.Why}
-	if published.State == region.StateQueued && !published.Timed {
+	b.jobs[published.Job] = jobStatus{state: published.State, queue: published.Queue, workspace: published.Workspace, pending: published.Pending, why: published.Why}
+	if published.Pending {
 		b.pending[published.Queue]++
 	}
 }
@@ -91,7 +91,7 @@
 	return e.state, e.workspace
 }
 
-// Pending returns how many queued jobs of a queue have no started task. Jobs that run at
+// Pending returns how many jobs of a queue have no task that is known to have begun. Jobs that run at
 // set times are not counted.
 func (b *StatusView) Pending(queue string) int64 {
 	b.mu.RLock()
--- a/region/event.go
+++ b/region/event.go
@@ -186,7 +186,7 @@
 		Workspace string
 		State     State
 		Why       string // why the job failed
-		Timed     bool   // runs at set times and does not count as waiting
+		Pending   bool   // no task of it is known to have begun, and it does not run at set times
 	}
 
 	// CrashCounted reports a crash of a worker that counts against a task, or that has been
--- a/region/job.go
+++ b/region/job.go
@@ -32,6 +32,7 @@
 	nextOcc       int32          // first occurrence that has not been created
 	remainingOccs int            // occurrences with tasks that are not done
 	state         State          // last published
+	pending       bool           // last published
 	closed        bool           // its end may be shown
 	endedAt       time.Duration
 	memory        jobMemory
@@ -322,15 +323,15 @@
 	s.publish(j)
 }
 
-// publish reports the job's state if it changed, and in any case when leadership
-// begins.
+// publish reports the job's state and whether it is pending if they changed, and in any case when
+// leadership begins.
 func (s *Scheduler) publish(j *job) {
-	state := j.currentState()
-	if state == j.state && s.now != s.leadSince {
+	state, pending := j.currentState(), s.isPending(j)
+	if state == j.state && pending == j.pending && s.now != s.leadSince {
 		return
 	}
-	j.state = state
-	s.emit(Publish{Job: j.rec.Id, Queue: j.rec.Queue, Workspace: j.rec.Workspace, State: state, Why: j.whyFailed(), Timed: j.periodic()})
+	j.state, j.pending = state, pending
+	s.emit(Publish{Job: j.rec.Id, Queue: j.rec.Queue, Workspace: j.rec.Workspace, State: state, Why: j.whyFailed(), Pending: pending})
 }
 
 // whyFailed returns why the job failed, or "" if it has not.
@@ -386,8 +387,10 @@
 
 // hasBegun reports whether a task of the job has started. A run assigned by an earlier
 // leader counts as started until its worker has answered.
-func (j *job) hasBegun() bool {
-	return j.begun || j.anyRun(func(r *run) bool { return r.phase == phaseInherited })
+func (j *job) hasBegun() bool { return j.begun || j.hasInheritedRun() }
+
+func (j *job) hasInheritedRun() bool {
+	return j.anyRun(func(r *run) bool { return r.phase == phaseInherited })
 }
 
 // retireJobs removes jobs whose state can no longer be queried and that are no longer submitted
--- a/region/region.go
+++ b/region/region.go
@@ -94,41 +94,42 @@
 	// yet.
 	cancelledEarly map[cancellation]time.Duration
 	// replayedCancels are the jobs whose cancellations were read before leadership began.
-	replayedCancels []*job
-	workers         map[string]*worker
-	departed        departed
-	workerList      []*worker            // workers in a stable order
-	active          []*worker            // those that are not on standby, in a stable order
-	leaving         []*worker            // draining workers of which it is known when they may leave
-	byAddress       map[string][]*worker // workers by the address of their incarnation
-	pools           map[string]*pool     // workers by service
-	poolList        []*pool              // pools in a stable order
-	resizedAt       time.Duration        // when the pools were last compared with the demand
-	slots           slotAllocator
-	usableNow       []*worker // workers that can take new work, in this pass
-	fittingBuf      []*worker // result buffer of fitting
-	claims          []claim   // buffer of claimRoom
-	ready           readyList // steps with waiting tasks, most urgent first
-	used            map[string]model.Resources
-	advisers        advisers
-	adviceTiers     adviceTiers
-	periodic        []*job // jobs with further occurrences
-	written         []*job // jobs whose records may have to be written again, in the order of writtenAt
-	finished        []*job // jobs in the order they ended
-	compacted       int    // how many of them are compacted
-	losses          lossTable
-	openLosses      []*loss // losses in the order of at
-	shown           shownCrashes
-	suspects        map[*task]bool // tasks that are isolated
-	lateStartRuns   []*run         // runs of awaitLateStart
-	doneEnds        []*task        // tasks with an end of rememberDone
-	terms           terms
-	reachedBy       map[string]int64 // fencing token of the newest earlier leader that has recorded to have reached a worker
-	inheritedCalls  []*run           // runs of noteInheritedCalls
-	inherited       inheritedReport
-	pathChecks      []*run // runs of checkPath
-	estimates       estimates
-	shares          shares
+	replayedCancels    []*job
+	workers            map[string]*worker
+	departed           departed
+	workerList         []*worker            // workers in a stable order
+	active             []*worker            // those that are not on standby, in a stable order
+	leaving            []*worker            // draining workers of which it is known when they may leave
+	byAddress          map[string][]*worker // workers by the address of their incarnation
+	pools              map[string]*pool     // workers by service
+	poolList           []*pool              // pools in a stable order
+	resizedAt          time.Duration        // when the pools were last compared with the demand
+	slots              slotAllocator
+	usableNow          []*worker // workers that can take new work, in this pass
+	fittingBuf         []*worker // result buffer of fitting
+	claims             []claim   // buffer of claimRoom
+	ready              readyList // steps with waiting tasks, most urgent first
+	used               map[string]model.Resources
+	advisers           advisers
+	adviceTiers        adviceTiers
+	periodic           []*job // jobs with further occurrences
+	written            []*job // jobs whose records may have to be written again, in the order of writtenAt
+	finished           []*job // jobs in the order they ended
+	compacted          int    // how many of them are compacted
+	losses             lossTable
+	openLosses         []*loss // losses in the order of at
+	shown              shownCrashes
+	suspects           map[*task]bool // tasks that are isolated
+	lateStartRuns      []*run         // runs of awaitLateStart
+	doneEnds           []*task        // tasks with an end of rememberDone
+	terms              terms
+	reachedBy          map[string]int64 // fencing token of the newest earlier leader that has recorded to have reached a worker
+	inheritedCalls     []*run           // runs of noteInheritedCalls
+	inherited          inheritedReport
+	inheritedPublished bool   // publishInherited has published their jobs
+	pathChecks         []*run // runs of checkPath
+	estimates          estimates
+	shares             shares
 
 	entries          []*record.Entry  // entries produced by this call of Handle
 	seq              int64            // number of the last entry produced
@@ -347,6 +348,7 @@
 	s.checkDrainAge()
 	s.addDueOccurrences()
 	s.expireRuns()
+	s.publishInherited()
 	s.evictLeaving()
 	s.reportUnreached()
 	s.sendOverdueProbes()
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -64,6 +64,7 @@
 	workers             map[string]*fakeWorker
 	names               []string
 	states              map[string]State
+	pending             map[string]bool
 	acceptedAt          map[string]time.Duration // when jobs were submitted
 	completedAt         map[string]time.Duration // when they were first shown as completed
 
@@ -183,7 +184,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*fakeWorker), states: make(map[string]State),
 		starts: make(map[model.TaskID]int), doneRuns: make(map[model.TaskID]int32), failures: make(map[model.TaskID]int),
 		now: time.Hour, submitted: make(map[string]*record.Job), foreignCalls: make(map[string]int),
-		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int), counts: make(map[string]int64),
+		acceptedAt: make(map[string]time.Duration), completedAt: make(map[string]time.Duration), probes: make(map[string]int), pending: make(map[string]bool), counts: make(map[string]int64),
 	}
 	w.runTime = func(model.TaskID) time.Duration { return 500 * time.Millisecond }
 	w.fails = func(model.TaskID, int32) bool { return false }
@@ -359,7 +360,7 @@
 		if c.State == StateCompleted && w.states[c.Job] != c.State {
 			w.completedAt[c.Job] = w.now
 		}
-		w.states[c.Job] = c.State
+		w.states[c.Job], w.pending[c.Job] = c.State, c.Pending
 	case Start:
 		w.waits.started(c.Request.Task, w.isGang(c.Request.Task))
 		w.checkNotCancelled(c.Request)
